--- /dev/null
+++ b/packages/stallpaddle-cli/src/CliPrint.ts
@@ -0,0 +1,140 @@
+import Table from 'cli-table3';
+import {unreachable} from 'stallpaddle';
+
+/**
+ * Answers as a person reads them.
+ */
+import type {BatchAnswer, PlanAnswer, StatusAnswer} from './CliSchemas';
+
+/**
+ * Writes text or, for scripts, JSON to the standard output.
+ *
+ * @param json whether JSON was asked for
+ * @param value the whole answer
+ * @param text returns the text for a person
+ */
+export function print(json: boolean, value: unknown, text: () => string): void {
+  process.stdout.write(`${json ? JSON.stringify(value) : text()}\n`);
+}
+
+function table(head: readonly string[], rows: readonly (readonly (number | string)[])[]): string {
+  const made = new Table({head: [...head], style: {border: [], head: []}});
+  rows.forEach((row) => made.push([...row]));
+  return made.toString();
+}
+
+function planOutcome({state}: PlanAnswer): string {
+  switch (state.kind) {
+    case 'confirmed':
+      return `accepted as revision ${state.revision}, confirmed by ${state.by}`;
+    case 'proposed':
+      return 'not confirmed: nothing has been changed';
+    case 'refused':
+      return `refused: ${state.reason}`;
+    default:
+      return unreachable(state);
+  }
+}
+
+/**
+ * A plan.
+ *
+ * @param plan as the server shows it
+ */
+export function planText(plan: PlanAnswer): string {
+  const {capacity, steps, warnings} = plan.content;
+  const lines = [
+    `Plan ${plan.id} by ${plan.operator}, made on revision ${plan.basis}`,
+    ...steps.map(
+      (step, index) => `  ${index + 1}. ${step.description}: ${step.targets.join(', ')}`,
+    ),
+    ...capacity.map(({after, before, model}) => `  slots of ${model}: ${before} -> ${after}`),
+    ...warnings.map((warning) => `  WARNING: ${warning}`),
+    planOutcome(plan),
+  ];
+  if (plan.state.kind === 'confirmed') {
+    const {everywhere, on, waitingFor} = plan.inForce;
+    lines.push(
+      everywhere
+        ? `in force on all ${on.length} VMs`
+        : `in force on ${on.length} VMs, not yet on ${waitingFor.join(', ')}`,
+    );
+  }
+  return lines.join('\n');
+}
+
+/**
+ * A batch job in one line.
+ *
+ * @param batch as the server shows it
+ */
+export function batchText(batch: BatchAnswer): string {
+  const {completed, failed, total} = batch.request_counts;
+  return `${batch.id} ${batch.status}: ${completed} done, ${failed} failed, ${total} in all`;
+}
+
+/**
+ * The fleet's state.
+ *
+ * @param status as the server shows it
+ */
+export function statusText(status: StatusAnswer): string {
+  const vms = status.vms.map((vm) => [
+    vm.vm,
+    vm.zone,
+    vm.live ? (vm.leaving ? 'leaving' : 'live') : 'lost',
+    vm.revision,
+    `${vm.heardAgeMs} ms`,
+  ]);
+  const replicas = status.replicas.map((replica) => [
+    replica.group,
+    replica.role,
+    replica.term,
+    replica.applied,
+    replica.leader ?? 'none known',
+    replica.voters.join('\n'),
+  ]);
+  const engines = status.engines.map((engine) => [
+    engine.engine,
+    engine.role,
+    `${engine.online}+${engine.batch}/${engine.slots}`,
+    engine.loadAgeMs === null ? 'never heard' : `${engine.loadAgeMs} ms`,
+    engine.weights.join('\n'),
+  ]);
+  const ledger = status.ledger.map((shard) => [
+    shard.shard,
+    shard.runningJobs,
+    shard.openItems,
+    shard.leases,
+  ]);
+  return [
+    `VM ${status.vm}, revision ${status.revision}`,
+    table(['VM', 'availability zone', 'state', 'revision', 'heard'], vms),
+    table(['group', 'role here', 'term', 'applied', 'leader', 'voters'], replicas),
+    table(['engine', 'role', 'online+batch/slots', 'report age', 'weights'], engines),
+    table(['shard', 'running jobs', 'open items', 'leases'], ledger),
+  ].join('\n');
+}
+
+/**
+ * Lines of the audit trail.
+ *
+ * @param entries as the server shows them
+ */
+export function auditText(
+  entries: readonly {
+    readonly action: string;
+    readonly actor: string;
+    readonly at: number;
+    readonly detail: string;
+    readonly number: number;
+    readonly revision: number;
+  }[],
+): string {
+  return entries
+    .map(
+      ({action, actor, at, detail, number, revision}) =>
+        `${number} ${new Date(at).toISOString()} r${revision} ${actor} ${action}: ${detail}`,
+    )
+    .join('\n');
+}
--- /dev/null
+++ b/packages/stallpaddle-cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command line. */
+export {runCli} from './Cli';
--- /dev/null
+++ b/packages/stallpaddle-control/src/index.ts
@@ -0,0 +1,53 @@
+/** Control group: configuration, plans, orders to engines, audit trail. */
+export {
+  applyChanges,
+  changesOf,
+  currentEngines,
+  EMPTY_CONFIG,
+  engineTarget,
+  modelNames,
+  type ResolvedModel,
+  resolveModel,
+  serviceSlots,
+  weightsName,
+} from './ControlConfig';
+export {intentSchema} from './ControlIntentSchema';
+export {changesAfter, controlMachine, EMPTY_CONTROL, updateControl} from './ControlMachine';
+export {
+  type EngineOrder,
+  type EngineReport,
+  fencingNumber,
+  MAX_LOADS_AT_ONCE,
+  nextOrders,
+} from './ControlOrders';
+export {planIntent, type PlanRefusal, type PlanResult} from './ControlPlanner';
+export {
+  type ControlPort,
+  type ControlQuery,
+  type ControlReply,
+  queryControl,
+} from './ControlQueries';
+export type {
+  AuditEntry,
+  CapacityChange,
+  ConfigChange,
+  ControlAnswer,
+  ControlCommand,
+  ControlState,
+  CustomerConfig,
+  EngineConfig,
+  EngineRole,
+  FleetConfig,
+  Intent,
+  ModelVersion,
+  PlainServer,
+  PlanContent,
+  PlanRecord,
+  PlanState,
+  PlanStep,
+  ReplacementConfig,
+  Revision,
+  RevisionChange,
+  ServiceConfig,
+  VmConfig,
+} from './ControlTypes';
--- /dev/null
+++ b/packages/stallpaddle-engine/src/index.ts
@@ -0,0 +1,19 @@
+/** Backend servers: the interface, its HTTP implementation and the lanes to them. */
+export {
+  type BackendAnswer,
+  BackendError,
+  type BackendRequest,
+  type EngineAdapter,
+  type EngineStatus,
+  type OrderOutcome,
+} from './EngineAdapter';
+export {
+  ATTEMPT_HEADER,
+  HttpEngine,
+  LOAD_PATH,
+  ORDERS_PATH,
+  PRIORITY_HEADER,
+  readBody,
+  TIMEOUT_HEADER,
+} from './EngineHttp';
+export {EngineLanes} from './EngineLanes';
--- /dev/null
+++ b/packages/stallpaddle-gateway/src/GatewayContext.ts
@@ -0,0 +1,38 @@
+import type {Clock, EngineId, Logger, Random, RefusalError, VmId, ZoneId} from 'stallpaddle';
+import type {ControlPort, FleetConfig, PlainServer} from 'stallpaddle-control';
+import type {EngineAdapter, EngineLanes} from 'stallpaddle-engine';
+import type {LedgerPorts} from 'stallpaddle-ledger';
+import type {MembershipState} from 'stallpaddle-membership';
+import type {RoutingEvent, RoutingState} from 'stallpaddle-routing';
+import type {LimitSettings} from 'stallpaddle-settings';
+
+/**
+ * What the gateway sees of the VM that it runs in.
+ */
+import type {GatewayMetrics} from './GatewayMetrics';
+
+/** Everything that request handlers use. */
+export interface GatewayContext {
+  readonly adapterOf: (engine: EngineId) => EngineAdapter | undefined;
+  readonly clock: Clock;
+  readonly config: () => FleetConfig;
+  readonly control: ControlPort;
+  readonly lanes: EngineLanes;
+  readonly ledger: LedgerPorts;
+  readonly limits: LimitSettings;
+  readonly logger: Logger;
+  readonly membership: () => MembershipState;
+  readonly metrics: GatewayMetrics;
+  readonly onRouting: (event: RoutingEvent) => void;
+  /** SHA-256 of operators' keys in hexadecimal, by name. */
+  readonly operatorKeys: ReadonlyMap<string, string>;
+  readonly plainAdapterOf: (server: PlainServer) => EngineAdapter;
+  readonly random: Random;
+  /** Why no new work may be taken on, or undefined when it may. */
+  readonly refusal: () => RefusalError | undefined;
+  readonly routing: () => RoutingState;
+  /** Facts for operators. */
+  readonly status: () => Promise<unknown>;
+  readonly vm: VmId;
+  readonly zone: ZoneId;
+}
--- /dev/null
+++ b/packages/stallpaddle-gateway/src/GatewayServer.ts
@@ -0,0 +1,325 @@
+import type {Server} from 'node:http';
+import type {RefusalError} from 'stallpaddle';
+
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {errorMessage, refuse} from 'stallpaddle';
+import {modelNames} from 'stallpaddle-control';
+import {ADDRESSES_LIFETIME_MS, addressesFor} from 'stallpaddle-membership';
+
+/**
+ * The HTTP server towards callers and operators.
+ */
+import type {GatewayContext} from './GatewayContext';
+
+import {GatewayAdmin} from './GatewayAdmin';
+import {GatewayAuth} from './GatewayAuth';
+import {GatewayBatches} from './GatewayBatches';
+import {CHAT_PATH, GatewayChat} from './GatewayChat';
+import {GatewayFiles} from './GatewayFiles';
+import {sendJson, sendRefusal, toRefusal} from './GatewayHttp';
+import {GatewayOnline} from './GatewayOnline';
+import {GatewayServices, SERVICES_PREFIX} from './GatewayServices';
+
+const MAX_HEADER_BYTES = 16_384;
+const KEEP_ALIVE_MS = 10_000;
+
+type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void>;
+
+interface Route {
+  readonly handler: Handler;
+  readonly name: string;
+}
+
+function urlOf(req: IncomingMessage): URL {
+  const url = URL.parse(req.url ?? '/', 'http://vm');
+  if (url === null) {
+    throw refuse('badRequest', 'the path is not a URL');
+  }
+  return url;
+}
+
+/** The server of one VM. */
+export class GatewayServer {
+  private readonly admin: GatewayAdmin;
+  private readonly auth: GatewayAuth;
+  private readonly batches: GatewayBatches;
+  private readonly chat: GatewayChat;
+  private readonly files: GatewayFiles;
+  private readonly online: GatewayOnline;
+  private open = 0;
+  private readonly server: Server;
+  private readonly services: GatewayServices;
+
+  /**
+   * @param context the VM
+   */
+  constructor(private readonly context: GatewayContext) {
+    this.auth = new GatewayAuth(context);
+    this.online = new GatewayOnline(context);
+    this.chat = new GatewayChat(context, this.online);
+    this.services = new GatewayServices(context, this.online);
+    this.files = new GatewayFiles(context);
+    this.batches = new GatewayBatches(context);
+    this.admin = new GatewayAdmin(context, this.batches, this.files);
+    const {connections, sendMs} = context.limits;
+    this.server = createServer({
+      headersTimeout: sendMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: 0,
+    });
+    this.server.maxConnections = connections;
+    this.server.on('request', (req, res) => void this.handle(req, res));
+    const {metrics} = context;
+    metrics.exposeGauge('stallpaddle_open_requests', 'Open requests.', () => this.open);
+    metrics.exposeGauge(
+      'stallpaddle_queued_requests',
+      'Waiting requests.',
+      () => this.online.waiting,
+    );
+  }
+
+  /** Requests that are being answered. */
+  get openRequests(): number {
+    return this.open;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param host IP number
+   * @param port TCP port
+   */
+  async start(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Closes idle connections; open requests go on. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Ends all connections. */
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.open++;
+    let route = 'unknown';
+    let code = 'ok';
+    try {
+      const url = urlOf(req);
+      const found = this.routeOf(req.method ?? '', url.pathname.split('/').slice(1));
+      route = found.name;
+      if (this.isLeaving()) {
+        res.setHeader('connection', 'close');
+      }
+      await found.handler(req, res, url);
+    } catch (err) {
+      const refusal = toRefusal(err);
+      code = refusal.code;
+      if (refusal.code === 'internal') {
+        this.context.logger.error('A request failed.', {reason: errorMessage(err), route});
+      }
+      this.endRefused(req, res, refusal);
+    } finally {
+      this.open--;
+      this.context.metrics.countRequest(route, code);
+    }
+  }
+
+  private endRefused(req: IncomingMessage, res: ServerResponse, refusal: RefusalError): void {
+    if (!req.complete && !res.headersSent) {
+      // What is left of the body is not wanted.
+      res.setHeader('connection', 'close');
+    }
+    const {code} = refusal;
+    const elsewhere = code === 'leaving' || code === 'stale';
+    if (elsewhere && !res.headersSent) {
+      const {clock, membership, vm} = this.context;
+      const others = addressesFor(membership(), vm, this.context.zone, clock.monotonicMs());
+      res.setHeader(
+        'x-stallpaddle-addresses',
+        others.map(({host, port}) => `${host}:${port}`).join(','),
+      );
+    }
+    sendRefusal(res, refusal);
+  }
+
+  private isLeaving(): boolean {
+    return this.context.refusal()?.code === 'leaving';
+  }
+
+  private refuseNewWork(): void {
+    const refusal = this.context.refusal();
+    if (refusal !== undefined) {
+      throw refusal;
+    }
+  }
+
+  private routeOf(method: string, path: readonly string[]): Route {
+    const [root] = path;
+    switch (root) {
+      case 'addresses':
+      case 'healthz':
+      case 'metrics':
+        return this.openRoute(method, root);
+      case 'admin':
+        return this.adminRoute(method, path.slice(1));
+      case 'services':
+        return {handler: (req, res) => this.answerService(req, res), name: SERVICES_PREFIX};
+      case 'v1':
+        return this.callerRoute(method, path.slice(1));
+      case undefined:
+      default:
+        throw refuse('notFound', 'no such path');
+    }
+  }
+
+  private openRoute(method: string, root: 'addresses' | 'healthz' | 'metrics'): Route {
+    if (method !== 'GET') {
+      throw refuse('notFound', `${root} answers GET only`);
+    }
+    const {metrics, refusal} = this.context;
+    switch (root) {
+      case 'addresses':
+        return {handler: (req, res, url) => this.sendAddresses(req, res, url), name: root};
+      case 'healthz':
+        return {
+          handler: async (_req, res) => {
+            const reason = refusal();
+            sendJson(res, reason === undefined ? 200 : 503, {
+              ready: reason === undefined,
+              reason: reason?.message,
+            });
+          },
+          name: root,
+        };
+      case 'metrics':
+        return {
+          handler: async (_req, res) => {
+            res.writeHead(200, {'content-type': metrics.contentType});
+            res.end(await metrics.text());
+          },
+          name: root,
+        };
+    }
+  }
+
+  private async sendAddresses(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
+    const {clock, membership} = this.context;
+    const caller = req.socket.remoteAddress ?? '';
+    const zone = url.searchParams.get('zone') ?? undefined;
+    const spread = url.searchParams.get('caller') ?? caller;
+    const addresses = addressesFor(membership(), spread, zone, clock.monotonicMs());
+    res.setHeader('cache-control', `max-age=${Math.floor(ADDRESSES_LIFETIME_MS / 1000)}`);
+    sendJson(res, 200, {addresses, lifetimeMs: ADDRESSES_LIFETIME_MS});
+  }
+
+  private async answerService(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const caller = this.auth.customerOf(req);
+    this.refuseNewWork();
+    await this.services.answer(caller, req, res);
+  }
+
+  private callerRoute(method: string, path: readonly string[]): Route {
+    const [collection = '', id = '', part] = path;
+    const name = `${method} /v1/${collection}${id === '' ? '' : '/ID'}${part === undefined ? '' : `/${part}`}`;
+    const route = (
+      takesWork: boolean,
+      run: (
+        caller: ReturnType<GatewayAuth['customerOf']>,
+        req: IncomingMessage,
+        res: ServerResponse,
+      ) => Promise<void>,
+    ): Route => ({
+      handler: async (req, res) => {
+        const caller = this.auth.customerOf(req);
+        if (takesWork) {
+          this.refuseNewWork();
+        }
+        await run(caller, req, res);
+      },
+      name,
+    });
+    const {ledger} = this.context;
+    switch (name) {
+      case `POST /v1/chat/ID`:
+        if (`/v1/chat/${id}` === CHAT_PATH) {
+          return route(true, (caller, req, res) => this.chat.answer(caller, req, res));
+        }
+        break;
+      case 'GET /v1/batches':
+        return route(false, (caller, _req, res) => this.batches.list(caller, res));
+      case 'GET /v1/batches/ID':
+        return route(false, (caller, _req, res) => this.batches.show(caller, id, res));
+      case 'GET /v1/files':
+        return route(false, (caller, _req, res) => this.files.list(caller, res));
+      case 'GET /v1/files/ID':
+        return route(false, (caller, _req, res) => this.files.show(caller, id, res));
+      case 'GET /v1/files/ID/content':
+        return route(false, ({customer}, _req, res) =>
+          this.files.content(customer, ledger.forCustomer(customer), id, res),
+        );
+      case 'GET /v1/models':
+        return route(false, (_caller, _req, res) => this.sendModels(res));
+      case 'POST /v1/batches':
+        return route(true, (caller, req, res) => this.batches.create(caller, req, res));
+      case 'POST /v1/batches/ID/cancel':
+        return route(false, ({customer}, _req, res) =>
+          this.batches.cancel(customer, ledger.forCustomer(customer), id, res),
+        );
+      case 'POST /v1/files':
+        return route(true, (caller, req, res) => this.files.upload(caller, req, res));
+      default:
+        break;
+    }
+    throw refuse('notFound', `no such path: ${method} /v1/${path.join('/')}`);
+  }
+
+  private async sendModels(res: ServerResponse): Promise<void> {
+    const data = modelNames(this.context.config()).map((id) => ({
+      created: 0,
+      id,
+      object: 'model',
+      owned_by: 'stallpaddle',
+    }));
+    sendJson(res, 200, {data, object: 'list'});
+  }
+
+  private adminRoute(method: string, path: readonly string[]): Route {
+    const [collection = '', id = '', part] = path;
+    const name = `${method} /admin/${collection}${id === '' ? '' : '/ID'}${part === undefined ? '' : `/${part}`}`;
+    const route = (
+      run: (operator: string, req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void>,
+    ): Route => ({
+      handler: async (req, res, url) => run(this.auth.operatorOf(req), req, res, url),
+      name,
+    });
+    switch (name) {
+      case 'GET /admin/audit':
+        return route((_operator, _req, res, url) => this.admin.audit(url.searchParams, res));
+      case 'GET /admin/files/ID/content':
+        return route((_operator, _req, res) => this.admin.fileContent(id, res));
+      case 'GET /admin/jobs':
+        return route((_operator, _req, res) => this.admin.jobs(res));
+      case 'GET /admin/plans/ID':
+        return route((_operator, _req, res) => this.admin.showPlan(id, res));
+      case 'GET /admin/status':
+        return route((_operator, _req, res) => this.admin.status(res));
+      case 'POST /admin/jobs/ID/cancel':
+        return route((operator, _req, res) => this.admin.cancelJob(operator, id, res));
+      case 'POST /admin/plans':
+        return route((operator, req, res) => this.admin.plan(operator, req, res));
+      case 'POST /admin/plans/ID/confirm':
+        return route((operator, _req, res) => this.admin.confirm(operator, id, res));
+      default:
+        throw refuse('notFound', `no such path: ${method} /admin/${path.join('/')}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-ledger/src/LedgerFiles.ts
@@ -0,0 +1,91 @@
+import {List} from 'immutable';
+
+/**
+ * Uploads: read in part by part, accepted only when sealed.
+ */
+import type {LedgerDraft} from './LedgerDraft';
+import type {FileChunk, LedgerAnswer, LedgerCommand, LedgerFile} from './LedgerTypes';
+
+import {OPEN_FILE_MS} from './LedgerConstants';
+import {$place} from './LedgerDraft';
+import {refusal} from './LedgerUtils';
+
+type Command<Type> = Extract<LedgerCommand, {type: Type}>;
+
+function newFile(command: Command<'appendFile'>): LedgerFile {
+  return {
+    bytes: 0,
+    chunks: List<FileChunk>(),
+    content: '',
+    createdAt: command.now,
+    customer: command.customer,
+    filename: '',
+    id: command.fileId,
+    items: 0,
+    model: command.model,
+    sealed: false,
+  };
+}
+
+/**
+ * Takes one part of an upload; a resent part is taken once.
+ *
+ * @param draft draft of the running command
+ * @param command the part
+ */
+export function $appendFile(draft: LedgerDraft, command: Command<'appendFile'>): LedgerAnswer {
+  const known = draft.files.get(command.fileId);
+  if (known !== undefined && known.customer !== command.customer) {
+    return refusal('conflict', 'the file belongs to another customer');
+  }
+  const file = known ?? newFile(command);
+  const {chunks, firstChunk} = command;
+  if (firstChunk + chunks.length <= file.chunks.size) {
+    return {kind: 'ok'};
+  }
+  if (file.sealed || firstChunk !== file.chunks.size) {
+    return refusal('conflict', `chunk ${firstChunk} does not follow those before it`);
+  }
+  const added = chunks.map(({items, lines}) => ({items, ref: $place(draft, lines)}));
+  draft.files = draft.files.set(file.id, {
+    ...file,
+    chunks: file.chunks.concat(added),
+    items: added.reduce((sum, {items}) => sum + items, file.items),
+  });
+  return {kind: 'ok'};
+}
+
+/**
+ * Accepts an upload whose parts have all arrived.
+ *
+ * @param draft draft of the running command
+ * @param command what the parts must add up to
+ */
+export function $sealFile(draft: LedgerDraft, command: Command<'sealFile'>): LedgerAnswer {
+  const file = draft.files.get(command.fileId);
+  if (file === undefined || file.customer !== command.customer) {
+    return refusal('notFound', 'the upload is not known');
+  }
+  if (file.chunks.size !== command.size) {
+    return refusal('conflict', `${file.chunks.size} of ${command.size} chunks have arrived`);
+  }
+  draft.files = draft.files.set(file.id, {
+    ...file,
+    bytes: command.bytes,
+    content: command.content,
+    createdAt: command.now,
+    filename: command.filename,
+    sealed: true,
+  });
+  return {kind: 'ok'};
+}
+
+/**
+ * Forgets uploads that were never sealed.
+ *
+ * @param draft draft of the running command
+ * @param now time of the command
+ */
+export function $dropOpenFiles(draft: LedgerDraft, now: number): void {
+  draft.files = draft.files.filter((file) => file.sealed || file.createdAt + OPEN_FILE_MS > now);
+}
--- /dev/null
+++ b/packages/stallpaddle-membership/src/index.ts
@@ -0,0 +1,27 @@
+/** Which VMs are there, which will stay, and which addresses callers get. */
+export {
+  ADDRESSES_LIFETIME_MS,
+  BEAT_INTERVAL_MS,
+  FRESHNESS_BOUND_MS,
+  VM_LOST_MS,
+} from './MembershipConstants';
+export type {
+  Address,
+  EngineLoadTuple,
+  MembershipEvent,
+  MembershipState,
+  VmEntry,
+  VmFacts,
+  VmNews,
+} from './MembershipTypes';
+export {
+  type AddressAnswer,
+  addressesFor,
+  isLive,
+  liveVms,
+  lostVms,
+  newsSince,
+  startMembership,
+  stayingVms,
+  stepMembership,
+} from './MembershipView';
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicaConstants.ts
@@ -0,0 +1,12 @@
+/**
+ * Fixed sizes of a replica's disk use.
+ */
+
+/** Size of the log file at which a snapshot replaces it, in bytes. */
+export const LOG_BYTES_BEFORE_SNAPSHOT = 33_554_432;
+
+/** Entries kept after a snapshot for replicas that lag a little, in bytes of commands. */
+export const LOG_BYTES_KEPT = 4_194_304;
+
+/** Size of one piece of a snapshot on its way, in bytes. */
+export const SNAPSHOT_CHUNK_BYTES = 524_288;
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -0,0 +1,602 @@
+import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
+import type {BlobRef, Disk} from 'stallpaddle-storage';
+
+import {errorMessage, unreachable} from 'stallpaddle';
+import {StorageBlobs} from 'stallpaddle-storage';
+
+/**
+ * Runs one replica: feeds events to the state machine and carries out its effects on the disk, the
+ * network and the replicated state.
+ */
+import type {PlacedBlob, ReplicaMachine} from './ReplicaMachine';
+import type {MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
+import type {
+  GroupMembers,
+  HardState,
+  LogEntry,
+  Message,
+  ReplicationEvent,
+  ReplicationState,
+  ReplicationTiming,
+  SnapshotMeta,
+  Term,
+} from './ReplicationTypes';
+
+import {LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
+import {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
+import {addToBatch, ReplicaStorage as Storage} from './ReplicaStorage';
+import {wantsSnapshot} from './ReplicationFollower';
+import {holdsLease} from './ReplicationLease';
+import {isCaughtUp, knownLeader, startReplica, stepReplica} from './ReplicationStep';
+
+/** How a replica reaches the others. */
+export interface ReplicaTransport {
+  /** Sends without waiting; loss is allowed. */
+  readonly send: (message: Message) => void;
+  /** Brings a snapshot to another replica; false when it did not take it. */
+  readonly sendSnapshot: (to: ReplicaId, source: SnapshotSource) => Promise<boolean>;
+}
+
+/** A snapshot to be brought to another replica. */
+export interface SnapshotSource {
+  readonly blobEnd: number;
+  readonly group: GroupId;
+  readonly readBlobs: (
+    offset: number,
+    most: number,
+  ) => Promise<{readonly bytes: Uint8Array; readonly offset: number}>;
+  readonly snapshot: MachineSnapshot;
+  readonly term: Term;
+}
+
+/** What a replica is made of. */
+export interface ReplicaOptions<State> {
+  readonly clock: Clock;
+  readonly disk: Disk;
+  readonly group: GroupId;
+  readonly logger: Logger;
+  readonly machine: ReplicaMachine<State>;
+  /** Called once when the replica ends after a failure. */
+  readonly onFailure: (err: unknown) => void;
+  readonly self: ReplicaId;
+  readonly timing: ReplicationTiming;
+  readonly transport: ReplicaTransport;
+}
+
+/** Counts since the start. */
+export interface ReplicaCounters {
+  readonly commits: number;
+  readonly syncs: number;
+}
+
+interface Waiter {
+  readonly reject: (err: Error) => void;
+  readonly resolve: (result: unknown) => void;
+  readonly term: Term;
+}
+
+interface Pending {
+  readonly reject: (err: Error) => void;
+  readonly resolve: (result: unknown) => void;
+}
+
+interface WriteBatch {
+  readonly entries: LogEntry[];
+  hardState: HardState | undefined;
+  readonly sends: Message[];
+}
+
+function emptyBatch(): WriteBatch {
+  return {entries: [], hardState: undefined, sends: []};
+}
+
+/** One replica of one group; see the module's comment. */
+export class ReplicaDriver<State> {
+  private batch = emptyBatch();
+  private blobWork: Promise<void> = Promise.resolve();
+  private commits = 0;
+  private readonly listeners = new Set<(state: State) => void>();
+  private readonly pending = new Map<number, Pending>();
+  private requestId = 0;
+  private stopped = false;
+  private syncs = 0;
+  private timer: NodeJS.Timeout | undefined;
+  private readonly waiters = new Map<number, Waiter>();
+  private writing = false;
+  private writeWork: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly options: ReplicaOptions<State>,
+    private readonly storage: ReplicaStorage,
+    private readonly blobs: StorageBlobs,
+    private replication: ReplicationState,
+    private machineState: State,
+    /** Log entries found at the start that the snapshot doesn't cover. */
+    readonly replayed: number,
+  ) {}
+
+  /**
+   * Opens a replica from its disk and starts it.
+   *
+   * @param options what it is made of
+   */
+  static async open<State>(options: ReplicaOptions<State>): Promise<ReplicaDriver<State>> {
+    const {clock, disk, group, machine, self, timing} = options;
+    const {hardState, log, replay, snapshot, storage} = await Storage.load(disk);
+    const state = snapshot === undefined ? machine.initial() : machine.decode(snapshot.machine);
+    const blobs = await StorageBlobs.open(disk, machine.blobEnd(state));
+    const start = startReplica({group, hardState, log, self, timing}, clock.monotonicMs());
+    const driver = new ReplicaDriver(options, storage, blobs, start, state, replay);
+    driver.timer = setInterval(
+      () => driver.dispatch({kind: 'tick'}),
+      Math.max(1, timing.heartbeatMs / 4),
+    );
+    return driver;
+  }
+
+  /** Counts since the start. */
+  get counters(): ReplicaCounters {
+    return {commits: this.commits, syncs: this.syncs};
+  }
+
+  /** Replication state, for views and tests. */
+  get status(): ReplicationState {
+    return this.replication;
+  }
+
+  /** The state as applied here; it may lag behind the leader's. */
+  get localState(): State {
+    return this.machineState;
+  }
+
+  /** Whether this replica leads and its lease runs. */
+  get leads(): boolean {
+    return !this.stopped && holdsLease(this.replication, this.options.clock.monotonicMs());
+  }
+
+  /**
+   * The state with all that was committed before this call.
+   *
+   * @throws {NotLeaderError} without leadership or lease
+   */
+  read(): State {
+    if (!this.leads) {
+      throw new NotLeaderError(this.leaderHint());
+    }
+    return this.machineState;
+  }
+
+  /**
+   * Proposes a command.
+   *
+   * @param data encoded command
+   * @returns the state machine's result, once a majority has the command on disk
+   * @throws {NotLeaderError} when nothing was taken on
+   * @throws {OutcomeUnknownError} when it may still be committed
+   */
+  propose(data: Uint8Array): Promise<unknown> {
+    return this.request((requestId) => ({commands: [{data, requestId}], kind: 'propose'}));
+  }
+
+  /**
+   * Changes the members by one replica.
+   *
+   * @param members the new members
+   */
+  async changeMembers(members: GroupMembers): Promise<void> {
+    await this.request((requestId) => ({kind: 'changeMembers', members, requestId}));
+  }
+
+  /**
+   * Whether a learner holds all that this leader has committed.
+   *
+   * @param learner the learner
+   */
+  isCaughtUp(learner: ReplicaId): boolean {
+    return isCaughtUp(this.replication, learner);
+  }
+
+  /** Hands leadership to another replica, for a planned stop. */
+  transferLeadership(): void {
+    this.dispatch({kind: 'transferLeadership'});
+  }
+
+  /**
+   * Takes in a message of another replica.
+   *
+   * @param message addressed to this replica
+   */
+  receive(message: Message): void {
+    if (message.to === this.options.self) {
+      this.dispatch({kind: 'message', message});
+    }
+  }
+
+  /**
+   * Calls back after each change of the state.
+   *
+   * @param listener gets the new state
+   * @returns ends the calls
+   */
+  registerListener(listener: (state: State) => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /**
+   * Reads bulk data.
+   *
+   * @param ref its place, from the state
+   */
+  async readBlob(ref: BlobRef): Promise<Uint8Array> {
+    await this.blobWork;
+    return this.blobs.read(ref);
+  }
+
+  /**
+   * Prepares to take a snapshot from a leader.
+   *
+   * @param meta its place
+   * @param term the leader's term
+   * @returns where the bulk data goes on, or undefined when the snapshot isn't wanted
+   */
+  async beginInstall(meta: SnapshotMeta, term: Term): Promise<number | undefined> {
+    if (term < this.replication.term || !wantsSnapshot(this.replication, meta)) {
+      return undefined;
+    }
+    await this.cutUnfinishedBlobs(this.options.machine.blobEnd(this.machineState));
+    return this.blobs.end;
+  }
+
+  /**
+   * Takes bulk data that comes before a snapshot.
+   *
+   * @param offset where it goes; anywhere but after the present end it is ignored
+   * @param bytes content
+   * @returns where the bulk data goes on
+   */
+  async installBlobs(offset: number, bytes: Uint8Array): Promise<number> {
+    await this.onBlobs(async () => {
+      if (this.blobs.continuesAt(offset)) {
+        await this.blobs.appendRaw(offset, bytes);
+      }
+    });
+    return this.blobs.end;
+  }
+
+  /**
+   * Takes over a snapshot whose bulk data has arrived.
+   *
+   * @param snapshot content
+   * @param term the leader's term
+   * @returns whether it was taken over
+   */
+  async finishInstall(snapshot: MachineSnapshot, term: Term): Promise<boolean> {
+    const {machine} = this.options;
+    const state = machine.decode(snapshot.machine);
+    let installed = false;
+    await this.onDisk(async () => {
+      await this.blobWork;
+      const complete = this.blobs.end === machine.blobEnd(state);
+      if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
+        return;
+      }
+      await this.blobs.sync();
+      await this.storage.saveSnapshot(snapshot);
+      this.machineState = state;
+      this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
+      await this.storage.restartLog({entries: [], hardState: this.hardState()});
+      installed = true;
+    });
+    this.notify();
+    return installed;
+  }
+
+  /** Ends the replica without any further write. */
+  async close(): Promise<void> {
+    this.stop();
+    await this.writeWork.catch(() => {});
+    await this.blobWork.catch(() => {});
+    await this.storage.close();
+    await this.blobs.close();
+  }
+
+  private request(makeEvent: (requestId: number) => ReplicationEvent): Promise<unknown> {
+    if (this.stopped) {
+      return Promise.reject(new ReplicaStoppedError());
+    }
+    return new Promise((resolve, reject) => {
+      const requestId = ++this.requestId;
+      this.pending.set(requestId, {reject, resolve});
+      this.dispatch(makeEvent(requestId));
+    });
+  }
+
+  private leaderHint(): ReplicaId | null {
+    const leader = knownLeader(this.replication);
+    return leader === this.options.self ? null : leader;
+  }
+
+  private hardState(): HardState {
+    return {term: this.replication.term, votedFor: this.replication.votedFor};
+  }
+
+  private dispatch(event: ReplicationEvent): void {
+    if (this.stopped) {
+      return;
+    }
+    try {
+      const before = this.replication;
+      const {effects, state} = stepReplica(before, event, this.options.clock.monotonicMs());
+      this.replication = state;
+      for (const effect of effects) {
+        this.carryOut(effect);
+      }
+      this.logRole(before, state);
+    } catch (err) {
+      this.fail(err);
+      return;
+    }
+    this.startWriting();
+  }
+
+  private carryOut(effect: ReturnType<typeof stepReplica>['effects'][number]): void {
+    switch (effect.kind) {
+      case 'apply':
+        this.apply(effect.entries);
+        return;
+      case 'persist':
+        this.batch.hardState = effect.hardState;
+        addToBatch(this.batch.entries, effect.entries);
+        return;
+      case 'proposed': {
+        const request = this.pending.get(effect.requestId)!;
+        this.pending.delete(effect.requestId);
+        this.waiters.get(effect.index)?.reject(new OutcomeUnknownError());
+        this.waiters.set(effect.index, {...request, term: effect.term});
+        return;
+      }
+      case 'rejected':
+        this.pending.get(effect.requestId)?.reject(new NotLeaderError(effect.leader));
+        this.pending.delete(effect.requestId);
+        return;
+      case 'send':
+        this.send(effect.message, effect.afterPersist);
+        return;
+      case 'sendSnapshot':
+        void this.sendSnapshot(effect.to);
+        return;
+      default:
+        unreachable(effect);
+    }
+  }
+
+  private send(message: Message, afterPersist: boolean): void {
+    const mustWait = afterPersist && (this.writing || this.batch.hardState !== undefined);
+    if (mustWait) {
+      this.batch.sends.push(message);
+    } else {
+      this.options.transport.send(message);
+    }
+  }
+
+  private startWriting(): void {
+    if (this.writing || this.stopped) {
+      return;
+    }
+    const idle = this.batch.hardState === undefined && this.batch.sends.length === 0;
+    if (idle && !this.snapshotIsDue()) {
+      return;
+    }
+    void this.onDisk(async () => {});
+  }
+
+  /** Runs a task between writes, then writes what has gathered. */
+  private onDisk(task: () => Promise<void>): Promise<void> {
+    this.writing = true;
+    this.writeWork = this.writeWork.then(async () => {
+      try {
+        this.writing = true;
+        await task();
+        await this.writeBatches();
+      } catch (err) {
+        this.fail(err);
+      } finally {
+        this.writing = false;
+      }
+    });
+    return this.writeWork;
+  }
+
+  private async writeBatches(): Promise<void> {
+    while (!this.stopped) {
+      if (this.snapshotIsDue()) {
+        await this.takeSnapshot();
+      }
+      const {batch} = this;
+      if (batch.hardState === undefined && batch.sends.length === 0) {
+        return;
+      }
+      this.batch = emptyBatch();
+      if (batch.hardState !== undefined) {
+        await this.storage.append({entries: batch.entries, hardState: batch.hardState});
+        this.syncs++;
+      }
+      if (this.stopped) {
+        return;
+      }
+      batch.sends.forEach((message) => this.options.transport.send(message));
+      const last = batch.entries.at(-1);
+      if (last !== undefined) {
+        this.dispatch({index: last.index, kind: 'persisted', term: last.term});
+      }
+    }
+  }
+
+  private snapshotIsDue(): boolean {
+    const {applied, log} = this.replication;
+    const grown = this.storage.logBytes > LOG_BYTES_BEFORE_SNAPSHOT;
+    return grown && applied > log.snapshot.index;
+  }
+
+  private async takeSnapshot(): Promise<MachineSnapshot> {
+    const {machine} = this.options;
+    const {applied, log} = this.replication;
+    const meta = {index: applied, members: log.membersAt(applied), term: log.termAt(applied)!};
+    const snapshot = {machine: machine.encode(this.machineState), meta};
+    await this.blobWork;
+    await this.blobs.sync();
+    await this.storage.saveSnapshot(snapshot);
+    this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
+    const kept = this.replication.log;
+    await this.storage.restartLog({
+      entries: kept.entriesFrom(kept.firstIndex, Infinity),
+      hardState: this.hardState(),
+    });
+    this.syncs++;
+    return snapshot;
+  }
+
+  /** First entry to keep so that a replica that lags a little needs no snapshot. */
+  private keepFrom(applied: number): number {
+    const {log} = this.replication;
+    let from = applied + 1;
+    let bytes = 0;
+    while (from > log.firstIndex && bytes < LOG_BYTES_KEPT) {
+      const [entry] = log.entriesFrom(from - 1, 0);
+      bytes += entry?.payload.kind === 'command' ? entry.payload.data.length : 1;
+      from--;
+    }
+    return from;
+  }
+
+  private async sendSnapshot(to: ReplicaId): Promise<void> {
+    let index = 0;
+    let ok = false;
+    try {
+      const source = await this.snapshotSource();
+      index = source.snapshot.meta.index;
+      ok = await this.options.transport.sendSnapshot(to, source);
+    } catch (err) {
+      this.options.logger.warn('A snapshot was not taken over.', {reason: errorMessage(err), to});
+    }
+    // A receiver that didn't want it gets entries again, or the next try after a heartbeat.
+    setTimeout(
+      () => this.dispatch({index, kind: 'snapshotSent', ok, to}),
+      ok ? 0 : this.options.timing.electionTimeoutMs,
+    ).unref();
+  }
+
+  private async snapshotSource(): Promise<SnapshotSource> {
+    const {group, machine} = this.options;
+    let snapshot: MachineSnapshot | undefined;
+    await this.onDisk(async () => {
+      snapshot = await this.takeSnapshot();
+    });
+    if (snapshot === undefined) {
+      throw new ReplicaStoppedError();
+    }
+    const blobEnd = machine.blobEnd(machine.decode(snapshot.machine));
+    const readBlobs: SnapshotSource['readBlobs'] = (offset, most) =>
+      this.blobs.readRaw(offset, Math.min(most, blobEnd - offset));
+    return {blobEnd, group, readBlobs, snapshot, term: this.replication.term};
+  }
+
+  private apply(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      this.commits++;
+      const waiter = this.waiters.get(entry.index);
+      this.waiters.delete(entry.index);
+      const result = this.applyOne(entry);
+      if (waiter?.term === entry.term) {
+        waiter.resolve(result);
+      } else {
+        // Another leader's entry took the place: the waiting command was never committed.
+        waiter?.reject(new NotLeaderError(this.leaderHint()));
+      }
+    }
+    this.notify();
+  }
+
+  private applyOne(entry: LogEntry): unknown {
+    if (entry.payload.kind !== 'command') {
+      return undefined;
+    }
+    const before = this.options.machine.blobEnd(this.machineState);
+    const {blobs, result, state} = this.options.machine.apply(
+      this.machineState,
+      entry.payload.data,
+    );
+    this.machineState = state;
+    if (blobs.length > 0) {
+      this.writeBlobs(before, blobs);
+    }
+    return result;
+  }
+
+  private writeBlobs(end: number, blobs: readonly PlacedBlob[]): void {
+    void this.cutUnfinishedBlobs(end);
+    for (const {payload, ref} of blobs) {
+      void this.onBlobs(() => this.blobs.append(ref, payload));
+    }
+  }
+
+  private cutUnfinishedBlobs(end: number): Promise<void> {
+    return this.onBlobs(async () => {
+      if (this.blobs.end !== end) {
+        await this.blobs.cutTo(end);
+      }
+    });
+  }
+
+  private onBlobs(task: () => Promise<void>): Promise<void> {
+    this.blobWork = this.blobWork.then(task).catch((err: unknown) => this.fail(err));
+    return this.blobWork;
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) {
+      listener(this.machineState);
+    }
+  }
+
+  private logRole(before: ReplicationState, after: ReplicationState): void {
+    if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
+      this.options.logger.info('This replica leads.', {group: after.group, term: after.term});
+    }
+    if (before.role.kind === 'leader' && after.role.kind !== 'leader') {
+      this.options.logger.info('This replica leads no more.', {group: after.group});
+      this.abandonWaiters();
+    }
+  }
+
+  /** Their entries may still be committed by the next leader, but nobody should wait for that. */
+  private abandonWaiters(): void {
+    for (const waiter of this.waiters.values()) {
+      waiter.reject(new OutcomeUnknownError());
+    }
+    this.waiters.clear();
+  }
+
+  private fail(err: unknown): void {
+    if (this.stopped) {
+      return;
+    }
+    this.options.logger.error('The replica ends after a failure.', {
+      group: this.options.group,
+      reason: errorMessage(err),
+    });
+    this.stop();
+    this.options.onFailure(err);
+  }
+
+  private stop(): void {
+    this.stopped = true;
+    clearInterval(this.timer);
+    this.abandonWaiters();
+    for (const request of this.pending.values()) {
+      request.reject(new ReplicaStoppedError());
+    }
+    this.pending.clear();
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicaMachine.ts
@@ -0,0 +1,28 @@
+/**
+ * What a group replicates: a deterministic state machine with bulk data beside it.
+ */
+import type {BlobRef} from 'stallpaddle-storage';
+
+/** Bulk data that an applied command puts into the segment files. */
+export interface PlacedBlob {
+  readonly payload: Uint8Array;
+  readonly ref: BlobRef;
+}
+
+/** Outcome of one command. */
+export interface MachineResult<State> {
+  readonly blobs: readonly PlacedBlob[];
+  /** Answer to whoever proposed the command. */
+  readonly result: unknown;
+  readonly state: State;
+}
+
+/** Pure and deterministic: all replicas reach the same state from the same commands. */
+export interface ReplicaMachine<State> {
+  readonly apply: (state: State, command: Uint8Array) => MachineResult<State>;
+  /** End of the bulk data that the state refers to, in bytes. */
+  readonly blobEnd: (state: State) => number;
+  readonly decode: (bytes: Uint8Array) => State;
+  readonly encode: (state: State) => Uint8Array;
+  readonly initial: () => State;
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicationConstants.ts
@@ -0,0 +1,14 @@
+/**
+ * Fixed numbers of the replication package.
+ */
+import type {ReplicationTiming} from './ReplicationTypes';
+
+/** Most bytes of commands in one append, in bytes; keeps heartbeats from waiting behind bulk. */
+export const MAX_APPEND_BYTES = 1_048_576;
+
+/** Times for replicas a few milliseconds apart, in milliseconds. */
+export const DEFAULT_TIMING: ReplicationTiming = {
+  electionTimeoutMs: 600,
+  heartbeatMs: 100,
+  leaseDriftFraction: 0.2,
+};
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicationDraft.ts
@@ -0,0 +1,124 @@
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
+
+import {hash32} from 'stallpaddle';
+
+/**
+ * The next state while a step builds it. Functions whose names begin with `$` may be called only
+ * within a step: they change the draft.
+ */
+import type {
+  HardState,
+  LogEntry,
+  MessageBody,
+  ReplicationEffect,
+  ReplicationState,
+  ReplicationStepResult,
+  Role,
+} from './ReplicationTypes';
+
+type Mutable<T> = {-readonly [Key in keyof T]: T[Key]};
+
+/** State under construction, with the effects gathered so far. */
+export interface ReplicationDraft extends Mutable<ReplicationState> {
+  readonly effects: ReplicationEffect[];
+  readonly now: MonotonicMs;
+}
+
+const HASH_RANGE = 4_294_967_296;
+
+/**
+ * Opens a draft of the next state.
+ *
+ * @param state current state
+ * @param now monotonic time of the event
+ */
+export function openDraft(state: ReplicationState, now: MonotonicMs): ReplicationDraft {
+  return {...state, effects: [], now};
+}
+
+/**
+ * Closes a draft.
+ *
+ * @param draft finished draft
+ */
+export function closeDraft(draft: ReplicationDraft): ReplicationStepResult {
+  const {effects, now: _now, ...state} = draft;
+  return {effects, state};
+}
+
+/**
+ * Adds an effect.
+ *
+ * @param draft draft of the running step
+ * @param effect what the driver must do
+ */
+export function $emit(draft: ReplicationDraft, effect: ReplicationEffect): void {
+  draft.effects.push(effect);
+}
+
+/**
+ * Sends a message in the current term.
+ *
+ * @param draft draft of the running step
+ * @param to receiver
+ * @param body what to send
+ * @param afterPersist the message speaks for what was written before it
+ */
+export function $send(
+  draft: ReplicationDraft,
+  to: ReplicaId,
+  body: MessageBody,
+  afterPersist: boolean,
+): void {
+  const message = {body, from: draft.self, group: draft.group, term: draft.term, to};
+  $emit(draft, {afterPersist, kind: 'send', message});
+}
+
+/**
+ * Asks for a write of the term, the vote and entries.
+ *
+ * @param draft draft of the running step
+ * @param entries entries to write, may be none
+ */
+export function $persist(draft: ReplicationDraft, entries: readonly LogEntry[]): void {
+  const hardState: HardState = {term: draft.term, votedFor: draft.votedFor};
+  $emit(draft, {entries, hardState, kind: 'persist'});
+}
+
+/**
+ * Draws the next election time: between one and two election timeouts from now. The draw is a
+ * hash of name and count, so that a run can be repeated.
+ *
+ * @param draft draft of the running step
+ */
+export function $resetElection(draft: ReplicationDraft): void {
+  draft.electionCount++;
+  const draw = hash32(`${draft.self}:${draft.group}:${draft.electionCount}`) / HASH_RANGE;
+  draft.electionAt = draft.now + draft.timing.electionTimeoutMs * (1 + draw);
+}
+
+/**
+ * Becomes a follower.
+ *
+ * @param draft draft of the running step
+ * @param leader the term's leader, where known
+ */
+export function $becomeFollower(draft: ReplicationDraft, leader: ReplicaId | null): void {
+  const role: Role = {kind: 'follower', leader};
+  draft.role = role;
+  $resetElection(draft);
+}
+
+/**
+ * Enters a later term as a follower and records it.
+ *
+ * @param draft draft of the running step
+ * @param term the later term
+ * @param leader its leader, where known
+ */
+export function $enterTerm(draft: ReplicationDraft, term: number, leader: ReplicaId | null): void {
+  draft.term = term;
+  draft.votedFor = null;
+  $persist(draft, []);
+  $becomeFollower(draft, leader);
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicationFollower.ts
@@ -0,0 +1,119 @@
+import {invariant} from 'stallpaddle';
+
+/**
+ * The follower's side of log replication.
+ */
+import type {ReplicationDraft} from './ReplicationDraft';
+import type {
+  LogEntry,
+  Message,
+  MessageBody,
+  ReplicationState,
+  SnapshotMeta,
+  Term,
+} from './ReplicationTypes';
+
+import {$becomeFollower, $enterTerm, $persist, $resetElection, $send} from './ReplicationDraft';
+import {$applyCommitted} from './ReplicationLeader';
+import {ReplicationLog} from './ReplicationLog';
+
+type Append = Extract<MessageBody, {kind: 'append'}>;
+
+function $heedLeader(draft: ReplicationDraft, message: Message): void {
+  if (message.term > draft.term) {
+    $enterTerm(draft, message.term, message.from);
+  } else {
+    $becomeFollower(draft, message.from);
+  }
+  draft.heardLeaderAt = draft.now;
+  $resetElection(draft);
+}
+
+/** Entries that this log lacks, after any that conflict were cut off. */
+function $mergeEntries(draft: ReplicationDraft, entries: readonly LogEntry[]): readonly LogEntry[] {
+  const {log} = draft;
+  const firstNew = entries.findIndex(
+    (entry) => entry.index > log.snapshot.index && log.termAt(entry.index) !== entry.term,
+  );
+  if (firstNew < 0) {
+    return [];
+  }
+  const added = entries.slice(firstNew);
+  const from = added[0]!.index;
+  invariant(from > draft.commit, 'entry %s would replace a committed one', from);
+  draft.log = log.truncateFrom(from).append(added);
+  draft.persisted = Math.min(draft.persisted, from - 1);
+  $persist(draft, added);
+  return added;
+}
+
+/**
+ * Takes in entries or a heartbeat from the leader.
+ *
+ * @param draft draft of the running step
+ * @param message the append
+ * @param append its body
+ */
+export function $onAppend(draft: ReplicationDraft, message: Message, append: Append): void {
+  const {sentAt} = append;
+  if (message.term < draft.term) {
+    $send(draft, message.from, {kind: 'appendReply', lastIndex: 0, ok: false, sentAt}, false);
+    return;
+  }
+  $heedLeader(draft, message);
+  const {log} = draft;
+  const covered = append.prevIndex < log.snapshot.index;
+  if (!covered && log.termAt(append.prevIndex) !== append.prevTerm) {
+    // Committed entries match every leader's: nothing before them needs to be tried.
+    const lastIndex = Math.max(draft.commit, Math.min(append.prevIndex - 1, log.lastIndex));
+    $send(draft, message.from, {kind: 'appendReply', lastIndex, ok: false, sentAt}, true);
+    return;
+  }
+  $mergeEntries(draft, append.entries);
+  const lastSent = append.prevIndex + append.entries.length;
+  const lastIndex = covered ? Math.max(lastSent, log.snapshot.index) : lastSent;
+  $send(draft, message.from, {kind: 'appendReply', lastIndex, ok: true, sentAt}, true);
+  const commit = Math.min(append.commit, lastIndex);
+  if (commit > draft.commit) {
+    draft.commit = commit;
+    $applyCommitted(draft);
+  }
+}
+
+/**
+ * Whether a snapshot would bring this replica anything. One whose place the log already holds must
+ * not replace it: entries after that place may count towards a majority.
+ *
+ * @param state a replica's state
+ * @param meta the snapshot's place
+ */
+export function wantsSnapshot(state: ReplicationState, meta: SnapshotMeta): boolean {
+  const isNew = state.log.members.voters.length === 0;
+  return isNew || (meta.index > state.commit && state.log.termAt(meta.index) !== meta.term);
+}
+
+/**
+ * Takes over a snapshot that the driver has received, checked and synced.
+ *
+ * @param draft draft of the running step
+ * @param meta its place
+ * @param term term of the leader that sent it
+ */
+export function $onSnapshotInstalled(
+  draft: ReplicationDraft,
+  meta: SnapshotMeta,
+  term: Term,
+): void {
+  if (term > draft.term) {
+    $enterTerm(draft, term, null);
+  }
+  if (!wantsSnapshot(draft, meta)) {
+    return;
+  }
+  draft.log = ReplicationLog.restore(meta, []);
+  draft.commit = meta.index;
+  draft.applied = meta.index;
+  draft.persisted = meta.index;
+  draft.heardLeaderAt = draft.now;
+  $resetElection(draft);
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -0,0 +1,308 @@
+import type {ReplicaId} from 'stallpaddle';
+
+/**
+ * The leader's side of log replication.
+ */
+import type {ReplicationDraft} from './ReplicationDraft';
+import type {
+  EntryPayload,
+  GroupMembers,
+  LogEntry,
+  LogIndex,
+  Message,
+  MessageBody,
+  Progress,
+  Role,
+} from './ReplicationTypes';
+
+import {MAX_APPEND_BYTES} from './ReplicationConstants';
+import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
+import {majorityValue, quorumHeardAt} from './ReplicationLease';
+
+type AppendReply = Extract<MessageBody, {kind: 'appendReply'}>;
+type LeaderRole = Extract<Role, {kind: 'leader'}>;
+
+function $setProgress(
+  draft: ReplicationDraft,
+  role: LeaderRole,
+  replica: ReplicaId,
+  change: Partial<Progress>,
+): LeaderRole {
+  const known = role.progress.get(replica)!;
+  const next: LeaderRole = {
+    ...role,
+    progress: new Map(role.progress).set(replica, {...known, ...change}),
+  };
+  draft.role = next;
+  return next;
+}
+
+/**
+ * Adds entries of the current term to the leader's own log.
+ *
+ * @param draft draft of the running step
+ * @param payloads what to add
+ * @returns index of the first entry added
+ */
+export function $appendOwn(draft: ReplicationDraft, payloads: readonly EntryPayload[]): LogIndex {
+  const first = draft.log.lastIndex + 1;
+  const entries: readonly LogEntry[] = payloads.map((payload, offset) => ({
+    index: first + offset,
+    payload,
+    term: draft.term,
+  }));
+  draft.log = draft.log.append(entries);
+  $persist(draft, entries);
+  return first;
+}
+
+/**
+ * Sends one replica what it lacks, or a heartbeat when it lacks nothing.
+ *
+ * @param draft draft of the running step
+ * @param replica receiver
+ */
+export function $sendAppend(draft: ReplicationDraft, replica: ReplicaId): void {
+  const {log, role} = draft;
+  if (role.kind !== 'leader') {
+    return;
+  }
+  const progress = role.progress.get(replica)!;
+  if (progress.mode === 'snapshot') {
+    $sendHeartbeat(draft, role, replica, progress);
+    return;
+  }
+  const prevIndex = progress.next - 1;
+  const prevTerm = log.termAt(prevIndex);
+  if (prevTerm === undefined) {
+    $setProgress(draft, role, replica, {lastSentAt: draft.now, mode: 'snapshot'});
+    $emit(draft, {kind: 'sendSnapshot', to: replica});
+    return;
+  }
+  const entries = log.entriesFrom(progress.next, MAX_APPEND_BYTES);
+  const next = progress.mode === 'replicate' ? progress.next + entries.length : progress.next;
+  $setProgress(draft, role, replica, {lastSentAt: draft.now, next});
+  const {commit, now} = draft;
+  $send(draft, replica, {commit, entries, kind: 'append', prevIndex, prevTerm, sentAt: now}, false);
+}
+
+/** Keeps a replica that is receiving a snapshot from standing for election. */
+function $sendHeartbeat(
+  draft: ReplicationDraft,
+  role: LeaderRole,
+  replica: ReplicaId,
+  progress: Progress,
+): void {
+  const prevTerm = draft.log.termAt(progress.match);
+  $setProgress(draft, role, replica, {lastSentAt: draft.now});
+  $send(
+    draft,
+    replica,
+    {
+      commit: 0,
+      entries: [],
+      kind: 'append',
+      prevIndex: prevTerm === undefined ? 0 : progress.match,
+      prevTerm: prevTerm ?? 0,
+      sentAt: draft.now,
+    },
+    false,
+  );
+}
+
+/**
+ * Sends every other replica what it lacks.
+ *
+ * @param draft draft of the running step
+ */
+export function $broadcast(draft: ReplicationDraft): void {
+  if (draft.role.kind === 'leader') {
+    for (const replica of draft.role.progress.keys()) {
+      $sendAppend(draft, replica);
+    }
+  }
+}
+
+/**
+ * Sends entries just added to the replicas that keep pace; the others get them with their next
+ * reply or heartbeat.
+ *
+ * @param draft draft of the running step
+ */
+export function $sendNewEntries(draft: ReplicationDraft): void {
+  if (draft.role.kind !== 'leader') {
+    return;
+  }
+  for (const [replica, progress] of draft.role.progress) {
+    if (progress.mode === 'replicate') {
+      $sendAppend(draft, replica);
+    }
+  }
+}
+
+/**
+ * Sends due heartbeats and gives up leadership when no majority answers.
+ *
+ * @param draft draft of the running step
+ */
+export function $leaderTick(draft: ReplicationDraft): void {
+  const {now, role, timing} = draft;
+  if (role.kind !== 'leader') {
+    return;
+  }
+  const quorumAt = Math.max(quorumHeardAt(draft, now), role.since);
+  if (now - quorumAt > timing.electionTimeoutMs) {
+    $becomeFollower(draft, null);
+    return;
+  }
+  for (const [replica, progress] of role.progress) {
+    if (now - progress.lastSentAt >= timing.heartbeatMs) {
+      $sendAppend(draft, replica);
+    }
+  }
+}
+
+/**
+ * Moves the commit index to what a majority has synced, and applies up to there. Entries of earlier
+ * terms count only together with one of this term (Raft, section 3.6.2).
+ *
+ * @param draft draft of the running step
+ */
+export function $advanceCommit(draft: ReplicationDraft): void {
+  const {log, role} = draft;
+  if (role.kind !== 'leader') {
+    return;
+  }
+  const reached = majorityValue(log.members, (voter) =>
+    voter === draft.self ? draft.persisted : (role.progress.get(voter)?.match ?? 0),
+  );
+  if (reached > draft.commit && log.termAt(reached) === draft.term) {
+    draft.commit = reached;
+    $applyCommitted(draft);
+    $stepDownWhenRemoved(draft);
+  }
+}
+
+/**
+ * Hands committed entries to the state machine.
+ *
+ * @param draft draft of the running step
+ */
+export function $applyCommitted(draft: ReplicationDraft): void {
+  while (draft.applied < draft.commit) {
+    const upTo = draft.commit - draft.applied;
+    const entries = draft.log.entriesFrom(draft.applied + 1, Infinity).slice(0, upTo);
+    if (entries.length === 0) {
+      return;
+    }
+    draft.applied += entries.length;
+    $emit(draft, {entries, kind: 'apply'});
+  }
+}
+
+function $stepDownWhenRemoved(draft: ReplicationDraft): void {
+  const {members, membersIndex} = draft.log;
+  if (membersIndex <= draft.commit && !members.voters.includes(draft.self)) {
+    $becomeFollower(draft, null);
+  }
+}
+
+/**
+ * Takes in a replica's answer to an append.
+ *
+ * @param draft draft of the running step
+ * @param message the reply
+ * @param reply its body
+ */
+export function $onAppendReply(
+  draft: ReplicationDraft,
+  message: Message,
+  reply: AppendReply,
+): void {
+  const {role} = draft;
+  const progress = role.kind === 'leader' ? role.progress.get(message.from) : undefined;
+  if (role.kind !== 'leader' || progress === undefined || message.term !== draft.term) {
+    return;
+  }
+  const ackedSentAt = Math.max(progress.ackedSentAt, reply.sentAt);
+  if (progress.mode === 'snapshot') {
+    $setProgress(draft, role, message.from, {ackedSentAt});
+    return;
+  }
+  if (!reply.ok) {
+    // Never below what is known to match: such a reply is late.
+    const next = Math.max(
+      progress.match + 1,
+      Math.min(reply.lastIndex + 1, draft.log.lastIndex + 1),
+    );
+    $setProgress(draft, role, message.from, {ackedSentAt, mode: 'probe', next});
+    if (next < progress.next || progress.mode === 'replicate') {
+      $sendAppend(draft, message.from);
+    }
+    return;
+  }
+  const match = Math.max(progress.match, reply.lastIndex);
+  const next = Math.max(progress.next, match + 1);
+  $setProgress(draft, role, message.from, {ackedSentAt, match, mode: 'replicate', next});
+  $advanceCommit(draft);
+  if (draft.role.kind === 'leader' && next <= draft.log.lastIndex) {
+    $sendAppend(draft, message.from);
+  }
+}
+
+/**
+ * Takes in the end of a snapshot's transfer.
+ *
+ * @param draft draft of the running step
+ * @param replica receiver
+ * @param index the snapshot's place
+ * @param ok whether the receiver installed it
+ */
+export function $onSnapshotSent(
+  draft: ReplicationDraft,
+  replica: ReplicaId,
+  index: LogIndex,
+  ok: boolean,
+): void {
+  const {role} = draft;
+  const progress = role.kind === 'leader' ? role.progress.get(replica) : undefined;
+  if (role.kind !== 'leader' || progress?.mode !== 'snapshot') {
+    return;
+  }
+  const match = ok ? Math.max(progress.match, index) : progress.match;
+  $setProgress(draft, role, replica, {match, mode: 'probe', next: match + 1});
+  if (ok) {
+    $advanceCommit(draft);
+    $sendAppend(draft, replica);
+  }
+}
+
+/**
+ * Brings the progress table in line with new members. A new replica begins with a snapshot, for
+ * only that tells it the members before the log's first entry.
+ *
+ * @param draft draft of the running step
+ * @param members the new members
+ */
+export function $trackMembers(draft: ReplicationDraft, members: GroupMembers): void {
+  const {role} = draft;
+  if (role.kind !== 'leader') {
+    return;
+  }
+  const progress = new Map<ReplicaId, Progress>();
+  const added: ReplicaId[] = [];
+  for (const replica of [...members.voters, ...members.learners]) {
+    const known = role.progress.get(replica);
+    if (known !== undefined) {
+      progress.set(replica, known);
+    } else if (replica !== draft.self) {
+      added.push(replica);
+      const start = {ackedSentAt: -Infinity, lastSentAt: draft.now, match: 0, next: 1};
+      progress.set(replica, {...start, mode: 'snapshot'});
+    }
+  }
+  draft.role = {...role, progress};
+  for (const to of added) {
+    $emit(draft, {kind: 'sendSnapshot', to});
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -0,0 +1,194 @@
+import type {GroupId, MonotonicMs, ReplicaId} from 'stallpaddle';
+
+/**
+ * Data that replicas of a group exchange and keep.
+ *
+ * The algorithm is Raft (Ongaro, "Consensus: Bridging Theory and Practice", 2014) with pre-vote,
+ * check-quorum, a leader lease and membership changes of one replica at a time.
+ */
+import type {ReplicationLog} from './ReplicationLog';
+
+/** Election period; rises by one with each election. */
+export type Term = number;
+/** Position in the log, from 1. */
+export type LogIndex = number;
+
+/** Who holds copies of the log. */
+export interface GroupMembers {
+  /** Receive the log without a vote. */
+  readonly learners: readonly ReplicaId[];
+  /** A majority of these decides. */
+  readonly voters: readonly ReplicaId[];
+}
+
+/** What a log entry carries. */
+export type EntryPayload =
+  | {readonly data: Uint8Array; readonly kind: 'command'}
+  | {readonly kind: 'members'; readonly members: GroupMembers}
+  | {readonly kind: 'noop'};
+
+/** One place in the log. */
+export interface LogEntry {
+  readonly index: LogIndex;
+  readonly payload: EntryPayload;
+  readonly term: Term;
+}
+
+/** What a replica must never forget between restarts, besides its log. */
+export interface HardState {
+  readonly term: Term;
+  readonly votedFor: ReplicaId | null;
+}
+
+/** The place in the log that a snapshot stands for. */
+export interface SnapshotMeta {
+  readonly index: LogIndex;
+  readonly members: GroupMembers;
+  readonly term: Term;
+}
+
+/** Body of a message between replicas. */
+export type MessageBody =
+  | {
+      readonly commit: LogIndex;
+      readonly entries: readonly LogEntry[];
+      readonly kind: 'append';
+      readonly prevIndex: LogIndex;
+      readonly prevTerm: Term;
+      /** Leader's monotonic time at sending; comes back in the reply and dates the lease. */
+      readonly sentAt: MonotonicMs;
+    }
+  | {
+      readonly kind: 'appendReply';
+      /** Last index known to match when `ok`; else the place to try next. */
+      readonly lastIndex: LogIndex;
+      readonly ok: boolean;
+      readonly sentAt: MonotonicMs;
+    }
+  | {
+      readonly kind: 'preVote' | 'vote';
+      readonly lastIndex: LogIndex;
+      readonly lastTerm: Term;
+      /** The leader of the last term asked for this election and gave up its lease. */
+      readonly transfer: boolean;
+    }
+  | {readonly granted: boolean; readonly kind: 'preVoteReply' | 'voteReply'}
+  | {readonly kind: 'timeoutNow'};
+
+/** A message between two replicas of one group. */
+export interface Message {
+  readonly body: MessageBody;
+  readonly from: ReplicaId;
+  readonly group: GroupId;
+  readonly term: Term;
+  readonly to: ReplicaId;
+}
+
+/** Times that every replica of a group shares. */
+export interface ReplicationTiming {
+  /** Shortest silence after which a replica stands for election, in milliseconds. */
+  readonly electionTimeoutMs: number;
+  /** Time between heartbeats, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Part of the lease given up for clocks that run at different speeds. */
+  readonly leaseDriftFraction: number;
+}
+
+/** What the leader knows of another replica. */
+export interface Progress {
+  /** `sentAt` of the newest heartbeat or append that the replica answered. */
+  readonly ackedSentAt: MonotonicMs;
+  readonly lastSentAt: MonotonicMs;
+  readonly match: LogIndex;
+  readonly mode: 'probe' | 'replicate' | 'snapshot';
+  readonly next: LogIndex;
+}
+
+/** What a replica does at present. */
+export type Role =
+  | {
+      readonly kind: 'candidate' | 'preCandidate';
+      readonly transfer: boolean;
+      readonly votes: ReadonlySet<ReplicaId>;
+    }
+  | {readonly kind: 'follower'; readonly leader: ReplicaId | null}
+  | {
+      readonly kind: 'leader';
+      readonly progress: ReadonlyMap<ReplicaId, Progress>;
+      readonly since: MonotonicMs;
+      /** Index of this term's first entry; until it is committed nothing may be read. */
+      readonly termStart: LogIndex;
+    };
+
+/** What happens to a replica. */
+export type ReplicationEvent =
+  | {readonly kind: 'changeMembers'; readonly members: GroupMembers; readonly requestId: number}
+  | {readonly commands: readonly ProposedCommand[]; readonly kind: 'propose'}
+  | {readonly kind: 'message'; readonly message: Message}
+  | {readonly index: LogIndex; readonly kind: 'persisted'; readonly term: Term}
+  | {readonly kind: 'snapshotInstalled'; readonly meta: SnapshotMeta; readonly term: Term}
+  | {
+      readonly index: LogIndex;
+      readonly kind: 'snapshotSent';
+      readonly ok: boolean;
+      readonly to: ReplicaId;
+    }
+  | {readonly kind: 'snapshotTaken'; readonly keepFrom: LogIndex; readonly meta: SnapshotMeta}
+  | {readonly kind: 'tick'}
+  | {readonly kind: 'transferLeadership'};
+
+/** A command that waits for its place in the log. */
+export interface ProposedCommand {
+  readonly data: Uint8Array;
+  readonly requestId: number;
+}
+
+/** What the driver must do after a step. */
+export type ReplicationEffect =
+  | {readonly entries: readonly LogEntry[]; readonly kind: 'apply'}
+  | {
+      readonly entries: readonly LogEntry[];
+      readonly hardState: HardState;
+      /** Write and sync as one record; entries replace any at the same or a later index. */
+      readonly kind: 'persist';
+    }
+  | {
+      /** The message speaks for what was written: send it only once all earlier writes are synced. */
+      readonly afterPersist: boolean;
+      readonly kind: 'send';
+      readonly message: Message;
+    }
+  | {
+      readonly index: LogIndex;
+      readonly kind: 'proposed';
+      readonly requestId: number;
+      readonly term: Term;
+    }
+  | {readonly kind: 'rejected'; readonly leader: ReplicaId | null; readonly requestId: number}
+  | {readonly kind: 'sendSnapshot'; readonly to: ReplicaId};
+
+/** State after a step and what must be done for it. */
+export interface ReplicationStepResult {
+  readonly effects: readonly ReplicationEffect[];
+  readonly state: ReplicationState;
+}
+
+/** Everything that a replica of a group knows. */
+export interface ReplicationState {
+  readonly applied: LogIndex;
+  readonly commit: LogIndex;
+  readonly electionAt: MonotonicMs;
+  /** Number of timeouts drawn so far; spreads elections of different replicas. */
+  readonly electionCount: number;
+  readonly group: GroupId;
+  /** When a current leader was last heard, or the start: until the timeout no vote is given. */
+  readonly heardLeaderAt: MonotonicMs;
+  readonly log: ReplicationLog;
+  /** Last index known to be synced on this replica's disk. */
+  readonly persisted: LogIndex;
+  readonly role: Role;
+  readonly self: ReplicaId;
+  readonly term: Term;
+  readonly timing: ReplicationTiming;
+  readonly votedFor: ReplicaId | null;
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -0,0 +1,39 @@
+/** Replicated logs: pure state machine and the driver that runs it. */
+export {LOG_BYTES_BEFORE_SNAPSHOT, SNAPSHOT_CHUNK_BYTES} from './ReplicaConstants';
+export {
+  type ReplicaCounters,
+  ReplicaDriver,
+  type ReplicaOptions,
+  type ReplicaTransport,
+  type SnapshotSource,
+} from './ReplicaDriver';
+export {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
+export type {MachineResult, PlacedBlob, ReplicaMachine} from './ReplicaMachine';
+export {type MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
+export {DEFAULT_TIMING} from './ReplicationConstants';
+export {wantsSnapshot} from './ReplicationFollower';
+export {holdsLease, isMajority, leaseUntil, majorityValue} from './ReplicationLease';
+export {EMPTY_SNAPSHOT, ReplicationLog} from './ReplicationLog';
+export {
+  isCaughtUp,
+  knownLeader,
+  type ReplicaStart,
+  startReplica,
+  stepReplica,
+} from './ReplicationStep';
+export type {
+  EntryPayload,
+  GroupMembers,
+  HardState,
+  LogEntry,
+  LogIndex,
+  Message,
+  MessageBody,
+  Progress,
+  ReplicationEffect,
+  ReplicationEvent,
+  ReplicationState,
+  ReplicationTiming,
+  SnapshotMeta,
+  Term,
+} from './ReplicationTypes';
--- /dev/null
+++ b/packages/stallpaddle-routing/src/RoutingConstants.ts
@@ -0,0 +1,48 @@
+/**
+ * Fixed numbers of the routing policy. `docs/design/ROUTING.md` gives the measurements behind them.
+ */
+
+/** Weight of a new measurement in moving averages. */
+export const SMOOTHING = 0.2;
+
+/** Failures in a row that quarantine an engine. */
+export const QUARANTINE_FAILURES = 2;
+
+/** First quarantine, in milliseconds; doubles with each further failure. */
+export const QUARANTINE_MS = 500;
+
+/** Longest quarantine, in milliseconds. */
+export const MAX_QUARANTINE_MS = 8_000;
+
+/** An engine whose tokens take this many times the median counts as slow. */
+export const SLOW_FACTOR = 3;
+
+/** Load of the affine engine, relative to the mean, above which affinity yields. */
+export const AFFINITY_LOAD_FACTOR = 1.25;
+
+/** Engines that a prompt prefix may call home. */
+export const AFFINE_ENGINES = 2;
+
+/** Online streams that an engine may have waiting, as a part of its slots. */
+export const ENGINE_QUEUE_FRACTION = 0.5;
+
+/** Width of the window in which the rise of online work is measured, in milliseconds. */
+export const SURGE_WINDOW_MS = 1_000;
+
+/** Time in which a measured rise loses half its weight, in milliseconds. */
+export const SURGE_HALF_LIFE_MS = 20_000;
+
+/** Least slots that batch work leaves free on an engine that also answers online requests. */
+export const MIN_RESERVE_SLOTS = 1;
+
+/** Largest part of an engine's slots held in reserve. */
+export const MAX_RESERVE_FRACTION = 0.5;
+
+/** Age of a load report after which batch work adds no more streams, in milliseconds. */
+export const LOAD_STALE_MS = 1_500;
+
+/** Retry-After when no engine serves the model at present, in milliseconds. */
+export const NO_ENGINE_RETRY_MS = 2_000;
+
+/** Retry-After when all engines are full and nothing better is known, in milliseconds. */
+export const FULL_RETRY_MS = 1_000;
--- /dev/null
+++ b/packages/stallpaddle-settings/src/SettingsSchema.ts
@@ -0,0 +1,150 @@
+/**
+ * Settings of a process, checked before anything starts.
+ */
+import {z} from 'zod';
+
+const SHA256_HEX = /^[0-9a-f]{64}$/;
+
+const name = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens')
+  .describe('lower-case name');
+const port = z.int().min(1).max(65_535).describe('TCP port');
+const address = z.strictObject({
+  host: z.union([z.ipv4(), z.ipv6()]).describe('IP number'),
+  port,
+});
+const keyHash = z
+  .string()
+  .regex(SHA256_HEX, 'expected the SHA-256 of the key in hexadecimal')
+  .describe('SHA-256 of the key, in hexadecimal');
+
+const customer = z.strictObject({
+  keyHash,
+  requestsPerSecond: z.number().positive().nullable().default(null),
+  weight: z.number().positive().max(1000).default(1),
+});
+
+const engine = z.strictObject({
+  checksFencing: z.boolean().default(true).describe('refuses orders with an old fencing number'),
+  host: address.shape.host,
+  port,
+  role: z.enum(['all', 'online', 'batch', 'off']).default('all'),
+  slots: z.int().min(1).max(4096).describe('streams that it runs at once'),
+  zone: name,
+});
+
+const service = z.discriminatedUnion('kind', [
+  z.strictObject({
+    adapters: z.array(name).default([]),
+    current: z.string().min(1),
+    kind: z.literal('model'),
+    model: name,
+    versions: z
+      .array(z.strictObject({engines: z.array(name).min(1), version: z.string().min(1)}))
+      .min(1),
+  }),
+  z.strictObject({
+    kind: z.literal('plain'),
+    repeatable: z.boolean().default(false),
+    servers: z.array(address).min(1),
+  }),
+]);
+
+const firstConfiguration = z
+  .strictObject({
+    customers: z.record(name, customer).default({}),
+    engines: z.record(name, engine).default({}),
+    services: z.record(name, service).default({}),
+  })
+  .describe('configuration of a new fleet; ignored once the control group has one');
+
+const disk = z
+  .strictObject({
+    folder: z.string().min(1).describe('folder for all files; made when missing'),
+  })
+  .describe('present on VMs that keep replicas');
+
+const limits = z
+  .strictObject({
+    bodyBytes: z.int().min(1024).default(8_388_608).describe('most bytes in a request body'),
+    connections: z.int().min(1).default(4096).describe('most open connections of callers'),
+    drainMs: z.int().min(0).default(30_000).describe('how long a stop waits for open requests'),
+    fileBytes: z.int().min(1024).default(536_870_912).describe('most bytes in an uploaded file'),
+    queuedRequests: z.int().min(0).default(256).describe('most online requests that wait here'),
+    requestMs: z.int().min(100).default(120_000).describe('longest time for an online request'),
+    sendMs: z.int().min(100).default(15_000).describe('time a caller has to send a request'),
+  })
+  .describe('bounds that protect the VM')
+  .prefault({});
+
+const vmSettings = z.strictObject({
+  $schema: z.string().optional(),
+  callers: address.describe('where callers connect'),
+  controlReplicas: z.array(name).min(1).describe('VMs that found the control group and the shards'),
+  disk: disk.optional(),
+  firstConfiguration: firstConfiguration.prefault({}),
+  kind: z.literal('vm'),
+  ledgerShards: z
+    .int()
+    .min(1)
+    .max(64)
+    .default(2)
+    .describe('number of ledger shards; fixed for good'),
+  limits,
+  logFormat: z.enum(['text', 'json']).default('text'),
+  operators: z.record(name, z.strictObject({keyHash})).describe('who may state intents'),
+  peers: address.describe('where other VMs connect'),
+  platformListUrl: z.url().optional().describe("the platform's list of live and leaving VMs"),
+  seeds: z
+    .array(z.strictObject({host: address.shape.host, port, vm: name}))
+    .min(1)
+    .describe('VMs with a disk, to be asked first'),
+  vm: name,
+  vmKey: z.string().min(16).describe('key that all VMs share'),
+  zone: name,
+});
+
+const engineStandInSettings = z.strictObject({
+  $schema: z.string().optional(),
+  checksFencing: z.boolean().default(true),
+  engine: name,
+  kind: z.literal('engineStandIn'),
+  listen: address,
+  loaded: z.array(z.string()).default([]).describe('weights held at the start'),
+  loadMs: z.number().min(0).default(200).describe('time to load weights'),
+  prefillMsPer1kTokens: z.number().min(0).default(40),
+  reportLagMs: z.number().min(0).default(100),
+  slots: z.int().min(1).default(8),
+  tokenMs: z.number().min(0).default(10).describe('time for one token with an empty batch'),
+});
+
+const serviceStandInSettings = z.strictObject({
+  $schema: z.string().optional(),
+  kind: z.literal('serviceStandIn'),
+  listen: address,
+  name,
+});
+
+/** Schema of a settings file. */
+export const settingsSchema = z.discriminatedUnion('kind', [
+  vmSettings,
+  engineStandInSettings,
+  serviceStandInSettings,
+]);
+
+/** Settings of any process. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+/** Settings of a VM. */
+export type VmSettings = Readonly<z.infer<typeof vmSettings>>;
+/** Settings of a stand-in engine. */
+export type EngineStandInSettings = Readonly<z.infer<typeof engineStandInSettings>>;
+/** Settings of a stand-in for a plain service. */
+export type ServiceStandInSettings = Readonly<z.infer<typeof serviceStandInSettings>>;
+/** Bounds that protect a VM. */
+export type LimitSettings = VmSettings['limits'];
+
+/** Schema as JSON Schema, for editors. */
+export function settingsJsonSchema(): unknown {
+  return z.toJSONSchema(settingsSchema, {io: 'input'});
+}
--- /dev/null
+++ b/packages/stallpaddle-standin/src/StandInService.ts
@@ -0,0 +1,49 @@
+/**
+ * Stand-in for a plain service: answers each call by what it got and counts the runs.
+ */
+import type {ServiceStandInSettings} from 'stallpaddle-settings';
+
+import {createServer, type Server} from 'node:http';
+
+import {sendJson} from './StandInHttp';
+
+/** One stand-in service. */
+export class StandInService {
+  private readonly executions = new Map<string, number>();
+  private readonly server: Server;
+
+  /**
+   * @param settings name and address
+   */
+  constructor(private readonly settings: ServiceStandInSettings) {
+    this.server = createServer((req, res) => {
+      const chunks: Buffer[] = [];
+      req.on('data', (chunk: Buffer) => chunks.push(chunk));
+      req.on('end', () => {
+        if (req.url === '/executions') {
+          sendJson(res, 200, {executions: Object.fromEntries(this.executions)});
+          return;
+        }
+        const body = Buffer.concat(chunks).toString();
+        const runs = (this.executions.get(body) ?? 0) + 1;
+        this.executions.set(body, runs);
+        sendJson(res, 200, {body, path: req.url, runs, service: settings.name});
+      });
+    });
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    const {host, port} = this.settings.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Ends at once. */
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-storage/src/StorageBlobs.ts
@@ -0,0 +1,228 @@
+import {invariant} from 'stallpaddle';
+
+/**
+ * Append-only segment files for bulk data that a state machine refers to.
+ *
+ * Replicas apply the same entries in the same order, and where a record goes depends only on what
+ * went before. So offsets are the same on all replicas, references may stand in replicated state,
+ * and a replica that lags needs just the bytes after its own end. Until a snapshot nothing is
+ * synced: the log still holds the data, and a restart writes it again.
+ */
+import type {Disk, DiskFile} from './StorageDisk';
+
+import {CorruptionError} from './StorageErrors';
+import {decodeRecord, encodeRecord, RECORD_HEADER_BYTES} from './StorageRecord';
+
+/** Where a record lies: offset over all segments, and payload length, both in bytes. */
+export interface BlobRef {
+  readonly length: number;
+  readonly offset: number;
+}
+
+/** Size of a segment, in bytes; a record never spans two. */
+export const BLOB_SEGMENT_BYTES = 67_108_864;
+
+const FILE_PREFIX = 'blobs-';
+const OFFSET_DIGITS = 16;
+
+function segmentName(start: number): string {
+  return FILE_PREFIX + String(start).padStart(OFFSET_DIGITS, '0');
+}
+
+function segmentStart(offset: number): number {
+  return offset - (offset % BLOB_SEGMENT_BYTES);
+}
+
+/**
+ * Where the next record goes; the same on every replica.
+ *
+ * @param end end of the data so far, in bytes
+ * @param length the record's payload length, in bytes
+ */
+export function placeBlob(
+  end: number,
+  length: number,
+): {readonly end: number; readonly ref: BlobRef} {
+  const total = RECORD_HEADER_BYTES + length;
+  invariant(total <= BLOB_SEGMENT_BYTES, 'a record of %s bytes is larger than a segment', length);
+  const room = segmentStart(end) + BLOB_SEGMENT_BYTES - end;
+  const offset = total <= room ? end : segmentStart(end) + BLOB_SEGMENT_BYTES;
+  return {end: offset + total, ref: {length, offset}};
+}
+
+/** The segments of one replica. Appends must come one after another. */
+export class StorageBlobs {
+  private readonly files = new Map<number, Promise<DiskFile>>();
+  private readonly dirty = new Set<number>();
+
+  private constructor(
+    private readonly disk: Disk,
+    private endOffset: number,
+  ) {}
+
+  /** End of the data, in bytes. */
+  get end(): number {
+    return this.endOffset;
+  }
+
+  /**
+   * Opens the segments and drops what came after the last snapshot.
+   *
+   * @param disk folder of the segments
+   * @param end end of the data at that snapshot, in bytes
+   */
+  static async open(disk: Disk, end: number): Promise<StorageBlobs> {
+    const blobs = new StorageBlobs(disk, end);
+    await blobs.cut(end);
+    await blobs.checkLength();
+    return blobs;
+  }
+
+  /**
+   * Writes a record at the place that the state machine gave it. It may be read at once, and is
+   * synced by {@link sync}.
+   *
+   * @param ref place from {@link placeBlob}
+   * @param payload content
+   */
+  async append(ref: BlobRef, payload: Uint8Array): Promise<void> {
+    const placed = placeBlob(this.endOffset, payload.length);
+    invariant(
+      placed.ref.offset === ref.offset,
+      'blob placed at %s, end is %s',
+      ref.offset,
+      this.end,
+    );
+    await this.write(ref.offset, encodeRecord(0, payload));
+    this.endOffset = placed.end;
+  }
+
+  /**
+   * Reads a record.
+   *
+   * @param ref its place
+   */
+  async read(ref: BlobRef): Promise<Uint8Array> {
+    const start = segmentStart(ref.offset);
+    const file = await this.segment(start);
+    const bytes = await file.read(ref.offset - start, RECORD_HEADER_BYTES + ref.length);
+    const record = decodeRecord(bytes, 0);
+    if (record === undefined || record.payload.length !== ref.length) {
+      throw new CorruptionError(segmentName(start), ref.offset - start, 'the checksum differs');
+    }
+    return record.payload;
+  }
+
+  /**
+   * Reads raw bytes for a replica that lags; ends at the segment's end, and goes on with the next
+   * segment where the one asked for has no more.
+   *
+   * @param offset first byte wanted
+   * @param most most bytes to return
+   * @returns bytes and where they begin
+   */
+  async readRaw(
+    offset: number,
+    most: number,
+  ): Promise<{readonly bytes: Uint8Array; readonly offset: number}> {
+    const start = segmentStart(offset);
+    const until = Math.min(this.endOffset, start + BLOB_SEGMENT_BYTES, offset + most);
+    const file = await this.segment(start);
+    const bytes = await file.read(offset - start, until - offset);
+    const next = start + BLOB_SEGMENT_BYTES;
+    return bytes.length === 0 && next < this.endOffset ? this.readRaw(next, most) : {bytes, offset};
+  }
+
+  /**
+   * Whether raw bytes at an offset continue the data: at the present end, or at the next segment.
+   *
+   * @param offset first byte
+   */
+  continuesAt(offset: number): boolean {
+    const nextSegment = segmentStart(this.endOffset) + BLOB_SEGMENT_BYTES;
+    return offset === this.endOffset || offset === nextSegment;
+  }
+
+  /**
+   * Appends raw bytes that another replica's {@link readRaw} returned.
+   *
+   * @param offset where they begin; a segment's start or the present end
+   * @param bytes content
+   */
+  async appendRaw(offset: number, bytes: Uint8Array): Promise<void> {
+    invariant(this.continuesAt(offset), 'raw bytes at %s do not follow %s', offset, this.end);
+    await this.write(offset, bytes);
+    this.endOffset = offset + bytes.length;
+  }
+
+  /** Syncs all that was appended. */
+  async sync(): Promise<void> {
+    for (const start of this.dirty) {
+      await (await this.segment(start)).sync();
+    }
+    this.dirty.clear();
+    await this.disk.syncNames();
+  }
+
+  /**
+   * Drops everything after an offset: what an unfinished transfer left behind.
+   *
+   * @param end new end of the data, in bytes
+   */
+  async cutTo(end: number): Promise<void> {
+    await this.close();
+    this.dirty.clear();
+    await this.cut(end);
+    this.endOffset = end;
+  }
+
+  /** Closes all files. */
+  async close(): Promise<void> {
+    const files = [...this.files.values()];
+    this.files.clear();
+    for (const file of files) {
+      await (await file).close();
+    }
+  }
+
+  private async write(offset: number, bytes: Uint8Array): Promise<void> {
+    const start = segmentStart(offset);
+    this.dirty.add(start);
+    await (await this.segment(start)).append(bytes);
+  }
+
+  private segment(start: number): Promise<DiskFile> {
+    const file = this.files.get(start) ?? this.disk.open(segmentName(start));
+    this.files.set(start, file);
+    return file;
+  }
+
+  /** A synced segment that is shorter than the snapshot says was damaged. */
+  private async checkLength(): Promise<void> {
+    const start = segmentStart(Math.max(0, this.endOffset - 1));
+    const last = this.endOffset - start - 1;
+    if (last < 0) {
+      return;
+    }
+    const file = await this.segment(start);
+    if ((await file.read(last, 1)).length !== 1) {
+      throw new CorruptionError(segmentName(start), last, 'the segment is too short');
+    }
+  }
+
+  private async cut(end: number): Promise<void> {
+    for (const name of await this.disk.list()) {
+      if (!name.startsWith(FILE_PREFIX)) {
+        continue;
+      }
+      const start = Number(name.slice(FILE_PREFIX.length));
+      const content = start >= end ? 0 : Math.min(end - start, BLOB_SEGMENT_BYTES);
+      if (content === 0) {
+        await this.disk.remove(name);
+      } else if (content < BLOB_SEGMENT_BYTES) {
+        await this.disk.truncate(name, content);
+      }
+    }
+    await this.disk.syncNames();
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-storage/src/StorageSnapshot.ts
@@ -0,0 +1,37 @@
+/**
+ * The file that holds a replica's latest snapshot.
+ */
+import type {Disk} from './StorageDisk';
+
+import {replaceFile} from './StorageDisk';
+import {CorruptionError} from './StorageErrors';
+import {decodeRecord, encodeRecord} from './StorageRecord';
+
+const FILE_NAME = 'snapshot';
+
+/**
+ * Reads the latest snapshot, or undefined when none was taken.
+ *
+ * @param disk folder of the replica
+ */
+export async function readSnapshot(disk: Disk): Promise<Uint8Array | undefined> {
+  const bytes = await disk.read(FILE_NAME);
+  if (bytes === undefined) {
+    return undefined;
+  }
+  const record = decodeRecord(bytes, 0);
+  if (record === undefined || record.end !== bytes.length) {
+    throw new CorruptionError(FILE_NAME, 0, 'the checksum differs');
+  }
+  return record.payload;
+}
+
+/**
+ * Replaces the latest snapshot.
+ *
+ * @param disk folder of the replica
+ * @param payload content
+ */
+export async function writeSnapshot(disk: Disk, payload: Uint8Array): Promise<void> {
+  await replaceFile(disk, FILE_NAME, encodeRecord(0, payload));
+}
--- /dev/null
+++ b/packages/stallpaddle-storage/src/index.ts
@@ -0,0 +1,14 @@
+/** Durable files: checksummed logs, snapshots and bulk data. */
+export {BLOB_SEGMENT_BYTES, type BlobRef, placeBlob, StorageBlobs} from './StorageBlobs';
+export {type Disk, type DiskFile, openDisk, replaceFile} from './StorageDisk';
+export {CorruptionError} from './StorageErrors';
+export {type OpenedLog, StorageLog} from './StorageLog';
+export {
+  decodeRecord,
+  encodeRecord,
+  RECORD_HEADER_BYTES,
+  type RecordAt,
+  type RecordScan,
+  scanRecords,
+} from './StorageRecord';
+export {readSnapshot, writeSnapshot} from './StorageSnapshot';
--- /dev/null
+++ b/packages/stallpaddle-vm/src/Vm.ts
@@ -0,0 +1,422 @@
+/**
+ * One VM process: all parts put together, started and stopped in order.
+ */
+import type {GroupId, Logger, LoggerFactory, RefusalError} from 'stallpaddle';
+import type {ControlPort} from 'stallpaddle-control';
+import type {LedgerPorts} from 'stallpaddle-ledger';
+import type {VmFacts} from 'stallpaddle-membership';
+import type {RpcServer} from 'stallpaddle-rpc';
+import type {VmSettings} from 'stallpaddle-settings';
+
+import {delay, errorMessage, refuse, systemClock} from 'stallpaddle';
+import {BatchDispatcher} from 'stallpaddle-batch';
+import {currentEngines} from 'stallpaddle-control';
+import {EngineLanes} from 'stallpaddle-engine';
+import {GatewayMetrics, GatewayServer} from 'stallpaddle-gateway';
+import {shardOfCustomer} from 'stallpaddle-ledger';
+import {liveVms, stayingVms} from 'stallpaddle-membership';
+import {ownerOf} from 'stallpaddle-routing';
+import {startRpcServer} from 'stallpaddle-rpc';
+import {openDisk} from 'stallpaddle-storage';
+
+import {type BeatAnswer, VmBeats} from './VmBeats';
+import {
+  applyNews,
+  type ConfigView,
+  isFresh,
+  noteFresh,
+  replaceConfig,
+  UNKNOWN_CONFIG,
+} from './VmConfigView';
+import {CONTROL_GROUP, PLATFORM_POLL_MS} from './VmConstants';
+import {VmEngines} from './VmEngines';
+import {firstChanges} from './VmFirstConfig';
+import {controlPort, ledgerPort, VmGroupClient} from './VmGroupClient';
+import {ledgerGroup, VmGroups} from './VmGroups';
+import {loadIdentity} from './VmIdentity';
+import {VmLeaderDuties} from './VmLeaderDuties';
+import {VmMembership} from './VmMembership';
+import {VmOrders} from './VmOrders';
+import {VmPeers} from './VmPeers';
+import {readPlatformList} from './VmPlatform';
+import {VmReplacements} from './VmReplacements';
+import {addPeerService} from './VmService';
+import {describeStatus} from './VmStatus';
+
+const DRAIN_LOOK_MS = 50;
+const DRAIN_TELL_MS = 2_000;
+/** Time for the news that this VM leaves to reach callers: addresses live two seconds. */
+const LEAVE_SPREAD_MS = 2_500;
+
+/** Longest wait after a start for a first word of the engines, in milliseconds. */
+const WARM_UP_MS = 3_000;
+
+/** Parts of a VM that its constructor is given. */
+interface VmParts {
+  readonly groups: VmGroups | undefined;
+  readonly loggers: LoggerFactory;
+  readonly membership: VmMembership;
+  readonly peers: VmPeers;
+  readonly settings: VmSettings;
+}
+
+function firstFacts(settings: VmSettings): VmFacts {
+  const {callers, disk, peers, vm, zone} = settings;
+  const hasDisk = disk !== undefined;
+  return {callers, epoch: Date.now(), hasDisk, leaving: false, peers, revision: 0, vm, zone};
+}
+
+/** One VM process; see the module's comment. */
+export class Vm {
+  private readonly batch: BatchDispatcher;
+  private readonly beats: VmBeats;
+  private readonly clock = systemClock;
+  private configView: ConfigView = UNKNOWN_CONFIG;
+  private readonly control: ControlPort;
+  private readonly duties: readonly {
+    readonly start: () => void;
+    readonly stop: () => Promise<void>;
+  }[];
+  private readonly engines: VmEngines;
+  private readonly gateway: GatewayServer;
+  private readonly lanes = new EngineLanes();
+  private readonly ledger: LedgerPorts;
+  private readonly logger: Logger;
+  private rpc: RpcServer | undefined;
+  private readonly startedAt = systemClock.monotonicMs();
+  private stopping = false;
+  private timers: readonly NodeJS.Timeout[] = [];
+
+  private constructor(private readonly parts: VmParts) {
+    const {groups, loggers, membership, peers, settings} = parts;
+    this.logger = loggers('vm');
+    this.engines = new VmEngines(this.clock, () => this.ownedEngines());
+    this.control = controlPort(this.groupClient(CONTROL_GROUP));
+    const shards = Array.from({length: settings.ledgerShards}, (_, shard) =>
+      ledgerPort(this.groupClient(ledgerGroup(shard))),
+    );
+    this.ledger = {
+      all: shards,
+      forCustomer: (customer) => shards[shardOfCustomer(customer, shards.length)]!,
+    };
+    this.beats = new VmBeats({
+      clock: this.clock,
+      config: () => this.configView,
+      groups,
+      loads: () => this.engines.currentLoads(),
+      membership: () => membership.state,
+      onConfig: (answer, basis, freshBy) => this.hearConfig(answer, basis, freshBy),
+      onLoads: (loads) => this.engines.hear(loads),
+      onMembership: (event) => membership.step(event),
+      peers,
+      self: () => this.facts(),
+      settings,
+    });
+    this.batch = this.createBatch();
+    this.gateway = this.createGateway();
+    this.duties = groups === undefined ? [] : this.createDuties(groups);
+  }
+
+  /**
+   * Starts a VM: it serves nothing before it has a fresh configuration.
+   *
+   * @param settings checked settings
+   * @param loggers makes the parts' loggers
+   * @param onFailure called when the process must end: a replica's disk is in doubt
+   */
+  static async start(
+    settings: VmSettings,
+    loggers: LoggerFactory,
+    onFailure: (err: unknown) => void,
+  ): Promise<Vm> {
+    const clock = systemClock;
+    const membership = new VmMembership(clock, firstFacts(settings));
+    const peers = new VmPeers(settings, () => membership.state);
+    let groups: VmGroups | undefined;
+    if (settings.disk !== undefined) {
+      const self = await loadIdentity(await openDisk(settings.disk.folder), settings.vm);
+      const logger = loggers('replication');
+      const options = {clock, logger, onFailure, peers, self, settings};
+      groups = new VmGroups(options, settings.disk.folder);
+    }
+    const vm = new Vm({groups, loggers, membership, peers, settings});
+    await vm.open();
+    return vm;
+  }
+
+  /** Stops as planned: nothing open is cut off within the drain time. */
+  async stop(): Promise<void> {
+    const {groups, membership, settings} = this.parts;
+    this.stopping = true;
+    this.logger.info('The VM leaves.', {waitsMostMs: settings.limits.drainMs});
+    membership.step({facts: this.facts(), kind: 'selfChanged'});
+    const startedAt = this.clock.monotonicMs();
+    const batchStopped = this.batch.stop().catch((err: unknown) => {
+      this.logger.warn('Leases could not be given back.', {reason: errorMessage(err)});
+    });
+    groups?.transferLeadership();
+    await Promise.all([this.waitForRequests(startedAt), batchStopped, delay(LEAVE_SPREAD_MS)]);
+    await this.close();
+    this.logger.info('The VM has stopped.', {
+      tookMs: Math.round(this.clock.monotonicMs() - startedAt),
+    });
+  }
+
+  private async open(): Promise<void> {
+    const {groups, membership, settings} = this.parts;
+    this.rpc = await startRpcServer(
+      settings.peers.host,
+      settings.peers.port,
+      settings.vmKey,
+      (router) => addPeerService(router, groups, this.beats),
+    );
+    await this.gateway.start(settings.callers.host, settings.callers.port);
+    const opened = groups?.start().then(() => this.watchControl(groups));
+    this.beats.start();
+    this.engines.start();
+    await opened;
+    this.duties.forEach((duty) => duty.start());
+    this.batch.start();
+    const {platformListUrl} = settings;
+    if (platformListUrl !== undefined) {
+      this.timers = [setInterval(() => void this.readPlatform(platformListUrl), PLATFORM_POLL_MS)];
+    }
+    membership.step({facts: this.facts(), kind: 'selfChanged'});
+    this.logger.info('The VM has started.', {vm: settings.vm, zone: settings.zone});
+  }
+
+  private async close(): Promise<void> {
+    this.timers.forEach((timer) => clearInterval(timer));
+    await Promise.all(this.duties.map((duty) => duty.stop()));
+    await this.gateway.stop();
+    await this.beats.stop();
+    this.engines.stop();
+    await this.rpc?.stop();
+    await this.parts.groups?.close();
+    this.parts.peers.close();
+  }
+
+  private groupClient(group: GroupId): VmGroupClient {
+    const {groups, membership, peers, settings} = this.parts;
+    return new VmGroupClient(
+      {
+        clock: this.clock,
+        groups,
+        peers,
+        replicaVms: () => {
+          const live = liveVms(membership.state, this.clock.monotonicMs());
+          const disks = live.filter(({hasDisk}) => hasDisk).map(({vm}) => vm);
+          return [...new Set([...settings.controlReplicas, ...disks])];
+        },
+        vm: settings.vm,
+      },
+      group,
+    );
+  }
+
+  private createBatch(): BatchDispatcher {
+    return new BatchDispatcher({
+      adapterOf: (engine) => this.engines.adapterOf(engine),
+      clock: this.clock,
+      config: () => this.configView.config,
+      lanes: this.lanes,
+      ledger: this.ledger,
+      logger: this.parts.loggers('batch'),
+      mayStart: () => this.refusal() === undefined,
+      onRouting: (event) => this.engines.step(event),
+      ownedEngines: () => this.ownedEngines(),
+      routing: () => this.engines.routing,
+      vm: this.parts.settings.vm,
+    });
+  }
+
+  private createGateway(): GatewayServer {
+    const {loggers, membership, settings} = this.parts;
+    const operators = Object.entries(settings.operators);
+    return new GatewayServer({
+      adapterOf: (engine) => this.engines.adapterOf(engine),
+      clock: this.clock,
+      config: () => this.configView.config,
+      control: this.control,
+      lanes: this.lanes,
+      ledger: this.ledger,
+      limits: settings.limits,
+      logger: loggers('gateway'),
+      membership: () => membership.state,
+      metrics: new GatewayMetrics(),
+      onRouting: (event) => this.engines.step(event),
+      operatorKeys: new Map(operators.map(([name, {keyHash}]) => [name, keyHash])),
+      plainAdapterOf: (server) => this.engines.plainAdapterOf(server),
+      random: Math.random,
+      refusal: () => this.refusal(),
+      routing: () => this.engines.routing,
+      status: () => this.status(),
+      vm: settings.vm,
+      zone: settings.zone,
+    });
+  }
+
+  private createDuties(groups: VmGroups): typeof this.duties {
+    const {loggers, settings} = this.parts;
+    const {clock, control} = this;
+    const logger = loggers('control');
+    return [
+      new VmLeaderDuties({
+        clock,
+        firstChanges: firstChanges(settings),
+        groups,
+        ledgerShards: settings.ledgerShards,
+        logger,
+      }),
+      new VmOrders({
+        adapterOf: (engine) => this.engines.adapterOf(engine),
+        clock,
+        control,
+        groups,
+        logger,
+      }),
+      new VmReplacements({
+        clock,
+        control,
+        groups,
+        logger,
+        replacements: () => [...this.configView.config.replacements],
+      }),
+    ];
+  }
+
+  private status(): Promise<unknown> {
+    return describeStatus({
+      batchItemsReported: this.batch.reportedItems,
+      clock: this.clock,
+      config: this.currentConfig(),
+      groups: this.parts.groups,
+      ledger: this.ledger,
+      membership: this.parts.membership.state,
+      ownedEngines: this.ownedEngines(),
+      routing: this.engines.routing,
+      vm: this.parts.settings.vm,
+    });
+  }
+
+  private facts(): VmFacts {
+    const {membership, settings} = this.parts;
+    const known = membership.state.entries.get(settings.vm)!.facts;
+    return {...known, leaving: this.isLeaving(), revision: this.configView.revision};
+  }
+
+  private isLeaving(): boolean {
+    const {membership, settings} = this.parts;
+    return (
+      this.stopping ||
+      this.configView.config.vms.get(settings.vm)?.draining === true ||
+      membership.state.platformLeaving.has(settings.vm)
+    );
+  }
+
+  /** The configuration with its freshness; the control group's leader needs to ask nobody. */
+  private currentConfig(): ConfigView {
+    const replica = this.parts.groups?.controlReplica;
+    if (replica?.leads === true) {
+      const now = this.clock.monotonicMs();
+      this.configView = noteFresh(this.configView, replica.localState.revision, now);
+    }
+    return this.configView;
+  }
+
+  private refusal(): RefusalError | undefined {
+    if (this.isLeaving()) {
+      return refuse('leaving', `VM ${this.parts.settings.vm} leaves; ask another one`, {
+        retryAfterMs: 0,
+      });
+    }
+    const view = this.currentConfig();
+    if (view.revision === 0 || !isFresh(view, this.clock.monotonicMs())) {
+      return refuse('stale', 'the configuration here is not known to be the latest', {
+        retryAfterMs: 1000,
+      });
+    }
+    if (this.isWarmingUp()) {
+      return refuse('stale', 'the engines are not known here yet', {retryAfterMs: WARM_UP_MS / 10});
+    }
+    return undefined;
+  }
+
+  /** Just started: some service has engines, and none of them has been heard of yet. */
+  private isWarmingUp(): boolean {
+    if (this.clock.monotonicMs() - this.startedAt > WARM_UP_MS) {
+      return false;
+    }
+    const {config} = this.configView;
+    const {engines} = this.engines.routing;
+    const isHeard = (engine: string): boolean => Number.isFinite(engines.get(engine)?.loadAt);
+    return [...config.services.keys()]
+      .map((service) => currentEngines(config, service))
+      .some((serving) => serving.length > 0 && !serving.some(isHeard));
+  }
+
+  private ownedEngines(): readonly string[] {
+    const {membership, settings} = this.parts;
+    const vms = stayingVms(membership.state, this.clock.monotonicMs()).map(({vm}) => vm);
+    return [...this.configView.config.engines.keys()].filter(
+      (engine) => ownerOf(engine, vms) === settings.vm,
+    );
+  }
+
+  private setConfig(next: ConfigView): void {
+    const changed = next.config !== this.configView.config;
+    this.configView = next;
+    if (changed) {
+      this.engines.configure(next.config);
+      this.parts.membership.step({facts: this.facts(), kind: 'selfChanged'});
+      this.logger.info('A configuration is in force.', {revision: next.revision});
+      this.beats.wake();
+    }
+  }
+
+  private hearConfig(answer: BeatAnswer, basis: number, freshBy: number): void {
+    const {config, freshAgeMs, revision} = answer;
+    if (config !== null) {
+      this.setConfig(applyNews(this.configView, config, basis));
+    }
+    if (freshAgeMs !== null) {
+      this.configView = noteFresh(this.configView, revision, freshBy - freshAgeMs);
+    }
+  }
+
+  private watchControl(groups: VmGroups): void {
+    const take = (): void => {
+      const state = groups.controlReplica!.localState;
+      this.setConfig(replaceConfig(this.configView, state.config, state.revision));
+    };
+    groups.controlReplica!.registerListener(take);
+    take();
+  }
+
+  private async readPlatform(url: string): Promise<void> {
+    try {
+      const leaving = await readPlatformList(url);
+      this.parts.membership.step({kind: 'platformListed', leaving});
+    } catch (err) {
+      this.logger.warn("The platform's list can't be read.", {reason: errorMessage(err)});
+    }
+  }
+
+  private async waitForRequests(startedAt: number): Promise<void> {
+    const {drainMs} = this.parts.settings.limits;
+    let toldAt = startedAt;
+    while (this.gateway.openRequests > 0) {
+      const now = this.clock.monotonicMs();
+      if (now - startedAt >= drainMs) {
+        this.logger.warn('The drain time is over.', {cutOff: this.gateway.openRequests});
+        return;
+      }
+      if (now - toldAt >= DRAIN_TELL_MS) {
+        toldAt = now;
+        this.logger.info('The VM still waits.', {openRequests: this.gateway.openRequests});
+      }
+      this.gateway.closeIdle();
+      await delay(DRAIN_LOOK_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmConstants.ts
@@ -0,0 +1,64 @@
+/**
+ * Times of the VM process, in milliseconds unless said otherwise.
+ */
+
+/** Name of the control group. */
+export const CONTROL_GROUP = 'control';
+
+/** How long a call to a group is tried before it is refused. */
+export const GROUP_CALL_MS = 5_000;
+
+/** Longest single try of a call to a group. */
+export const GROUP_TRY_MS = 1_500;
+
+/** Pause before the next try. */
+export const GROUP_RETRY_MS = 30;
+
+/** Longest call that brings replication messages. */
+export const DELIVER_MS = 1_000;
+
+/** Most bytes of commands that wait for one VM; older messages are dropped, as a network would. */
+export const OUTBOX_MESSAGES = 512;
+
+/** How long a VM with a disk holds a beat while it has nothing new to tell. */
+export const BEAT_WAIT_MS = 500;
+
+/** Longest beat, after which another VM is asked. */
+export const BEAT_TIMEOUT_MS = 1_200;
+
+/** Shortest time between a VM's beats. */
+export const BEAT_PAUSE_MS = 50;
+
+/** Time between an owner's looks at its engines. */
+export const ENGINE_POLL_MS = 150;
+
+/** Longest wait for an engine's report. */
+export const ENGINE_STATUS_MS = 500;
+
+/** Age of a load report that is not passed on any more. */
+export const LOAD_FORGOTTEN_MS = 3_000;
+
+/** Time between looks at engines' targets. */
+export const ORDERS_INTERVAL_MS = 300;
+
+/** What a new issuer waits before it orders engines that check no fencing number: the old one's
+ * lease and its longest send. */
+export const ORDER_TAKEOVER_MS = 3_000;
+
+/** Time between expiries of leases in each shard. */
+export const EXPIRE_INTERVAL_MS = 500;
+
+/** Time between looks for old uploads and call records in each shard. */
+export const TIDY_INTERVAL_MS = 60_000;
+
+/** Time between tries to found a group. */
+export const FORM_RETRY_MS = 100;
+
+/** Time between looks at replacements of replicas. */
+export const REPLACE_INTERVAL_MS = 300;
+
+/** Time between looks at the platform's list. */
+export const PLATFORM_POLL_MS = 1_000;
+
+/** Longest read of the platform's list. */
+export const PLATFORM_TIMEOUT_MS = 2_000;
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmFirstConfig.ts
@@ -0,0 +1,34 @@
+/**
+ * First configuration of a new fleet, from the settings.
+ */
+import type {ConfigChange} from 'stallpaddle-control';
+import type {VmSettings} from 'stallpaddle-settings';
+
+import {applyChanges, changesOf, EMPTY_CONFIG} from 'stallpaddle-control';
+
+/**
+ * The changes that make the first configuration.
+ *
+ * @param settings checked settings
+ */
+export function firstChanges({firstConfiguration}: VmSettings): readonly ConfigChange[] {
+  const {customers, engines, services} = firstConfiguration;
+  const changes: readonly ConfigChange[] = [
+    ...Object.entries(customers).map(([key, record]): ConfigChange => ({
+      key,
+      record,
+      table: 'customers',
+    })),
+    ...Object.entries(engines).map(([key, record]): ConfigChange => ({
+      key,
+      record,
+      table: 'engines',
+    })),
+    ...Object.entries(services).map(([key, record]): ConfigChange => ({
+      key,
+      record,
+      table: 'services',
+    })),
+  ];
+  return changesOf(applyChanges(EMPTY_CONFIG, changes));
+}
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmLeaderDuties.ts
@@ -0,0 +1,97 @@
+import type {Clock, Logger} from 'stallpaddle';
+import type {ConfigChange, ControlCommand} from 'stallpaddle-control';
+import type {LedgerCommand} from 'stallpaddle-ledger';
+
+import {delay, encodeValue, errorMessage} from 'stallpaddle';
+import {hasExpiredLeases} from 'stallpaddle-ledger';
+
+/**
+ * What leaders do on their own: the first configuration, and expiry of leases in ledger shards.
+ */
+import type {VmGroups} from './VmGroups';
+
+import {EXPIRE_INTERVAL_MS, TIDY_INTERVAL_MS} from './VmConstants';
+import {ledgerGroup} from './VmGroups';
+
+/** What the duties need of their VM. */
+export interface VmLeaderDutiesOptions {
+  readonly clock: Clock;
+  readonly firstChanges: readonly ConfigChange[];
+  readonly groups: VmGroups;
+  readonly ledgerShards: number;
+  readonly logger: Logger;
+}
+
+/** Duties of leaders on one VM. */
+export class VmLeaderDuties {
+  private loop: Promise<void> | undefined;
+  private stopped = false;
+  private readonly tidiedAt = new Map<string, number>();
+
+  /**
+   * @param options what the duties need of their VM
+   */
+  constructor(private readonly options: VmLeaderDutiesOptions) {}
+
+  /** Starts the duties. */
+  start(): void {
+    this.loop = this.run();
+  }
+
+  /** Ends the duties. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.loop;
+  }
+
+  private async run(): Promise<void> {
+    const {groups, ledgerShards, logger} = this.options;
+    let interval = EXPIRE_INTERVAL_MS / 10;
+    while (!this.stopped) {
+      await delay(interval);
+      try {
+        const started = await this.setFirstConfiguration();
+        interval = started ? EXPIRE_INTERVAL_MS : interval;
+        for (let shard = 0; shard < ledgerShards; shard++) {
+          await this.expire(ledgerGroup(shard));
+        }
+      } catch (err) {
+        if (!this.stopped) {
+          logger.warn('A duty of a leader waits.', {
+            reason: errorMessage(err),
+            replicas: groups.replicas.length,
+          });
+        }
+      }
+    }
+  }
+
+  /** Returns whether the control group has a configuration. */
+  private async setFirstConfiguration(): Promise<boolean> {
+    const replica = this.options.groups.controlReplica;
+    if (replica?.leads === true && replica.localState.revision === 0) {
+      const command: ControlCommand = {
+        changes: this.options.firstChanges,
+        now: this.options.clock.wallMs(),
+        type: 'bootstrap',
+      };
+      await replica.propose(encodeValue(command));
+    }
+    return (replica?.localState.revision ?? 0) > 0;
+  }
+
+  private async expire(group: string): Promise<void> {
+    const replica = this.options.groups.ledgerReplicaOf(group);
+    if (replica?.leads !== true) {
+      return;
+    }
+    const now = this.options.clock.wallMs();
+    const isDue = now - (this.tidiedAt.get(group) ?? 0) >= TIDY_INTERVAL_MS;
+    if (!isDue && !hasExpiredLeases(replica.localState, now)) {
+      return;
+    }
+    this.tidiedAt.set(group, now);
+    const command: LedgerCommand = {now, type: 'expire'};
+    await replica.propose(encodeValue(command));
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -0,0 +1,98 @@
+/**
+ * Where other VMs are, and messages to them.
+ */
+import type {Message} from 'stallpaddle-replication';
+import type {PeerClient} from 'stallpaddle-rpc';
+import type {VmSettings} from 'stallpaddle-settings';
+
+import {encodeValue, type VmId, vmOfReplica} from 'stallpaddle';
+import {type Address, type MembershipState} from 'stallpaddle-membership';
+import {RpcClients} from 'stallpaddle-rpc';
+
+import {DELIVER_MS, OUTBOX_MESSAGES} from './VmConstants';
+
+interface Outbox {
+  messages: Message[];
+  sending: boolean;
+}
+
+/** Other VMs as this one reaches them. */
+export class VmPeers {
+  private readonly clients: RpcClients;
+  private readonly outboxes = new Map<VmId, Outbox>();
+  private stopped = false;
+
+  /**
+   * @param settings names the VMs to be asked first
+   * @param membership where the others say they are
+   */
+  constructor(
+    private readonly settings: VmSettings,
+    private readonly membership: () => MembershipState,
+  ) {
+    this.clients = new RpcClients(settings.vmKey);
+  }
+
+  /**
+   * Address of a VM: what it says itself, else what the settings say.
+   *
+   * @param vm the VM
+   */
+  addressOf(vm: VmId): Address | undefined {
+    const entry = this.membership().entries.get(vm);
+    return entry?.facts.peers ?? this.settings.seeds.find((seed) => seed.vm === vm);
+  }
+
+  /**
+   * Client of a VM, or undefined when its address is not known.
+   *
+   * @param vm the VM
+   */
+  clientOf(vm: VmId): PeerClient | undefined {
+    const address = this.addressOf(vm);
+    return address === undefined ? undefined : this.clients.at(address.host, address.port);
+  }
+
+  /**
+   * Sends a replication message without waiting; it may be lost.
+   *
+   * @param message the message
+   */
+  send(message: Message): void {
+    if (this.stopped) {
+      return;
+    }
+    const vm = vmOfReplica(message.to);
+    const outbox = this.outboxes.get(vm) ?? {messages: [], sending: false};
+    this.outboxes.set(vm, outbox);
+    outbox.messages.push(message);
+    if (outbox.messages.length > OUTBOX_MESSAGES) {
+      outbox.messages.shift();
+    }
+    void this.flush(vm, outbox);
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.stopped = true;
+    this.clients.close();
+  }
+
+  /** One call at a time to each VM carries all that has gathered. */
+  private async flush(vm: VmId, outbox: Outbox): Promise<void> {
+    if (outbox.sending) {
+      return;
+    }
+    outbox.sending = true;
+    while (outbox.messages.length > 0 && !this.stopped) {
+      const encoded = outbox.messages.map(encodeValue);
+      outbox.messages = [];
+      try {
+        await this.clientOf(vm)?.deliver({encoded}, {timeoutMs: DELIVER_MS});
+      } catch {
+        // Lost messages are sent again by the next heartbeat.
+      }
+    }
+    outbox.sending = false;
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmService.ts
@@ -0,0 +1,69 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {ConnectRouter} from '@connectrpc/connect';
+
+import {Code, ConnectError} from '@connectrpc/connect';
+import {decodeValue, encodeValue} from 'stallpaddle';
+import {type CallResponseSchema, PeerService} from 'stallpaddle-rpc';
+
+/**
+ * What this VM answers to other VMs.
+ */
+import type {VmBeats} from './VmBeats';
+import type {VmGroups} from './VmGroups';
+
+import {callLocal, type TryOutcome} from './VmGroupClient';
+import {type InstallStep, SnapshotReceiver} from './VmSnapshots';
+
+type WireOutcome = MessageInitShape<typeof CallResponseSchema>['outcome'];
+
+function encodeOutcome(outcome: TryOutcome): WireOutcome {
+  switch (outcome.kind) {
+    case 'answered':
+      return {case: 'encoded', value: encodeValue(outcome.result)};
+    case 'notLeader':
+      return {case: 'notLeader', value: {leaderVm: outcome.leader ?? ''}};
+    case 'unknown':
+      return {case: 'outcomeUnknown', value: {}};
+  }
+}
+
+/**
+ * Adds the service to a router.
+ *
+ * @param router the server's router
+ * @param groups this VM's replicas; undefined without a disk
+ * @param beats answers beats
+ */
+export function addPeerService(
+  router: ConnectRouter,
+  groups: VmGroups | undefined,
+  beats: VmBeats,
+): void {
+  const receiver = new SnapshotReceiver();
+  const replicaOf = (group: string) => {
+    const replica = groups?.replicaOf(group);
+    if (replica === undefined) {
+      throw new ConnectError(`no replica of ${group} here`, Code.NotFound);
+    }
+    return replica;
+  };
+  router.service(PeerService, {
+    beat: async ({encoded}) => ({encoded: await beats.answer(encoded)}),
+    call: async ({encoded, group, query}) => ({
+      outcome: encodeOutcome(await callLocal(groups, group, encoded, query)),
+    }),
+    deliver: ({encoded}) => {
+      encoded.forEach((bytes) => groups?.receive(decodeValue(bytes)));
+      return {};
+    },
+    identify: ({group}) => ({
+      replica: groups?.self ?? '',
+      voters: [...(groups?.membersOf(group)?.voters ?? [])],
+    }),
+    install: async ({group, step, term}) =>
+      receiver.take(group, replicaOf(group), Number(term), step as InstallStep),
+    readBlob: async ({group, length, offset}) => ({
+      payload: await replicaOf(group).readBlob({length, offset: Number(offset)}),
+    }),
+  });
+}
--- /dev/null
+++ b/packages/stallpaddle-vm/src/VmSnapshots.ts
@@ -0,0 +1,143 @@
+import type {GroupId, ReplicaId} from 'stallpaddle';
+import type {MachineSnapshot, SnapshotMeta, SnapshotSource} from 'stallpaddle-replication';
+import type {PeerClient} from 'stallpaddle-rpc';
+
+import {decodeValue, encodeValue, vmOfReplica} from 'stallpaddle';
+import {SNAPSHOT_CHUNK_BYTES} from 'stallpaddle-replication';
+
+/**
+ * Brings snapshots to other VMs and takes them in, piece by piece.
+ */
+import type {AnyReplica} from './VmGroups';
+import type {VmPeers} from './VmPeers';
+
+const PIECE_TIMEOUT_MS = 10_000;
+
+/** A step of a transfer as it comes off the wire. */
+export type InstallStep =
+  | {readonly case: 'beginEncoded'; readonly value: Uint8Array}
+  | {readonly case: 'blobs'; readonly value: {readonly bytes: Uint8Array; readonly offset: bigint}}
+  | {
+      readonly case: 'state';
+      readonly value: {readonly bytes: Uint8Array; readonly last: boolean; readonly offset: bigint};
+    }
+  | {readonly case: undefined; readonly value?: undefined};
+
+/** Answer to a step. */
+export interface InstallReply {
+  readonly blobEnd: bigint;
+  readonly ok: boolean;
+}
+
+const REFUSED: InstallReply = {blobEnd: 0n, ok: false};
+
+/**
+ * Brings a snapshot to a replica: first the bulk data that it lacks, then the state.
+ *
+ * @param peers other VMs
+ * @param to receiver
+ * @param source the snapshot
+ * @returns whether the receiver took it over
+ */
+export async function sendSnapshot(
+  peers: VmPeers,
+  to: ReplicaId,
+  source: SnapshotSource,
+): Promise<boolean> {
+  const client = peers.clientOf(vmOfReplica(to));
+  if (client === undefined) {
+    return false;
+  }
+  const call = (step: Parameters<PeerClient['install']>[0]['step']): Promise<InstallReply> =>
+    client.install(
+      {group: source.group, step, term: BigInt(source.term)},
+      {timeoutMs: PIECE_TIMEOUT_MS},
+    );
+  const begun = await call({case: 'beginEncoded', value: encodeValue(source.snapshot.meta)});
+  if (!begun.ok) {
+    return false;
+  }
+  let offset = Number(begun.blobEnd);
+  while (offset < source.blobEnd) {
+    const piece = await source.readBlobs(offset, SNAPSHOT_CHUNK_BYTES);
+    const value = {bytes: piece.bytes, offset: BigInt(piece.offset)};
+    const sent = await call({case: 'blobs', value});
+    if (!sent.ok || Number(sent.blobEnd) <= offset) {
+      return false;
+    }
+    offset = Number(sent.blobEnd);
+  }
+  return sendState(source, call);
+}
+
+async function sendState(
+  source: SnapshotSource,
+  call: (step: Parameters<PeerClient['install']>[0]['step']) => Promise<InstallReply>,
+): Promise<boolean> {
+  const state = encodeValue(source.snapshot);
+  for (let offset = 0; ; offset += SNAPSHOT_CHUNK_BYTES) {
+    const bytes = state.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES);
+    const last = offset + SNAPSHOT_CHUNK_BYTES >= state.length;
+    const {ok} = await call({case: 'state', value: {bytes, last, offset: BigInt(offset)}});
+    if (!ok || last) {
+      return ok;
+    }
+  }
+}
+
+/** Takes in snapshots for the replicas of this VM. */
+export class SnapshotReceiver {
+  private readonly states = new Map<GroupId, Uint8Array[]>();
+
+  /**
+   * Takes in one step.
+   *
+   * @param group the group
+   * @param replica this VM's replica of it
+   * @param term the leader's term
+   * @param step what arrived
+   */
+  async take(
+    group: GroupId,
+    replica: AnyReplica,
+    term: number,
+    step: InstallStep,
+  ): Promise<InstallReply> {
+    switch (step.case) {
+      case 'beginEncoded': {
+        this.states.delete(group);
+        const end = await replica.beginInstall(decodeValue<SnapshotMeta>(step.value), term);
+        return end === undefined ? REFUSED : {blobEnd: BigInt(end), ok: true};
+      }
+      case 'blobs': {
+        const end = await replica.installBlobs(Number(step.value.offset), step.value.bytes);
+        return {blobEnd: BigInt(end), ok: true};
+      }
+      case 'state':
+        return this.takeState(group, replica, term, step.value);
+      case undefined:
+        return REFUSED;
+    }
+  }
+
+  private async takeState(
+    group: GroupId,
+    replica: AnyReplica,
+    term: number,
+    piece: {readonly bytes: Uint8Array; readonly last: boolean; readonly offset: bigint},
+  ): Promise<InstallReply> {
+    const pieces = this.states.get(group) ?? [];
+    const received = pieces.reduce((sum, {length}) => sum + length, 0);
+    if (Number(piece.offset) !== received) {
+      return REFUSED;
+    }
+    this.states.set(group, [...pieces, piece.bytes]);
+    if (!piece.last) {
+      return {blobEnd: 0n, ok: true};
+    }
+    const bytes = Buffer.concat([...pieces, piece.bytes]);
+    this.states.delete(group);
+    const ok = await replica.finishInstall(decodeValue<MachineSnapshot>(bytes), term);
+    return {blobEnd: 0n, ok};
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle/src/Logger.ts
@@ -0,0 +1,80 @@
+/**
+ * Logs: short sentences, a fixed prefix for each part, no keys or prompts.
+ */
+import {createConsola, type LogObject} from 'consola';
+
+/** Parts of the system that write logs. */
+export type LogPart =
+  | 'batch'
+  | 'control'
+  | 'gateway'
+  | 'ledger'
+  | 'load'
+  | 'membership'
+  | 'replication'
+  | 'standin'
+  | 'vm';
+
+/** Facts that go with a sentence. */
+export type LogFields = Readonly<Record<string, boolean | number | string | undefined>>;
+
+/** Writes one part's logs. */
+export interface Logger {
+  readonly error: (message: string, fields?: LogFields) => void;
+  readonly info: (message: string, fields?: LogFields) => void;
+  readonly warn: (message: string, fields?: LogFields) => void;
+}
+
+/** How lines are written. */
+export type LogFormat = 'json' | 'silent' | 'text';
+
+/** Makes a logger for each part. */
+export type LoggerFactory = (part: LogPart) => Logger;
+
+function textFields(fields: LogFields): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => ` ${name}=${String(value)}`)
+    .join('');
+}
+
+function jsonReporter(entry: LogObject): void {
+  const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+  const line = {
+    level: entry.type,
+    message,
+    part: entry.tag,
+    time: entry.date.toISOString(),
+    ...fields,
+  };
+  process.stderr.write(`${JSON.stringify(line)}\n`);
+}
+
+function textReporter(entry: LogObject): void {
+  const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+  const time = entry.date.toISOString().slice(11, 23);
+  process.stderr.write(`${time} ${entry.type} [${entry.tag}] ${message}${textFields(fields)}\n`);
+}
+
+/**
+ * Makes the process's logger factory.
+ *
+ * @param format how lines are written; `silent` writes none
+ */
+export function createLoggerFactory(format: LogFormat): LoggerFactory {
+  const log = format === 'json' ? jsonReporter : textReporter;
+  return (part) => {
+    const consola = createConsola({
+      level: format === 'silent' ? -1 : 3,
+      reporters: [{log}],
+    }).withTag(part);
+    return {
+      error: (message, fields = {}) => consola.error(message, fields),
+      info: (message, fields = {}) => consola.info(message, fields),
+      warn: (message, fields = {}) => consola.warn(message, fields),
+    };
+  };
+}
+
+/** Logger that drops everything; for tests and tools. */
+export const silentLogger: Logger = {error: () => {}, info: () => {}, warn: () => {}};
--- /dev/null
+++ b/packages/stallpaddle/src/index.ts
@@ -0,0 +1,34 @@
+/** Shared vocabulary of all packages: identifiers, time, errors, verdicts, hashing, logs. */
+export {
+  type Clock,
+  type Deadline,
+  delay,
+  type MonotonicMs,
+  startDeadline,
+  systemClock,
+} from './Clock';
+export {decodeValue, encodeValue} from './Codec';
+export {type ErrorCode, errorMessage, type RefusalDetails, RefusalError, refuse} from './Errors';
+export {hash32, rendezvousOrder, rendezvousOwner} from './Hash';
+export {
+  type CustomerId,
+  drawId,
+  type EngineId,
+  type GroupId,
+  type ReplicaId,
+  type VmId,
+  vmOfReplica,
+  type ZoneId,
+} from './Ids';
+export {invariant, InvariantError, unreachable} from './Invariant';
+export {
+  createLoggerFactory,
+  type LogFields,
+  type LogFormat,
+  type Logger,
+  type LoggerFactory,
+  type LogPart,
+  silentLogger,
+} from './Logger';
+export {exponentialMs, type Random, seededRandom} from './Random';
+export {type Verdict, VERDICT_HEADER} from './Verdict';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,43 @@
+/**
+ * Builds `dist/stallpaddle`: one bundle inside a Node single-executable.
+ */
+import {build} from 'esbuild';
+import {execFileSync} from 'node:child_process';
+import {chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import path from 'node:path';
+import {inject} from 'postject';
+
+const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
+const dist = path.join(root, 'dist');
+const bundle = path.join(dist, 'stallpaddle.cjs');
+const binary = path.join(dist, 'stallpaddle');
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync(dist, {recursive: true});
+await build({
+  bundle: true,
+  entryPoints: [path.join(root, 'packages/stallpaddle-cli/src/main.ts')],
+  format: 'cjs',
+  logLevel: 'warning',
+  minifySyntax: true,
+  outfile: bundle,
+  platform: 'node',
+  sourcemap: 'inline',
+  target: 'node20',
+});
+const config = path.join(dist, 'sea.json');
+const blob = path.join(dist, 'sea.blob');
+writeFileSync(
+  config,
+  JSON.stringify({disableExperimentalSEAWarning: true, main: bundle, output: blob}),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', config], {
+  stdio: ['ignore', 'ignore', 'inherit'],
+});
+const staged = `${binary}.new`;
+copyFileSync(process.execPath, staged);
+chmodSync(staged, 0o755);
+await inject(staged, 'NODE_SEA_BLOB', readFileSync(blob), {sentinelFuse: FUSE});
+copyFileSync(staged, binary);
+chmodSync(binary, 0o755);
