--- a/packages/stallpaddle-demo/src/Fleet.ts
+++ b/packages/stallpaddle-demo/src/Fleet.ts
@@ -31,10 +31,12 @@
   /**
    * @param layout what the fleet is made of
    * @param folder where settings, data and logs go
+   * @param standIns layout of the backend servers, where they listen elsewhere than the VMs think
    */
   constructor(
     readonly layout: FleetLayout,
     private readonly folder: string,
+    private readonly standIns: FleetLayout = layout,
   ) {}
 
   /** Names of the processes that run. */
@@ -48,7 +50,7 @@
       throw new Error('build the binary first: npm run build');
     }
     mkdirSync(this.folder, {recursive: true});
-    const processes = [...standInProcesses(this.layout), ...vmProcesses(this.layout)];
+    const processes = [...standInProcesses(this.standIns), ...vmProcesses(this.layout)];
     processes.forEach((one) => this.startProcess(one));
     await this.waitReady();
   }
--- a/packages/stallpaddle-demo/src/__tests__/e2e/TestFleet.ts
+++ b/packages/stallpaddle-demo/src/__tests__/e2e/TestFleet.ts
@@ -38,10 +38,14 @@
  * Starts a fleet in a new folder.
  *
  * @param layout what it is made of
+ * @param standIns layout of the backend servers, where they listen elsewhere than the VMs think
  */
-export async function startFleet(layout: FleetLayout): Promise<TestFleet> {
+export async function startFleet(
+  layout: FleetLayout,
+  standIns: FleetLayout = layout,
+): Promise<TestFleet> {
   const folder = mkdtempSync(path.join(tmpdir(), 'stallpaddle-test-'));
-  const fleet = new Fleet(layout, folder);
+  const fleet = new Fleet(layout, folder, standIns);
   const stop = async (): Promise<void> => {
     await fleet.stop();
     rmSync(folder, {force: true, recursive: true});
--- a/packages/stallpaddle-ledger/src/LedgerLeases.ts
+++ b/packages/stallpaddle-ledger/src/LedgerLeases.ts
@@ -188,7 +188,7 @@
   const lines: GatheredLines = {errors: [], outputs: []};
   let {counts} = job;
   for (const entry of report.items) {
-    if (entry.item >= items.length || isFinal(itemStatus(items, entry.item))) {
+    if (!(entry.item in items) || isFinal(itemStatus(items, entry.item))) {
       draft.counters = {...draft.counters, doubledResults: draft.counters.doubledResults + 1};
       continue;
     }
@@ -274,7 +274,9 @@
   const count = fileChunk(draft, held.job, held.chunk).items;
   const items = copyItems(held.state.items, count);
   // A resent start finds its items started already: only the lease's holder asks for them.
-  const started = command.items.filter((item) => !isFinal(itemStatus(items, item)));
+  const started = command.items.filter(
+    (item) => item in items && !isFinal(itemStatus(items, item)),
+  );
   started.forEach((item) => setStatus(items, item, 'started'));
   const state: ChunkState = {...held.state, items};
   $putJob(draft, {...held.job, chunks: held.job.chunks.set(held.chunk, state)});
--- /dev/null
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -0,0 +1,3 @@
+/** Helpers of tests; never shipped. */
+export {FakeCrashError, FakeDisk, type TornKeep} from './FakeDisk';
+export {assertHistories, fuzzTimeoutMs} from './FuzzParameters';
