Show that the tests see deliberate faults; add the experiment

Cause: tests that pass prove little until they are seen to fail; and the routing policy had no measurement yet.

`npm run experiment` runs the product's own routing decisions against engine fakes on an injected clock, beside a naive policy and a run without batch work.

--- /dev/null
+++ b/packages/stallpaddle-experiment/src/ExperimentCurrent.ts
@@ -0,0 +1,345 @@
+import type {FairQueue, RetryBudget, RoutingEvent, RoutingState} from 'stallpaddle-routing';
+
+import {
+  batchAllowance,
+  countRequest,
+  EMPTY_QUEUE,
+  EMPTY_ROUTING,
+  FULL_RETRY_BUDGET,
+  joinQueue,
+  ownerOf,
+  placeOnline,
+  stepRouting,
+  streamsToCancel,
+  takeNext,
+  takeRetry,
+} from 'stallpaddle-routing';
+
+/**
+ * The product's policy: its own placement, queue, reserve, ownership and cancelling, on the
+ * experiment's clock.
+ */
+import type {EngineStream, ExperimentEngine} from './ExperimentEngine';
+import type {ExperimentFleet, OnlineRequest} from './ExperimentFleet';
+
+import {FAULT_AT_MS, FAULT_MS} from './ExperimentFaults';
+
+const POLL_MS = 150;
+const BEAT_MS = 500;
+const FILL_MS = 25;
+const VM_LOST_MS = 2_000;
+const QUEUE_CAPACITY = 256;
+const RETRY_AFTER_MS = 1_000;
+const WAKE_MS = 100;
+const MAX_ATTEMPTS = 200;
+
+interface BatchRun {
+  readonly id: string;
+  readonly repeatable: true;
+  readonly startedAt: number;
+  readonly stream: EngineStream;
+}
+
+/** One VM with the product's policy. */
+class CurrentVm {
+  alive = true;
+  readonly batch = new Map<string, Map<string, BatchRun>>();
+  state: RoutingState = EMPTY_ROUTING;
+  private budget: RetryBudget = FULL_RETRY_BUDGET;
+  private nextId = 0;
+  private queue: FairQueue = EMPTY_QUEUE;
+  private readonly waiting = new Map<number, OnlineRequest>();
+
+  constructor(
+    private readonly policy: CurrentPolicy,
+    readonly id: string,
+  ) {
+    const {clock, engines, workload} = policy.fleet;
+    const setups = engines.map(({id: engine}) => ({
+      engine,
+      role: 'all' as const,
+      slots: workload.engine.slots,
+      zone: 'z',
+    }));
+    this.step({kind: 'configured', setups});
+    clock.every(WAKE_MS, () => this.wake());
+  }
+
+  step(event: RoutingEvent): void {
+    this.state = stepRouting(this.state, event, this.policy.fleet.clock.now);
+  }
+
+  take(req: OnlineRequest, excluded: readonly string[] = []): void {
+    const {clock, random} = this.policy.fleet;
+    if (excluded.length === 0) {
+      this.budget = countRequest(this.budget);
+    }
+    const request = {
+      affinity: req.affinity,
+      customer: req.customer,
+      excluded,
+      serving: this.policy.engineIds,
+      weights: 'w',
+      zone: 'z',
+    };
+    const placement = placeOnline(this.state, request, clock.now, random);
+    switch (placement.kind) {
+      case 'engine':
+        this.send(req, placement.engine, excluded);
+        return;
+      case 'full':
+        this.wait(req);
+        return;
+      case 'noEngine':
+        this.policy.comeBack(req, placement.retryAfterMs);
+        return;
+    }
+  }
+
+  fill(): void {
+    const owned = this.alive ? this.policy.ownedBy(this.id) : [];
+    for (const engine of new Set([...owned, ...this.batch.keys()])) {
+      const runs = this.batch.get(engine) ?? new Map<string, BatchRun>();
+      this.batch.set(engine, runs);
+      const {now} = this.policy.fleet.clock;
+      const allowance = owned.includes(engine) ? batchAllowance(this.state, engine, now) : 0;
+      for (const {id} of streamsToCancel([...runs.values()], allowance)) {
+        this.policy.fleet.wasted++;
+        this.endRun(engine, runs.get(id)!, 'cancelled');
+      }
+      while (runs.size < allowance && this.startRun(engine, runs)) {
+        // Fills all the room there is.
+      }
+    }
+  }
+
+  private wait(req: OnlineRequest): void {
+    const {customer} = req;
+    const {now} = this.policy.fleet.clock;
+    const id = this.nextId++;
+    const entry = {customer, deadlineAt: now + 60_000, id, since: now, weight: 1};
+    const joined = joinQueue(this.queue, entry, QUEUE_CAPACITY);
+    if (joined.kind === 'refused') {
+      this.policy.comeBack(req, RETRY_AFTER_MS);
+      return;
+    }
+    this.queue = joined.queue;
+    this.waiting.set(id, req);
+    if (joined.kind === 'full') {
+      const victim = this.waiting.get(joined.victim.id)!;
+      this.waiting.delete(joined.victim.id);
+      this.policy.comeBack(victim, RETRY_AFTER_MS);
+    }
+  }
+
+  private wake(): void {
+    const next = takeNext(this.queue);
+    if (next !== undefined) {
+      this.queue = next.queue;
+      const req = this.waiting.get(next.req.id)!;
+      this.waiting.delete(next.req.id);
+      this.take(req);
+    }
+  }
+
+  private send(req: OnlineRequest, engine: string, excluded: readonly string[]): void {
+    const {clock, workload} = this.policy.fleet;
+    this.step({engine, kind: 'started', work: 'online'});
+    this.policy.announce(this, engine);
+    clock.after(workload.zoneLatencyMs, () => {
+      let tokenMs = 0;
+      const stream = this.policy.engine(engine).submit({
+        affinity: req.affinity,
+        onEnd: (outcome) => {
+          const ended = outcome === 'done' ? 'succeeded' : 'failed';
+          this.step({engine, kind: 'ended', outcome: ended, tokenMs, work: 'online'});
+          if (outcome === 'done') {
+            req.answers++;
+          } else {
+            this.retry(req, engine, excluded);
+          }
+          this.wake();
+        },
+        onFirstToken: (ms) => {
+          tokenMs = ms;
+          this.policy.fleet.noteFirstToken(req, ms);
+        },
+        promptTokens: workload.promptTokens,
+        tokens: workload.tokens,
+        work: 'online',
+      });
+      if (stream === undefined) {
+        this.step({engine, kind: 'ended', outcome: 'failed', tokenMs: 0, work: 'online'});
+        this.retry(req, engine, excluded);
+      }
+    });
+  }
+
+  private retry(req: OnlineRequest, engine: string, excluded: readonly string[]): void {
+    const next = takeRetry(this.budget);
+    if (next === undefined || excluded.length > MAX_ATTEMPTS) {
+      this.policy.comeBack(req, RETRY_AFTER_MS);
+      return;
+    }
+    this.budget = next;
+    this.take(req, [...excluded, engine]);
+  }
+
+  private startRun(engine: string, runs: Map<string, BatchRun>): boolean {
+    const {fleet} = this.policy;
+    const {workload} = fleet;
+    if (!this.policy.hasBatch) {
+      return false;
+    }
+    const id = String(this.nextId++);
+    const stream = this.policy.engine(engine).submit({
+      affinity: 'batch',
+      onEnd: (outcome) => {
+        const run = runs.get(id);
+        if (run !== undefined) {
+          this.endRun(engine, run, outcome === 'done' ? 'succeeded' : 'failed');
+          if (outcome === 'done') {
+            fleet.noteItem();
+          }
+          this.fill();
+        }
+      },
+      onFirstToken: () => {},
+      promptTokens: workload.batchPromptTokens,
+      tokens: workload.batchTokens,
+      work: 'batch',
+    });
+    this.step({engine, kind: 'started', work: 'batch'});
+    if (stream === undefined) {
+      this.step({engine, kind: 'ended', outcome: 'failed', tokenMs: 0, work: 'batch'});
+      return false;
+    }
+    runs.set(id, {id, repeatable: true, startedAt: fleet.clock.now, stream});
+    return true;
+  }
+
+  private endRun(
+    engine: string,
+    run: BatchRun,
+    outcome: 'cancelled' | 'failed' | 'succeeded',
+  ): void {
+    this.batch.get(engine)!.delete(run.id);
+    this.step({engine, kind: 'ended', outcome, tokenMs: 0, work: 'batch'});
+    if (outcome === 'cancelled') {
+      this.policy.engine(engine).cancel(run.stream);
+    }
+  }
+}
+
+/** A fleet of VMs with the product's policy. */
+export class CurrentPolicy {
+  readonly engineIds: readonly string[];
+  private readonly engines: ReadonlyMap<string, ExperimentEngine>;
+  private turn = 0;
+  private readonly vms: readonly CurrentVm[];
+
+  /**
+   * @param fleet engines, clock and outcomes
+   * @param hasBatch whether there is batch work
+   */
+  constructor(
+    readonly fleet: ExperimentFleet,
+    readonly hasBatch: boolean,
+  ) {
+    this.engines = new Map(fleet.engines.map((engine) => [engine.id, engine]));
+    this.engineIds = [...this.engines.keys()];
+    const {clock, fault, workload} = fleet;
+    this.vms = Array.from({length: workload.vms}, (_, index) => new CurrentVm(this, `vm-${index}`));
+    for (const vm of this.vms) {
+      clock.every(POLL_MS, () => this.poll(vm));
+      clock.every(FILL_MS, () => vm.fill());
+    }
+    this.fleet.engines.forEach(({id}) => this.vms.forEach((vm) => this.tell(vm, id, 0)));
+    if (fault === 'ownerLost') {
+      this.scheduleOwnerLoss();
+    }
+  }
+
+  /** An engine by its name. */
+  engine(id: string): ExperimentEngine {
+    return this.engines.get(id)!;
+  }
+
+  /** Engines whose batch work a VM places. */
+  ownedBy(vm: string): readonly string[] {
+    const staying = this.vms.filter((one) => one.alive || this.isStillBelieved()).map(({id}) => id);
+    return this.engineIds.filter((engine) => ownerOf(engine, staying) === vm);
+  }
+
+  /** A request comes in at one VM after another. */
+  arrive(req: OnlineRequest): void {
+    const alive = this.vms.filter((vm) => vm.alive);
+    alive[this.turn++ % alive.length]!.take(req);
+  }
+
+  /** The caller heeds Retry-After. */
+  comeBack(req: OnlineRequest, retryAfterMs: number): void {
+    const {clock, workload} = this.fleet;
+    clock.after(retryAfterMs + workload.callerLatencyMs * 2, () => this.arrive(req));
+  }
+
+  /** A VM tells an engine's owner of an online request that is on its way. */
+  announce(from: CurrentVm, engine: string): void {
+    const owner = this.vms.find((vm) => this.ownedBy(vm.id).includes(engine));
+    if (owner === undefined || owner === from) {
+      from.fill();
+      return;
+    }
+    this.fleet.clock.after(this.fleet.workload.zoneLatencyMs, () => {
+      owner.step({engine, kind: 'announced'});
+      owner.fill();
+    });
+  }
+
+  private lostAt: number | undefined;
+
+  private isStillBelieved(): boolean {
+    return this.lostAt !== undefined && this.fleet.clock.now - this.lostAt < VM_LOST_MS;
+  }
+
+  private scheduleOwnerLoss(): void {
+    const {clock} = this.fleet;
+    const lost = this.vms[0]!;
+    clock.after(FAULT_AT_MS, () => {
+      lost.alive = false;
+      this.lostAt = clock.now;
+      lost.fill();
+    });
+    clock.after(FAULT_AT_MS + FAULT_MS, () => {
+      lost.alive = true;
+    });
+  }
+
+  private poll(vm: CurrentVm): void {
+    for (const id of this.ownedBy(vm.id)) {
+      if (!vm.alive) {
+        continue;
+      }
+      this.tell(vm, id, 100);
+      // The others hear of it with their next beat.
+      for (const other of this.vms.filter((one) => one !== vm)) {
+        const {laggedLoad} = this.engine(id);
+        const ageMs = this.fleet.random() * BEAT_MS;
+        this.fleet.clock.after(ageMs, () => {
+          if (this.engine(id).alive) {
+            other.step({ageMs: ageMs + 100, engine: id, kind: 'loadHeard', load: laggedLoad});
+          }
+        });
+      }
+    }
+  }
+
+  private tell(vm: CurrentVm, id: string, ageMs: number): void {
+    const engine = this.engine(id);
+    vm.step(
+      engine.alive
+        ? {ageMs, engine: id, kind: 'loadHeard', load: engine.laggedLoad}
+        : {engine: id, kind: 'unreachable'},
+    );
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
@@ -0,0 +1,200 @@
+import type {ReplicaId} from 'stallpaddle';
+
+import {describe, expect, test} from 'vitest';
+
+/**
+ * One scripted failure for each rule that the safety of the log rests on.
+ */
+import type {Message, MessageBody} from '../../ReplicationTypes';
+
+import {ReplicationLog} from '../../ReplicationLog';
+import {startReplica, stepReplica} from '../../ReplicationStep';
+import {ReplicationWorld} from './ReplicationWorld';
+
+const IDS: readonly ReplicaId[] = ['a/1', 'b/1', 'c/1'];
+const ELECTION_MS = 100;
+
+function voteRequest(
+  from: ReplicaId,
+  to: ReplicaId,
+  term: number,
+  lastIndex: number,
+  lastTerm: number,
+): Message {
+  return {body: {kind: 'vote', lastIndex, lastTerm, transfer: false}, from, group: 'g', term, to};
+}
+
+function votesOf(world: ReplicationWorld, voter: ReplicaId, term: number): readonly ReplicaId[] {
+  return world
+    .messagesFrom(voter)
+    .filter(({body, term: at}) => at === term && body.kind === 'voteReply' && body.granted)
+    .map(({to}) => to);
+}
+
+/** A settled world: its leader and the two others. */
+function settled(): {
+  readonly leader: ReplicaId;
+  readonly others: readonly [ReplicaId, ReplicaId];
+  readonly world: ReplicationWorld;
+} {
+  const world = new ReplicationWorld(IDS);
+  world.settle(600);
+  const [leader] = world.leaseHolders();
+  const others = IDS.filter((id) => id !== leader) as [ReplicaId, ReplicaId];
+  world.parcels.length = 0;
+  return {leader: leader!, others, world};
+}
+
+describe('a vote', () => {
+  test('leaves only once it is on the disk, so that no restart gives it twice', () => {
+    const world = new ReplicationWorld(IDS);
+    world.now += ELECTION_MS * 3;
+    world.inject(voteRequest('a/1', 'b/1', 9, 0, 0));
+    world.crash('b/1');
+    world.restart('b/1');
+    world.now += ELECTION_MS * 3;
+    world.inject(voteRequest('c/1', 'b/1', 9, 0, 0));
+    world.sync('b/1');
+    expect(votesOf(world, 'b/1', 9)).toEqual(['c/1']);
+  });
+
+  test('goes to no replica whose log is behind', () => {
+    const {leader, others, world} = settled();
+    world.propose(leader, 'x');
+    world.sync(leader);
+    world.deliverBetween(leader, others[0]);
+    world.sync(others[0]);
+    const {lastIndex, lastTerm} = world.replicas.get(others[1])!.state!.log;
+    const {term} = world.replicas.get(leader)!.state!;
+    world.now += ELECTION_MS * 3;
+    world.inject(voteRequest(others[1], others[0], term + 1, lastIndex, lastTerm));
+    world.sync(others[0]);
+    expect(votesOf(world, others[0], term + 1)).toEqual([]);
+  });
+
+  test('is withheld, and the term kept, while a leader may hold its lease', () => {
+    const {leader, others, world} = settled();
+    const {log, term} = world.replicas.get(leader)!.state!;
+    world.inject(voteRequest(others[1], others[0], term + 1, log.lastIndex, log.lastTerm));
+    world.sync(others[0]);
+    expect(votesOf(world, others[0], term + 1)).toEqual([]);
+    expect(world.replicas.get(others[0])!.state!.term).toBe(term);
+  });
+
+  test('is withheld for an election timeout after a restart', () => {
+    const {leader, others, world} = settled();
+    const {log, term} = world.replicas.get(leader)!.state!;
+    world.crash(others[0]);
+    world.restart(others[0]);
+    const request = voteRequest(others[1], others[0], term + 1, log.lastIndex, log.lastTerm);
+    world.inject(request);
+    world.sync(others[0]);
+    expect(votesOf(world, others[0], term + 1)).toEqual([]);
+    world.now += ELECTION_MS * 3;
+    world.inject(request);
+    world.sync(others[0]);
+    expect(votesOf(world, others[0], term + 1)).toEqual([others[1]]);
+  });
+});
+
+describe('a command', () => {
+  test('is acknowledged only once a majority has it on disk, the leader counted like the others', () => {
+    const {leader, others, world} = settled();
+    world.propose(leader, 'x');
+    // The leader has not synced; one other has.
+    world.deliverBetween(leader, others[0]);
+    world.sync(others[0]);
+    world.deliverBetween(others[0], leader);
+    expect(world.acknowledged).toEqual([]);
+    world.crash(leader);
+    world.crash(others[0]);
+    world.restart(leader);
+    world.loseForGood(others[0]);
+    world.settle(900);
+    world.checkConverged();
+  });
+
+  test('is not acknowledged by a follower that has not synced it', () => {
+    const {leader, others, world} = settled();
+    world.propose(leader, 'x');
+    world.sync(leader);
+    world.deliverBetween(leader, others[0]);
+    world.deliverBetween(others[0], leader);
+    expect(world.acknowledged).toEqual([]);
+    world.sync(others[0]);
+    world.deliverBetween(others[0], leader);
+    expect(world.acknowledged).toEqual(['x']);
+  });
+
+  test('of an earlier term is committed only together with one of this term', () => {
+    const members = {learners: [], voters: IDS};
+    const old = {index: 1, payload: {data: Buffer.from('old'), kind: 'command' as const}, term: 2};
+    const log = ReplicationLog.restore({index: 0, members, term: 0}, [old]);
+    const timing = {electionTimeoutMs: ELECTION_MS, heartbeatMs: 20, leaseDriftFraction: 0.2};
+    const hardState = {term: 2, votedFor: null};
+    let now = 0;
+    let state = startReplica({group: 'g', hardState, log, self: 'a/1', timing}, now);
+    const hear = (body: MessageBody, term: number): void => {
+      const message = {body, from: 'b/1', group: 'g', term, to: 'a/1'};
+      state = stepReplica(state, {kind: 'message', message}, now).state;
+    };
+    now = ELECTION_MS * 3;
+    state = stepReplica(state, {kind: 'tick'}, now).state;
+    hear({granted: true, kind: 'preVoteReply'}, 2);
+    hear({granted: true, kind: 'voteReply'}, 3);
+    expect(state.role.kind).toBe('leader');
+    state = stepReplica(state, {index: 1, kind: 'persisted', term: 2}, now).state;
+    hear({kind: 'appendReply', lastIndex: 1, ok: true, sentAt: now}, 3);
+    expect(state.commit).toBe(0);
+    state = stepReplica(state, {index: 2, kind: 'persisted', term: 3}, now).state;
+    hear({kind: 'appendReply', lastIndex: 2, ok: true, sentAt: now}, 3);
+    expect(state.commit).toBe(2);
+  });
+});
+
+describe('a snapshot', () => {
+  test('never takes away entries after its place that count towards a majority', () => {
+    const {leader, others, world} = settled();
+    for (let number = 0; number < 5; number++) {
+      world.propose(leader, `c${number}`);
+    }
+    world.sync(leader);
+    world.deliverBetween(leader, others[0]);
+    world.sync(others[0]);
+    const before = world.replicas.get(others[0])!.state!;
+    const place = before.log.lastIndex - 2;
+    expect(before.commit).toBeLessThan(place);
+    const meta = {index: place, members: before.log.members, term: before.log.termAt(place)!};
+    const event = {kind: 'snapshotInstalled' as const, meta, term: before.term};
+    const after = stepReplica(before, event, world.now).state;
+    expect(after.log.lastIndex).toBe(before.log.lastIndex);
+  });
+
+  test('that is late brings nothing back', () => {
+    const {leader, world} = settled();
+    const before = world.replicas.get(leader)!.state!;
+    const meta = {index: 0, members: before.log.members, term: 0};
+    const after = stepReplica(before, {kind: 'snapshotInstalled', meta, term: 0}, world.now).state;
+    expect(after.commit).toBe(before.commit);
+    expect(after.log.lastIndex).toBe(before.log.lastIndex);
+  });
+});
+
+describe('leadership', () => {
+  test('is handed on at once, and the old lease ends first', () => {
+    const {leader, world} = settled();
+    const replica = world.replicas.get(leader)!;
+    replica.state = stepReplica(replica.state!, {kind: 'transferLeadership'}, world.now).state;
+    expect(world.leaseHolders()).toEqual([]);
+  });
+
+  test('ends when no majority answers', () => {
+    const {leader, others, world} = settled();
+    others.forEach((id) => world.crash(id));
+    for (let waited = 0; waited < 60; waited++) {
+      world.advance(5);
+      world.sync(leader);
+    }
+    expect(world.replicas.get(leader)!.state!.role.kind).not.toBe('leader');
+  });
+});
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
@@ -236,6 +236,30 @@
     }
   }
 
+  /** Hands a replica a message as if it had just arrived. */
+  inject(message: Message): void {
+    this.event(message.to, {kind: 'message', message});
+  }
+
+  /** Delivers the parcels from one replica to another, in order; the others stay. */
+  deliverBetween(from: ReplicaId, to: ReplicaId): void {
+    for (let position = 0; position < this.parcels.length;) {
+      const parcel = this.parcels[position]!;
+      if (parcel.from === from && parcel.to === to) {
+        this.deliver(position, false);
+      } else {
+        position++;
+      }
+    }
+  }
+
+  /** Messages under way from a replica. */
+  messagesFrom(from: ReplicaId): readonly Message[] {
+    return this.parcels.flatMap((parcel) =>
+      parcel.kind === 'message' && parcel.from === from ? [parcel.message] : [],
+    );
+  }
+
   /** Loses a parcel. */
   drop(position: number): void {
     this.parcels.splice(position, 1);
--- a/packages/stallpaddle-routing/src/RoutingConstants.ts
+++ b/packages/stallpaddle-routing/src/RoutingConstants.ts
@@ -46,3 +46,9 @@
 
 /** Retry-After when all engines are full and nothing better is known, in milliseconds. */
 export const FULL_RETRY_MS = 1_000;
+
+/** Time in which an announced online request reaches its engine, in milliseconds. */
+export const ANNOUNCED_UNDER_WAY_MS = 20;
+
+/** Announcements of one engine that are kept until its next load report. */
+export const MAX_ANNOUNCED = 64;
--- a/packages/stallpaddle-routing/src/RoutingTypes.ts
+++ b/packages/stallpaddle-routing/src/RoutingTypes.ts
@@ -27,6 +27,8 @@
 
 /** Everything known of one engine. */
 export interface EngineView {
+  /** When other VMs said that they send an online request, since the load was taken. */
+  readonly announcedAt: readonly MonotonicMs[];
   /** Failures in a row; a success ends the row. */
   readonly failures: number;
   readonly load: EngineLoad;
@@ -66,6 +68,7 @@
 
 /** What changes a view. */
 export type RoutingEvent =
+  | {readonly engine: EngineId; readonly kind: 'announced'}
   | {readonly kind: 'configured'; readonly setups: readonly EngineSetup[]}
   | {
       readonly engine: EngineId;
--- a/packages/stallpaddle-routing/src/RoutingView.ts
+++ b/packages/stallpaddle-routing/src/RoutingView.ts
@@ -17,6 +17,8 @@
 } from './RoutingTypes';
 
 import {
+  ANNOUNCED_UNDER_WAY_MS,
+  MAX_ANNOUNCED,
   MAX_QUARANTINE_MS,
   QUARANTINE_FAILURES,
   QUARANTINE_MS,
@@ -32,6 +34,7 @@
 
 function newView(setup: EngineSetup): EngineView {
   return {
+    announcedAt: [],
     failures: 0,
     load: NO_LOAD,
     loadAt: -Infinity,
@@ -46,12 +49,12 @@
 
 /**
  * Online streams on an engine by the best estimate: the report, corrected by what this VM started
- * and ended since.
+ * and ended since, and by what other VMs announced.
  *
  * @param view an engine
  */
 export function onlineStreams(view: EngineView): number {
-  const since = view.ownOnline - view.ownOnlineAtLoad;
+  const since = view.ownOnline - view.ownOnlineAtLoad + view.announcedAt.length;
   return Math.max(view.ownOnline, view.load.online + view.load.queued + since, 0);
 }
 
@@ -95,7 +98,9 @@
   if (at <= view.loadAt) {
     return view;
   }
-  return {...view, load, loadAt: at, ownOnlineAtLoad: view.ownOnline};
+  // A request that was announced just before may have been under way when the load was taken.
+  const announcedAt = view.announcedAt.filter((since) => since > at - ANNOUNCED_UNDER_WAY_MS);
+  return {...view, announcedAt, load, loadAt: at, ownOnlineAtLoad: view.ownOnline};
 }
 
 function start(view: EngineView, work: WorkClass): EngineView {
@@ -146,6 +151,8 @@
   now: MonotonicMs,
 ): EngineView {
   switch (event.kind) {
+    case 'announced':
+      return {...view, announcedAt: [...view.announcedAt, now].slice(-MAX_ANNOUNCED)};
     case 'ended':
       return end(view, event.work, event.outcome, event.tokenMs, now);
     case 'loadHeard':
