Cut what an entry VM adds: standing streams, no empty leases, tells only beside batch work

Cause, measured on nine VM processes and eight stand-in engines at 200 requests a second (`npm run added`): first byte through a VM p50 72.2 ms, p99 470 ms, direct 10.7 ms, 41 ms. CPU profiles of two VMs showed the cost of unary calls (abort signals, exceptions, compression), not routing. An idle fleet committed a lease command four times a second for each VM and shard though nothing waited.

Ruled out: placement and queue (no request waited), lanes (never full).

Change: replication messages go over one standing stream for each pair of VMs, with pings so that a cut connection is noticed; no compression between VMs; VMs learn from beats which models have items waiting and lease only then; owners are told of online streams only while batch work runs on the engine.

--- a/packages/stallpaddle-batch/src/BatchDispatcher.ts
+++ b/packages/stallpaddle-batch/src/BatchDispatcher.ts
@@ -5,7 +5,7 @@
 import type {BatchAllowance, BatchStream, RoutingEvent, RoutingState} from 'stallpaddle-routing';
 
 import {delay} from 'stallpaddle';
-import {modelNames, resolveModel} from 'stallpaddle-control';
+import {resolveModel} from 'stallpaddle-control';
 import {batchAllowance, streamsToCancel} from 'stallpaddle-routing';
 
 /**
@@ -32,6 +32,8 @@
   readonly ownedEngines: () => readonly EngineId[];
   readonly routing: () => RoutingState;
   readonly vm: VmId;
+  /** Models with items that wait for a lease; a lease call costs a place in the log. */
+  readonly waitingModels: () => readonly string[];
 }
 
 interface RunningStream extends BatchStream {
@@ -216,9 +218,14 @@
       return;
     }
     const config = this.options.config();
-    const models = modelNames(config).filter((name) =>
-      resolveModel(config, name)!.engines.some((engine) => owned.includes(engine)),
-    );
+    const models = this.options
+      .waitingModels()
+      .filter((name) =>
+        resolveModel(config, name)?.engines.some((engine) => owned.includes(engine)),
+      );
+    if (models.length === 0) {
+      return;
+    }
     const now = this.options.clock.monotonicMs();
     const asked = this.ledgers.filter((ledger) => (this.idleUntil.get(ledger) ?? 0) <= now);
     for (const ledger of asked) {
--- /dev/null
+++ b/packages/stallpaddle-bench/src/slopes.ts
@@ -0,0 +1,29 @@
+/**
+ * `npm run slopes`: the measurements behind docs/CAPACITY.md, as lines of JSON.
+ */
+import {measureControl} from './BenchControl';
+import {measureFleet} from './BenchFleet';
+import {measureLedger} from './BenchLedger';
+
+const FLEET_SIZES = [3, 12, 24, 48];
+const LEDGER_SIZES = [1_000, 10_000, 100_000, 270_000];
+const CUSTOMER_SIZES = [1_000, 10_000, 49_000];
+const ENGINE_SIZES = [100, 740];
+
+function tell(what: string, cost: object): void {
+  process.stdout.write(`${JSON.stringify({what, ...cost})}\n`);
+}
+
+for (const records of CUSTOMER_SIZES) {
+  tell('control', measureControl('customers', records));
+}
+for (const records of ENGINE_SIZES) {
+  tell('control', measureControl('engines', records));
+}
+for (const items of LEDGER_SIZES) {
+  tell('ledger', await measureLedger(items));
+}
+for (const vms of FLEET_SIZES) {
+  tell('fleet', await measureFleet(vms));
+}
+process.exit(0);
--- a/packages/stallpaddle-cli/src/Cli.ts
+++ b/packages/stallpaddle-cli/src/Cli.ts
@@ -10,6 +10,7 @@
 import {runBatchCancel, runBatchResults, runBatchStatus, runSubmit} from './CliBatch';
 import {CliCallError, type CliTarget, parseServer} from './CliClient';
 import {EXIT_FAILED, EXIT_MAY_HAVE_RUN, EXIT_NOT_RUN, EXIT_USAGE} from './CliConstants';
+import {type LoadFlags, runLoad} from './CliLoad';
 import {runAddresses, runAudit, runConfirm, runPlan, runStatus} from './CliOperator';
 import {print} from './CliPrint';
 import {readSettings, runServe} from './CliServe';
@@ -156,6 +157,16 @@
     .action(async (action: string, subject: string, flags: BatchFlags) =>
       runBatch(action, subject, flags),
     );
+  cli
+    .command('load', 'Send online requests at a steady rate and print latencies')
+    .option('--model <name>', 'Model to ask')
+    .option('--rate <number>', 'Requests a second', {default: 50})
+    .option('--seconds <number>', 'How long', {default: 10})
+    .option('--seed <number>', 'Seed of arrivals and prompts', {default: 1})
+    .option('--tokens <number>', 'Tokens of each answer', {default: 16})
+    .option('--whole', 'Ask for whole answers instead of streams')
+    .example('stallpaddle load --server 127.0.1.11:8000 --model balcao-llm --rate 200')
+    .action(async (flags: LoadFlags) => runLoad(targetOf(flags), flags));
   cli.help();
   cli.version(VERSION);
   return cli;
--- a/packages/stallpaddle-cli/src/CliClient.ts
+++ b/packages/stallpaddle-cli/src/CliClient.ts
@@ -1,8 +1,8 @@
 /**
  * HTTP calls of the command line.
  */
-import {request} from 'node:http';
-import {refuse, type Verdict, VERDICT_HEADER} from 'stallpaddle';
+import {errorMessage, refuse, type Verdict, VERDICT_HEADER} from 'stallpaddle';
+import {callServer, type ServerAnswer} from 'stallpaddle-load';
 import {z} from 'zod';
 
 const TIMEOUT_MS = 30_000;
@@ -67,42 +67,25 @@
  * @param call what it sends
  * @throws {CliCallError} when the answer is an error or none comes
  */
-export function callText(target: CliTarget, call: CliRequest): Promise<string> {
-  const {body = new Uint8Array(), contentType = 'application/json', headers, method, path} = call;
-  return new Promise((resolve, reject) => {
-    const req = request({
-      headers: {
-        ...headers,
-        authorization: `Bearer ${target.key}`,
-        'content-length': body.length,
-        'content-type': contentType,
-      },
-      host: target.host,
-      method,
-      path,
-      port: target.port,
-      timeout: TIMEOUT_MS,
-    });
-    req.on('timeout', () => req.destroy(new Error(`no answer in ${TIMEOUT_MS} ms`)));
-    req.on('error', (err) => {
-      const refused = 'code' in err && err.code === 'ECONNREFUSED';
-      reject(new CliCallError('unavailable', refused ? 'notRun' : 'mayHaveRun', err.message));
-    });
-    req.on('response', (res) => {
-      const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
-      res.on('error', (err) => reject(new CliCallError('unavailable', 'mayHaveRun', err.message)));
-      res.on('end', () => {
-        const text = Buffer.concat(chunks).toString();
-        if ((res.statusCode ?? 0) < 400) {
-          resolve(text);
-          return;
-        }
-        reject(errorOf(text, verdictOf(res.headers[VERDICT_HEADER])));
-      });
+export async function callText(target: CliTarget, call: CliRequest): Promise<string> {
+  const {contentType = 'application/json', headers, ...rest} = call;
+  let answer: ServerAnswer;
+  try {
+    answer = await callServer({
+      ...target,
+      ...rest,
+      headers: {...headers, 'content-type': contentType},
+      timeoutMs: TIMEOUT_MS,
     });
-    req.end(body);
-  });
+  } catch (err) {
+    const refused = err instanceof Error && 'code' in err && err.code === 'ECONNREFUSED';
+    const verdict = refused ? 'notRun' : 'mayHaveRun';
+    throw new CliCallError('unavailable', verdict, errorMessage(err));
+  }
+  if (answer.status >= 400) {
+    throw errorOf(answer.text, verdictOf(answer.headers[VERDICT_HEADER]));
+  }
+  return answer.text;
 }
 
 function errorOf(text: string, verdict: Verdict): CliCallError {
--- a/packages/stallpaddle-demo/src/DemoBatches.ts
+++ b/packages/stallpaddle-demo/src/DemoBatches.ts
@@ -1,3 +1,5 @@
+import type {ServerAnswer} from 'stallpaddle-load';
+
 import {delay} from 'stallpaddle';
 import {z} from 'zod';
 
@@ -6,7 +8,6 @@
  */
 import type {DemoCallers} from './DemoCallers';
 import type {DemoBatch} from './DemoWorkload';
-import type {ServerAnswer} from './FleetHttp';
 
 const LOOK_MS = 200;
 const BOUNDARY = 'demo-boundary';
@@ -16,6 +17,7 @@
   error_file_id: z.string().nullable(),
   id: z.string(),
   output_file_id: z.string().nullable(),
+  request_counts: z.object({completed: z.number(), failed: z.number(), total: z.number()}),
   status: z.string(),
 });
 const lineSchema = z.object({custom_id: z.string()});
--- a/packages/stallpaddle-demo/src/DemoCallers.ts
+++ b/packages/stallpaddle-demo/src/DemoCallers.ts
@@ -2,6 +2,7 @@
 
 import {delay} from 'stallpaddle';
 import {createLatencyHistogram, recordMs} from 'stallpaddle-gateway';
+import {callServer, type ServerAnswer} from 'stallpaddle-load';
 import {answerWords} from 'stallpaddle-standin';
 import {z} from 'zod';
 
@@ -11,8 +12,6 @@
  */
 import type {DemoPrompt} from './DemoWorkload';
 
-import {callServer, type ServerAnswer} from './FleetHttp';
-
 interface Address {
   readonly host: string;
   readonly port: number;
--- a/packages/stallpaddle-demo/src/DemoOperator.ts
+++ b/packages/stallpaddle-demo/src/DemoOperator.ts
@@ -4,10 +4,9 @@
 import type {Intent} from 'stallpaddle-control';
 
 import {delay} from 'stallpaddle';
+import {callServer} from 'stallpaddle-load';
 import {z} from 'zod';
 
-import {callServer} from './FleetHttp';
-
 interface Address {
   readonly host: string;
   readonly port: number;
--- a/packages/stallpaddle-demo/src/Fleet.ts
+++ b/packages/stallpaddle-demo/src/Fleet.ts
@@ -5,13 +5,13 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {delay} from 'stallpaddle';
+import {callServer} from 'stallpaddle-load';
 
 /**
  * Starts a fleet's processes, and ends every one of them.
  */
 import type {FleetLayout, LayoutProcess} from './FleetLayout';
 
-import {callServer} from './FleetHttp';
 import {standInProcesses, vmAddress, vmProcesses} from './FleetLayout';
 
 const READY_LOOK_MS = 50;
--- a/packages/stallpaddle-demo/src/__tests__/e2e/Failures.test.ts
+++ b/packages/stallpaddle-demo/src/__tests__/e2e/Failures.test.ts
@@ -1,4 +1,5 @@
 import {delay} from 'stallpaddle';
+import {callServer} from 'stallpaddle-load';
 import {answerWords} from 'stallpaddle-standin';
 import {afterEach, describe, expect, test} from 'vitest';
 import {z} from 'zod';
@@ -13,7 +14,6 @@
 import {DemoCallers} from '../../DemoCallers';
 import {DemoOperator} from '../../DemoOperator';
 import {batchFile} from '../../DemoWorkload';
-import {callServer} from '../../FleetHttp';
 import {
   engineAddress,
   engineName,
--- a/packages/stallpaddle-demo/src/index.ts
+++ b/packages/stallpaddle-demo/src/index.ts
@@ -4,7 +4,6 @@
 export {batchFile, type DemoBatch, type DemoPrompt, onlinePrompt} from './DemoWorkload';
 /** Fleets of real processes, for demos, tests and tools. */
 export {BINARY, Fleet} from './Fleet';
-export {callServer, type ServerAnswer, type ServerCall} from './FleetHttp';
 export {
   engineAddress,
   engineName,
--- a/packages/stallpaddle-demo/src/FleetHttp.ts
+++ b/packages/stallpaddle-load/src/LoadHttp.ts
@@ -1,12 +1,12 @@
 /**
- * Plain HTTP calls for demos, tests and tools.
+ * Plain HTTP calls of the load tool, the command line, demos and tests.
  */
 import {Agent, request} from 'node:http';
 
 /** What a call sends. */
 export interface ServerCall {
   readonly agent?: Agent;
-  readonly body?: string;
+  readonly body?: Uint8Array | string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly host: string;
   readonly key?: string;
@@ -14,6 +14,8 @@
   readonly path: string;
   readonly port: number;
   readonly signal?: AbortSignal;
+  /** Longest silence of the server, in milliseconds. */
+  readonly timeoutMs?: number;
 }
 
 /** A whole answer. */
@@ -32,17 +34,8 @@
  * @param call what to send
  */
 export function callServer(call: ServerCall): Promise<ServerAnswer> {
-  const {
-    agent = sharedAgent,
-    body = '',
-    headers,
-    host,
-    key,
-    method = 'GET',
-    path,
-    port,
-    signal,
-  } = call;
+  const {agent = sharedAgent, body = '', headers, host, key, method = 'GET'} = call;
+  const {path, port, signal, timeoutMs = 0} = call;
   return new Promise((resolve, reject) => {
     const startedAt = performance.now();
     const req = request({
@@ -58,7 +51,9 @@
       path,
       port,
       ...(signal === undefined ? {} : {signal}),
+      timeout: timeoutMs,
     });
+    req.on('timeout', () => req.destroy(new Error(`no answer in ${timeoutMs} ms`)));
     req.on('error', reject);
     req.on('response', (res) => {
       let firstByteMs = 0;
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -10,6 +10,8 @@
 import {authorizationOf} from './RpcServer';
 
 const MAX_MESSAGE_BYTES = 16_777_216;
+const PING_INTERVAL_MS = 2_000;
+const PING_TIMEOUT_MS = 2_000;
 
 /** Client of one VM. */
 export type PeerClient = Client<typeof PeerService>;
@@ -40,8 +42,15 @@
     if (known !== undefined) {
       return known.client;
     }
-    const sessions = new Http2SessionManager(baseUrl);
+    const sessions = new Http2SessionManager(baseUrl, {
+      // A connection that was cut without a word must not hold up what comes after the cut.
+      pingIdleConnection: true,
+      pingIntervalMs: PING_INTERVAL_MS,
+      pingTimeoutMs: PING_TIMEOUT_MS,
+    });
     const transport = createConnectTransport({
+      // Messages are small and the network near: compressing costs more than it saves.
+      acceptCompression: [],
       baseUrl,
       httpVersion: '2',
       interceptors: [
--- a/packages/stallpaddle-rpc/src/RpcServer.ts
+++ b/packages/stallpaddle-rpc/src/RpcServer.ts
@@ -44,7 +44,11 @@
   routes: (router: ConnectRouter) => void,
 ): Promise<RpcServer> {
   const expected = Buffer.from(authorizationOf(vmKey));
-  const handler = connectNodeAdapter({readMaxBytes: MAX_MESSAGE_BYTES, routes});
+  const handler = connectNodeAdapter({
+    acceptCompression: [],
+    readMaxBytes: MAX_MESSAGE_BYTES,
+    routes,
+  });
   const sessions = new Set<ServerHttp2Session>();
   const server: Http2Server = createServer((req, res) => {
     if (!isAllowed(req.headers.authorization, expected)) {
--- a/packages/stallpaddle-vm/src/Vm.ts
+++ b/packages/stallpaddle-vm/src/Vm.ts
@@ -99,6 +99,7 @@
   private stopping = false;
   private readonly tells: VmTells;
   private timers: readonly NodeJS.Timeout[] = [];
+  private waitingModels: readonly string[] = [];
 
   private constructor(private readonly parts: VmParts) {
     const {groups, loggers, membership, peers, settings} = parts;
@@ -253,6 +254,7 @@
       ownedEngines: () => this.ownedEngines(),
       routing: () => this.engines.routing,
       vm: this.parts.settings.vm,
+      waitingModels: () => this.parts.groups?.waitingModels() ?? this.waitingModels,
     });
   }
 
@@ -429,7 +431,8 @@
   }
 
   private hearConfig(answer: BeatAnswer, basis: number, freshBy: number): void {
-    const {config, freshAgeMs, revision} = answer;
+    const {config, freshAgeMs, revision, waitingModels} = answer;
+    this.waitingModels = waitingModels;
     if (config !== null) {
       this.setConfig(applyNews(this.configView, config, basis));
     }
@@ -445,6 +448,20 @@
     };
     groups.controlReplica!.registerListener(take);
     take();
+    this.wakeForNewWork(groups);
+  }
+
+  /** Other VMs hear at once when batch items begin to wait. */
+  private wakeForNewWork(groups: VmGroups): void {
+    for (let shard = 0; shard < this.parts.settings.ledgerShards; shard++) {
+      let waited = 0;
+      groups.ledgerReplicaOf(ledgerGroup(shard))?.registerListener(({runnable}) => {
+        if (runnable.size > waited) {
+          this.beats.wake();
+        }
+        waited = runnable.size;
+      });
+    }
   }
 
   private async readPlatform(url: string): Promise<void> {
--- a/packages/stallpaddle-vm/src/VmBeats.ts
+++ b/packages/stallpaddle-vm/src/VmBeats.ts
@@ -50,6 +50,8 @@
   readonly revision: number;
   /** Version of the answering VM's view. */
   readonly version: number;
+  /** Models with batch items that wait for a lease, as the answering VM's replicas know. */
+  readonly waitingModels: readonly string[];
 }
 
 /** What beats need of the VM. */
@@ -112,7 +114,8 @@
     onMembership({kind: 'newsHeard', news: beat.news});
     onLoads(beat.loads);
     const receivedAt = clock.monotonicMs();
-    if (beat.waitMs > 0 && config().revision <= beat.revision && !this.stopped) {
+    const isUpToDate = config().revision <= beat.revision;
+    if (beat.waitMs > 0 && isUpToDate && !this.stopped) {
       await this.somethingNew(beat.waitMs);
     }
     const now = clock.monotonicMs();
@@ -127,6 +130,7 @@
       news: newsSince(membership(), now, hears ? 0 : beat.since),
       revision,
       version: membership().version,
+      waitingModels: this.options.groups?.waitingModels() ?? [],
     };
     return encodeValue(answer);
   }
--- a/packages/stallpaddle-vm/src/VmConstants.ts
+++ b/packages/stallpaddle-vm/src/VmConstants.ts
@@ -14,10 +14,10 @@
 /** Pause before the next try. */
 export const GROUP_RETRY_MS = 30;
 
-/** Longest call that brings replication messages. */
-export const DELIVER_MS = 1_000;
+/** Pause before a stream of replication messages that broke off is opened again. */
+export const OUTBOX_REOPEN_MS = 50;
 
-/** Most bytes of commands that wait for one VM; older messages are dropped, as a network would. */
+/** Most messages that wait for one VM; the oldest are dropped, as a network would. */
 export const OUTBOX_MESSAGES = 512;
 
 /** How long a VM with a disk holds a beat while it has nothing new to tell. */
--- a/packages/stallpaddle-vm/src/VmGroups.ts
+++ b/packages/stallpaddle-vm/src/VmGroups.ts
@@ -95,6 +95,14 @@
     return this.ledgers.get(group);
   }
 
+  /** Models with batch items that wait for a lease, as this VM's replicas know. */
+  waitingModels(): readonly string[] {
+    const models = [...this.ledgers.values()].flatMap((ledger) => [
+      ...ledger.localState.runnable.keys(),
+    ]);
+    return [...new Set(models)];
+  }
+
   /** All replicas that have opened. */
   get replicas(): readonly (readonly [GroupId, AnyReplica])[] {
     const control: readonly (readonly [GroupId, AnyReplica])[] =
--- a/packages/stallpaddle-vm/src/VmPeers.ts
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -5,21 +5,16 @@
 import type {PeerClient} from 'stallpaddle-rpc';
 import type {VmSettings} from 'stallpaddle-settings';
 
-import {encodeValue, type VmId, vmOfReplica} from 'stallpaddle';
+import {type VmId, vmOfReplica} from 'stallpaddle';
 import {type Address, type MembershipState} from 'stallpaddle-membership';
 import {RpcClients} from 'stallpaddle-rpc';
 
-import {DELIVER_MS, OUTBOX_MESSAGES} from './VmConstants';
-
-interface Outbox {
-  messages: Message[];
-  sending: boolean;
-}
+import {VmOutbox} from './VmOutbox';
 
 /** Other VMs as this one reaches them. */
 export class VmPeers {
   private readonly clients: RpcClients;
-  private readonly outboxes = new Map<VmId, Outbox>();
+  private readonly outboxes = new Map<VmId, VmOutbox>();
   private stopped = false;
 
   /**
@@ -63,36 +58,15 @@
       return;
     }
     const vm = vmOfReplica(message.to);
-    const outbox = this.outboxes.get(vm) ?? {messages: [], sending: false};
+    const outbox = this.outboxes.get(vm) ?? new VmOutbox(() => this.clientOf(vm));
     this.outboxes.set(vm, outbox);
-    outbox.messages.push(message);
-    if (outbox.messages.length > OUTBOX_MESSAGES) {
-      outbox.messages.shift();
-    }
-    void this.flush(vm, outbox);
+    outbox.add(message);
   }
 
   /** Ends all connections. */
   close(): void {
     this.stopped = true;
+    this.outboxes.forEach((outbox) => outbox.close());
     this.clients.close();
   }
-
-  /** One call at a time to each VM carries all that has gathered. */
-  private async flush(vm: VmId, outbox: Outbox): Promise<void> {
-    if (outbox.sending) {
-      return;
-    }
-    outbox.sending = true;
-    while (outbox.messages.length > 0 && !this.stopped) {
-      const encoded = outbox.messages.map(encodeValue);
-      outbox.messages = [];
-      try {
-        await this.clientOf(vm)?.deliver({encoded}, {timeoutMs: DELIVER_MS});
-      } catch {
-        // Lost messages are sent again by the next heartbeat.
-      }
-    }
-    outbox.sending = false;
-  }
 }
--- a/packages/stallpaddle-vm/src/VmService.ts
+++ b/packages/stallpaddle-vm/src/VmService.ts
@@ -55,8 +55,10 @@
     call: async ({encoded, group, query}) => ({
       outcome: encodeOutcome(await callLocal(groups, group, encoded, query)),
     }),
-    deliver: ({encoded}) => {
-      encoded.forEach((bytes) => groups?.receive(decodeValue(bytes)));
+    deliver: async (requests) => {
+      for await (const {encoded} of requests) {
+        encoded.forEach((bytes) => groups?.receive(decodeValue(bytes)));
+      }
       return {};
     },
     identify: ({group}) => ({
--- a/packages/stallpaddle-vm/src/VmTells.ts
+++ b/packages/stallpaddle-vm/src/VmTells.ts
@@ -51,8 +51,11 @@
    * @param engine engine on which this VM's online streams changed
    */
   note(engine: EngineId): void {
-    this.changed.add(engine);
-    void this.tell(engine);
+    // Without batch work on the engine there is nothing that could give way.
+    if ((this.options.routing().engines.get(engine)?.load.batch ?? 0) > 0) {
+      this.changed.add(engine);
+      void this.tell(engine);
+    }
   }
 
   private async tell(engine: EngineId): Promise<void> {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,7 +3,7 @@
  */
 import {build} from 'esbuild';
 import {execFileSync} from 'node:child_process';
-import {chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {chmodSync, copyFileSync, mkdirSync, readFileSync, renameSync, writeFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import path from 'node:path';
 import {inject} from 'postject';
@@ -39,5 +39,4 @@
 copyFileSync(process.execPath, staged);
 chmodSync(staged, 0o755);
 await inject(staged, 'NODE_SEA_BLOB', readFileSync(blob), {sentinelFuse: FUSE});
-copyFileSync(staged, binary);
-chmodSync(binary, 0o755);
+renameSync(staged, binary);
