--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -59,6 +59,8 @@
   /** Called once when the replica ends after a failure. */
   readonly onFailure: (err: unknown) => void;
   readonly self: ReplicaId;
+  /** Size of the log file at which a snapshot replaces it, in bytes. */
+  readonly snapshotLogBytes?: number;
   readonly timing: ReplicationTiming;
   readonly transport: ReplicaTransport;
 }
@@ -98,6 +100,8 @@
   private readonly listeners = new Set<(state: State) => void>();
   private readonly pending = new Map<number, Pending>();
   private requestId = 0;
+  private snapshotting = false;
+  private snapshotWork: Promise<void> = Promise.resolve();
   private stopped = false;
   private syncs = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -275,6 +279,8 @@
     const {machine} = this.options;
     const state = machine.decode(snapshot.machine);
     let installed = false;
+    // An own snapshot that is under way must not replace the newer one.
+    await this.snapshotWork;
     await this.onDisk(async () => {
       await this.blobWork;
       const complete = this.blobs.end === machine.blobEnd(state);
@@ -295,6 +301,7 @@
   /** Ends the replica without any further write. */
   async close(): Promise<void> {
     this.stop();
+    await this.snapshotWork;
     await this.writeWork.catch(() => {});
     await this.blobWork.catch(() => {});
     await this.storage.close();
@@ -338,6 +345,7 @@
       return;
     }
     this.startWriting();
+    this.startSnapshotWhenDue();
   }
 
   private carryOut(effect: ReturnType<typeof stepReplica>['effects'][number]): void {
@@ -384,11 +392,9 @@
     if (this.writing || this.stopped) {
       return;
     }
-    const idle = this.batch.hardState === undefined && this.batch.sends.length === 0;
-    if (idle && !this.snapshotIsDue()) {
-      return;
+    if (this.batch.hardState !== undefined || this.batch.sends.length > 0) {
+      void this.onDisk(async () => {});
     }
-    void this.onDisk(async () => {});
   }
 
   /** Runs a task between writes, then writes what has gathered. */
@@ -410,9 +416,6 @@
 
   private async writeBatches(): Promise<void> {
     while (!this.stopped) {
-      if (this.snapshotIsDue()) {
-        await this.takeSnapshot();
-      }
       const {batch} = this;
       if (batch.hardState === undefined && batch.sends.length === 0) {
         return;
@@ -433,27 +436,50 @@
     }
   }
 
-  private snapshotIsDue(): boolean {
+  private startSnapshotWhenDue(): void {
     const {applied, log} = this.replication;
-    const grown = this.storage.logBytes > LOG_BYTES_BEFORE_SNAPSHOT;
-    return grown && applied > log.snapshot.index;
+    const {snapshotLogBytes = LOG_BYTES_BEFORE_SNAPSHOT} = this.options;
+    const grown = this.storage.logBytes > snapshotLogBytes;
+    if (grown && applied > log.snapshot.index && !this.snapshotting && !this.stopped) {
+      this.takeSnapshot().catch((err: unknown) => this.fail(err));
+    }
   }
 
-  private async takeSnapshot(): Promise<MachineSnapshot> {
-    const {machine} = this.options;
+  /** Only one snapshot is under way at a time; a second call waits for the first. */
+  private takeSnapshot(): Promise<MachineSnapshot> {
+    const taken = this.snapshotWork.then(() => {
+      this.snapshotting = true;
+      return this.writeSnapshot().finally(() => {
+        this.snapshotting = false;
+      });
+    });
+    this.snapshotWork = taken.then(
+      () => {},
+      () => {},
+    );
+    return taken;
+  }
+
+  /**
+   * Syncing bulk data takes long, so it goes on beside the log's writes: were they to wait, no
+   * majority would answer the leader in time. Only the log's restart goes between two writes.
+   */
+  private async writeSnapshot(): Promise<MachineSnapshot> {
     const {applied, log} = this.replication;
     const meta = {index: applied, members: log.membersAt(applied), term: log.termAt(applied)!};
-    const snapshot = {machine: machine.encode(this.machineState), meta};
+    const snapshot = {machine: this.options.machine.encode(this.machineState), meta};
     await this.blobWork;
     await this.blobs.sync();
     await this.storage.saveSnapshot(snapshot);
-    this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
-    const kept = this.replication.log;
-    await this.storage.restartLog({
-      entries: kept.entriesFrom(kept.firstIndex, Infinity),
-      hardState: this.hardState(),
+    await this.onDisk(async () => {
+      this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
+      const kept = this.replication.log;
+      await this.storage.restartLog({
+        entries: kept.entriesFrom(kept.firstIndex, Infinity),
+        hardState: this.hardState(),
+      });
+      this.syncs++;
     });
-    this.syncs++;
     return snapshot;
   }
 
@@ -489,11 +515,8 @@
 
   private async snapshotSource(): Promise<SnapshotSource> {
     const {group, machine} = this.options;
-    let snapshot: MachineSnapshot | undefined;
-    await this.onDisk(async () => {
-      snapshot = await this.takeSnapshot();
-    });
-    if (snapshot === undefined) {
+    const snapshot = await this.takeSnapshot();
+    if (this.stopped) {
       throw new ReplicaStoppedError();
     }
     const blobEnd = machine.blobEnd(machine.decode(snapshot.machine));
--- /dev/null
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
@@ -0,0 +1,130 @@
+import {decodeValue, delay, encodeValue, silentLogger, systemClock} from 'stallpaddle';
+import {placeBlob} from 'stallpaddle-storage';
+import {FakeDisk} from 'stallpaddle-testing';
+import {afterEach, describe, expect, test} from 'vitest';
+
+/**
+ * The driver on a fake disk: restarts, snapshots, and a disk that fails or is slow.
+ */
+import type {ReplicaMachine} from '../../ReplicaMachine';
+
+import {ReplicaDriver} from '../../ReplicaDriver';
+import {ReplicaStorage} from '../../ReplicaStorage';
+
+const SELF = 'vm/1';
+const TIMING = {electionTimeoutMs: 20, heartbeatMs: 4, leaseDriftFraction: 0.2};
+const SNAPSHOT_LOG_BYTES = 2_000;
+
+interface ListState {
+  readonly blobEnd: number;
+  readonly texts: readonly string[];
+}
+
+/** Keeps a list of texts, each with bulk data. */
+const listMachine: ReplicaMachine<ListState> = {
+  apply: (state, command) => {
+    const text = Buffer.from(command).toString();
+    const payload = Buffer.from(`bulk of ${text}`);
+    const {end, ref} = placeBlob(state.blobEnd, payload.length);
+    return {
+      blobs: [{payload, ref}],
+      result: ref,
+      state: {blobEnd: end, texts: [...state.texts, text]},
+    };
+  },
+  blobEnd: (state) => state.blobEnd,
+  decode: (bytes) => decodeValue<ListState>(bytes),
+  encode: (state) => encodeValue(state),
+  initial: () => ({blobEnd: 0, texts: []}),
+};
+
+describe('ReplicaDriver', () => {
+  const opened: ReplicaDriver<ListState>[] = [];
+  let failure: unknown;
+
+  async function open(disk: FakeDisk): Promise<ReplicaDriver<ListState>> {
+    const driver = await ReplicaDriver.open({
+      clock: systemClock,
+      disk,
+      group: 'g',
+      logger: silentLogger,
+      machine: listMachine,
+      onFailure: (err) => {
+        failure = err;
+      },
+      self: SELF,
+      snapshotLogBytes: SNAPSHOT_LOG_BYTES,
+      timing: TIMING,
+      transport: {send: () => {}, sendSnapshot: () => Promise.resolve(false)},
+    });
+    opened.push(driver);
+    while (!driver.leads) {
+      await delay(1);
+    }
+    return driver;
+  }
+
+  async function formed(): Promise<FakeDisk> {
+    const disk = new FakeDisk();
+    const first = listMachine.encode(listMachine.initial());
+    await ReplicaStorage.form(disk, first, {learners: [], voters: [SELF]});
+    return disk;
+  }
+
+  afterEach(async () => {
+    await Promise.all(opened.splice(0).map((driver) => driver.close()));
+    failure = undefined;
+  });
+
+  test('comes back with everything acknowledged after many snapshots, and replays little', async () => {
+    const disk = await formed();
+    const driver = await open(disk);
+    const refs = [];
+    for (let number = 0; number < 300; number++) {
+      refs.push(await driver.propose(Buffer.from(`text ${number}`)));
+    }
+    await driver.close();
+    disk.restart();
+    const again = await open(disk);
+    expect(again.localState.texts).toHaveLength(300);
+    expect(again.replayed).toBeLessThan(100);
+    const last = await again.readBlob(refs[299] as {length: number; offset: number});
+    expect(Buffer.from(last).toString()).toBe('bulk of text 299');
+  });
+
+  test('goes on committing while a snapshot waits for a slow disk', async () => {
+    const disk = await formed();
+    let waiting = 0;
+    let letGo = (): void => {};
+    const gate = new Promise<void>((resolve) => {
+      letGo = resolve;
+    });
+    disk.onSync = async (name) => {
+      if (name.startsWith('blobs-')) {
+        waiting++;
+        await gate;
+      }
+    };
+    const driver = await open(disk);
+    for (let number = 0; number < 200; number++) {
+      await driver.propose(Buffer.from(`text ${number}`));
+    }
+    expect(waiting).toBe(1);
+    expect(driver.status.log.snapshot.index).toBe(0);
+    letGo();
+    while (driver.status.log.snapshot.index === 0) {
+      await delay(1);
+    }
+    expect(driver.localState.texts).toHaveLength(200);
+  }, 15_000);
+
+  test('ends when a sync fails, and acknowledges nothing after it', async () => {
+    const disk = await formed();
+    const driver = await open(disk);
+    disk.failSyncs = true;
+    await expect(driver.propose(Buffer.from('lost'))).rejects.toThrow();
+    expect(failure).toMatchObject({message: 'the sync failed'});
+    await expect(driver.propose(Buffer.from('more'))).rejects.toThrow('the replica has ended');
+    expect(driver.leads).toBe(false);
+  });
+});
--- a/packages/stallpaddle-storage/src/StorageBlobs.ts
+++ b/packages/stallpaddle-storage/src/StorageBlobs.ts
@@ -157,10 +157,12 @@
 
   /** Syncs all that was appended. */
   async sync(): Promise<void> {
-    for (const start of this.dirty) {
+    // What is appended while this runs is dirty again.
+    const starts = [...this.dirty];
+    this.dirty.clear();
+    for (const start of starts) {
       await (await this.segment(start)).sync();
     }
-    this.dirty.clear();
     await this.disk.syncNames();
   }
 
--- a/packages/stallpaddle-testing/src/FakeDisk.ts
+++ b/packages/stallpaddle-testing/src/FakeDisk.ts
@@ -31,6 +31,8 @@
   /** Makes every sync fail without writing. */
   failSyncs = false;
   operations = 0;
+  /** Called before each sync of a file; may hold it up. */
+  onSync: (name: string) => Promise<void> = () => Promise.resolve();
   private crashed = false;
   private durableNames = new Map<string, FakeInode>();
   private names = new Map<string, FakeInode>();
@@ -52,6 +54,7 @@
       close: async () => {},
       read: async (offset, length) => inode.volatile.slice(offset, offset + length),
       sync: async () => {
+        await this.onSync(name);
         this.operate();
         if (this.failSyncs) {
           throw new Error('the sync failed');
