--- a/packages/stallpaddle-batch/src/BatchConstants.ts
+++ b/packages/stallpaddle-batch/src/BatchConstants.ts
@@ -5,8 +5,8 @@
 /** Life of a chunk's lease without renewal, in milliseconds. */
 export const BATCH_LEASE_MS = 4_000;
 
-/** Time between looks at the engines, in milliseconds. */
-export const FILL_INTERVAL_MS = 25;
+/** Time between looks at the engines when nothing happens, in milliseconds. */
+export const FILL_INTERVAL_MS = 100;
 
 /** Time between reports to the ledger, in milliseconds. */
 export const REPORT_INTERVAL_MS = 50;
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -23,11 +23,13 @@
 } from './ReplicationTypes';
 
 import {LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
-import {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
-import {addToBatch, ReplicaStorage as Storage} from './ReplicaStorage';
+import {NotLeaderError, ReplicaStoppedError} from './ReplicaErrors';
+import {ReplicaRequests} from './ReplicaRequests';
+import {ReplicaStorage as Storage} from './ReplicaStorage';
 import {wantsSnapshot} from './ReplicationFollower';
 import {holdsLease} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica} from './ReplicationStep';
+import {ReplicaWriter} from './ReplicaWriter';
 
 /** How a replica reaches the others. */
 export interface ReplicaTransport {
@@ -71,43 +73,17 @@
   readonly syncs: number;
 }
 
-interface Waiter {
-  readonly reject: (err: Error) => void;
-  readonly resolve: (result: unknown) => void;
-  readonly term: Term;
-}
-
-interface Pending {
-  readonly reject: (err: Error) => void;
-  readonly resolve: (result: unknown) => void;
-}
-
-interface WriteBatch {
-  readonly entries: LogEntry[];
-  hardState: HardState | undefined;
-  readonly sends: Message[];
-}
-
-function emptyBatch(): WriteBatch {
-  return {entries: [], hardState: undefined, sends: []};
-}
-
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
-  private batch = emptyBatch();
   private blobWork: Promise<void> = Promise.resolve();
   private commits = 0;
   private readonly listeners = new Set<(state: State) => void>();
-  private readonly pending = new Map<number, Pending>();
-  private requestId = 0;
+  private readonly requests = new ReplicaRequests();
   private snapshotting = false;
   private snapshotWork: Promise<void> = Promise.resolve();
   private stopped = false;
-  private syncs = 0;
   private timer: NodeJS.Timeout | undefined;
-  private readonly waiters = new Map<number, Waiter>();
-  private writing = false;
-  private writeWork: Promise<void> = Promise.resolve();
+  private readonly writer: ReplicaWriter;
 
   private constructor(
     private readonly options: ReplicaOptions<State>,
@@ -117,7 +93,14 @@
     private machineState: State,
     /** Log entries found at the start that the snapshot doesn't cover. */
     readonly replayed: number,
-  ) {}
+  ) {
+    this.writer = new ReplicaWriter({
+      onFailure: (err) => this.fail(err),
+      onPersisted: (index, term) => this.dispatch({index, kind: 'persisted', term}),
+      send: (message) => options.transport.send(message),
+      storage,
+    });
+  }
 
   /**
    * Opens a replica from its disk and starts it.
@@ -140,7 +123,7 @@
 
   /** Counts since the start. */
   get counters(): ReplicaCounters {
-    return {commits: this.commits, syncs: this.syncs};
+    return {commits: this.commits, syncs: this.writer.syncs};
   }
 
   /** Replication state, for views and tests. */
@@ -281,7 +264,7 @@
     let installed = false;
     // An own snapshot that is under way must not replace the newer one.
     await this.snapshotWork;
-    await this.onDisk(async () => {
+    await this.writer.runBetweenWrites(async () => {
       await this.blobWork;
       const complete = this.blobs.end === machine.blobEnd(state);
       if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
@@ -291,7 +274,7 @@
       await this.storage.saveSnapshot(snapshot);
       this.machineState = state;
       this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
-      await this.storage.restartLog({entries: [], hardState: this.hardState()});
+      await this.writer.restartLog(this.hardState(), []);
       installed = true;
     });
     this.notify();
@@ -302,9 +285,8 @@
   async close(): Promise<void> {
     this.stop();
     await this.snapshotWork;
-    await this.writeWork.catch(() => {});
-    await this.blobWork.catch(() => {});
-    await this.storage.close();
+    await this.writer.close();
+    await this.blobWork;
     await this.blobs.close();
   }
 
@@ -312,11 +294,7 @@
     if (this.stopped) {
       return Promise.reject(new ReplicaStoppedError());
     }
-    return new Promise((resolve, reject) => {
-      const requestId = ++this.requestId;
-      this.pending.set(requestId, {reject, resolve});
-      this.dispatch(makeEvent(requestId));
-    });
+    return this.requests.add((requestId) => this.dispatch(makeEvent(requestId)));
   }
 
   private leaderHint(): ReplicaId | null {
@@ -344,7 +322,7 @@
       this.fail(err);
       return;
     }
-    this.startWriting();
+    this.writer.flush();
     this.startSnapshotWhenDue();
   }
 
@@ -354,22 +332,16 @@
         this.apply(effect.entries);
         return;
       case 'persist':
-        this.batch.hardState = effect.hardState;
-        addToBatch(this.batch.entries, effect.entries);
+        this.writer.add(effect.hardState, effect.entries);
         return;
-      case 'proposed': {
-        const request = this.pending.get(effect.requestId)!;
-        this.pending.delete(effect.requestId);
-        this.waiters.get(effect.index)?.reject(new OutcomeUnknownError());
-        this.waiters.set(effect.index, {...request, term: effect.term});
+      case 'proposed':
+        this.requests.place(effect.requestId, effect.index, effect.term);
         return;
-      }
       case 'rejected':
-        this.pending.get(effect.requestId)?.reject(new NotLeaderError(effect.leader));
-        this.pending.delete(effect.requestId);
+        this.requests.refuse(effect.requestId, effect.leader);
         return;
       case 'send':
-        this.send(effect.message, effect.afterPersist);
+        this.writer.send(effect.message, effect.afterPersist);
         return;
       case 'sendSnapshot':
         void this.sendSnapshot(effect.to);
@@ -379,67 +351,10 @@
     }
   }
 
-  private send(message: Message, afterPersist: boolean): void {
-    const mustWait = afterPersist && (this.writing || this.batch.hardState !== undefined);
-    if (mustWait) {
-      this.batch.sends.push(message);
-    } else {
-      this.options.transport.send(message);
-    }
-  }
-
-  private startWriting(): void {
-    if (this.writing || this.stopped) {
-      return;
-    }
-    if (this.batch.hardState !== undefined || this.batch.sends.length > 0) {
-      void this.onDisk(async () => {});
-    }
-  }
-
-  /** Runs a task between writes, then writes what has gathered. */
-  private onDisk(task: () => Promise<void>): Promise<void> {
-    this.writing = true;
-    this.writeWork = this.writeWork.then(async () => {
-      try {
-        this.writing = true;
-        await task();
-        await this.writeBatches();
-      } catch (err) {
-        this.fail(err);
-      } finally {
-        this.writing = false;
-      }
-    });
-    return this.writeWork;
-  }
-
-  private async writeBatches(): Promise<void> {
-    while (!this.stopped) {
-      const {batch} = this;
-      if (batch.hardState === undefined && batch.sends.length === 0) {
-        return;
-      }
-      this.batch = emptyBatch();
-      if (batch.hardState !== undefined) {
-        await this.storage.append({entries: batch.entries, hardState: batch.hardState});
-        this.syncs++;
-      }
-      if (this.stopped) {
-        return;
-      }
-      batch.sends.forEach((message) => this.options.transport.send(message));
-      const last = batch.entries.at(-1);
-      if (last !== undefined) {
-        this.dispatch({index: last.index, kind: 'persisted', term: last.term});
-      }
-    }
-  }
-
   private startSnapshotWhenDue(): void {
     const {applied, log} = this.replication;
     const {snapshotLogBytes = LOG_BYTES_BEFORE_SNAPSHOT} = this.options;
-    const grown = this.storage.logBytes > snapshotLogBytes;
+    const grown = this.writer.logBytes > snapshotLogBytes;
     if (grown && applied > log.snapshot.index && !this.snapshotting && !this.stopped) {
       this.takeSnapshot().catch((err: unknown) => this.fail(err));
     }
@@ -471,14 +386,10 @@
     await this.blobWork;
     await this.blobs.sync();
     await this.storage.saveSnapshot(snapshot);
-    await this.onDisk(async () => {
+    await this.writer.runBetweenWrites(async () => {
       this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
       const kept = this.replication.log;
-      await this.storage.restartLog({
-        entries: kept.entriesFrom(kept.firstIndex, Infinity),
-        hardState: this.hardState(),
-      });
-      this.syncs++;
+      await this.writer.restartLog(this.hardState(), kept.entriesFrom(kept.firstIndex, Infinity));
     });
     return snapshot;
   }
@@ -528,15 +439,7 @@
   private apply(entries: readonly LogEntry[]): void {
     for (const entry of entries) {
       this.commits++;
-      const waiter = this.waiters.get(entry.index);
-      this.waiters.delete(entry.index);
-      const result = this.applyOne(entry);
-      if (waiter?.term === entry.term) {
-        waiter.resolve(result);
-      } else {
-        // Another leader's entry took the place: the waiting command was never committed.
-        waiter?.reject(new NotLeaderError(this.leaderHint()));
-      }
+      this.requests.finish(entry, this.applyOne(entry), this.leaderHint());
     }
     this.notify();
   }
@@ -589,18 +492,10 @@
     }
     if (before.role.kind === 'leader' && after.role.kind !== 'leader') {
       this.options.logger.info('This replica leads no more.', {group: after.group});
-      this.abandonWaiters();
+      this.requests.abandonPlaced();
     }
   }
 
-  /** Their entries may still be committed by the next leader, but nobody should wait for that. */
-  private abandonWaiters(): void {
-    for (const waiter of this.waiters.values()) {
-      waiter.reject(new OutcomeUnknownError());
-    }
-    this.waiters.clear();
-  }
-
   private fail(err: unknown): void {
     if (this.stopped) {
       return;
@@ -616,10 +511,7 @@
   private stop(): void {
     this.stopped = true;
     clearInterval(this.timer);
-    this.abandonWaiters();
-    for (const request of this.pending.values()) {
-      request.reject(new ReplicaStoppedError());
-    }
-    this.pending.clear();
+    this.requests.stop();
+    this.writer.stop();
   }
 }
--- a/packages/stallpaddle-replication/src/ReplicationConstants.ts
+++ b/packages/stallpaddle-replication/src/ReplicationConstants.ts
@@ -8,7 +8,7 @@
 
 /** Times for replicas a few milliseconds apart, in milliseconds. */
 export const DEFAULT_TIMING: ReplicationTiming = {
-  electionTimeoutMs: 600,
-  heartbeatMs: 100,
+  electionTimeoutMs: 800,
+  heartbeatMs: 200,
   leaseDriftFraction: 0.2,
 };
--- a/packages/stallpaddle-standin/src/StandInEngine.ts
+++ b/packages/stallpaddle-standin/src/StandInEngine.ts
@@ -11,7 +11,16 @@
  */
 import type {StandInStream} from './StandInScheduler';
 
-import {answerWords, errorBody, readJson, sendJson, SSE_END, sseChunk} from './StandInHttp';
+import {
+  answerWords,
+  closeServer,
+  errorBody,
+  listen,
+  readJson,
+  sendJson,
+  SSE_END,
+  sseChunk,
+} from './StandInHttp';
 import {StandInScheduler} from './StandInScheduler';
 
 /** Text that an engine can never answer; it says so with 422. */
@@ -64,18 +73,13 @@
 
   /** Starts to listen. */
   async start(): Promise<void> {
-    const {host, port} = this.settings.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listen(this.server, this.settings.listen);
   }
 
   /** Ends at once. */
   async stop(): Promise<void> {
     this.scheduler.stop();
-    this.server.closeAllConnections();
-    await new Promise((resolve) => this.server.close(resolve));
+    await closeServer(this.server);
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/packages/stallpaddle-standin/src/StandInHttp.ts
+++ b/packages/stallpaddle-standin/src/StandInHttp.ts
@@ -1,13 +1,39 @@
 /**
  * HTTP helpers of the stand-ins.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 import {hash32} from 'stallpaddle';
 
 /** Last event of a stream. */
 export const SSE_END = 'data: [DONE]\n\n';
 
+/**
+ * Starts to listen.
+ *
+ * @param server the server
+ * @param address where
+ */
+export async function listen(
+  server: Server,
+  {host, port}: {readonly host: string; readonly port: number},
+): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
+
+/**
+ * Ends a server with all its connections.
+ *
+ * @param server the server
+ */
+export async function closeServer(server: Server): Promise<void> {
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+}
+
 /**
  * Reads a request's JSON body.
  *
--- a/packages/stallpaddle-standin/src/StandInService.ts
+++ b/packages/stallpaddle-standin/src/StandInService.ts
@@ -5,7 +5,7 @@
 
 import {createServer, type Server} from 'node:http';
 
-import {sendJson} from './StandInHttp';
+import {closeServer, listen, sendJson} from './StandInHttp';
 
 /** One stand-in service. */
 export class StandInService {
@@ -34,16 +34,11 @@
 
   /** Starts to listen. */
   async start(): Promise<void> {
-    const {host, port} = this.settings.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listen(this.server, this.settings.listen);
   }
 
   /** Ends at once. */
   async stop(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise((resolve) => this.server.close(resolve));
+    await closeServer(this.server);
   }
 }
--- a/packages/stallpaddle-vm/src/Vm.ts
+++ b/packages/stallpaddle-vm/src/Vm.ts
@@ -9,7 +9,7 @@
 import type {RpcServer} from 'stallpaddle-rpc';
 import type {VmSettings} from 'stallpaddle-settings';
 
-import {delay, errorMessage, refuse, systemClock} from 'stallpaddle';
+import {delay, errorMessage, refuse, registerLoop, systemClock} from 'stallpaddle';
 import {BatchDispatcher} from 'stallpaddle-batch';
 import {currentEngines} from 'stallpaddle-control';
 import {EngineLanes} from 'stallpaddle-engine';
@@ -29,7 +29,13 @@
   replaceConfig,
   UNKNOWN_CONFIG,
 } from './VmConfigView';
-import {CONTROL_GROUP, PLATFORM_POLL_MS} from './VmConstants';
+import {
+  CONTROL_GROUP,
+  DUTIES_INTERVAL_MS,
+  ORDERS_INTERVAL_MS,
+  PLATFORM_POLL_MS,
+  REPLACE_INTERVAL_MS,
+} from './VmConstants';
 import {VmEngines} from './VmEngines';
 import {firstChanges} from './VmFirstConfig';
 import {controlPort, ledgerPort, VmGroupClient} from './VmGroupClient';
@@ -84,21 +90,17 @@
   private readonly clock = systemClock;
   private configView: ConfigView = UNKNOWN_CONFIG;
   private readonly control: ControlPort;
-  private readonly duties: readonly {
-    readonly start: () => void;
-    readonly stop: () => Promise<void>;
-  }[];
   private readonly engines: VmEngines;
   private readonly gateway: GatewayServer;
   private readonly lanes = new EngineLanes();
   private readonly ledger: LedgerPorts;
   private readonly logger: Logger;
+  private readonly loops: (() => Promise<void>)[] = [];
   private owned: OwnersAt = {at: -Infinity, engines: undefined, owners: new Map()};
   private rpc: RpcServer | undefined;
   private readonly startedAt = systemClock.monotonicMs();
   private stopping = false;
   private readonly tells: VmTells;
-  private timers: readonly NodeJS.Timeout[] = [];
   private waitingModels: readonly string[] = [];
 
   private constructor(private readonly parts: VmParts) {
@@ -136,7 +138,6 @@
       vm: settings.vm,
     });
     this.gateway = this.createGateway();
-    this.duties = groups === undefined ? [] : this.createDuties(groups);
   }
 
   /**
@@ -200,20 +201,21 @@
     this.beats.start();
     this.engines.start();
     await opened;
-    this.duties.forEach((duty) => duty.start());
+    if (groups !== undefined) {
+      this.startDuties(groups);
+    }
     this.batch.start();
     this.tells.start();
     const {platformListUrl} = settings;
     if (platformListUrl !== undefined) {
-      this.timers = [setInterval(() => void this.readPlatform(platformListUrl), PLATFORM_POLL_MS)];
+      this.loops.push(registerLoop(PLATFORM_POLL_MS, () => this.readPlatform(platformListUrl)));
     }
     membership.step({facts: this.facts(), kind: 'selfChanged'});
     this.logger.info('The VM has started.', {vm: settings.vm, zone: settings.zone});
   }
 
   private async close(): Promise<void> {
-    this.timers.forEach((timer) => clearInterval(timer));
-    await Promise.all(this.duties.map((duty) => duty.stop()));
+    await Promise.all(this.loops.map((endLoop) => endLoop()));
     await this.gateway.stop();
     await this.beats.stop();
     this.engines.stop();
@@ -284,33 +286,38 @@
     });
   }
 
-  private createDuties(groups: VmGroups): typeof this.duties {
+  /** What this VM does for the groups that it leads. */
+  private startDuties(groups: VmGroups): void {
     const {loggers, settings} = this.parts;
     const {clock, control} = this;
     const logger = loggers('control');
-    return [
-      new VmLeaderDuties({
-        clock,
-        firstChanges: firstChanges(settings),
-        groups,
-        ledgerShards: settings.ledgerShards,
-        logger,
-      }),
-      new VmOrders({
-        adapterOf: (engine) => this.engines.adapterOf(engine),
-        clock,
-        control,
-        groups,
-        logger,
-      }),
-      new VmReplacements({
-        clock,
-        control,
-        groups,
-        logger,
-        replacements: () => [...this.configView.config.replacements],
-      }),
-    ];
+    const {ledgerShards} = settings;
+    const duties = new VmLeaderDuties({
+      clock,
+      firstChanges: firstChanges(settings),
+      groups,
+      ledgerShards,
+      logger,
+    });
+    const orders = new VmOrders({
+      adapterOf: (engine) => this.engines.adapterOf(engine),
+      clock,
+      control,
+      groups,
+      logger,
+    });
+    const replacements = new VmReplacements({
+      clock,
+      control,
+      groups,
+      logger,
+      replacements: () => [...this.configView.config.replacements],
+    });
+    this.loops.push(
+      registerLoop(DUTIES_INTERVAL_MS, () => duties.look()),
+      registerLoop(ORDERS_INTERVAL_MS, () => orders.look()),
+      registerLoop(REPLACE_INTERVAL_MS, () => replacements.look()),
+    );
   }
 
   private status(): Promise<unknown> {
--- a/packages/stallpaddle-vm/src/VmConstants.ts
+++ b/packages/stallpaddle-vm/src/VmConstants.ts
@@ -39,14 +39,14 @@
 export const LOAD_FORGOTTEN_MS = 3_000;
 
 /** Time between looks at engines' targets. */
-export const ORDERS_INTERVAL_MS = 300;
+export const ORDERS_INTERVAL_MS = 500;
 
 /** What a new issuer waits before it orders engines that check no fencing number: the old one's
  * lease and its longest send. */
 export const ORDER_TAKEOVER_MS = 3_000;
 
-/** Time between expiries of leases in each shard. */
-export const EXPIRE_INTERVAL_MS = 500;
+/** Time between looks at what leaders have to do on their own. */
+export const DUTIES_INTERVAL_MS = 200;
 
 /** Time between looks for old uploads and call records in each shard. */
 export const TIDY_INTERVAL_MS = 60_000;
--- a/packages/stallpaddle-vm/src/VmLeaderDuties.ts
+++ b/packages/stallpaddle-vm/src/VmLeaderDuties.ts
@@ -2,7 +2,7 @@
 import type {ConfigChange, ControlCommand} from 'stallpaddle-control';
 import type {LedgerCommand} from 'stallpaddle-ledger';
 
-import {delay, encodeValue, errorMessage} from 'stallpaddle';
+import {encodeValue, errorMessage} from 'stallpaddle';
 import {hasExpiredLeases} from 'stallpaddle-ledger';
 
 /**
@@ -10,7 +10,7 @@
  */
 import type {VmGroups} from './VmGroups';
 
-import {EXPIRE_INTERVAL_MS, TIDY_INTERVAL_MS} from './VmConstants';
+import {TIDY_INTERVAL_MS} from './VmConstants';
 import {ledgerGroup} from './VmGroups';
 
 /** What the duties need of their VM. */
@@ -24,8 +24,6 @@
 
 /** Duties of leaders on one VM. */
 export class VmLeaderDuties {
-  private loop: Promise<void> | undefined;
-  private stopped = false;
   private readonly tidiedAt = new Map<string, number>();
 
   /**
@@ -33,41 +31,20 @@
    */
   constructor(private readonly options: VmLeaderDutiesOptions) {}
 
-  /** Starts the duties. */
-  start(): void {
-    this.loop = this.run();
-  }
-
-  /** Ends the duties. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await this.loop;
-  }
-
-  private async run(): Promise<void> {
-    const {groups, ledgerShards, logger} = this.options;
-    let interval = EXPIRE_INTERVAL_MS / 10;
-    while (!this.stopped) {
-      await delay(interval);
-      try {
-        const started = await this.setFirstConfiguration();
-        interval = started ? EXPIRE_INTERVAL_MS : interval;
-        for (let shard = 0; shard < ledgerShards; shard++) {
-          await this.expire(ledgerGroup(shard));
-        }
-      } catch (err) {
-        if (!this.stopped) {
-          logger.warn('A duty of a leader waits.', {
-            reason: errorMessage(err),
-            replicas: groups.replicas.length,
-          });
-        }
+  /** Does once what is due in the groups that this VM leads. */
+  async look(): Promise<void> {
+    const {ledgerShards, logger} = this.options;
+    try {
+      await this.setFirstConfiguration();
+      for (let shard = 0; shard < ledgerShards; shard++) {
+        await this.expire(ledgerGroup(shard));
       }
+    } catch (err) {
+      logger.warn('A duty of a leader waits.', {reason: errorMessage(err)});
     }
   }
 
-  /** Returns whether the control group has a configuration. */
-  private async setFirstConfiguration(): Promise<boolean> {
+  private async setFirstConfiguration(): Promise<void> {
     const replica = this.options.groups.controlReplica;
     if (replica?.leads === true && replica.localState.revision === 0) {
       const command: ControlCommand = {
@@ -77,7 +54,6 @@
       };
       await replica.propose(encodeValue(command));
     }
-    return (replica?.localState.revision ?? 0) > 0;
   }
 
   private async expire(group: string): Promise<void> {
--- a/packages/stallpaddle-vm/src/VmOrders.ts
+++ b/packages/stallpaddle-vm/src/VmOrders.ts
@@ -2,7 +2,6 @@
 import type {ControlPort, EngineOrder, EngineReport, FleetConfig} from 'stallpaddle-control';
 import type {EngineAdapter} from 'stallpaddle-engine';
 
-import {delay} from 'stallpaddle';
 import {fencingNumber, nextOrders} from 'stallpaddle-control';
 
 /**
@@ -10,7 +9,7 @@
  */
 import type {VmGroups} from './VmGroups';
 
-import {ENGINE_STATUS_MS, ORDER_TAKEOVER_MS, ORDERS_INTERVAL_MS} from './VmConstants';
+import {ENGINE_STATUS_MS, ORDER_TAKEOVER_MS} from './VmConstants';
 
 /** What the issuer needs of its VM. */
 export interface VmOrdersOptions {
@@ -25,8 +24,6 @@
 export class VmOrders {
   private issued = 0;
   private leadsSince: number | undefined;
-  private loop: Promise<void> | undefined;
-  private stopped = false;
   private term = 0;
 
   /**
@@ -34,28 +31,15 @@
    */
   constructor(private readonly options: VmOrdersOptions) {}
 
-  /** Starts to look. */
-  start(): void {
-    this.loop = this.run();
-  }
-
-  /** Ends the looking. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await this.loop;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.stopped) {
-      await delay(ORDERS_INTERVAL_MS);
-      const replica = this.options.groups.controlReplica;
-      if (replica?.leads !== true) {
-        this.leadsSince = undefined;
-        continue;
-      }
-      this.noteLeadership(replica.status.term);
-      await this.reconcile(replica.localState.config);
+  /** Looks once at all engines, if this VM leads the control group. */
+  async look(): Promise<void> {
+    const replica = this.options.groups.controlReplica;
+    if (replica?.leads !== true) {
+      this.leadsSince = undefined;
+      return;
     }
+    this.noteLeadership(replica.status.term);
+    await this.reconcile(replica.localState.config);
   }
 
   private noteLeadership(term: number): void {
--- a/packages/stallpaddle-vm/src/VmReplacements.ts
+++ b/packages/stallpaddle-vm/src/VmReplacements.ts
@@ -2,15 +2,13 @@
 import type {ControlPort, ReplacementConfig} from 'stallpaddle-control';
 import type {GroupMembers} from 'stallpaddle-replication';
 
-import {delay, errorMessage} from 'stallpaddle';
+import {errorMessage} from 'stallpaddle';
 
 /**
  * Carries out confirmed replacements of replicas, one change of members at a time.
  */
 import type {AnyReplica, VmGroups} from './VmGroups';
 
-import {REPLACE_INTERVAL_MS} from './VmConstants';
-
 /**
  * The next change of members that a replacement needs.
  *
@@ -49,33 +47,17 @@
 
 /** Works on replacements in the groups that this VM leads. */
 export class VmReplacements {
-  private loop: Promise<void> | undefined;
-  private stopped = false;
-
   /**
    * @param options what the work needs of its VM
    */
   constructor(private readonly options: VmReplacementsOptions) {}
 
-  /** Starts to look. */
-  start(): void {
-    this.loop = this.run();
-  }
-
-  /** Ends the looking. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await this.loop;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.stopped) {
-      await delay(REPLACE_INTERVAL_MS);
-      for (const [key, replacement] of this.options.replacements()) {
-        const replica = this.options.groups.replicaOf(replacement.group);
-        if (replica?.leads === true) {
-          await this.advance(key, replacement, replica);
-        }
+  /** Looks once at all replacements and makes the changes that are due here. */
+  async look(): Promise<void> {
+    for (const [key, replacement] of this.options.replacements()) {
+      const replica = this.options.groups.replicaOf(replacement.group);
+      if (replica?.leads === true) {
+        await this.advance(key, replacement, replica);
       }
     }
   }
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -30,5 +30,6 @@
   type LogPart,
   silentLogger,
 } from './Logger';
+export {registerLoop} from './Loop';
 export {exponentialMs, type Random, seededRandom} from './Random';
 export {joinVerdicts, type Verdict, VERDICT_HEADER} from './Verdict';
