--- a/packages/stallpaddle-gateway/src/__tests__/unit/GatewayOnline.test.ts
+++ b/packages/stallpaddle-gateway/src/__tests__/unit/GatewayOnline.test.ts
@@ -1,13 +1,8 @@
 import type {BackendAnswer, BackendRequest, EngineAdapter} from 'stallpaddle-engine';
-import type {RoutingState} from 'stallpaddle-routing';
 
 import fc from 'fast-check';
-import {RefusalError, seededRandom, silentLogger} from 'stallpaddle';
-import {EMPTY_CONFIG} from 'stallpaddle-control';
-import {BackendError, EngineLanes} from 'stallpaddle-engine';
-import {startMembership} from 'stallpaddle-membership';
-import {EMPTY_ROUTING, stepRouting} from 'stallpaddle-routing';
-import {parseSettings} from 'stallpaddle-settings';
+import {RefusalError} from 'stallpaddle';
+import {BackendError} from 'stallpaddle-engine';
 import {assertHistories, fuzzTimeoutMs} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
@@ -15,12 +10,9 @@
  * Online requests over failing engines, beside what a naive gateway may promise: own answers only, at
  * most one run where it must not repeat, and `notRun` only when no engine saw the request.
  */
-import type {GatewayContext} from '../../GatewayContext';
-
-import {GatewayMetrics} from '../../GatewayMetrics';
 import {GatewayOnline} from '../../GatewayOnline';
+import {contextOf, ENGINES} from './GatewayFixtures';
 
-const ENGINES = ['e1', 'e2', 'e3'] as const;
 const FATES = ['answers', 'breaksOff', 'busy', 'fails', 'refuses', 'resets'] as const;
 
 type Fate = (typeof FATES)[number];
@@ -64,69 +56,6 @@
   }
 }
 
-function contextOf(engines: FakeEngines): GatewayContext {
-  const setups = ENGINES.map((engine) => ({engine, role: 'all' as const, slots: 4, zone: 'z'}));
-  const load = {batch: 0, online: 0, queued: 0, tokenMs: 1, weights: ['w']};
-  let routing: RoutingState = stepRouting(EMPTY_ROUTING, {kind: 'configured', setups}, 0);
-  ENGINES.forEach((engine) => {
-    routing = stepRouting(routing, {ageMs: 0, engine, kind: 'loadHeard', load}, 0);
-  });
-  const address = {host: '127.0.0.1', port: 1};
-  const settings = parseSettings(
-    JSON.stringify({
-      callers: address,
-      controlReplicas: ['vm'],
-      disk: {folder: 'd'},
-      kind: 'vm',
-      operators: {},
-      peers: address,
-      seeds: [{...address, vm: 'vm'}],
-      vm: 'vm',
-      vmKey: 'a-key-of-enough-length',
-      zone: 'z',
-    }),
-  );
-  if (settings.kind !== 'vm') {
-    throw new Error('expected settings of a VM');
-  }
-  const unused = (): never => {
-    throw new Error('not used here');
-  };
-  const facts = {
-    callers: address,
-    epoch: 1,
-    hasDisk: true,
-    leaving: false,
-    peers: address,
-    revision: 1,
-    vm: 'vm',
-    zone: 'z',
-  };
-  return {
-    adapterOf: () => engines.adapter,
-    clock: {monotonicMs: () => 0, wallMs: () => 0},
-    config: () => EMPTY_CONFIG,
-    control: {command: unused, query: unused},
-    lanes: new EngineLanes(),
-    ledger: {all: [], forCustomer: unused},
-    limits: settings.limits,
-    logger: silentLogger,
-    membership: () => startMembership(facts, 0),
-    metrics: new GatewayMetrics(),
-    onRouting: (event) => {
-      routing = stepRouting(routing, event, 0);
-    },
-    operatorKeys: new Map(),
-    plainAdapterOf: unused,
-    random: seededRandom(1),
-    refusal: () => undefined,
-    routing: () => routing,
-    status: unused,
-    vm: 'vm',
-    zone: 'z',
-  };
-}
-
 function requestOf(text: string, repeatable: boolean) {
   return {
     affinity: text,
@@ -148,7 +77,7 @@
         fc.array(request, {maxLength: 12, minLength: 1}),
         async (fates, requests) => {
           const engines = new FakeEngines(fates);
-          const online = new GatewayOnline(contextOf(engines));
+          const online = new GatewayOnline(contextOf(engines.adapter));
           const {signal} = new AbortController();
           await Promise.all(
             requests.map(async ({repeatable}, number) => {
@@ -179,7 +108,7 @@
 
   test('stops retrying when its budget is used up, so that a brown-out is not fed', async () => {
     const engines = new FakeEngines(['resets']);
-    const online = new GatewayOnline(contextOf(engines));
+    const online = new GatewayOnline(contextOf(engines.adapter));
     const {signal} = new AbortController();
     for (let number = 0; number < 50; number++) {
       await online.sendWhole(requestOf(`r${number}`, true), signal).catch(() => {});
--- a/packages/stallpaddle-routing/src/RoutingLimits.ts
+++ b/packages/stallpaddle-routing/src/RoutingLimits.ts
@@ -1,7 +1,7 @@
 /**
  * Limits: a token bucket for each customer and a budget for retries. Pure; times come from outside.
  */
-import type {CustomerId, MonotonicMs} from 'stallpaddle';
+import type {MonotonicMs} from 'stallpaddle';
 
 /** A bucket that fills at a rate and is emptied by requests. */
 export interface TokenBucket {
@@ -9,9 +9,6 @@
   readonly tokens: number;
 }
 
-/** Buckets of all customers seen lately. */
-export type CustomerBuckets = ReadonlyMap<CustomerId, TokenBucket>;
-
 /** Outcome of asking a bucket. */
 export type BucketAnswer =
   | {readonly bucket: TokenBucket; readonly kind: 'taken'}
--- a/packages/stallpaddle-routing/src/index.ts
+++ b/packages/stallpaddle-routing/src/index.ts
@@ -10,7 +10,6 @@
 export {
   type BucketAnswer,
   countRequest,
-  type CustomerBuckets,
   FULL_RETRY_BUDGET,
   type RetryBudget,
   takeRetry,
