--- a/packages/stallpaddle-vm/src/Vm.ts
+++ b/packages/stallpaddle-vm/src/Vm.ts
@@ -16,7 +16,7 @@
 import {GatewayMetrics, GatewayServer} from 'stallpaddle-gateway';
 import {shardOfCustomer} from 'stallpaddle-ledger';
 import {liveVms, stayingVms} from 'stallpaddle-membership';
-import {onlineStreams, ownerOf} from 'stallpaddle-routing';
+import {onlineStreams} from 'stallpaddle-routing';
 import {startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
@@ -36,6 +36,7 @@
   PLATFORM_POLL_MS,
   REPLACE_INTERVAL_MS,
 } from './VmConstants';
+import {waitForRequests} from './VmDrain';
 import {VmEngines} from './VmEngines';
 import {firstChanges} from './VmFirstConfig';
 import {controlPort, ledgerPort, VmGroupClient} from './VmGroupClient';
@@ -44,6 +45,7 @@
 import {VmLeaderDuties} from './VmLeaderDuties';
 import {VmMembership} from './VmMembership';
 import {VmOrders} from './VmOrders';
+import {VmOwners} from './VmOwners';
 import {VmPeers} from './VmPeers';
 import {readPlatformList} from './VmPlatform';
 import {VmReplacements} from './VmReplacements';
@@ -51,23 +53,12 @@
 import {describeStatus} from './VmStatus';
 import {VmTells} from './VmTells';
 
-const DRAIN_LOOK_MS = 50;
-const DRAIN_TELL_MS = 2_000;
 /** Time for the news that this VM leaves to reach callers: addresses live two seconds. */
 const LEAVE_SPREAD_MS = 2_500;
 
 /** Longest wait after a start for a first word of the engines, in milliseconds. */
 const WARM_UP_MS = 3_000;
 
-/** How long the owners of engines are kept before they are worked out anew, in milliseconds. */
-const OWNERS_LIFETIME_MS = 100;
-
-interface OwnersAt {
-  readonly at: number;
-  readonly engines: unknown;
-  readonly owners: ReadonlyMap<EngineId, VmId>;
-}
-
 /** Parts of a VM that its constructor is given. */
 interface VmParts {
   readonly groups: VmGroups | undefined;
@@ -96,7 +87,7 @@
   private readonly ledger: LedgerPorts;
   private readonly logger: Logger;
   private readonly loops: (() => Promise<void>)[] = [];
-  private owned: OwnersAt = {at: -Infinity, engines: undefined, owners: new Map()};
+  private readonly owners: VmOwners;
   private rpc: RpcServer | undefined;
   private readonly startedAt = systemClock.monotonicMs();
   private stopping = false;
@@ -106,7 +97,13 @@
   private constructor(private readonly parts: VmParts) {
     const {groups, loggers, membership, peers, settings} = parts;
     this.logger = loggers('vm');
-    this.engines = new VmEngines(this.clock, () => this.ownedEngines());
+    this.owners = new VmOwners({
+      clock: this.clock,
+      config: () => this.configView.config,
+      stayingVms: () => stayingVms(membership.state, this.clock.monotonicMs()).map(({vm}) => vm),
+      vm: settings.vm,
+    });
+    this.engines = new VmEngines(this.clock, () => this.owners.own);
     this.control = controlPort(this.groupClient(CONTROL_GROUP));
     const shards = Array.from({length: settings.ledgerShards}, (_, shard) =>
       ledgerPort(this.groupClient(ledgerGroup(shard))),
@@ -132,7 +129,7 @@
     this.tells = new VmTells({
       clock: this.clock,
       onRouting: (event) => this.engines.step(event),
-      ownerOf: (engine) => this.owners().get(engine),
+      ownerOf: (engine) => this.owners.of(engine),
       peers,
       routing: () => this.engines.routing,
       vm: settings.vm,
@@ -178,7 +175,14 @@
       this.logger.warn('Leases could not be given back.', {reason: errorMessage(err)});
     });
     groups?.transferLeadership();
-    await Promise.all([this.waitForRequests(startedAt), batchStopped, delay(LEAVE_SPREAD_MS)]);
+    const drained = waitForRequests({
+      clock: this.clock,
+      closeIdle: () => this.gateway.closeIdle(),
+      logger: this.logger,
+      mostMs: settings.limits.drainMs,
+      openRequests: () => this.gateway.openRequests,
+    });
+    await Promise.all([drained, batchStopped, delay(LEAVE_SPREAD_MS)]);
     await this.close();
     this.logger.info('The VM has stopped.', {
       tookMs: Math.round(this.clock.monotonicMs() - startedAt),
@@ -253,7 +257,7 @@
       logger: this.parts.loggers('batch'),
       mayStart: () => this.refusal() === undefined,
       onRouting: (event) => this.engines.step(event),
-      ownedEngines: () => this.ownedEngines(),
+      ownedEngines: () => this.owners.own,
       routing: () => this.engines.routing,
       vm: this.parts.settings.vm,
       waitingModels: () => this.parts.groups?.waitingModels() ?? this.waitingModels,
@@ -328,7 +332,7 @@
       groups: this.parts.groups,
       ledger: this.ledger,
       membership: this.parts.membership.state,
-      ownedEngines: this.ownedEngines(),
+      ownedEngines: this.owners.own,
       routing: this.engines.routing,
       vm: this.parts.settings.vm,
     });
@@ -390,26 +394,6 @@
       .some((serving) => serving.length > 0 && !serving.some(isHeard));
   }
 
-  /** Owner of each engine, worked out anew now and then: membership is advisory anyway. */
-  private owners(): ReadonlyMap<EngineId, VmId> {
-    const now = this.clock.monotonicMs();
-    const {engines} = this.configView.config;
-    if (this.owned.engines !== engines || now - this.owned.at > OWNERS_LIFETIME_MS) {
-      const vms = stayingVms(this.parts.membership.state, now).map(({vm}) => vm);
-      const owners = [...engines.keys()].flatMap((engine) => {
-        const vm = ownerOf(engine, vms);
-        return vm === undefined ? [] : [[engine, vm] as const];
-      });
-      this.owned = {at: now, engines, owners: new Map(owners)};
-    }
-    return this.owned.owners;
-  }
-
-  private ownedEngines(): readonly EngineId[] {
-    const {vm} = this.parts.settings;
-    return [...this.owners()].flatMap(([engine, owner]) => (owner === vm ? [engine] : []));
-  }
-
   /** Online streams changed here: batch work on the engine must know at once. */
   private onOnlineRouting(event: RoutingEvent): void {
     this.engines.step(event);
@@ -479,22 +463,4 @@
       this.logger.warn("The platform's list can't be read.", {reason: errorMessage(err)});
     }
   }
-
-  private async waitForRequests(startedAt: number): Promise<void> {
-    const {drainMs} = this.parts.settings.limits;
-    let toldAt = startedAt;
-    while (this.gateway.openRequests > 0) {
-      const now = this.clock.monotonicMs();
-      if (now - startedAt >= drainMs) {
-        this.logger.warn('The drain time is over.', {cutOff: this.gateway.openRequests});
-        return;
-      }
-      if (now - toldAt >= DRAIN_TELL_MS) {
-        toldAt = now;
-        this.logger.info('The VM still waits.', {openRequests: this.gateway.openRequests});
-      }
-      this.gateway.closeIdle();
-      await delay(DRAIN_LOOK_MS);
-    }
-  }
 }
--- a/scripts/teeth.mjs
+++ b/scripts/teeth.mjs
@@ -1,5 +1,5 @@
 /**
- * `npm run teeth`: puts one deliberate fault after another into a copy of the code, and checks that
+ * `npm run teeth [-- TEXT]`: puts one deliberate fault after another into a copy of the code, and checks that
  * the named tests then fail. Prints a table; exits 1 when a fault stays unseen.
  */
 import {spawnSync} from 'node:child_process';
@@ -18,7 +18,10 @@
 import {fileURLToPath} from 'node:url';
 
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
-const faults = JSON.parse(readFileSync(path.join(root, 'scripts/teeth.json'), 'utf8'));
+const [wanted = ''] = process.argv.slice(2);
+const faults = JSON.parse(readFileSync(path.join(root, 'scripts/teeth.json'), 'utf8')).filter(
+  ({fault}) => fault.includes(wanted),
+);
 const copy = mkdtempSync(path.join(tmpdir(), 'stallpaddle-teeth-'));
 
 /** A copy of the packages whose workspace links lead to the copy. */
