Say in a beat that it tells all, rather than guess it from its length

Cause: the last reading. A VM with a disk that knew only itself sent one entry and was taken for one without a disk; it then got only news by version and the other's word on losses. A comment named the wrong clock difference.

Ruled out: harm seen so far; the next beat told more entries. No test failed for it, and none was added.

Change: BeatMessage.tellsAll.

--- a/packages/stallpaddle-vm/src/VmBeats.ts
+++ b/packages/stallpaddle-vm/src/VmBeats.ts
@@ -32,6 +32,8 @@
   readonly revision: number;
   /** Version of the receiver's view that the sender has seen. */
   readonly since: number;
+  /** The sender has a disk and tells all it knows; it wants all in return and judges losses itself. */
+  readonly tellsAll: boolean;
   /** How long the receiver may hold the answer while nothing is new, in milliseconds. */
   readonly waitMs: number;
 }
@@ -69,7 +71,7 @@
   readonly settings: VmSettings;
 }
 
-/** Part of its election timeout that a clock may drift while a beat is held. */
+/** Part of the time that a beat was held by which the two VMs' clocks may differ. */
 const HELD_DRIFT_FRACTION = 0.05;
 
 /** Sends and answers beats. */
@@ -120,14 +122,13 @@
     }
     const now = clock.monotonicMs();
     const {freshAt, revision} = config();
-    const hears = beat.news.length > 1;
     const answer: BeatAnswer = {
       config: this.newsFor(beat.revision),
       freshAgeMs: Number.isFinite(freshAt) ? now - freshAt : null,
       heldMs: now - receivedAt,
       loads: loads(),
-      lost: hears ? [] : lostVms(membership(), now),
-      news: newsSince(membership(), now, hears ? 0 : beat.since),
+      lost: beat.tellsAll ? [] : lostVms(membership(), now),
+      news: newsSince(membership(), now, beat.tellsAll ? 0 : beat.since),
       revision,
       version: membership().version,
       waitingModels: this.options.groups?.waitingModels() ?? [],
@@ -208,6 +209,7 @@
       news: tellsAll ? newsSince(membership(), sentAt, 0) : [selfNews],
       revision: basis,
       since: this.seen.get(target) ?? 0,
+      tellsAll,
       waitMs,
     };
     try {
