--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,16 @@
 const sortOptions = {order: 'asc', type: 'natural'};
 
 export default tseslint.config(
-  {ignores: ['**/node_modules/**', 'dist/**', 'packages/*/src/gen/**', 'scripts/**', '*.mjs']},
+  {
+    ignores: [
+      '**/node_modules/**',
+      'dist/**',
+      'target/**',
+      'packages/*/src/gen/**',
+      'scripts/**',
+      '*.mjs',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -0,0 +1,122 @@
+/**
+ * What the control group keeps of a fleet whose engines register themselves and whose operator
+ * sends whole configurations.
+ */
+import type {EngineId, ReplicaId, VmId, ZoneId} from 'stallpaddle';
+
+/** What may happen to a request of a route when an attempt fails. */
+export type RouteKind = 'batch' | 'nonRepeatable' | 'repeatable' | 'streaming';
+
+/** Part of a route's requests that goes to one service. */
+export interface RouteShare {
+  readonly service: string;
+  /** Relative to the route's other shares. */
+  readonly weight: number;
+}
+
+/** Requests of one host whose path begins alike. */
+export interface FleetRoute {
+  /** Time after which a batch item may be given up, in milliseconds; 0 for other kinds. */
+  readonly giveUpAfterMs: number;
+  readonly host: string;
+  readonly kind: RouteKind;
+  /** Most engines that one request may be sent to. */
+  readonly maxAttempts: number;
+  /** Most tokens of batch items that may wait; 0 for no limit. */
+  readonly maxWaitingTokens: number;
+  readonly name: string;
+  /** Time to the first byte of an answer that is worth most, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** Whether a stream may go on at another engine. */
+  readonly resumable: boolean;
+  readonly split: readonly RouteShare[];
+  /** Time in which a batch job is due, in milliseconds; 0 for other kinds. */
+  readonly targetMs: number;
+  /** Longest time that a request may be held, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Engines that do the same work. */
+export interface FleetService {
+  /** Most connections that one engine accepts. */
+  readonly maxConnections: number;
+  readonly name: string;
+  /** Requests that one engine works on at a time, where the configuration says so. */
+  readonly slots: number | null;
+}
+
+/** What a caller may send. */
+export interface FleetLimits {
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+}
+
+/** A whole configuration. */
+export interface FleetConfig {
+  readonly limits: FleetLimits;
+  readonly routes: readonly FleetRoute[];
+  readonly services: readonly FleetService[];
+  /** The operator's own text, given back as it came. */
+  readonly source: string;
+  /** The highest holds. */
+  readonly version: number;
+}
+
+/** What an engine says of itself. */
+export interface EngineReport {
+  /** IP number and port. */
+  readonly address: string;
+  readonly draining: boolean;
+  readonly id: EngineId;
+  /** Rises with each report of the same engine. */
+  readonly sequence: number;
+  readonly service: string;
+  readonly slots: number;
+  readonly zone: ZoneId;
+}
+
+/** An engine as the group knows it. */
+export interface FleetEngine extends Omit<EngineReport, 'sequence'> {
+  readonly sequence: number;
+}
+
+/** A store process that has been seen, by its disk's name as a replica. */
+export interface FleetStore {
+  readonly name: VmId;
+  readonly replica: ReplicaId;
+  /** Whether the operator wants the VM emptied. */
+  readonly retiring: boolean;
+}
+
+/** What changes the state. */
+export type FleetCommand =
+  | {readonly config: FleetConfig; readonly kind: 'putConfig'}
+  | {readonly founders: readonly ReplicaId[]; readonly kind: 'foundJobs'}
+  | {readonly id: EngineId; readonly kind: 'removeEngine'}
+  | {readonly kind: 'reportEngine'; readonly report: EngineReport}
+  | {readonly kind: 'retireStore'; readonly name: VmId}
+  | {readonly kind: 'seeStore'; readonly name: VmId; readonly replica: ReplicaId};
+
+/** Answer to a command. */
+export type FleetAnswer =
+  | {readonly kind: 'applied'}
+  /** A configuration at or above the sent version holds; nothing was changed. */
+  | {readonly kind: 'held'; readonly version: number}
+  | {readonly kind: 'unknownStore'};
+
+/** Everything that the group keeps. */
+export interface FleetState {
+  readonly config: FleetConfig | null;
+  readonly engines: ReadonlyMap<EngineId, FleetEngine>;
+  /** Rises with each change of the engines. */
+  readonly enginesRevision: number;
+  /** Engines that have ended, oldest first: none of them comes back under its name. */
+  readonly goneEngines: readonly EngineId[];
+  /** First members of the group that keeps batch jobs; null until it was founded. */
+  readonly jobsFounders: readonly ReplicaId[] | null;
+  readonly stores: ReadonlyMap<VmId, FleetStore>;
+}
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -0,0 +1,36 @@
+/**
+ * Fixed numbers of the batch dispatcher.
+ */
+
+/**
+ * Slots of each engine that items never get, so that an online request finds one free at once. With one,
+ * trials of the policy served 100% of online requests in time; with two, items came too late.
+ */
+export const SPARE_SLOTS = 1;
+
+/**
+ * Oldest knowledge of the fleet with which an item may start, in milliseconds: half of the shortest time
+ * (2 s) in which an engine that leaves must get nothing more.
+ */
+export const START_FRESH_MS = 1_000;
+
+/** Longest wait for an item's first event, in milliseconds; a full engine needs well under one second. */
+export const FIRST_EVENT_MS = 3_000;
+
+/** Longest pause between an item's events, in milliseconds: ten times the longest pause that serves. */
+export const EVENT_GAP_MS = 2_000;
+
+/** Pause before an item that an engine declined is tried again, in milliseconds. */
+export const DECLINED_PAUSE_MS = 100;
+
+/** Longest silence of an entry VM for which its online requests count, in milliseconds: five tells. */
+export const TOLD_COUNTS_MS = 1_500;
+
+/** Time between looks at items' ages, and between the group clock's ticks, in milliseconds. */
+export const TIDY_MS = 500;
+
+/** Pause before an item's end that was not recorded is proposed again, in milliseconds. */
+export const PROPOSE_AGAIN_MS = 50;
+
+/** Most bytes of texts in one answer: the interface's own limit of 1 MB, less room for its frame. */
+export const RESULT_BYTES = 700_000;
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsMachine.ts
@@ -0,0 +1,208 @@
+import type {MachineResult, PlacedBlob, ReplicaMachine} from 'stallpaddle-replication';
+
+import {Map as ImmutableMap, List} from 'immutable';
+import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
+import {type BlobRef, placeBlob} from 'stallpaddle-storage';
+
+/**
+ * Batch jobs as a replicated state machine. Bodies and texts lie in the segment files, at places that
+ * depend only on the commands. All commands may be repeated without harm.
+ */
+import type {
+  ItemEnd,
+  Job,
+  JobId,
+  JobItem,
+  JobsAnswer,
+  JobsChange,
+  JobsCommand,
+  JobsState,
+  Submission,
+} from './JobsTypes';
+
+const EMPTY_JOBS: JobsState = {
+  blobEnd: 0,
+  clockMs: 0,
+  jobs: ImmutableMap(),
+  open: ImmutableMap(),
+  waitingTokens: ImmutableMap(),
+};
+
+const DONE: JobsAnswer = {kind: 'done'};
+
+/** State of a running step and the bulk data that it places. */
+interface Draft {
+  readonly blobs: PlacedBlob[];
+  state: JobsState;
+}
+
+function $place(draft: Draft, payload: Uint8Array): BlobRef {
+  const {end, ref} = placeBlob(draft.state.blobEnd, payload.length);
+  draft.blobs.push({payload, ref});
+  draft.state = {...draft.state, blobEnd: end};
+  return ref;
+}
+
+function $addWaiting(draft: Draft, route: string, tokens: number): void {
+  const {waitingTokens} = draft.state;
+  const total = (waitingTokens.get(route) ?? 0) + tokens;
+  draft.state = {
+    ...draft.state,
+    waitingTokens: total > 0 ? waitingTokens.set(route, total) : waitingTokens.remove(route),
+  };
+}
+
+function tokensOf(items: readonly {readonly tokens: number}[]): number {
+  return items.reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+function openItems(job: Job): readonly JobItem[] {
+  return job.items.filter(({outcome}) => outcome === null);
+}
+
+function $submit(draft: Draft, submission: Submission, maxWaitingTokens: number): JobsAnswer {
+  const {clockMs, jobs, waitingTokens} = draft.state;
+  const {host, id, path, route} = submission;
+  if (jobs.has(id)) {
+    return {kind: 'accepted', repeated: true};
+  }
+  const tokens = tokensOf(submission.items);
+  const waiting = waitingTokens.get(route) ?? 0;
+  if (maxWaitingTokens > 0 && waiting + tokens > maxWaitingTokens) {
+    return {kind: 'overQuota', waitingTokens: waiting};
+  }
+  const items = submission.items.map((item): JobItem => ({
+    ...item,
+    body: $place(draft, item.body),
+    failures: 0,
+    outcome: null,
+  }));
+  const job: Job = {
+    acceptedAt: clockMs,
+    ended: false,
+    host,
+    id,
+    items,
+    path,
+    results: List(),
+    route,
+  };
+  $addWaiting(draft, route, tokens);
+  draft.state = {...draft.state, jobs: draft.state.jobs.set(id, job)};
+  if (items.length > 0) {
+    draft.state = {...draft.state, open: draft.state.open.set(id, true)};
+  }
+  return {kind: 'accepted', repeated: false};
+}
+
+function $replaceJob(draft: Draft, job: Job): void {
+  const isOpen = !job.ended && openItems(job).length > 0;
+  const {jobs, open} = draft.state;
+  draft.state = {
+    ...draft.state,
+    jobs: jobs.set(job.id, job),
+    open: isOpen ? open : open.remove(job.id),
+  };
+}
+
+/** Only the first end of an item stands. */
+function $endItem(draft: Draft, {item, job: id, outcome, text}: ItemEnd): void {
+  const job = draft.state.jobs.get(id);
+  const known = job?.items[item];
+  if (job === undefined || known === undefined || known.outcome !== null || job.ended) {
+    return;
+  }
+  const ref = text === null ? null : $place(draft, text);
+  const items = job.items.map((other, at) => (at === item ? {...known, outcome} : other));
+  $addWaiting(draft, job.route, -known.tokens);
+  $replaceJob(draft, {...job, items, results: job.results.push({item, outcome, text: ref})});
+}
+
+function $countFailure(draft: Draft, id: JobId, item: number): void {
+  const job = draft.state.jobs.get(id);
+  const known = job?.items[item];
+  if (job !== undefined && known !== undefined) {
+    const failed = {...known, failures: known.failures + 1};
+    const items = job.items.map((other, at) => (at === item ? failed : other));
+    $replaceJob(draft, {...job, items});
+  }
+}
+
+function $endJob(draft: Draft, id: JobId): JobsAnswer {
+  const job = draft.state.jobs.get(id);
+  if (job === undefined) {
+    return {kind: 'unknownJob'};
+  }
+  if (!job.ended) {
+    $addWaiting(draft, job.route, -tokensOf(openItems(job)));
+    $replaceJob(draft, {...job, ended: true});
+  }
+  return DONE;
+}
+
+function $change(draft: Draft, change: JobsChange): JobsAnswer {
+  switch (change.kind) {
+    case 'countFailure':
+      $countFailure(draft, change.job, change.item);
+      return DONE;
+    case 'endItems':
+      change.ends.forEach((end) => $endItem(draft, end));
+      return DONE;
+    case 'endJob':
+      return $endJob(draft, change.job);
+    case 'submit':
+      return $submit(draft, change.submission, change.maxWaitingTokens);
+    case 'tick':
+      return DONE;
+    default:
+      return unreachable(change);
+  }
+}
+
+/**
+ * Applies a command.
+ *
+ * @param state state before
+ * @param command the command
+ */
+export function updateJobs(state: JobsState, command: JobsCommand): MachineResult<JobsState> {
+  const draft: Draft = {blobs: [], state: {...state, clockMs: state.clockMs + command.elapsedMs}};
+  const result = $change(draft, command.change);
+  return {blobs: draft.blobs, result, state: draft.state};
+}
+
+interface EncodedJobs {
+  readonly blobEnd: number;
+  readonly clockMs: number;
+  readonly jobs: readonly (Omit<Job, 'results'> & {readonly results: readonly unknown[]})[];
+  readonly open: readonly JobId[];
+  readonly waitingTokens: readonly (readonly [string, number])[];
+}
+
+/** See the module's comment. */
+export const jobsMachine: ReplicaMachine<JobsState> = {
+  apply: (state, command) => updateJobs(state, decodeValue<JobsCommand>(command)),
+  blobEnd: ({blobEnd}) => blobEnd,
+  decode: (bytes) => {
+    const encoded = decodeValue<EncodedJobs>(bytes);
+    const jobs = encoded.jobs.map((job) => ({...job, results: List(job.results)}) as Job);
+    return {
+      blobEnd: encoded.blobEnd,
+      clockMs: encoded.clockMs,
+      jobs: ImmutableMap(jobs.map((job) => [job.id, job])),
+      open: ImmutableMap(encoded.open.map((id) => [id, true as const])),
+      waitingTokens: ImmutableMap(encoded.waitingTokens),
+    };
+  },
+  encode: ({blobEnd, clockMs, jobs, open, waitingTokens}) => {
+    const encoded: EncodedJobs = {
+      blobEnd,
+      clockMs,
+      jobs: [...jobs.values()].map((job) => ({...job, results: job.results.toArray()})),
+      open: [...open.keys()],
+      waitingTokens: [...waitingTokens],
+    };
+    return encodeValue(encoded);
+  },
+  initial: () => EMPTY_JOBS,
+};
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -0,0 +1,111 @@
+/**
+ * Questions about batch jobs, answered from a leader's state.
+ */
+import type {BlobRef} from 'stallpaddle-storage';
+
+import type {ItemOutcome, JobId, JobsState, Submission} from './JobsTypes';
+
+/** What any process may ask of the group's leader. */
+export type JobsRequest =
+  | {readonly item: string; readonly job: JobId; readonly kind: 'readBody'}
+  | {readonly job: JobId; readonly kind: 'endJob'}
+  | {
+      readonly from: number;
+      readonly job: JobId;
+      readonly kind: 'readResults';
+      /** Longest time to hold the answer while there is none, in milliseconds. */
+      readonly waitMs: number;
+    }
+  | {
+      readonly kind: 'submit';
+      readonly maxWaitingTokens: number;
+      readonly submission: Submission;
+    }
+  | {
+      readonly kind: 'tellOnline';
+      /** All online requests of the sender, by engine. */
+      readonly own: Readonly<Record<string, number>>;
+      /** The sender; each restart is another. */
+      readonly sender: string;
+      /** Rises with each call, so that a late one can be known. */
+      readonly sequence: number;
+    };
+
+/** A result with its text. */
+export interface ReadResult {
+  readonly id: string;
+  readonly outcome: ItemOutcome;
+  readonly text: Uint8Array;
+}
+
+/** Answer to `readResults`. */
+export type ResultsAnswer =
+  | {readonly kind: 'notFound'}
+  | {
+      readonly kind: 'results';
+      readonly next: number;
+      readonly results: readonly ReadResult[];
+      readonly total: number;
+    };
+
+/** Answer to `readBody`. */
+export type BodyAnswer =
+  {readonly body: Uint8Array; readonly kind: 'body'} | {readonly kind: 'notFound'};
+
+/** Answer to `tellOnline`: online requests of all senders, by engine. */
+export interface TellAnswer {
+  readonly totals: Readonly<Record<string, number>>;
+}
+
+/** A result whose text has yet to be read. */
+export interface ResultRef {
+  readonly id: string;
+  readonly outcome: ItemOutcome;
+  readonly text: BlobRef | null;
+}
+
+/**
+ * Results from a position on.
+ *
+ * @param state a leader's state
+ * @param id the job
+ * @param from first position, from 0
+ * @param mostBytes most bytes of texts; one result is returned whatever its size
+ * @returns undefined when there is no such job
+ */
+export function findResults(
+  state: JobsState,
+  id: JobId,
+  from: number,
+  mostBytes: number,
+): {readonly results: readonly ResultRef[]; readonly total: number} | undefined {
+  const job = state.jobs.get(id);
+  if (job === undefined) {
+    return undefined;
+  }
+  const results: ResultRef[] = [];
+  let bytes = 0;
+  for (const {item, outcome, text} of job.results.slice(from)) {
+    bytes += text?.length ?? 0;
+    if (results.length > 0 && bytes > mostBytes) {
+      break;
+    }
+    results.push({id: job.items[item]!.id, outcome, text});
+  }
+  return {results, total: job.items.length};
+}
+
+/**
+ * Where the body of an item lies that has not ended.
+ *
+ * @param state a leader's state
+ * @param id the job
+ * @param item the item's name
+ */
+export function findBody(state: JobsState, id: JobId, item: string): BlobRef | undefined {
+  const job = state.jobs.get(id);
+  if (job === undefined || job.ended) {
+    return undefined;
+  }
+  return job.items.find((known) => known.id === item && known.outcome === null)?.body;
+}
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -0,0 +1,116 @@
+/**
+ * Items that have not ended, with what their runs brought so far. Runs are kept in memory only: what a
+ * lost process had of them runs again.
+ */
+import type {EngineId, MonotonicMs} from 'stallpaddle';
+
+import type {ItemRun} from './JobsItemRun';
+import type {GroupMs, Job, JobId, JobItem, JobsState} from './JobsTypes';
+
+/** One item. */
+export interface Task {
+  readonly acceptedAt: GroupMs;
+  body: Uint8Array | undefined;
+  /** Data of the events so far. */
+  data: string[];
+  /** Its end was proposed and waits to be recorded. */
+  ending: boolean;
+  readonly index: number;
+  item: JobItem;
+  readonly job: Job;
+  readonly key: string;
+  lastEvent: string | null;
+  /** It is not tried before. */
+  notBefore: MonotonicMs;
+  run: {readonly engine: EngineId; readonly run: ItemRun} | undefined;
+  /** A run is being prepared. */
+  starting: boolean;
+}
+
+function taskOf(job: Job, index: number): Task {
+  return {
+    acceptedAt: job.acceptedAt,
+    body: undefined,
+    data: [],
+    ending: false,
+    index,
+    item: job.items[index]!,
+    job,
+    key: `${job.id}/${index}`,
+    lastEvent: null,
+    notBefore: -Infinity,
+    run: undefined,
+    starting: false,
+  };
+}
+
+/** All open items of a group. */
+export class JobsTasks {
+  private readonly known = new Map<JobId, Job>();
+  private readonly tasks = new Map<string, Task>();
+
+  /** All items. */
+  all(): IterableIterator<Task> {
+    return this.tasks.values();
+  }
+
+  /**
+   * An item by its key.
+   *
+   * @param key job and place
+   */
+  get(key: string): Task | undefined {
+    return this.tasks.get(key);
+  }
+
+  /**
+   * Takes in the group's state: new items are added; runs of items that have ended are cut.
+   *
+   * @param state the group's state
+   */
+  follow(state: JobsState): void {
+    for (const id of state.open.keys()) {
+      const job = state.jobs.get(id)!;
+      if (this.known.get(id) !== job) {
+        this.known.set(id, job);
+        this.followJob(job);
+      }
+    }
+    for (const id of this.known.keys()) {
+      if (!state.open.has(id)) {
+        this.forgetJob(id);
+      }
+    }
+  }
+
+  /** Cuts all runs and forgets everything. */
+  clear(): void {
+    for (const id of this.known.keys()) {
+      this.forgetJob(id);
+    }
+  }
+
+  private followJob(job: Job): void {
+    job.items.forEach((item, index) => {
+      const key = `${job.id}/${index}`;
+      const task = this.tasks.get(key);
+      if (item.outcome !== null) {
+        this.forget(key);
+      } else if (task === undefined) {
+        this.tasks.set(key, taskOf(job, index));
+      } else {
+        task.item = item;
+      }
+    });
+  }
+
+  private forgetJob(id: JobId): void {
+    this.known.get(id)?.items.forEach((_, index) => this.forget(`${id}/${index}`));
+    this.known.delete(id);
+  }
+
+  private forget(key: string): void {
+    this.tasks.get(key)?.run?.run.cut();
+    this.tasks.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -0,0 +1,112 @@
+/**
+ * Batch jobs of opaque requests, as a group of replicas keeps them.
+ */
+import type {Map as ImmutableMap, List} from 'immutable';
+import type {BlobRef} from 'stallpaddle-storage';
+
+/** Name of a job, given by whoever submits it. */
+export type JobId = string;
+
+/** Time of the group's own clock, in milliseconds: it counts only while a leader runs. */
+export type GroupMs = number;
+
+/** How an item ended. */
+export type ItemOutcome = 'completed' | 'givenUp';
+
+/** One request of a job. */
+export interface JobItem {
+  readonly body: BlobRef;
+  /** Answers of engines that failed at it. */
+  readonly failures: number;
+  /** Name and value of each header. */
+  readonly headers: readonly (readonly [string, string])[];
+  readonly id: string;
+  readonly outcome: ItemOutcome | null;
+  readonly path: string;
+  /** Of its prompt and its longest answer together. */
+  readonly tokens: number;
+}
+
+/** A listed result; its place never changes. */
+export interface JobResult {
+  /** Place of the item in the job. */
+  readonly item: number;
+  readonly outcome: ItemOutcome;
+  readonly text: BlobRef | null;
+}
+
+/** A batch job. */
+export interface Job {
+  readonly acceptedAt: GroupMs;
+  /** Whether its submitter wants no more of it. */
+  readonly ended: boolean;
+  /** Host and path that it was submitted to: they choose its route, whatever is configured later. */
+  readonly host: string;
+  readonly id: JobId;
+  readonly items: readonly JobItem[];
+  readonly path: string;
+  readonly results: List<JobResult>;
+  /** Route at the time it was accepted; its waiting tokens count there. */
+  readonly route: string;
+}
+
+/** An item as it is submitted. */
+export interface SubmittedItem extends Omit<JobItem, 'body' | 'failures' | 'outcome'> {
+  readonly body: Uint8Array;
+}
+
+/** A job as it is submitted. */
+export interface Submission {
+  readonly host: string;
+  readonly id: JobId;
+  readonly items: readonly SubmittedItem[];
+  readonly path: string;
+  readonly route: string;
+}
+
+/** End of one item. */
+export interface ItemEnd {
+  readonly item: number;
+  readonly job: JobId;
+  readonly outcome: ItemOutcome;
+  /** Whole output of a completed item. */
+  readonly text: Uint8Array | null;
+}
+
+/** What a command does. */
+export type JobsChange =
+  | {readonly ends: readonly ItemEnd[]; readonly kind: 'endItems'}
+  | {readonly item: number; readonly job: JobId; readonly kind: 'countFailure'}
+  | {readonly job: JobId; readonly kind: 'endJob'}
+  | {
+      readonly kind: 'submit';
+      /** Most tokens that may wait on the route; 0 for no limit. */
+      readonly maxWaitingTokens: number;
+      readonly submission: Submission;
+    }
+  | {readonly kind: 'tick'};
+
+/** A command. Each may be repeated without harm. */
+export interface JobsCommand {
+  readonly change: JobsChange;
+  /** Time since the leader's last command, by its steady clock, in milliseconds. */
+  readonly elapsedMs: number;
+}
+
+/** Answer to a command. */
+export type JobsAnswer =
+  | {readonly kind: 'accepted'; readonly repeated: boolean}
+  | {readonly kind: 'done'}
+  | {readonly kind: 'overQuota'; readonly waitingTokens: number}
+  | {readonly kind: 'unknownJob'};
+
+/** Everything that the group keeps. */
+export interface JobsState {
+  readonly blobEnd: number;
+  readonly clockMs: GroupMs;
+  readonly jobs: ImmutableMap<JobId, Job>;
+  /** Jobs with items that have not ended. */
+  readonly open: ImmutableMap<JobId, true>;
+  /** Tokens of items that have not ended, by route. */
+  readonly waitingTokens: ImmutableMap<string, number>;
+}
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -0,0 +1,29 @@
+/** Batch jobs of opaque requests: replicated state, and the dispatcher that runs their items. */
+export {RESULT_BYTES, SPARE_SLOTS, START_FRESH_MS} from './JobsConstants';
+export {type ItemDecision, JobsDispatcher, type JobsDispatcherOptions} from './JobsDispatcher';
+export {jobsMachine, updateJobs} from './JobsMachine';
+export {type ItemPlan, planItems, type PlannedEngine, type PlannedItem} from './JobsPlan';
+export {
+  type BodyAnswer,
+  findBody,
+  findResults,
+  type JobsRequest,
+  type ReadResult,
+  type ResultRef,
+  type ResultsAnswer,
+  type TellAnswer,
+} from './JobsQueries';
+export type {
+  GroupMs,
+  ItemEnd,
+  ItemOutcome,
+  Job,
+  JobId,
+  JobItem,
+  JobsAnswer,
+  JobsChange,
+  JobsCommand,
+  JobsState,
+  Submission,
+  SubmittedItem,
+} from './JobsTypes';
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -0,0 +1,102 @@
+import type {Clock, GroupId} from 'stallpaddle';
+
+import {delay, encodeValue, RefusalError} from 'stallpaddle';
+import {type TryOutcome, tryRemote} from 'stallpaddle-rpc';
+
+/**
+ * Calls to the leader of a group: finds it, and tries again while that can do no harm.
+ */
+import type {NodePeers} from './NodePeers';
+
+import {CALL_AGAIN_MS, CALL_TRY_MS} from './NodeConstants';
+
+/** What a caller needs of its process. */
+export interface NodeCallerOptions {
+  readonly clock: Clock;
+  readonly group: GroupId;
+  /** Hosts that may lead, best known first. */
+  readonly hosts: () => readonly string[];
+  readonly peers: NodePeers;
+}
+
+/** One call. */
+export interface GroupCall {
+  /** Whether it changes something: then a lost answer leaves its outcome unknown. */
+  readonly changes: boolean;
+  /** Longest time for all tries, in milliseconds. */
+  readonly totalMs: number;
+  /** Longest single try, in milliseconds. */
+  readonly tryMs?: number;
+  /** Command or question; may arrive twice without harm. */
+  readonly value: unknown;
+}
+
+/** See the module's comment. */
+export class NodeCaller {
+  private leader: string | null = null;
+  private next = 0;
+
+  /**
+   * @param options what it needs of its process
+   */
+  constructor(private readonly options: NodeCallerOptions) {}
+
+  /** The host that led when last heard. */
+  get leaderHost(): string | null {
+    return this.leader;
+  }
+
+  /**
+   * Calls the leader.
+   *
+   * @param call the call
+   * @throws {RefusalError} when no leader answers in time; its verdict tells whether anything may have changed
+   */
+  async call<Answer>({changes, totalMs, tryMs = CALL_TRY_MS, value}: GroupCall): Promise<Answer> {
+    const {clock, group} = this.options;
+    const encoded = encodeValue(value);
+    const end = clock.monotonicMs() + totalMs;
+    let mayHaveChanged = false;
+    for (let left = totalMs; left > 0; left = end - clock.monotonicMs()) {
+      const outcome = await this.tryOnce({encoded, group, query: !changes}, Math.min(tryMs, left));
+      if (outcome.kind === 'answered') {
+        return outcome.result as Answer;
+      }
+      mayHaveChanged ||= changes && outcome.kind === 'unknown';
+      await delay(CALL_AGAIN_MS);
+    }
+    const verdict = mayHaveChanged ? 'mayHaveRun' : 'notRun';
+    throw new RefusalError('unavailable', verdict, `Group ${group} has no leader now.`);
+  }
+
+  /**
+   * Makes one try at the best known host, and learns from it where the leader is.
+   *
+   * @param request the call
+   * @param tryMs longest wait, in milliseconds
+   */
+  async tryOnce(request: Parameters<typeof tryRemote>[1], tryMs: number): Promise<TryOutcome> {
+    const host = this.leader ?? this.nextHost();
+    if (host === undefined) {
+      return {kind: 'notLeader', leader: null};
+    }
+    const outcome = await tryRemote(this.options.peers.at(host), request, tryMs);
+    switch (outcome.kind) {
+      case 'answered':
+        this.leader = host;
+        break;
+      case 'notLeader':
+        this.leader = outcome.leader === host ? null : outcome.leader;
+        break;
+      case 'unknown':
+        this.leader = null;
+        break;
+    }
+    return outcome;
+  }
+
+  private nextHost(): string | undefined {
+    const hosts = this.options.hosts();
+    return hosts[this.next++ % Math.max(1, hosts.length)];
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -0,0 +1,78 @@
+/**
+ * Times and sizes of the processes.
+ */
+
+/** Name of the control group. */
+export const CONTROL_GROUP = 'control';
+
+/** Name of the group that keeps batch jobs. */
+export const JOBS_GROUP = 'jobs';
+
+/**
+ * Longest hold of a question for news, in milliseconds. It bounds the age of what a process knows: two
+ * holds and a failed try stay below the second after which items are not started any more.
+ */
+export const WATCH_HOLD_MS = 300;
+
+/** Longest single try of a question for news, in milliseconds: its hold, and a round trip on a busy VM. */
+export const WATCH_TRY_MS = 600;
+
+/** Pause before another VM is asked, in milliseconds: about a round trip between availability zones. */
+export const CALL_AGAIN_MS = 30;
+
+/** Longest single try of any other call, in milliseconds. */
+export const CALL_TRY_MS = 700;
+
+/** Longest time that a call of an engine or the operator is tried: they give up after a second. */
+export const CONTROL_CALL_MS = 850;
+
+/** Longest time that a caller's job call is tried, in milliseconds: under half of the time callers allow. */
+export const JOB_CALL_MS = 1_500;
+
+/** Time between pings of connections between processes, in milliseconds. */
+export const PEER_PING_MS = 700;
+
+/** Reports of an engine that must be missed before it counts as silent. */
+export const MISSED_REPORTS = 3;
+
+/** Silence after which an entry VM is not named to callers, in milliseconds: four holds of its question. */
+export const ENTRY_SILENT_MS = 1_200;
+
+/** Time that a new leader needs to hear from every process, in milliseconds: as long as silence takes. */
+export const SETTLE_MS = 1_500;
+
+/** Time between looks at a group's members, in milliseconds. */
+export const KEEP_MEMBERS_MS = 250;
+
+/** Silence of a process that makes it no candidate for membership, in milliseconds. */
+export const CANDIDATE_SILENT_MS = 1_500;
+
+/**
+ * Silence of a voter after which a caught-up replica takes its place, in milliseconds: longer than a
+ * restart takes on a loaded VM, and short enough for a second loss five seconds after the first.
+ */
+export const VOTER_SILENT_MS = 2_500;
+
+/** Replicas beyond the voters that a group keeps ready. */
+export const SPARE_LEARNERS = 1;
+
+/** Time between words to the dispatcher when nothing has changed, in milliseconds. */
+export const TELL_AGAIN_MS = 250;
+
+/** Longest wait for the dispatcher's answer, in milliseconds. */
+export const TELL_TRY_MS = 300;
+
+/** Age up to which a 404 for a path without a route is believed, in milliseconds. */
+export const ROUTE_FRESH_MS = 700;
+
+/** Time that callers may keep the addresses they were told, in seconds. */
+export const ADDRESSES_TTL_S = 2;
+
+/** Most addresses that a caller is told. */
+export const ADDRESSES_MOST = 64;
+
+/** Time that a rested connection is kept beyond the configured one, in milliseconds. */
+export const IDLE_MARGIN_MS = 2_000;
+
+/** Time left before the end of the grace at which a stopping process ends in any case, in milliseconds. */
+export const END_MARGIN_MS = 600;
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -0,0 +1,277 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+
+import {delay, drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
+import {type FleetRoute, RouteTable} from 'stallpaddle-fleet';
+import {
+  type RelayContext,
+  RelayExperience,
+  RelayOnline,
+  RelayRun,
+  sendRefusal,
+} from 'stallpaddle-relay';
+
+/**
+ * The process that serves callers: it brings their requests to engines and their jobs to the store.
+ */
+import type {NodeOptions, RunningNode} from './NodeControl';
+import type {NodeSettings} from './NodeSettings';
+
+import {NodeCaller} from './NodeCaller';
+import {
+  ADDRESSES_MOST,
+  ADDRESSES_TTL_S,
+  CONTROL_GROUP,
+  END_MARGIN_MS,
+  IDLE_MARGIN_MS,
+  JOBS_GROUP,
+  ROUTE_FRESH_MS,
+} from './NodeConstants';
+import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
+import {NodeJobCalls} from './NodeJobCalls';
+import {NodeLog} from './NodeLog';
+import {NodePeers} from './NodePeers';
+import {hostOf} from './NodeSettings';
+import {NodeTells} from './NodeTells';
+import {NodeWatch} from './NodeWatch';
+
+/** Time that a rested connection is kept before the first configuration, in milliseconds. */
+const FIRST_IDLE_MS = 15_000;
+/** Largest body before the first configuration, in bytes. */
+const FIRST_BODY_BYTES = 4_194_304;
+/** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
+const READY_AGE_MS = 3_000;
+/** Time between looks whether a stopping process is idle, in milliseconds. */
+const IDLE_LOOK_MS = 50;
+/** Some callers keep the addresses three times as long as they were told. */
+const ADDRESSES_KEPT_TIMES = 3;
+
+/** See the module's comment. */
+export class NodeEntry implements RunningNode {
+  private active = 0;
+  private readonly context: RelayContext;
+  private readonly control: NodeCaller;
+  private readonly jobCalls: NodeJobCalls;
+  private leaving = false;
+  private readonly log: NodeLog;
+  private readonly peers: NodePeers;
+  private routes: RouteTable | undefined;
+  private seeds: readonly string[];
+  private servers: readonly Server[] = [];
+  private readonly tells: NodeTells;
+  private readonly watch: NodeWatch;
+
+  private constructor(private readonly options: NodeOptions) {
+    const {clock, logger, settings, wire} = options;
+    this.log = new NodeLog(logger, clock);
+    this.peers = new NodePeers(settings.peerPort);
+    this.seeds = settings.seeds;
+    const {peers} = this;
+    const controlHosts = () => this.hostsOf(this.watch.view.news.controls, this.seeds.map(hostOf));
+    const jobsHosts = () => this.hostsOf(this.watch.view.news.jobsReplicas, []);
+    this.control = new NodeCaller({clock, group: CONTROL_GROUP, hosts: controlHosts, peers});
+    const jobs = new NodeCaller({clock, group: JOBS_GROUP, hosts: jobsHosts, peers});
+    const online = new RelayOnline();
+    this.tells = new NodeTells(jobs, online, drawId(settings.name));
+    this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
+    this.watch = new NodeWatch({
+      caller: this.control,
+      clock,
+      hello: () => ({
+        callerAddress: settings.callers ?? '',
+        kind: 'entry',
+        name: settings.name,
+        ready: this.ready,
+        zone: settings.zone,
+      }),
+      onView: (view, before) => {
+        if (view.config !== null && view.config !== before.config) {
+          this.routes = new RouteTable(view.config);
+          this.followLimits();
+          this.log.note('A configuration is in force.', {version: view.config.version});
+        }
+      },
+    });
+    this.context = {
+      clock,
+      decide: (decision, id, fields) => this.log.decide(decision, id, fields),
+      engines: () => this.watch.view.news.engines,
+      experience: new RelayExperience(clock),
+      online,
+      random: Math.random,
+      viewAgeMs: () => this.watch.ageMs,
+      wire: wire.relay,
+    };
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @param options what it is made of
+   */
+  static async start(options: NodeOptions): Promise<NodeEntry> {
+    const node = new NodeEntry(options);
+    await node.open();
+    return node;
+  }
+
+  /** Takes in settings that have changed. */
+  reload(settings: NodeSettings): void {
+    this.seeds = settings.seeds;
+  }
+
+  /** Takes no new callers, and ends once those that may still come have been served. */
+  async stop(): Promise<void> {
+    const {clock, settings} = this.options;
+    const start = clock.monotonicMs();
+    this.leaving = true;
+    void this.watch.ask(0);
+    const kept = ADDRESSES_TTL_S * ADDRESSES_KEPT_TIMES * 1000;
+    const most = settings.bounds.grace - END_MARGIN_MS;
+    for (let age = 0; age < most; age = clock.monotonicMs() - start) {
+      if (age > kept && this.active === 0) {
+        break;
+      }
+      await delay(IDLE_LOOK_MS);
+    }
+    this.servers.forEach((server) => server.close());
+    this.tells.stop();
+    this.watch.stop();
+    this.peers.close();
+  }
+
+  private get ready(): boolean {
+    return !this.leaving && this.watch.view.config !== null && this.watch.ageMs < READY_AGE_MS;
+  }
+
+  private hostsOf(replicas: readonly string[], seeds: readonly string[]): readonly string[] {
+    return [...new Set([...seeds, ...replicas.map((replica) => replica.split('/')[0]!)])];
+  }
+
+  private async open(): Promise<void> {
+    const {callers, directory, ready} = this.options.settings;
+    const servers: Promise<Server>[] = [];
+    if (callers !== null) {
+      const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
+      servers.push(startServer(callers, handler, FIRST_IDLE_MS + IDLE_MARGIN_MS));
+    }
+    for (const address of new Set([directory, ready].filter((other) => other !== null))) {
+      servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
+    }
+    this.servers = await Promise.all(servers);
+    void this.watch.run();
+    void this.tells.run();
+  }
+
+  private followLimits(): void {
+    const limits = this.watch.view.config?.limits;
+    const [callers] = this.servers;
+    if (limits !== undefined && callers !== undefined) {
+      callers.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      callers.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
+    }
+  }
+
+  /** Questions of the platform and of callers that look for a VM. */
+  private handlePlain(req: IncomingMessage, res: ServerResponse): void {
+    const {wire} = this.options;
+    const call = callOf(req);
+    req.resume();
+    if (wire.isReadyQuestion(call)) {
+      sendAnswer(res, {status: this.ready ? 200 : 503});
+      return;
+    }
+    if (!wire.isAddressQuestion(call)) {
+      sendAnswer(res, {status: 404});
+      return;
+    }
+    const {entries} = this.watch.view.news;
+    if (entries.length === 0) {
+      sendAnswer(res, {status: 503});
+      return;
+    }
+    sendAnswer(res, wire.encodeAddresses(entries.slice(0, ADDRESSES_MOST)));
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.active++;
+    if (this.leaving) {
+      res.setHeader('connection', 'close');
+    }
+    // A caller that leaves while its answer is written is seen by whoever writes.
+    res.on('error', () => {});
+    try {
+      await this.serve(req, res);
+    } catch (err) {
+      this.onFailure(req, res, err);
+    } finally {
+      this.active--;
+    }
+  }
+
+  private onFailure(req: IncomingMessage, res: ServerResponse, err: unknown): void {
+    if (err instanceof RefusalError) {
+      sendRefusal(res, err);
+    } else if (err instanceof BodyTooLargeError) {
+      res.setHeader('connection', 'close');
+      sendRefusal(res, refuse('bodyTooLarge', 'The body is longer than allowed.'));
+    } else {
+      this.log.note('A call broke off.', {error: errorMessage(err), url: req.url});
+      res.destroy();
+    }
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {clock, wire} = this.options;
+    const arrivedAt = clock.monotonicMs();
+    const call = callOf(req);
+    const jobCall = wire.readJobCall(call);
+    if (jobCall !== null) {
+      req.resume();
+      sendAnswer(res, await this.jobCalls.carryOut(jobCall));
+      return;
+    }
+    const most = this.watch.view.config?.limits.maxBodyBytes ?? FIRST_BODY_BYTES;
+    const body = await readBody(req, most);
+    const route = this.routeOf(req);
+    switch (route.kind) {
+      case 'batch':
+        sendAnswer(res, await this.jobCalls.submit(route, {...call, body}));
+        return;
+      case 'nonRepeatable':
+      case 'repeatable':
+      case 'streaming': {
+        const facts = wire.relay.readCaller(req.headers);
+        if (facts === null) {
+          throw refuse('badRequest', 'The request carries no name of its own.');
+        }
+        const {method, url} = call;
+        const {rawHeaders} = req;
+        const request = {arrivedAt, body, facts, method, path: url, rawHeaders, route};
+        await new RelayRun(this.context, request, res).run();
+        return;
+      }
+      default:
+        unreachable(route.kind);
+    }
+  }
+
+  private routeOf(req: IncomingMessage): FleetRoute {
+    const {routes} = this;
+    if (routes === undefined) {
+      throw refuse('unavailable', 'No configuration is known yet.', {retryAfterMs: 500});
+    }
+    const found = routes.find(req.headers.host ?? '', req.url ?? '/');
+    if (found !== undefined) {
+      return found;
+    }
+    if (this.watch.ageMs > ROUTE_FRESH_MS) {
+      throw refuse('stale', 'The latest configuration is not known now.', {retryAfterMs: 500});
+    }
+    this.log.decide('noRoute', String(req.headers.host), {
+      path: req.url,
+      version: this.watch.view.config?.version,
+      viewAgeMs: Math.round(this.watch.ageMs),
+    });
+    throw refuse('notFound', 'No route leads there.');
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -0,0 +1,153 @@
+import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
+import type {Disk} from 'stallpaddle-storage';
+
+import {errorMessage, registerLoop} from 'stallpaddle';
+import {
+  DEFAULT_TIMING,
+  isCaughtUp,
+  ReplicaDriver,
+  type ReplicaMachine,
+  ReplicaStorage,
+} from 'stallpaddle-replication';
+import {sendSnapshot} from 'stallpaddle-rpc';
+
+/**
+ * One replica of a group, and the care for the group's members while it leads.
+ */
+import type {NodePeers} from './NodePeers';
+
+import {KEEP_MEMBERS_MS} from './NodeConstants';
+import {type KnownReplica, planMembers} from './NodeKeeper';
+
+/** A replica that may belong to the group, as the process has heard of it. */
+export interface Candidate {
+  readonly id: ReplicaId;
+  readonly retiring: boolean;
+  /** Time since it was last heard, in milliseconds. */
+  readonly silentMs: number;
+}
+
+/** What the replica needs of its process. */
+export interface NodeGroupOptions<State> {
+  /** Everyone who may belong to the group. */
+  readonly candidates: () => readonly Candidate[];
+  readonly clock: Clock;
+  readonly disk: Disk;
+  /** First members, when the group begins with this disk among them. */
+  readonly founders: readonly ReplicaId[] | null;
+  readonly group: GroupId;
+  readonly logger: Logger;
+  readonly lostDisks: number;
+  readonly machine: ReplicaMachine<State>;
+  /** Called once when the replica ends after a failure. */
+  readonly onFailure: (err: unknown) => void;
+  readonly peers: NodePeers;
+  readonly self: ReplicaId;
+}
+
+/** See the module's comment. */
+export class NodeGroup<State> {
+  private readonly stopKeeping: () => Promise<void>;
+
+  private constructor(
+    private readonly options: NodeGroupOptions<State>,
+    readonly driver: ReplicaDriver<State>,
+  ) {
+    this.stopKeeping = registerLoop(KEEP_MEMBERS_MS, () => this.keepMembers());
+  }
+
+  /**
+   * Opens the replica. A disk that holds none yet and isn't among the founders waits to be taken in.
+   *
+   * @param options what the replica needs of its process
+   */
+  static async open<State>(options: NodeGroupOptions<State>): Promise<NodeGroup<State>> {
+    const {clock, disk, founders, group, logger, machine, onFailure, peers, self} = options;
+    const formed = await ReplicaStorage.formedMembers(disk);
+    if (formed === undefined && founders !== null && founders.includes(self)) {
+      const members = {learners: [], voters: founders};
+      await ReplicaStorage.form(disk, machine.encode(machine.initial()), members);
+    }
+    const driver = await ReplicaDriver.open({
+      clock,
+      disk,
+      group,
+      logger,
+      machine,
+      onFailure,
+      self,
+      timing: DEFAULT_TIMING,
+      transport: {
+        send: (message) => peers.send(message),
+        sendSnapshot: (to, source) => sendSnapshot(peers.of(to), source),
+      },
+    });
+    return new NodeGroup(options, driver);
+  }
+
+  /** Whether every voter holds all that was committed. */
+  get settled(): boolean {
+    const {status} = this.driver;
+    return status.log.members.voters.every(
+      (voter) => voter === this.options.self || isCaughtUp(status, voter),
+    );
+  }
+
+  /** Ends the replica. */
+  async close(): Promise<void> {
+    await this.stopKeeping();
+    await this.driver.close();
+  }
+
+  private known(): readonly KnownReplica[] {
+    const {status} = this.driver;
+    const {role} = status;
+    if (role.kind !== 'leader') {
+      return [];
+    }
+    const now = this.options.clock.monotonicMs();
+    const known = new Map<ReplicaId, KnownReplica>();
+    for (const {id, retiring, silentMs} of this.options.candidates()) {
+      known.set(id, {caughtUp: false, id, retiring, silentMs});
+    }
+    for (const [id, {ackedSentAt}] of role.progress) {
+      // A new leader has heard nobody yet: its own time as leader bounds every silence.
+      const silentMs = now - Math.max(ackedSentAt, role.since);
+      const retiring = known.get(id)?.retiring ?? false;
+      known.set(id, {caughtUp: isCaughtUp(status, id), id, retiring, silentMs});
+    }
+    const {self} = this.options;
+    const retiring = known.get(self)?.retiring ?? false;
+    known.set(self, {caughtUp: true, id: self, retiring, silentMs: 0});
+    return [...known.values()];
+  }
+
+  private async keepMembers(): Promise<void> {
+    const {group, logger, lostDisks, self} = this.options;
+    const {driver} = this;
+    if (!driver.leads) {
+      return;
+    }
+    const {members} = driver.status.log;
+    const step = planMembers({known: this.known(), lostDisks, members, self});
+    if (step === null) {
+      return;
+    }
+    if (step.kind === 'handOver') {
+      driver.transferLeadership();
+      return;
+    }
+    const fields = {
+      group,
+      learners: step.members.learners.join(','),
+      reason: step.reason,
+      voters: step.members.voters.join(','),
+    };
+    try {
+      await driver.changeMembers(step.members);
+      logger.info('The members of the group change.', fields);
+    } catch (err) {
+      logger.warn('The members could not be changed.', {...fields, error: errorMessage(err)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeHttp.ts
@@ -0,0 +1,98 @@
+/**
+ * HTTP servers of a process, and bodies and answers on them.
+ */
+import type {IncomingMessage, RequestListener, Server, ServerResponse} from 'node:http';
+
+import {createServer} from 'node:http';
+
+import type {RawAnswer, RawCall} from './NodeWire';
+
+import {hostOf, portOf} from './NodeSettings';
+
+/** Largest header block of any call, in bytes; callers are bound by the configuration's own limit. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** A body that is longer than allowed. */
+export class BodyTooLargeError extends Error {
+  override readonly name = 'BodyTooLargeError';
+}
+
+/**
+ * Starts a server.
+ *
+ * @param address IP number and port
+ * @param handler answers each request; must not throw
+ * @param idleMs time that a rested connection is kept, in milliseconds
+ */
+export async function startServer(
+  address: string,
+  handler: RequestListener,
+  idleMs: number,
+): Promise<Server> {
+  const server = createServer(
+    {
+      keepAlive: false,
+      keepAliveTimeout: idleMs,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+      requestTimeout: 0,
+    },
+    handler,
+  );
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(portOf(address), hostOf(address), resolve);
+  });
+  return server;
+}
+
+/**
+ * Reads a whole body.
+ *
+ * @param req the request
+ * @param most most bytes
+ * @throws {BodyTooLargeError} when there are more
+ */
+export async function readBody(req: IncomingMessage, most: number): Promise<Buffer> {
+  if (Number(req.headers['content-length'] ?? 0) > most) {
+    throw new BodyTooLargeError();
+  }
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req) {
+    const bytes = chunk as Buffer;
+    size += bytes.length;
+    if (size > most) {
+      throw new BodyTooLargeError();
+    }
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks);
+}
+
+/**
+ * A call without its body.
+ *
+ * @param req the request
+ */
+export function callOf(req: IncomingMessage): Omit<RawCall, 'body'> {
+  return {headers: req.headers, method: req.method ?? 'GET', url: req.url ?? '/'};
+}
+
+/**
+ * Sends an answer.
+ *
+ * @param res the response
+ * @param answer what to send
+ */
+export function sendAnswer(res: ServerResponse, answer: RawAnswer): void {
+  if (res.headersSent || res.destroyed) {
+    return;
+  }
+  const body = answer.body ?? '';
+  res.writeHead(answer.status, {
+    ...answer.headers,
+    'content-length': String(Buffer.byteLength(body)),
+  });
+  res.end(body);
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -0,0 +1,69 @@
+/**
+ * Other processes of the fleet. A replica's name holds its VM's IP number, and all VMs share the port.
+ */
+import type {ReplicaId} from 'stallpaddle';
+import type {Message} from 'stallpaddle-replication';
+
+import {vmOfReplica} from 'stallpaddle';
+import {type PeerClient, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
+
+import {PEER_PING_MS} from './NodeConstants';
+
+/** The platform hands out no secret; its network lets only the fleet's own VMs in. */
+const FLEET_KEY = 'fleet';
+
+/** See the module's comment. */
+export class NodePeers {
+  private readonly clients = new RpcClients(FLEET_KEY, {pingMs: PEER_PING_MS});
+  private readonly outboxes = new Map<ReplicaId, RpcOutbox>();
+  private stopped = false;
+
+  /**
+   * @param port port on which all processes reach each other
+   */
+  constructor(private readonly port: number) {}
+
+  /** Key that every process shows the others. */
+  get key(): string {
+    return FLEET_KEY;
+  }
+
+  /**
+   * Client of the process at a host.
+   *
+   * @param host IP number
+   */
+  at(host: string): PeerClient {
+    return this.clients.at(host, this.port);
+  }
+
+  /**
+   * Client of the process that holds a replica.
+   *
+   * @param replica the replica
+   */
+  of(replica: ReplicaId): PeerClient {
+    return this.at(vmOfReplica(replica));
+  }
+
+  /**
+   * Sends a replication message without waiting; it may be lost.
+   *
+   * @param message the message
+   */
+  send(message: Message): void {
+    if (this.stopped) {
+      return;
+    }
+    const outbox = this.outboxes.get(message.to) ?? new RpcOutbox(() => this.of(message.to));
+    this.outboxes.set(message.to, outbox);
+    outbox.add(message);
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.stopped = true;
+    this.outboxes.forEach((outbox) => outbox.close());
+    this.clients.close();
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -0,0 +1,292 @@
+import type {LogFields} from 'stallpaddle';
+
+import path from 'node:path';
+import {delay, encodeValue, unreachable} from 'stallpaddle';
+import {
+  type BodyAnswer,
+  findBody,
+  findResults,
+  type JobId,
+  type JobsAnswer,
+  type JobsChange,
+  type JobsCommand,
+  JobsDispatcher,
+  jobsMachine,
+  type JobsRequest,
+  type JobsState,
+  RESULT_BYTES,
+  type ResultsAnswer,
+  type TellAnswer,
+} from 'stallpaddle-jobs';
+import {loadIdentity, NotLeaderError, type ReplicaDriver} from 'stallpaddle-replication';
+import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
+import {openDisk} from 'stallpaddle-storage';
+
+/**
+ * The process that keeps batch jobs, and runs their items while it leads their group.
+ */
+import type {NodeOptions, RunningNode} from './NodeControl';
+import type {NodeSettings} from './NodeSettings';
+
+import {NodeCaller} from './NodeCaller';
+import {CONTROL_GROUP, ENTRY_SILENT_MS, JOBS_GROUP} from './NodeConstants';
+import {type Candidate, NodeGroup} from './NodeGroup';
+import {NodeLog} from './NodeLog';
+import {NodePeers} from './NodePeers';
+import {addNodeService} from './NodeService';
+import {hostOf, lostDisksOf} from './NodeSettings';
+import {NodeWatch} from './NodeWatch';
+
+/** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
+const FOUND_AGAIN_MS = 20;
+/** Time for another replica to take over leadership at a planned stop, in milliseconds. */
+const HAND_OVER_MS = 400;
+
+/** See the module's comment. */
+export class NodeStore implements RunningNode {
+  private readonly caller: NodeCaller;
+  private dispatcher: JobsDispatcher | undefined;
+  private group: NodeGroup<JobsState> | undefined;
+  private lastCommandAt: number | undefined;
+  private readonly log: NodeLog;
+  private readonly peers: NodePeers;
+  private readonly resultWaiters = new Set<() => void>();
+  private rpc!: RpcServer;
+  private seeds: readonly string[];
+  private self!: string;
+  private stopped = false;
+  private readonly watch: NodeWatch;
+
+  private constructor(private readonly options: NodeOptions) {
+    const {clock, logger, settings} = options;
+    this.log = new NodeLog(logger, clock);
+    this.peers = new NodePeers(settings.peerPort);
+    this.seeds = settings.seeds;
+    this.caller = new NodeCaller({
+      clock,
+      group: CONTROL_GROUP,
+      hosts: () => this.controlHosts(),
+      peers: this.peers,
+    });
+    this.watch = new NodeWatch({
+      caller: this.caller,
+      clock,
+      hello: () => ({
+        kind: 'store',
+        leads: this.report(),
+        name: settings.name,
+        replica: this.self,
+        zone: settings.zone,
+      }),
+      onView: (view, before) => {
+        if (view.news !== before.news || view.config !== before.config) {
+          this.dispatcher?.poke();
+        }
+      },
+    });
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @param options what it is made of
+   */
+  static async start(options: NodeOptions): Promise<NodeStore> {
+    const node = new NodeStore(options);
+    await node.open();
+    return node;
+  }
+
+  /** Takes in settings that have changed. */
+  reload(settings: NodeSettings): void {
+    this.seeds = settings.seeds;
+  }
+
+  /** Hands leadership over and stops. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.group?.driver.transferLeadership();
+    await delay(HAND_OVER_MS);
+    this.dispatcher?.stop();
+    this.watch.stop();
+    await this.group?.close();
+    await this.rpc.stop();
+    this.peers.close();
+  }
+
+  private controlHosts(): readonly string[] {
+    const known = this.watch.view.news.controls.map((replica) => replica.split('/')[0]!);
+    return [...new Set([...this.seeds.map(hostOf), ...known])];
+  }
+
+  private async open(): Promise<void> {
+    const {settings} = this.options;
+    const {dataFolder, host, peerPort} = settings;
+    if (dataFolder === '') {
+      throw new Error('a store process needs a data folder');
+    }
+    this.self = await loadIdentity(await openDisk(dataFolder), host);
+    this.rpc = await startRpcServer(host, peerPort, this.peers.key, (router) =>
+      addNodeService(router, {
+        answer: (value) => this.answer(value as JobsRequest),
+        group: JOBS_GROUP,
+        replica: () => this.group?.driver,
+      }),
+    );
+    void this.watch.run();
+    void this.openGroup(dataFolder);
+  }
+
+  private async openGroup(dataFolder: string): Promise<void> {
+    const {clock, logger, onFailure, settings, wire} = this.options;
+    const disk = await openDisk(path.join(dataFolder, JOBS_GROUP));
+    const founders = await this.findFounders();
+    this.group = await NodeGroup.open({
+      candidates: () => this.candidates(),
+      clock,
+      disk,
+      founders,
+      group: JOBS_GROUP,
+      logger,
+      lostDisks: lostDisksOf(settings),
+      machine: jobsMachine,
+      onFailure,
+      peers: this.peers,
+      self: this.self,
+    });
+    const {driver} = this.group;
+    this.dispatcher = new JobsDispatcher({
+      clock,
+      decide: (decision, id, fields: LogFields) => this.log.decide(decision, id, fields),
+      leads: () => driver.leads && !this.stopped,
+      propose: (change) => this.propose(driver, change),
+      readBody: (ref) => driver.readBlob(ref),
+      state: () => driver.localState,
+      view: () => this.watch.view,
+      wire: wire.relay,
+    });
+    driver.registerListener(() => {
+      this.dispatcher?.poke();
+      [...this.resultWaiters].forEach((wake) => wake());
+    });
+  }
+
+  /** Waits until the group was founded, with this disk or without it. */
+  private async findFounders(): Promise<readonly string[] | null> {
+    while (!this.stopped) {
+      const {jobsFounders} = this.watch.view.news;
+      if (jobsFounders !== null) {
+        return jobsFounders;
+      }
+      await delay(FOUND_AGAIN_MS);
+    }
+    return null;
+  }
+
+  private candidates(): readonly Candidate[] {
+    return this.watch.view.news.stores.map(({heard, replica, retiring}) => ({
+      id: replica,
+      retiring,
+      silentMs: heard ? 0 : ENTRY_SILENT_MS * 2,
+    }));
+  }
+
+  private report() {
+    const {group} = this;
+    if (group === undefined || !group.driver.leads) {
+      return null;
+    }
+    const {log, term} = group.driver.status;
+    const {learners, voters} = log.members;
+    return {learners, settled: group.settled, term, voters};
+  }
+
+  private propose(driver: ReplicaDriver<JobsState>, change: JobsChange): Promise<unknown> {
+    const now = this.options.clock.monotonicMs();
+    // Time without a leader isn't counted: an item is rather given up late than early.
+    const elapsedMs = driver.leads ? now - (this.lastCommandAt ?? now) : 0;
+    this.lastCommandAt = driver.leads ? now : undefined;
+    const command: JobsCommand = {change, elapsedMs};
+    return driver.propose(encodeValue(command));
+  }
+
+  private async answer(request: JobsRequest): Promise<unknown> {
+    const driver = this.group?.driver;
+    if (driver === undefined || this.dispatcher === undefined) {
+      throw new NotLeaderError(null);
+    }
+    const state = driver.read();
+    switch (request.kind) {
+      case 'endJob':
+        return this.propose(driver, {job: request.job, kind: 'endJob'});
+      case 'readBody':
+        return this.readBody(driver, request.job, request.item);
+      case 'readResults':
+        return this.readResults(driver, request);
+      case 'submit': {
+        const {maxWaitingTokens, submission} = request;
+        if (state.jobs.has(submission.id)) {
+          return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
+        }
+        return this.propose(driver, {kind: 'submit', maxWaitingTokens, submission});
+      }
+      case 'tellOnline': {
+        const {online} = this.dispatcher;
+        online.learn(request.sender, request.sequence, request.own);
+        this.dispatcher.poke();
+        return {totals: online.totals()} satisfies TellAnswer;
+      }
+      default:
+        return unreachable(request);
+    }
+  }
+
+  private async readBody(
+    driver: ReplicaDriver<JobsState>,
+    job: JobId,
+    item: string,
+  ): Promise<BodyAnswer> {
+    const ref = findBody(driver.read(), job, item);
+    return ref === undefined
+      ? {kind: 'notFound'}
+      : {body: await driver.readBlob(ref), kind: 'body'};
+  }
+
+  private async readResults(
+    driver: ReplicaDriver<JobsState>,
+    {from, job, waitMs}: Extract<JobsRequest, {kind: 'readResults'}>,
+  ): Promise<ResultsAnswer> {
+    const {clock} = this.options;
+    const end = clock.monotonicMs() + waitMs;
+    for (;;) {
+      const found = findResults(driver.read(), job, from, RESULT_BYTES);
+      if (found === undefined) {
+        return {kind: 'notFound'};
+      }
+      const left = end - clock.monotonicMs();
+      if (found.results.length > 0 || left <= 0 || from >= found.total) {
+        const results = await Promise.all(
+          found.results.map(async ({id, outcome, text}) => ({
+            id,
+            outcome,
+            text: text === null ? new Uint8Array() : await driver.readBlob(text),
+          })),
+        );
+        return {kind: 'results', next: from + results.length, results, total: found.total};
+      }
+      await this.sleep(left);
+    }
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.resultWaiters.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, ms);
+      this.resultWaiters.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -0,0 +1,92 @@
+import type {Clock} from 'stallpaddle';
+
+import {delay, encodeValue} from 'stallpaddle';
+import {
+  EMPTY_VIEW,
+  type FleetRequest,
+  type FleetView,
+  type Hello,
+  takeAnswer,
+  type WatchAnswer,
+} from 'stallpaddle-fleet';
+
+/**
+ * Keeps what a process knows of the fleet, by asking the control group's leader again and again.
+ */
+import type {NodeCaller} from './NodeCaller';
+
+import {CALL_AGAIN_MS, CONTROL_GROUP, WATCH_HOLD_MS, WATCH_TRY_MS} from './NodeConstants';
+
+/** What the watch needs of its process. */
+export interface NodeWatchOptions {
+  readonly caller: NodeCaller;
+  readonly clock: Clock;
+  /** What the process says of itself now. */
+  readonly hello: () => Hello;
+  /** Called after each answer. */
+  readonly onView: (view: FleetView, before: FleetView) => void;
+}
+
+/** See the module's comment. */
+export class NodeWatch {
+  private stopped = false;
+  private current: FleetView = EMPTY_VIEW;
+
+  /**
+   * @param options what it needs of its process
+   */
+  constructor(private readonly options: NodeWatchOptions) {}
+
+  /** What is known now. */
+  get view(): FleetView {
+    return this.current;
+  }
+
+  /** Age of what is known, in milliseconds. */
+  get ageMs(): number {
+    return this.options.clock.monotonicMs() - this.current.asOf;
+  }
+
+  /** Asks until the process stops. */
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      if (!(await this.ask(WATCH_HOLD_MS))) {
+        await delay(CALL_AGAIN_MS);
+      }
+    }
+  }
+
+  /**
+   * Asks once.
+   *
+   * @param waitMs longest hold while there is nothing new, in milliseconds
+   * @returns whether the leader answered
+   */
+  async ask(waitMs: number): Promise<boolean> {
+    const {caller, clock, hello, onView} = this.options;
+    const {config, epoch, fleet} = this.current;
+    const request: FleetRequest = {
+      hello: hello(),
+      kind: 'watch',
+      known: {config: config?.version ?? null, epoch, fleet},
+      waitMs,
+    };
+    const sentAt = clock.monotonicMs();
+    const outcome = await caller.tryOnce(
+      {encoded: encodeValue(request), group: CONTROL_GROUP, query: true},
+      WATCH_TRY_MS,
+    );
+    if (outcome.kind !== 'answered') {
+      return false;
+    }
+    const before = this.current;
+    this.current = takeAnswer(before, outcome.result as WatchAnswer, sentAt);
+    onView(this.current, before);
+    return true;
+  }
+
+  /** Asks no more. */
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -0,0 +1,118 @@
+import type {EngineId, MonotonicMs, Random} from 'stallpaddle';
+import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
+
+/**
+ * Which engine an online request goes to: pure, from what this VM knows.
+ */
+
+/** What a sender has seen of an engine itself. */
+export interface EngineExperience {
+  /** Failures in a row. */
+  readonly failures: number;
+  readonly lastSuccessAt: MonotonicMs;
+  /** Until then the engine gets a request only when no other may have it. */
+  readonly suspectUntil: MonotonicMs;
+}
+
+/** Longest time for which an engine's silence towards the control group is outweighed by an answer. */
+const SUCCESS_COUNTS_MS = 2_000;
+/** First time for which a sender keeps off an engine that failed; doubled with each failure in a row. */
+const SUSPECT_FIRST_MS = 500;
+/** Longest such time, in milliseconds: an engine that is back should not idle for longer. */
+const SUSPECT_MOST_MS = 4_000;
+
+/** Experience with an engine that was never called. */
+export const NO_EXPERIENCE: EngineExperience = {
+  failures: 0,
+  lastSuccessAt: -Infinity,
+  suspectUntil: -Infinity,
+};
+
+/**
+ * Experience after an attempt.
+ *
+ * @param before experience so far
+ * @param ok whether the engine answered
+ * @param now present time
+ */
+export function afterAttempt(
+  before: EngineExperience,
+  ok: boolean,
+  now: MonotonicMs,
+): EngineExperience {
+  if (ok) {
+    return {failures: 0, lastSuccessAt: now, suspectUntil: -Infinity};
+  }
+  const failures = before.failures + 1;
+  const pause = Math.min(SUSPECT_MOST_MS, SUSPECT_FIRST_MS * 2 ** (failures - 1));
+  return {...before, failures, suspectUntil: now + pause};
+}
+
+/**
+ * Whether an engine may be sent work without a second thought.
+ *
+ * @param engine as the control group knows it
+ * @param seen this sender's experience
+ * @param now present time
+ */
+export function isSound(engine: EngineView, seen: EngineExperience, now: MonotonicMs): boolean {
+  if (now < seen.suspectUntil) {
+    return false;
+  }
+  return !engine.silent || now - seen.lastSuccessAt < SUCCESS_COUNTS_MS;
+}
+
+/**
+ * Draws the service for a request by the route's weights.
+ *
+ * @param route the request's route
+ * @param random source of the draw
+ */
+export function drawService(route: FleetRoute, random: Random): string | undefined {
+  const total = route.split.reduce((sum, {weight}) => sum + weight, 0);
+  let at = random() * total;
+  for (const {service, weight} of route.split) {
+    at -= weight;
+    if (weight > 0 && at < 0) {
+      return service;
+    }
+  }
+  return route.split.find(({weight}) => weight > 0)?.service;
+}
+
+/** What placement looks at. */
+export interface PlacementInput {
+  readonly engines: readonly EngineView[];
+  readonly experienceOf: (id: EngineId) => EngineExperience;
+  readonly now: MonotonicMs;
+  /** Online requests at an engine, of all senders, as far as known. */
+  readonly onlineAt: (id: EngineId) => number;
+  readonly random: Random;
+  readonly service: string;
+  /** Engines that this request was already sent to. */
+  readonly tried: ReadonlySet<EngineId>;
+}
+
+/**
+ * The engine with the fewest online requests for its slots; chance decides between equals. Engines
+ * that leave get nothing, suspects only when there is no other.
+ *
+ * @param input what is known
+ */
+export function placeRequest(input: PlacementInput): EngineView | undefined {
+  const {engines, experienceOf, now, onlineAt, random, service, tried} = input;
+  const open = engines.filter(
+    (engine) => engine.service === service && !engine.draining && !tried.has(engine.id),
+  );
+  const sound = open.filter((engine) => isSound(engine, experienceOf(engine.id), now));
+  let best: EngineView | undefined;
+  let bestLoad = Infinity;
+  for (const engine of sound.length > 0 ? sound : open) {
+    const load = (onlineAt(engine.id) + random() / 2) / engine.slots;
+    if (load < bestLoad) {
+      best = engine;
+      bestLoad = load;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -0,0 +1,376 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {EngineId, Verdict} from 'stallpaddle';
+import type {EngineView} from 'stallpaddle-fleet';
+
+import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
+
+/**
+ * Brings one online request to an engine and its answer back, with further attempts where nothing can
+ * run twice by them.
+ */
+import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
+
+import {sendRefusal} from './RelayAnswers';
+import {
+  LOOK_AGAIN_MS,
+  MAX_DECLINES,
+  QUEUED_PART_OF_SLOTS,
+  RETRY_AFTER_MS,
+  WHOLE_ANSWER_BYTES,
+} from './RelayConstants';
+import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
+import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
+import {passedHeaders} from './RelayHeaders';
+import {drawService, placeRequest} from './RelayPlacement';
+
+type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
+
+/** What reading an answer came to. */
+type ReadEnd = 'broken' | 'whole';
+
+const SERVER_ERROR = 500;
+
+/** See the module's comment. */
+export class RelayRun {
+  private call: EngineCall | undefined;
+  private declines = 0;
+  private end: RelayEnd | undefined;
+  private lastEvent: string | null;
+  private readonly sentTo = new Set<EngineId>();
+  private verdict: Verdict = 'notRun';
+
+  /**
+   * @param context what the relay needs of its process
+   * @param req the request
+   * @param res the caller's response
+   */
+  constructor(
+    private readonly context: RelayContext,
+    private readonly req: RelayRequest,
+    private readonly res: ServerResponse,
+  ) {
+    this.lastEvent = req.facts.resumeAfter;
+  }
+
+  private get repeatable(): boolean {
+    const {kind, resumable} = this.req.route;
+    return kind === 'repeatable' || (kind === 'streaming' && resumable);
+  }
+
+  private get remainingMs(): number {
+    const {arrivedAt, facts, route} = this.req;
+    const allowed = Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
+    return arrivedAt + allowed - this.context.clock.monotonicMs();
+  }
+
+  /**
+   * Serves the request to its end.
+   *
+   * @returns how it ended
+   */
+  async run(): Promise<RelayEnd> {
+    const {res} = this;
+    const onClose = (): void => {
+      if (!res.writableFinished) {
+        this.finish('left');
+      }
+    };
+    res.on('close', onClose);
+    const timer = setTimeout(() => this.timeOut(), Math.max(0, this.remainingMs));
+    try {
+      while (this.end === undefined) {
+        await this.attempt();
+      }
+    } finally {
+      clearTimeout(timer);
+      res.off('close', onClose);
+    }
+    this.logEnd();
+    return this.end;
+  }
+
+  private logEnd(): void {
+    const {arrivedAt, facts, route} = this.req;
+    this.context.decide('ended', facts.requestId, {
+      end: this.end,
+      engines: [...this.sentTo].join(','),
+      ms: Math.round(this.context.clock.monotonicMs() - arrivedAt),
+      route: route.name,
+      verdict: this.verdict,
+    });
+  }
+
+  private finish(end: RelayEnd): void {
+    if (this.end === undefined) {
+      this.end = end;
+      this.call?.close();
+    }
+  }
+
+  private refuse(message: string): void {
+    if (this.end !== undefined) {
+      return;
+    }
+    this.finish(this.res.headersSent ? 'broken' : 'refused');
+    if (this.res.headersSent) {
+      // Without its last chunk the answer can't be taken for a whole one.
+      this.res.destroy();
+    } else if (this.verdict === 'notRun') {
+      const details = {retryAfterMs: RETRY_AFTER_MS};
+      sendRefusal(this.res, new RefusalError('unavailable', 'notRun', message, details));
+    } else {
+      sendRefusal(this.res, new RefusalError('engineFailed', this.verdict, message));
+    }
+  }
+
+  private timeOut(): void {
+    if (this.end !== undefined) {
+      return;
+    }
+    this.finish('timedOut');
+    if (this.res.headersSent) {
+      this.res.destroy();
+      return;
+    }
+    const code =
+      this.verdict === 'notRun' && this.sentTo.size === 0 ? 'unavailable' : 'deadlineExceeded';
+    const verdict = this.sentTo.size === 0 ? 'notRun' : 'mayHaveRun';
+    sendRefusal(this.res, new RefusalError(code, verdict, 'The request’s time is over.'));
+  }
+
+  private place(): EngineView | undefined {
+    const {clock, engines, experience, online, random} = this.context;
+    const service = drawService(this.req.route, random);
+    if (service === undefined) {
+      return undefined;
+    }
+    return placeRequest({
+      engines: engines(),
+      experienceOf: (id) => experience.of(id),
+      now: clock.monotonicMs(),
+      onlineAt: (id) => online.at(id),
+      random,
+      service,
+      tried: this.sentTo,
+    });
+  }
+
+  private async attempt(): Promise<void> {
+    const {maxAttempts} = this.req.route;
+    if (this.verdict !== 'notRun' && this.sentTo.size - this.declines >= maxAttempts) {
+      this.refuse('All engines that the request may be sent to have failed.');
+      return;
+    }
+    const engine = this.place();
+    if (engine === undefined) {
+      // A stream that has begun is worth a wait; a request that has not is better refused at once.
+      if (this.res.headersSent) {
+        this.sentTo.clear();
+        await delay(LOOK_AGAIN_MS);
+      } else {
+        this.refuse('No engine of the service can take the request.');
+      }
+      return;
+    }
+    const most = engine.slots * (1 + QUEUED_PART_OF_SLOTS);
+    if (this.context.online.at(engine.id) >= most && !this.res.headersSent) {
+      this.refuse('All engines of the service are full.');
+      return;
+    }
+    await this.send(engine);
+  }
+
+  private async send(engine: EngineView): Promise<void> {
+    const {clock, decide, experience, online, viewAgeMs, wire} = this.context;
+    const {body, facts, method, path, rawHeaders} = this.req;
+    const resumeAfter = this.lastEvent;
+    this.sentTo.add(engine.id);
+    decide(this.res.headersSent ? 'resumed' : 'placed', facts.requestId, {
+      attempt: this.sentTo.size,
+      engine: engine.id,
+      online: online.at(engine.id),
+      resumeAfter: resumeAfter ?? undefined,
+      viewAgeMs: Math.round(viewAgeMs()),
+      waitedMs: Math.round(clock.monotonicMs() - this.req.arrivedAt),
+    });
+    const end = online.registerRequest(engine.id);
+    try {
+      const headers = wire.engineHeaders({
+        deadlineMs: Math.max(1, Math.floor(this.remainingMs)),
+        engine: engine.id,
+        requestId: facts.requestId,
+        resumeAfter,
+      });
+      this.call = startEngineCall(wire, {
+        address: engine.address,
+        body,
+        headers: passedHeaders(rawHeaders, headers),
+        method,
+        path,
+        requestId: facts.requestId,
+      });
+      const start = await this.call.started;
+      if (this.end === undefined) {
+        await this.onStart(engine, start);
+      }
+    } finally {
+      this.call?.close();
+      end();
+      if (this.end === undefined) {
+        experience.note(engine.id, false);
+      }
+    }
+  }
+
+  private async onStart(engine: EngineView, start: EngineCallStart): Promise<void> {
+    switch (start.kind) {
+      case 'notRun':
+        this.declines++;
+        this.context.decide('declined', this.req.facts.requestId, {
+          engine: engine.id,
+          reason: start.reason,
+        });
+        if (this.declines >= MAX_DECLINES) {
+          this.refuse('The engines are full or can’t be reached.');
+        }
+        return;
+      case 'mayHaveRun':
+        this.onFailure(start.reason);
+        return;
+      case 'answer':
+        await this.onAnswer(engine, start);
+        return;
+    }
+  }
+
+  /** An attempt failed after the request was sent. */
+  private onFailure(reason: string): void {
+    this.verdict = joinVerdicts(this.verdict, 'mayHaveRun');
+    if (!this.repeatable) {
+      this.refuse(`The engine failed: ${reason}.`);
+    }
+  }
+
+  private async onAnswer(engine: EngineView, {res}: Answer): Promise<void> {
+    const status = res.statusCode ?? SERVER_ERROR;
+    if (status >= SERVER_ERROR) {
+      await this.onServerFailure(status, res);
+      return;
+    }
+    this.verdict = 'ran';
+    const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
+    const read = isStream && status < 300 ? this.passStream(res) : this.passWhole(res);
+    const end = await read;
+    if (this.end !== undefined) {
+      return;
+    }
+    if (end === 'whole') {
+      this.context.experience.note(engine.id, true);
+      this.res.end();
+      this.finish('served');
+      return;
+    }
+    if (!this.repeatable || (!isStream && this.res.headersSent)) {
+      this.refuse('The engine broke its answer off.');
+    }
+  }
+
+  /** The engine's own failure: another engine may do better, if the request may run again. */
+  private async onServerFailure(status: number, res: IncomingMessage): Promise<void> {
+    const attemptsLeft = this.sentTo.size - this.declines < this.req.route.maxAttempts;
+    this.verdict = 'ran';
+    if (this.res.headersSent || (this.repeatable && attemptsLeft)) {
+      return;
+    }
+    if (status === 503) {
+      // The status would promise that nothing ran.
+      this.refuse('The engine failed.');
+      return;
+    }
+    if ((await this.passWhole(res)) === 'whole' && this.end === undefined) {
+      this.res.end();
+      this.finish('serverFailure');
+    } else {
+      this.refuse('The engine failed and broke its answer off.');
+    }
+  }
+
+  private writeHead(res: IncomingMessage, length: number | null): void {
+    if (this.res.headersSent) {
+      return;
+    }
+    const headers = passedHeaders(res.rawHeaders);
+    if (length !== null) {
+      headers.push('Content-Length', String(length));
+    }
+    this.res.writeHead(res.statusCode!, res.statusMessage ?? '', headers);
+  }
+
+  private async write(bytes: Uint8Array): Promise<void> {
+    if (!this.res.write(bytes) && !this.res.destroyed) {
+      await new Promise<void>((resolve) => {
+        this.res.once('drain', resolve);
+        this.res.once('close', resolve);
+      });
+    }
+  }
+
+  /** Passes events on as they come, each of them whole. */
+  private async passStream(res: IncomingMessage): Promise<ReadEnd> {
+    const splitter = new EventSplitter();
+    try {
+      for await (const chunk of res) {
+        for (const event of splitter.push(chunk as Buffer)) {
+          if (!(await this.passEvent(res, event))) {
+            return 'broken';
+          }
+        }
+      }
+    } catch {
+      return 'broken';
+    }
+    return res.complete && splitter.pending === 0 && this.res.headersSent ? 'whole' : 'broken';
+  }
+
+  private async passEvent(res: IncomingMessage, event: StreamEvent): Promise<boolean> {
+    if (this.end !== undefined || !continues(this.lastEvent, event.id)) {
+      return false;
+    }
+    this.writeHead(res, null);
+    this.lastEvent = event.id ?? this.lastEvent;
+    await this.write(event.raw);
+    return true;
+  }
+
+  /** Passes an answer on once it has come whole; a long one as it comes. */
+  private async passWhole(res: IncomingMessage): Promise<ReadEnd> {
+    let held: Buffer[] | null = [];
+    let size = 0;
+    try {
+      for await (const chunk of res) {
+        const bytes = chunk as Buffer;
+        size += bytes.length;
+        held?.push(bytes);
+        if (held !== null && size > WHOLE_ANSWER_BYTES) {
+          const length = res.headers['content-length'];
+          this.writeHead(res, length === undefined ? null : Number(length));
+          await this.write(Buffer.concat(held));
+          held = null;
+        } else if (held === null) {
+          await this.write(bytes);
+        }
+      }
+    } catch {
+      return 'broken';
+    }
+    if (!res.complete || this.end !== undefined) {
+      return 'broken';
+    }
+    if (held !== null) {
+      const whole = Buffer.concat(held);
+      this.writeHead(res, whole.length);
+      await this.write(whole);
+    }
+    return 'whole';
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -0,0 +1,51 @@
+/**
+ * A request on its way through the relay, and what the relay needs of its process.
+ */
+import type {Clock, LogFields, MonotonicMs, Random} from 'stallpaddle';
+import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
+
+import type {RelayExperience} from './RelayExperience';
+import type {RelayOnline} from './RelayOnline';
+import type {CallerFacts, RelayWire} from './RelayWire';
+
+/** A caller's request, read whole. */
+export interface RelayRequest {
+  readonly arrivedAt: MonotonicMs;
+  readonly body: Uint8Array;
+  readonly facts: CallerFacts;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly route: FleetRoute;
+}
+
+/** How a request ended, for counters and logs. */
+export type RelayEnd =
+  /** Broken off midway: the caller can see that its answer isn't whole. */
+  | 'broken'
+  /** The caller left. */
+  | 'left'
+  | 'refused'
+  | 'served'
+  /** Answered with an engine's own failure. */
+  | 'serverFailure'
+  /** Ended by its deadline or the route's time limit. */
+  | 'timedOut';
+
+/** One decision on a request. */
+export type RelayDecision = 'declined' | 'ended' | 'placed' | 'resumed' | 'taken';
+
+/** What the relay needs of its process. */
+export interface RelayContext {
+  readonly clock: Clock;
+  /** Writes one line for a decision. */
+  readonly decide: (decision: RelayDecision, requestId: string, fields: LogFields) => void;
+  readonly engines: () => readonly EngineView[];
+  readonly experience: RelayExperience;
+  readonly online: RelayOnline;
+  readonly random: Random;
+  /** Age of what is known of the fleet, in milliseconds. */
+  readonly viewAgeMs: () => number;
+  readonly wire: RelayWire;
+}
--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -0,0 +1,51 @@
+/**
+ * What the relay must know of the words that callers and engines use. An adapter supplies it; the
+ * relay itself knows no header by name but those of HTTP.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {EngineId} from 'stallpaddle';
+
+/** What a caller says of its request. */
+export interface CallerFacts {
+  /** How long the caller will wait, in milliseconds, where it says so. */
+  readonly deadlineMs: number | null;
+  /** The caller's name for this attempt. */
+  readonly requestId: string;
+  /** Last event that the caller already has, when it takes up a stream again. */
+  readonly resumeAfter: string | null;
+}
+
+/** What an engine must be told with a request. */
+export interface EngineCallFacts {
+  /** Time left, in milliseconds; null when the caller named none and the work has none. */
+  readonly deadlineMs: number | null;
+  /** The engine that is meant: another one at its address must not run the request. */
+  readonly engine: EngineId;
+  readonly requestId: string;
+  /** Last event that has arrived, when a stream goes on at another engine. */
+  readonly resumeAfter: string | null;
+}
+
+/** What the head of an engine's answer tells. */
+export interface AnswerFacts {
+  /** The engine itself says that it did not run the request. */
+  readonly notRun: boolean;
+  /** The address now belongs to another engine, which did not run the request. */
+  readonly otherEngine: boolean;
+  /** Name of the request that the answer belongs to. */
+  readonly requestId: string | null;
+  /** Whether the answer carries the engine's signature. */
+  readonly signed: boolean;
+}
+
+/** One header line. */
+export type HeaderLine = readonly [name: string, value: string];
+
+/** See the module's comment. */
+export interface RelayWire {
+  /** Header lines that the relay sets in place of any that the caller sent under these names. */
+  readonly engineHeaders: (facts: EngineCallFacts) => readonly HeaderLine[];
+  readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
+  /** Null when the request lacks what it must carry. */
+  readonly readCaller: (headers: IncomingHttpHeaders) => CallerFacts | null;
+}
--- /dev/null
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -0,0 +1,26 @@
+/** Brings callers' requests to engines and the answers back. */
+export {sendRefusal} from './RelayAnswers';
+export {RETRY_AFTER_MS} from './RelayConstants';
+export {
+  CONNECT_TIMEOUT_MS,
+  type EngineCall,
+  type EngineCallStart,
+  type EngineRequest,
+  type NotRunReason,
+  startEngineCall,
+} from './RelayEngineCall';
+export {continues, EventSplitter, type StreamEvent} from './RelayEvents';
+export {RelayExperience} from './RelayExperience';
+export {passedHeaders} from './RelayHeaders';
+export {type OnlineCounts, RelayOnline} from './RelayOnline';
+export {
+  drawService,
+  type EngineExperience,
+  isSound,
+  NO_EXPERIENCE,
+  type PlacementInput,
+  placeRequest,
+} from './RelayPlacement';
+export {RelayRun} from './RelayRun';
+export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
+export type {AnswerFacts, CallerFacts, EngineCallFacts, HeaderLine, RelayWire} from './RelayWire';
--- a/packages/stallpaddle-vm/src/VmIdentity.ts
+++ b/packages/stallpaddle-replication/src/ReplicaIdentity.ts
@@ -6,7 +6,7 @@
 
 import {randomBytes} from 'node:crypto';
 import {replaceFile} from 'stallpaddle-storage';
-import {z} from 'zod';
+import {z} from 'zod/mini';
 
 const FILE_NAME = 'identity.json';
 const INCARNATION_BYTES = 6;
@@ -19,8 +19,9 @@
  *
  * @param disk data folder
  * @param vm this VM
+ * @param first the name that an empty disk gets, where others must know it beforehand
  */
-export async function loadIdentity(disk: Disk, vm: VmId): Promise<ReplicaId> {
+export async function loadIdentity(disk: Disk, vm: VmId, first?: string): Promise<ReplicaId> {
   const bytes = await disk.read(FILE_NAME);
   if (bytes !== undefined) {
     const identity = identitySchema.parse(JSON.parse(Buffer.from(bytes).toString()));
@@ -29,7 +30,7 @@
     }
     return `${vm}/${identity.incarnation}`;
   }
-  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  const incarnation = first ?? randomBytes(INCARNATION_BYTES).toString('hex');
   await replaceFile(disk, FILE_NAME, Buffer.from(JSON.stringify({incarnation, vm})));
   return `${vm}/${incarnation}`;
 }
--- a/packages/stallpaddle-vm/src/__tests__/unit/VmIdentity.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaIdentity.test.ts
@@ -1,7 +1,7 @@
 import {FakeDisk} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
-import {loadIdentity} from '../../VmIdentity';
+import {loadIdentity} from '../../ReplicaIdentity';
 
 describe('loadIdentity', () => {
   test('keeps a disk its name, through a crash too', async () => {
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -8,6 +8,7 @@
   type SnapshotSource,
 } from './ReplicaDriver';
 export {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
+export {loadIdentity} from './ReplicaIdentity';
 export type {MachineResult, PlacedBlob, ReplicaMachine} from './ReplicaMachine';
 export {type MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 export {DEFAULT_TIMING} from './ReplicationConstants';
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -10,8 +10,14 @@
 import {authorizationOf} from './RpcServer';
 
 const MAX_MESSAGE_BYTES = 16_777_216;
-const PING_INTERVAL_MS = 2_000;
-const PING_TIMEOUT_MS = 2_000;
+/** Time between pings of a quiet connection, in milliseconds. */
+const DEFAULT_PING_MS = 2_000;
+
+/** How connections are watched. */
+export interface RpcClientsOptions {
+  /** Time between pings, and longest wait for a ping's answer, in milliseconds. */
+  readonly pingMs?: number;
+}
 
 /** Client of one VM. */
 export type PeerClient = Client<typeof PeerService>;
@@ -27,8 +33,12 @@
 
   /**
    * @param vmKey key that all VMs share
+   * @param options how connections are watched
    */
-  constructor(private readonly vmKey: string) {}
+  constructor(
+    private readonly vmKey: string,
+    private readonly options: RpcClientsOptions = {},
+  ) {}
 
   /**
    * Client of the VM at an address.
@@ -42,11 +52,12 @@
     if (known !== undefined) {
       return known.client;
     }
+    const {pingMs = DEFAULT_PING_MS} = this.options;
     const sessions = new Http2SessionManager(baseUrl, {
       // A connection that was cut without a word must not hold up what comes after the cut.
       pingIdleConnection: true,
-      pingIntervalMs: PING_INTERVAL_MS,
-      pingTimeoutMs: PING_TIMEOUT_MS,
+      pingIntervalMs: pingMs,
+      pingTimeoutMs: pingMs,
     });
     const transport = createConnectTransport({
       // Messages are small and the network near: compressing costs more than it saves.
--- a/packages/stallpaddle-vm/src/VmOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -3,18 +3,22 @@
  * more than the message.
  */
 import type {Message} from 'stallpaddle-replication';
-import type {PeerClient} from 'stallpaddle-rpc';
 
 import {delay, encodeValue} from 'stallpaddle';
 
-import {OUTBOX_MESSAGES, OUTBOX_REOPEN_MS} from './VmConstants';
+import type {PeerClient} from './RpcClients';
+
+/** Pause before a stream of replication messages that broke off is opened again, in milliseconds. */
+const OUTBOX_REOPEN_MS = 50;
+/** Most messages that wait for one VM; the oldest are dropped, as a network would. */
+const OUTBOX_MESSAGES = 512;
 
 interface Delivery {
   readonly encoded: Uint8Array[];
 }
 
 /** See the module's comment. */
-export class VmOutbox {
+export class RpcOutbox {
   private closed = false;
   private messages: Message[] = [];
   private open = false;
--- a/packages/stallpaddle-vm/src/VmSnapshots.ts
+++ b/packages/stallpaddle-rpc/src/RpcSnapshots.ts
@@ -1,18 +1,27 @@
-import type {GroupId, ReplicaId} from 'stallpaddle';
-import type {MachineSnapshot, SnapshotMeta, SnapshotSource} from 'stallpaddle-replication';
-import type {PeerClient} from 'stallpaddle-rpc';
+import type {GroupId} from 'stallpaddle';
+import type {
+  MachineSnapshot,
+  ReplicaDriver,
+  SnapshotMeta,
+  SnapshotSource,
+} from 'stallpaddle-replication';
 
-import {decodeValue, encodeValue, vmOfReplica} from 'stallpaddle';
+import {decodeValue, encodeValue} from 'stallpaddle';
 import {SNAPSHOT_CHUNK_BYTES} from 'stallpaddle-replication';
 
 /**
  * Brings snapshots to other VMs and takes them in, piece by piece.
  */
-import type {AnyReplica} from './VmGroups';
-import type {VmPeers} from './VmPeers';
+import type {PeerClient} from './RpcClients';
 
 const PIECE_TIMEOUT_MS = 10_000;
 
+/** A replica, as far as a transfer needs it. */
+export type SnapshotTarget = Pick<
+  ReplicaDriver<unknown>,
+  'beginInstall' | 'finishInstall' | 'installBlobs'
+>;
+
 /** A step of a transfer as it comes off the wire. */
 export type InstallStep =
   | {readonly case: 'beginEncoded'; readonly value: Uint8Array}
@@ -34,17 +43,14 @@
 /**
  * Brings a snapshot to a replica: first the bulk data that it lacks, then the state.
  *
- * @param peers other VMs
- * @param to receiver
+ * @param client the receiver; undefined while its address is not known
  * @param source the snapshot
  * @returns whether the receiver took it over
  */
 export async function sendSnapshot(
-  peers: VmPeers,
-  to: ReplicaId,
+  client: PeerClient | undefined,
   source: SnapshotSource,
 ): Promise<boolean> {
-  const client = peers.clientOf(vmOfReplica(to));
   if (client === undefined) {
     return false;
   }
@@ -99,7 +105,7 @@
    */
   async take(
     group: GroupId,
-    replica: AnyReplica,
+    replica: SnapshotTarget,
     term: number,
     step: InstallStep,
   ): Promise<InstallReply> {
@@ -122,7 +128,7 @@
 
   private async takeState(
     group: GroupId,
-    replica: AnyReplica,
+    replica: SnapshotTarget,
     term: number,
     piece: {readonly bytes: Uint8Array; readonly last: boolean; readonly offset: bigint},
   ): Promise<InstallReply> {
--- a/packages/stallpaddle-vm/src/VmConstants.ts
+++ b/packages/stallpaddle-vm/src/VmConstants.ts
@@ -14,12 +14,6 @@
 /** Pause before the next try. */
 export const GROUP_RETRY_MS = 30;
 
-/** Pause before a stream of replication messages that broke off is opened again. */
-export const OUTBOX_REOPEN_MS = 50;
-
-/** Most messages that wait for one VM; the oldest are dropped, as a network would. */
-export const OUTBOX_MESSAGES = 512;
-
 /** How long a VM with a disk holds a beat while it has nothing new to tell. */
 export const BEAT_WAIT_MS = 500;
 
--- a/packages/stallpaddle-vm/src/VmGroupClient.ts
+++ b/packages/stallpaddle-vm/src/VmGroupClient.ts
@@ -3,8 +3,8 @@
 import type {LedgerAnswer, LedgerPort} from 'stallpaddle-ledger';
 import type {BlobRef} from 'stallpaddle-storage';
 
-import {decodeValue, delay, encodeValue, RefusalError, vmOfReplica} from 'stallpaddle';
-import {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from 'stallpaddle-replication';
+import {delay, encodeValue, RefusalError} from 'stallpaddle';
+import {tryLocal, type TryOutcome, tryRemote} from 'stallpaddle-rpc';
 
 /**
  * Calls to a group from any VM: finds the leader, and tries again while that can do no harm.
@@ -14,12 +14,6 @@
 
 import {GROUP_CALL_MS, GROUP_RETRY_MS, GROUP_TRY_MS} from './VmConstants';
 
-/** What one try came to. */
-export type TryOutcome =
-  | {readonly kind: 'answered'; readonly result: unknown}
-  | {readonly kind: 'notLeader'; readonly leader: VmId | null}
-  | {readonly kind: 'unknown'};
-
 /** What a client needs of its VM. */
 export interface VmGroupClientOptions {
   readonly clock: Clock;
@@ -119,29 +113,11 @@
   private tryAt(vm: VmId, encoded: Uint8Array, query: boolean): Promise<TryOutcome> {
     return vm === this.options.vm
       ? callLocal(this.options.groups, this.group, encoded, query)
-      : this.tryRemote(vm, encoded, query);
-  }
-
-  private async tryRemote(vm: VmId, encoded: Uint8Array, query: boolean): Promise<TryOutcome> {
-    const client = this.options.peers.clientOf(vm);
-    if (client === undefined) {
-      return {kind: 'notLeader', leader: null};
-    }
-    try {
-      const request = {encoded, group: this.group, query};
-      const {outcome} = await client.call(request, {timeoutMs: GROUP_TRY_MS});
-      switch (outcome.case) {
-        case 'encoded':
-          return {kind: 'answered', result: decodeValue(outcome.value)};
-        case 'notLeader':
-          return {kind: 'notLeader', leader: outcome.value.leaderVm || null};
-        case 'outcomeUnknown':
-        case undefined:
-          return {kind: 'unknown'};
-      }
-    } catch {
-      return {kind: 'unknown'};
-    }
+      : tryRemote(
+          this.options.peers.clientOf(vm),
+          {encoded, group: this.group, query},
+          GROUP_TRY_MS,
+        );
   }
 }
 
@@ -163,18 +139,7 @@
   if (groups === undefined || replica === undefined) {
     return {kind: 'notLeader', leader: null};
   }
-  try {
-    const result = query ? groups.query(group, encoded) : await replica.propose(encoded);
-    return {kind: 'answered', result};
-  } catch (err) {
-    if (err instanceof NotLeaderError) {
-      return {kind: 'notLeader', leader: err.leader === null ? null : vmOfReplica(err.leader)};
-    }
-    if (err instanceof OutcomeUnknownError || err instanceof ReplicaStoppedError) {
-      return {kind: 'unknown'};
-    }
-    throw err;
-  }
+  return tryLocal(() => (query ? groups.query(group, encoded) : replica.propose(encoded)));
 }
 
 /**
--- a/packages/stallpaddle-vm/src/VmGroups.ts
+++ b/packages/stallpaddle-vm/src/VmGroups.ts
@@ -6,10 +6,11 @@
 import type {Disk} from 'stallpaddle-storage';
 
 import path from 'node:path';
-import {decodeValue, delay} from 'stallpaddle';
+import {decodeValue, delay, vmOfReplica} from 'stallpaddle';
 import {controlMachine, queryControl} from 'stallpaddle-control';
 import {ledgerMachine, queryLedger} from 'stallpaddle-ledger';
 import {DEFAULT_TIMING, ReplicaDriver, ReplicaStorage} from 'stallpaddle-replication';
+import {sendSnapshot} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
 /**
@@ -18,7 +19,6 @@
 import type {VmPeers} from './VmPeers';
 
 import {CONTROL_GROUP, FORM_RETRY_MS, GROUP_TRY_MS} from './VmConstants';
-import {sendSnapshot} from './VmSnapshots';
 
 /** A replica of any group, as far as the VM handles all alike. */
 export type AnyReplica = ReplicaDriver<ControlState> | ReplicaDriver<LedgerState>;
@@ -192,7 +192,7 @@
       timing: DEFAULT_TIMING,
       transport: {
         send: (message) => peers.send(message),
-        sendSnapshot: (to, source) => sendSnapshot(peers, to, source),
+        sendSnapshot: (to, source) => sendSnapshot(peers.clientOf(vmOfReplica(to)), source),
       },
     };
     return ReplicaDriver.open(options);
--- a/packages/stallpaddle-vm/src/VmPeers.ts
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -7,14 +7,12 @@
 
 import {type VmId, vmOfReplica} from 'stallpaddle';
 import {type Address, type MembershipState} from 'stallpaddle-membership';
-import {RpcClients} from 'stallpaddle-rpc';
-
-import {VmOutbox} from './VmOutbox';
+import {RpcClients, RpcOutbox} from 'stallpaddle-rpc';
 
 /** Other VMs as this one reaches them. */
 export class VmPeers {
   private readonly clients: RpcClients;
-  private readonly outboxes = new Map<VmId, VmOutbox>();
+  private readonly outboxes = new Map<VmId, RpcOutbox>();
   private stopped = false;
 
   /**
@@ -58,7 +56,7 @@
       return;
     }
     const vm = vmOfReplica(message.to);
-    const outbox = this.outboxes.get(vm) ?? new VmOutbox(() => this.clientOf(vm));
+    const outbox = this.outboxes.get(vm) ?? new RpcOutbox(() => this.clientOf(vm));
     this.outboxes.set(vm, outbox);
     outbox.add(message);
   }
--- a/packages/stallpaddle-vm/src/VmService.ts
+++ b/packages/stallpaddle-vm/src/VmService.ts
@@ -1,10 +1,9 @@
-import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {EngineId, VmId} from 'stallpaddle';
 
 import {Code, ConnectError} from '@connectrpc/connect';
-import {decodeValue, encodeValue} from 'stallpaddle';
-import {type CallResponseSchema, PeerService} from 'stallpaddle-rpc';
+import {decodeValue} from 'stallpaddle';
+import {encodeOutcome, type InstallStep, PeerService, SnapshotReceiver} from 'stallpaddle-rpc';
 
 /**
  * What this VM answers to other VMs.
@@ -12,21 +11,7 @@
 import type {VmBeats} from './VmBeats';
 import type {VmGroups} from './VmGroups';
 
-import {callLocal, type TryOutcome} from './VmGroupClient';
-import {type InstallStep, SnapshotReceiver} from './VmSnapshots';
-
-type WireOutcome = MessageInitShape<typeof CallResponseSchema>['outcome'];
-
-function encodeOutcome(outcome: TryOutcome): WireOutcome {
-  switch (outcome.kind) {
-    case 'answered':
-      return {case: 'encoded', value: encodeValue(outcome.result)};
-    case 'notLeader':
-      return {case: 'notLeader', value: {leaderVm: outcome.leader ?? ''}};
-    case 'unknown':
-      return {case: 'outcomeUnknown', value: {}};
-  }
-}
+import {callLocal} from './VmGroupClient';
 
 /**
  * Adds the service to a router.
--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -7,12 +7,14 @@
 export type LogPart =
   | 'batch'
   | 'control'
+  | 'entry'
   | 'gateway'
   | 'ledger'
   | 'load'
   | 'membership'
   | 'replication'
   | 'standin'
+  | 'store'
   | 'vm';
 
 /** Facts that go with a sentence. */
@@ -28,6 +30,9 @@
 /** How lines are written. */
 export type LogFormat = 'json' | 'silent' | 'text';
 
+/** Takes a line with its line feed. */
+export type WriteLine = (line: string) => void;
+
 /** Makes a logger for each part. */
 export type LoggerFactory = (part: LogPart) => Logger;
 
@@ -38,31 +43,43 @@
     .join('');
 }
 
-function jsonReporter(entry: LogObject): void {
-  const [message, fields] = entry.args as unknown as readonly [string, LogFields];
-  const line = {
-    level: entry.type,
-    message,
-    part: entry.tag,
-    time: entry.date.toISOString(),
-    ...fields,
+function jsonReporter(write: WriteLine): (entry: LogObject) => void {
+  return (entry) => {
+    const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+    const line = {
+      level: entry.type,
+      message,
+      part: entry.tag,
+      time: entry.date.toISOString(),
+      ...fields,
+    };
+    write(`${JSON.stringify(line)}\n`);
   };
-  process.stderr.write(`${JSON.stringify(line)}\n`);
 }
 
-function textReporter(entry: LogObject): void {
-  const [message, fields] = entry.args as unknown as readonly [string, LogFields];
-  const time = entry.date.toISOString().slice(11, 23);
-  process.stderr.write(`${time} ${entry.type} [${entry.tag}] ${message}${textFields(fields)}\n`);
+function textReporter(write: WriteLine): (entry: LogObject) => void {
+  return (entry) => {
+    const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+    const time = entry.date.toISOString().slice(11, 23);
+    write(`${time} ${entry.type} [${entry.tag}] ${message}${textFields(fields)}\n`);
+  };
 }
 
+const writeToStandardError: WriteLine = (line) => {
+  process.stderr.write(line);
+};
+
 /**
  * Makes the process's logger factory.
  *
  * @param format how lines are written; `silent` writes none
+ * @param write takes the lines; by default they go to standard error
  */
-export function createLoggerFactory(format: LogFormat): LoggerFactory {
-  const log = format === 'json' ? jsonReporter : textReporter;
+export function createLoggerFactory(
+  format: LogFormat,
+  write: WriteLine = writeToStandardError,
+): LoggerFactory {
+  const log = format === 'json' ? jsonReporter(write) : textReporter(write);
   return (part) => {
     const consola = createConsola({
       level: format === 'silent' ? -1 : 3,
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -21,6 +21,7 @@
   type ZoneId,
 } from './Ids';
 export {invariant, InvariantError, unreachable} from './Invariant';
+export {LineWriter} from './LineWriter';
 export {
   createLoggerFactory,
   type LogFields,
@@ -29,6 +30,7 @@
   type LoggerFactory,
   type LogPart,
   silentLogger,
+  type WriteLine,
 } from './Logger';
 export {registerLoop} from './Loop';
 export {exponentialMs, type Random, seededRandom} from './Random';
