--- /dev/null
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
@@ -0,0 +1,64 @@
+/**
+ * Checks of whole configurations, and the choice of a route.
+ */
+import {describe, expect, test} from 'vitest';
+
+import type {FleetConfig, FleetRoute} from '../../FleetTypes';
+
+import {findConfigFault, RouteTable} from '../../FleetConfigs';
+
+function routeOf(name: string, changes: Partial<FleetRoute> = {}): FleetRoute {
+  return {
+    giveUpAfterMs: 0,
+    host: 'a.example',
+    kind: 'streaming',
+    maxAttempts: 1,
+    maxWaitingTokens: 0,
+    name,
+    objectiveMs: 300,
+    pathPrefix: `/${name}/`,
+    resumable: false,
+    split: [{service: 's', weight: 1}],
+    targetMs: 0,
+    timeoutMs: 5_000,
+    ...changes,
+  };
+}
+
+function configOf(routes: readonly FleetRoute[]): FleetConfig {
+  const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
+  const services = [{maxConnections: 9, name: 's', slots: 8}];
+  return {limits, routes, services, source: '', version: 1};
+}
+
+describe('findConfigFault', () => {
+  test('finds nothing in a sound one', () => {
+    expect(findConfigFault(configOf([routeOf('a'), routeOf('b')]))).toBeNull();
+  });
+
+  test.each<[string, readonly FleetRoute[]]>([
+    ['an unknown service', [routeOf('a', {split: [{service: 'x', weight: 1}]})]],
+    ['the same place twice', [routeOf('a'), routeOf('b', {pathPrefix: '/a/'})]],
+    ['weights of 0', [routeOf('a', {split: [{service: 's', weight: 0}]})]],
+    ['no service', [routeOf('a', {split: []})]],
+    ['no time', [routeOf('a', {timeoutMs: 0})]],
+    ['an open prefix', [routeOf('a', {pathPrefix: '/a'})]],
+  ])('names %s', (_, routes) => {
+    expect(findConfigFault(configOf(routes))?.path).toMatch(/^routes\./);
+  });
+});
+
+describe('RouteTable', () => {
+  test('takes the longest prefix of the host', () => {
+    const routes = [
+      routeOf('short', {pathPrefix: '/a/'}),
+      routeOf('long', {pathPrefix: '/a/b/'}),
+      routeOf('other', {host: 'b.example', pathPrefix: '/a/b/c/'}),
+    ];
+    const table = new RouteTable(configOf(routes));
+    expect(table.find('a.example', '/a/b/c/d')?.name).toBe('long');
+    expect(table.find('a.example', '/a/c')?.name).toBe('short');
+    expect(table.find('a.example', '/ab/c')).toBeUndefined();
+    expect(table.find('c.example', '/a/c')).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
@@ -0,0 +1,161 @@
+/**
+ * Batch jobs under repeated and reordered commands, beside a naive model.
+ */
+import fc from 'fast-check';
+import {decodeValue, encodeValue} from 'stallpaddle';
+import {assertHistories} from 'stallpaddle-testing';
+import {describe, expect, test} from 'vitest';
+
+import type {JobsAnswer, JobsChange, JobsState, Submission} from '../../JobsTypes';
+
+import {jobsMachine, updateJobs} from '../../JobsMachine';
+import {findBody, findResults} from '../../JobsQueries';
+
+const EMPTY = jobsMachine.initial();
+const MOST = 100;
+
+function submissionOf(id: string, items: number, tokens = 10): Submission {
+  return {
+    host: 'h',
+    id,
+    items: Array.from({length: items}, (_, at) => ({
+      body: Buffer.from(`${id}${at}`),
+      headers: [],
+      id: `${id}-${at}`,
+      path: '/p',
+      tokens,
+    })),
+    path: '/p',
+    route: 'r',
+  };
+}
+
+function submit(id: string, items: number, tokens = 10): JobsChange {
+  return {kind: 'submit', maxWaitingTokens: MOST, submission: submissionOf(id, items, tokens)};
+}
+
+function end(job: string, item: number, text: string): JobsChange {
+  return {
+    ends: [{item, job, outcome: 'completed', text: Buffer.from(text)}],
+    kind: 'endItems',
+  };
+}
+
+function run(state: JobsState, ...changes: readonly JobsChange[]) {
+  const answers: unknown[] = [];
+  for (const change of changes) {
+    const step = updateJobs(state, {change, elapsedMs: 1});
+    answers.push(step.result);
+    ({state} = step);
+  }
+  return {answers, state};
+}
+
+describe('updateJobs', () => {
+  test('takes a job once, and says so each time', () => {
+    const {answers, state} = run(EMPTY, submit('a', 2), submit('a', 2));
+    expect(answers).toEqual([
+      {kind: 'accepted', repeated: false},
+      {kind: 'accepted', repeated: true},
+    ] satisfies JobsAnswer[]);
+    expect(state.waitingTokens.get('r')).toBe(20);
+  });
+
+  test('leaves no trace of a job that does not fit', () => {
+    const {answers, state} = run(EMPTY, submit('a', 9), submit('b', 2));
+    expect(answers[1]).toEqual({kind: 'overQuota', waitingTokens: 90});
+    expect(state.jobs.has('b')).toBe(false);
+    expect(run(state, end('a', 0, 'x'), submit('b', 2)).answers[1]).toMatchObject({
+      kind: 'accepted',
+    });
+  });
+
+  test('lists an item once, with its first text, at a place that never changes', () => {
+    const {state} = run(
+      EMPTY,
+      submit('a', 2),
+      end('a', 1, 'one'),
+      end('a', 1, 'two'),
+      end('a', 0, 'x'),
+    );
+    const found = findResults(state, 'a', 0, 1e6)!;
+    expect(found.results.map(({id, text}) => [id, text?.length])).toEqual([
+      ['a-1', 3],
+      ['a-0', 1],
+    ]);
+    expect(state.open.size).toBe(0);
+  });
+
+  test('lists nothing more of a job that was ended, and frees its tokens', () => {
+    const {state} = run(EMPTY, submit('a', 2), {job: 'a', kind: 'endJob'}, end('a', 0, 'x'));
+    expect(findResults(state, 'a', 0, 1e6)?.results).toEqual([]);
+    expect(state.waitingTokens.get('r')).toBeUndefined();
+    expect(findBody(state, 'a', 'a-0')).toBeUndefined();
+  });
+
+  test('agrees with a naive model in any history of repeated commands', async () => {
+    const job = fc.constantFrom('a', 'b', 'c');
+    const change = fc.oneof(
+      fc.tuple(job, fc.integer({max: 5, min: 1})).map(([id, items]) => submit(id, items)),
+      fc
+        .tuple(job, fc.nat(4), fc.stringMatching(/^[a-z]{0,4}$/))
+        .map(([id, at, text]) => end(id, at, text)),
+      job.map((id): JobsChange => ({job: id, kind: 'endJob'})),
+      fc
+        .tuple(job, fc.nat(4))
+        .map(([id, item]): JobsChange => ({item, job: id, kind: 'countFailure'})),
+    );
+    const property = fc.property(fc.array(change, {maxLength: 30}), (changes) => {
+      const naive = new Map<string, {ended: boolean; listed: string[]; open: Set<number>}>();
+      let state = EMPTY;
+      for (const next of changes) {
+        const before = state;
+        ({state} = run(state, next));
+        if (
+          next.kind === 'submit' &&
+          !naive.has(next.submission.id) &&
+          state.jobs.has(next.submission.id)
+        ) {
+          const open = new Set(next.submission.items.keys());
+          naive.set(next.submission.id, {ended: false, listed: [], open});
+        } else if (next.kind === 'endItems') {
+          const [{item, job: id, text}] = next.ends as never as [
+            {item: number; job: string; text: Uint8Array},
+          ];
+          const known = naive.get(id);
+          if (known !== undefined && !known.ended && known.open.delete(item)) {
+            known.listed.push(`${id}-${item} ${text.length}`);
+          }
+        } else if (next.kind === 'endJob' && naive.has(next.job)) {
+          naive.get(next.job)!.ended = true;
+        }
+        let waiting = 0;
+        for (const [id, {ended, listed, open}] of naive) {
+          const found = findResults(state, id, 0, 1e9)!;
+          expect(found.results.map((result) => `${result.id} ${result.text!.length}`)).toEqual(
+            listed,
+          );
+          waiting += ended ? 0 : open.size * 10;
+          expect(state.open.has(id)).toBe(!ended && open.size > 0);
+        }
+        expect(state.waitingTokens.get('r') ?? 0).toBe(waiting);
+        expect(waiting).toBeLessThanOrEqual(MOST);
+        expect(state.blobEnd).toBeGreaterThanOrEqual(before.blobEnd);
+      }
+      const copy = jobsMachine.decode(jobsMachine.encode(state));
+      expect(decodeValue(jobsMachine.encode(copy))).toEqual(decodeValue(jobsMachine.encode(state)));
+    });
+    await assertHistories('histories of jobs', property, 300);
+  });
+
+  test('replicas place bulk data alike', () => {
+    const changes = [submit('a', 2), end('a', 0, 'text')];
+    const command = (change: JobsChange) => encodeValue({change, elapsedMs: 1});
+    const replicas = [EMPTY, EMPTY].map((state) =>
+      changes.reduce((at, change) => jobsMachine.apply(at, command(change)).state, state),
+    );
+    expect(replicas[0]!.jobs.get('a')!.results.get(0)).toEqual(
+      replicas[1]!.jobs.get('a')!.results.get(0),
+    );
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsPlan.test.ts
@@ -0,0 +1,68 @@
+/**
+ * Items fill gaps and give way.
+ */
+import fc from 'fast-check';
+import {assertHistories} from 'stallpaddle-testing';
+import {describe, expect, test} from 'vitest';
+
+import {planItems, type PlannedEngine} from '../../JobsPlan';
+
+function engineOf(
+  id: string,
+  online: number,
+  runs: readonly number[] = [],
+  usable = true,
+): PlannedEngine {
+  return {
+    id,
+    online,
+    runs: runs.map((events, at) => ({events, key: `${id}${at}`})),
+    service: 's',
+    slots: 4,
+    usable,
+  };
+}
+
+function itemsOf(count: number) {
+  return Array.from({length: count}, (_, at) => ({key: `i${at}`, service: 's'}));
+}
+
+describe('planItems', () => {
+  test('starts the most urgent items where most room is, and leaves the spare slot free', () => {
+    const {cuts, starts} = planItems([engineOf('a', 2), engineOf('b', 0, [1])], itemsOf(9), 1);
+    expect(cuts).toEqual([]);
+    expect(starts.map(({engine, key}) => `${key} ${engine}`)).toEqual(['i0 b', 'i1 a', 'i2 b']);
+  });
+
+  test('cuts the runs with the fewest events when online requests need their slots', () => {
+    const {cuts} = planItems([engineOf('a', 3, [9, 2, 5])], [], 1);
+    expect(cuts).toEqual(['a1', 'a2']);
+  });
+
+  test('starts nothing at engines that are not usable', () => {
+    expect(planItems([engineOf('a', 0, [], false)], itemsOf(2), 1).starts).toEqual([]);
+  });
+
+  test('never fills an engine beyond its slots, and cuts only for online requests', async () => {
+    const engine = fc.record({
+      online: fc.nat(6),
+      runs: fc.array(fc.nat(50), {maxLength: 5}),
+      usable: fc.boolean(),
+    });
+    const property = fc.property(fc.array(engine, {maxLength: 5}), fc.nat(20), (all, waiting) => {
+      const engines = all.map(({online, runs, usable}, at) =>
+        engineOf(`e${at}`, online, runs, usable),
+      );
+      const {cuts, starts} = planItems(engines, itemsOf(waiting), 1);
+      expect(new Set(starts.map(({key}) => key)).size).toBe(starts.length);
+      for (const {id, online, runs, slots, usable} of engines) {
+        const cut = runs.filter(({key}) => cuts.includes(key)).length;
+        const started = starts.filter(({engine: at}) => at === id).length;
+        expect(started === 0 || online + runs.length + started <= slots - 1).toBe(true);
+        expect(started === 0 || usable).toBe(true);
+        expect(cut).toBe(Math.min(runs.length, Math.max(0, online + runs.length - slots)));
+      }
+    });
+    await assertHistories('plans of items', property, 300);
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEvents.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Events of a stream stay whole, however the bytes are cut.
+ */
+import fc from 'fast-check';
+import {assertHistories} from 'stallpaddle-testing';
+import {describe, expect, test} from 'vitest';
+
+import {continues, EventSplitter} from '../../RelayEvents';
+
+describe('EventSplitter', () => {
+  test('gives the same events for every way to cut the bytes', async () => {
+    const texts = fc.array(fc.stringMatching(/^[a-z äé]{0,12}$/), {maxLength: 8, minLength: 1});
+    const cuts = fc.array(fc.integer({max: 9, min: 1}), {maxLength: 40, minLength: 1});
+    const ends = fc.constantFrom('\n', '\r\n');
+    const property = fc.property(texts, cuts, ends, (all, sizes, end) => {
+      const raw = all.map((text, at) => `id: ${at}${end}data: ${text}${end}${end}`);
+      const bytes = Buffer.from(raw.join(''));
+      const splitter = new EventSplitter();
+      const seen = [];
+      for (let from = 0, turn = 0; from < bytes.length; turn++) {
+        const size = sizes[turn % sizes.length]!;
+        seen.push(...splitter.push(bytes.subarray(from, from + size)));
+        from += size;
+      }
+      expect(seen.map(({data}) => data)).toEqual(all);
+      expect(seen.map(({id}) => id)).toEqual(all.map((_, at) => String(at)));
+      expect(Buffer.concat(seen.map((event) => event.raw))).toEqual(bytes);
+      expect(splitter.pending).toBe(0);
+    });
+    await assertHistories('cuts of a stream', property, 300);
+  });
+
+  test('keeps back an event that is not whole', () => {
+    const splitter = new EventSplitter();
+    expect(splitter.push(Buffer.from('id: 1\ndata: a\n'))).toEqual([]);
+    expect(splitter.pending).toBeGreaterThan(0);
+    expect(splitter.push(Buffer.from('\nid'))).toMatchObject([{data: 'a', id: '1'}]);
+  });
+
+  test('joins data lines and passes over other fields', () => {
+    const [event] = new EventSplitter().push(Buffer.from('weights: 3\ndata: a\ndata:b\n: c\n\n'));
+    expect(event).toMatchObject({data: 'a\nb', id: null});
+  });
+});
+
+describe('continues', () => {
+  test.each([
+    [null, '7', true],
+    ['7', '8', true],
+    ['7', '7', false],
+    ['7', '9', false],
+    ['7', null, false],
+  ])('after %s, event %s: %s', (last, next, expected) => {
+    expect(continues(last, next)).toBe(expected);
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -0,0 +1,101 @@
+/**
+ * Which engine a request goes to.
+ */
+import type {EngineView} from 'stallpaddle-fleet';
+
+import {seededRandom} from 'stallpaddle';
+import {describe, expect, test} from 'vitest';
+
+import {
+  afterAttempt,
+  drawService,
+  isSound,
+  NO_EXPERIENCE,
+  type PlacementInput,
+  placeRequest,
+} from '../../RelayPlacement';
+
+function engineOf(id: string, changes: Partial<EngineView> = {}): EngineView {
+  return {
+    address: `10.0.0.1:${id}`,
+    draining: false,
+    id,
+    sequence: 0,
+    service: 's',
+    silent: false,
+    slots: 8,
+    zone: 'z',
+    ...changes,
+  };
+}
+
+function place(engines: readonly EngineView[], changes: Partial<PlacementInput> = {}) {
+  return placeRequest({
+    engines,
+    experienceOf: () => NO_EXPERIENCE,
+    now: 1_000,
+    onlineAt: () => 0,
+    random: seededRandom(7),
+    service: 's',
+    tried: new Set(),
+    ...changes,
+  })?.id;
+}
+
+describe('placeRequest', () => {
+  test('takes the engine with the fewest requests for its slots', () => {
+    const engines = [engineOf('1'), engineOf('2', {slots: 16}), engineOf('3')];
+    const online: Record<string, number> = {'1': 3, '2': 4, '3': 5};
+    expect(place(engines, {onlineAt: (id) => online[id]!})).toBe('2');
+  });
+
+  test('never takes one that leaves, was tried or serves something else', () => {
+    const engines = [engineOf('1', {draining: true}), engineOf('2'), engineOf('3', {service: 't'})];
+    expect(place(engines, {tried: new Set(['2'])})).toBeUndefined();
+  });
+
+  test('keeps off a suspect, but takes it when there is no other', () => {
+    const suspect = afterAttempt(NO_EXPERIENCE, false, 900);
+    const experienceOf = (id: string) => (id === '1' ? suspect : NO_EXPERIENCE);
+    expect(
+      place([engineOf('1'), engineOf('2')], {experienceOf, onlineAt: (id) => (id === '2' ? 7 : 0)}),
+    ).toBe('2');
+    expect(place([engineOf('1')], {experienceOf})).toBe('1');
+  });
+
+  test('believes its own recent answer more than silence towards others', () => {
+    const silent = engineOf('1', {silent: true});
+    expect(isSound(silent, NO_EXPERIENCE, 1_000)).toBe(false);
+    expect(isSound(silent, afterAttempt(NO_EXPERIENCE, true, 500), 1_000)).toBe(true);
+  });
+});
+
+describe('afterAttempt', () => {
+  test('keeps off for longer with each failure in a row, up to a limit', () => {
+    let seen = NO_EXPERIENCE;
+    const pauses = Array.from({length: 6}, () => {
+      seen = afterAttempt(seen, false, 0);
+      return seen.suspectUntil;
+    });
+    expect(pauses).toEqual([500, 1_000, 2_000, 4_000, 4_000, 4_000]);
+    expect(afterAttempt(seen, true, 0).failures).toBe(0);
+  });
+});
+
+describe('drawService', () => {
+  test('follows the weights and never draws a weight of 0', () => {
+    const random = seededRandom(3);
+    const split = [
+      {service: 'a', weight: 90},
+      {service: 'b', weight: 10},
+      {service: 'c', weight: 0},
+    ];
+    const counts: Record<string, number> = {};
+    for (let draw = 0; draw < 2_000; draw++) {
+      const service = drawService({split} as never, random)!;
+      counts[service] = (counts[service] ?? 0) + 1;
+    }
+    expect(counts.a! / 2_000).toBeCloseTo(0.9, 1);
+    expect(counts.c).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -0,0 +1,275 @@
+/**
+ * What callers get when engines serve, decline, fail, break off or mix answers up.
+ */
+import type {FleetRoute} from 'stallpaddle-fleet';
+
+import {createServer, request, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {seededRandom, systemClock} from 'stallpaddle';
+import {PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
+import {afterEach, describe, expect, test} from 'vitest';
+
+import type {RelayContext, RelayEnd} from '../../RelayTypes';
+
+import {RelayExperience} from '../../RelayExperience';
+import {RelayOnline} from '../../RelayOnline';
+import {RelayRun} from '../../RelayRun';
+
+interface CallerAnswer {
+  readonly body: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** False when the answer broke off. */
+  readonly isWhole: boolean;
+  readonly status: number;
+}
+
+const undo: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  for (const step of undo.splice(0)) {
+    await step();
+  }
+});
+
+function routeOf(changes: Partial<FleetRoute> = {}): FleetRoute {
+  return {
+    giveUpAfterMs: 0,
+    host: 'a.example',
+    kind: 'streaming',
+    maxAttempts: 2,
+    maxWaitingTokens: 0,
+    name: 'r',
+    objectiveMs: 300,
+    pathPrefix: '/a/',
+    resumable: true,
+    split: [{service: 's', weight: 1}],
+    targetMs: 0,
+    timeoutMs: 2_000,
+    ...changes,
+  };
+}
+
+async function startEngines(count: number): Promise<readonly StreamEngine[]> {
+  const engines = await Promise.all(Array.from({length: count}, () => StreamEngine.start()));
+  engines.forEach((engine) => undo.push(() => engine.stop()));
+  return engines;
+}
+
+function contextOf(engines: readonly StreamEngine[]): RelayContext {
+  const views = engines.map((engine, at) => ({
+    address: engine.address,
+    draining: false,
+    id: `e${at}`,
+    sequence: 0,
+    service: 's',
+    silent: false,
+    slots: 4,
+    zone: 'z',
+  }));
+  return {
+    clock: systemClock,
+    decide: () => {},
+    engines: () => views,
+    experience: new RelayExperience(systemClock),
+    online: new RelayOnline(),
+    random: seededRandom(1),
+    viewAgeMs: () => 0,
+    wire: plainRelay,
+  };
+}
+
+/** A relay before engines; counts how its requests ended. */
+async function startRelay(
+  context: RelayContext,
+  route: FleetRoute,
+): Promise<{readonly ends: RelayEnd[]; readonly port: number}> {
+  const ends: RelayEnd[] = [];
+  const server: Server = createServer(async (req, res) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) {
+      chunks.push(chunk as Buffer);
+    }
+    const run = new RelayRun(
+      context,
+      {
+        arrivedAt: systemClock.monotonicMs(),
+        body: Buffer.concat(chunks),
+        facts: plainRelay.readCaller(req.headers)!,
+        method: req.method!,
+        path: req.url!,
+        rawHeaders: req.rawHeaders,
+        route,
+      },
+      res,
+    );
+    ends.push(await run.run());
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  undo.push(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return {ends, port: (server.address() as AddressInfo).port};
+}
+
+function ask(port: number, leaveAfterMs?: number): Promise<CallerAnswer> {
+  return new Promise((resolve) => {
+    const req = request({
+      headers: {
+        host: 'a.example',
+        [PLAIN.request]: 'q1',
+        [PLAIN.timeLeft]: '1500',
+        'x-other': 'kept',
+      },
+      host: '127.0.0.1',
+      method: 'POST',
+      path: '/a/b?c=d',
+      port,
+    });
+    let body = '';
+    const finish = (isWhole: boolean, status = 0, headers = {}): void =>
+      resolve({body, headers, isWhole, status});
+    req.on('response', (res) => {
+      res.on('data', (chunk: Buffer) => (body += chunk.toString()));
+      res.on('error', () => {});
+      res.on('close', () => finish(res.complete, res.statusCode, res.headers));
+    });
+    req.on('error', () => finish(false));
+    req.end('the body');
+    if (leaveAfterMs !== undefined) {
+      setTimeout(() => req.destroy(), leaveAfterMs);
+    }
+  });
+}
+
+describe('RelayRun', () => {
+  test('passes request and answer on unchanged', async () => {
+    const [engine] = await startEngines(1);
+    const {ends, port} = await startRelay(contextOf([engine!]), routeOf());
+    const answer = await ask(port);
+    expect(answer).toMatchObject({body: engine!.wholeText, isWhole: true, status: 200});
+    expect(answer.headers[PLAIN.signature]).toBe('signed-q1');
+    const [seen] = engine!.seen;
+    expect(seen).toMatchObject({body: 'the body', url: '/a/b?c=d'});
+    expect(seen!.headers).toMatchObject({
+      host: 'a.example',
+      [PLAIN.engine]: 'e0',
+      'x-other': 'kept',
+    });
+    expect(Number(seen!.headers[PLAIN.timeLeft])).toBeLessThanOrEqual(1500);
+    expect(ends).toEqual(['served']);
+  });
+
+  test('joins a resumable stream that broke off, with nothing lost or doubled', async () => {
+    const engines = await startEngines(2);
+    engines.forEach((engine) => (engine.manners = [{after: 2, kind: 'breakOff'}]));
+    const {port} = await startRelay(contextOf(engines), routeOf({maxAttempts: 3}));
+    engines[1]!.manners = [];
+    engines[0]!.manners = [{after: 2, kind: 'breakOff'}];
+    const answers = await Promise.all([ask(port), ask(port)]);
+    for (const answer of answers) {
+      expect(answer).toMatchObject({body: engines[0]!.wholeText, isWhole: true});
+    }
+    const resumed = engines
+      .flatMap(({seen}) => seen)
+      .filter(({headers}) => headers[PLAIN.resumeAfter]);
+    expect(resumed.map(({headers}) => headers[PLAIN.resumeAfter])).toEqual(['2']);
+  });
+
+  test.each(['breakOff', 'endWithin'] as const)(
+    'lets a stream that may not be resumed look broken after %s',
+    async (kind) => {
+      const engines = await startEngines(2);
+      engines.forEach((engine) => (engine.manners = [{after: 2, kind}]));
+      const {ends, port} = await startRelay(contextOf(engines), routeOf({resumable: false}));
+      const answer = await ask(port);
+      expect(answer.isWhole).toBe(false);
+      expect(engines[0]!.seen.length + engines[1]!.seen.length).toBe(1);
+      expect(ends).toEqual(['broken']);
+    },
+  );
+
+  test('never joins an event that does not follow the last one', async () => {
+    const engines = await startEngines(1);
+    engines[0]!.manners = [{kind: 'skipEvent'}];
+    const {port} = await startRelay(contextOf(engines), routeOf({resumable: false}));
+    const answer = await ask(port);
+    expect(answer.isWhole).toBe(false);
+    expect(engines[0]!.wholeText.startsWith(answer.body)).toBe(true);
+  });
+
+  test('refuses with a time to come back only what certainly did not run', async () => {
+    const [engine] = await startEngines(1);
+    engine!.manners = [{kind: 'decline'}];
+    const {port} = await startRelay(contextOf([engine!]), routeOf());
+    const declined = await ask(port);
+    expect(declined.status).toBe(503);
+    expect(Number(declined.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  test.each(['wrongRequest', 'mute'] as const)(
+    'answers a request that may have run with no promise after %s',
+    async (kind) => {
+      const engines = await startEngines(2);
+      engines.forEach((engine) => (engine.manners = [{kind}]));
+      const route = routeOf({resumable: false, timeoutMs: 300});
+      const {port} = await startRelay(contextOf(engines), route);
+      const answer = await ask(port);
+      expect([502, 504]).toContain(answer.status);
+      expect(answer.body).not.toContain('not yours');
+      expect(answer.headers['retry-after']).toBeUndefined();
+      expect(engines[0]!.seen.length + engines[1]!.seen.length).toBe(1);
+    },
+  );
+
+  test('does not promise with an engine’s own status that nothing ran', async () => {
+    const [engine] = await startEngines(1);
+    engine!.manners = [{kind: 'fail', status: 503}];
+    const {port} = await startRelay(contextOf([engine!]), routeOf({resumable: false}));
+    expect((await ask(port)).status).toBe(502);
+  });
+
+  test('passes an engine’s own failure on unchanged', async () => {
+    const [engine] = await startEngines(1);
+    engine!.manners = [{kind: 'fail', status: 500}];
+    const {ends, port} = await startRelay(contextOf([engine!]), routeOf({resumable: false}));
+    const answer = await ask(port);
+    expect(answer).toMatchObject({body: 'it failed', isWhole: true, status: 500});
+    expect(answer.headers[PLAIN.signature]).toBe('signed-q1');
+    expect(ends).toEqual(['serverFailure']);
+  });
+
+  test('goes on at another engine when the address belongs to another one', async () => {
+    const engines = await startEngines(2);
+    engines.forEach((engine) => (engine.manners = [{kind: 'otherEngine'}, {kind: 'serve'}]));
+    engines[1]!.manners = [];
+    engines[0]!.manners = [{kind: 'otherEngine'}];
+    const {port} = await startRelay(
+      contextOf(engines),
+      routeOf({maxAttempts: 1, resumable: false}),
+    );
+    const [first, second] = await Promise.all([ask(port), ask(port)]);
+    expect([first!.status, second!.status]).toEqual([200, 200]);
+  });
+
+  test('ends the run at the engine when the caller leaves', async () => {
+    const engine = await StreamEngine.start(200, 5);
+    undo.push(() => engine.stop());
+    const {ends, port} = await startRelay(contextOf([engine]), routeOf());
+    await ask(port, 100);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(engine.seen.map(({left}) => left)).toEqual([true]);
+    expect(ends).toEqual(['left']);
+  });
+
+  test('does not send an engine more than it may queue', async () => {
+    const [engine] = await startEngines(1);
+    const context = contextOf([engine!]);
+    for (let count = 0; count < 8; count++) {
+      context.online.registerRequest('e0');
+    }
+    const {port} = await startRelay(context, routeOf());
+    expect((await ask(port)).status).toBe(503);
+    expect(engine!.seen).toHaveLength(0);
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -0,0 +1,52 @@
+/**
+ * The words of a made-up platform, for tests of the relay and the dispatcher.
+ */
+import type {HeaderLine, RelayWire} from 'stallpaddle-relay';
+
+/** Header names of the made-up platform. */
+export const PLAIN = {
+  declined: 'x-declined',
+  engine: 'x-engine',
+  request: 'x-request',
+  resumeAfter: 'x-resume-after',
+  signature: 'x-signature',
+  timeLeft: 'x-time-left',
+} as const;
+
+function text(value: string | string[] | undefined): string | null {
+  return typeof value === 'string' ? value : null;
+}
+
+/** See the module's comment. */
+export const plainRelay: RelayWire = {
+  engineHeaders: ({deadlineMs, engine, requestId, resumeAfter}) => {
+    const lines: HeaderLine[] = [
+      [PLAIN.request, requestId],
+      [PLAIN.engine, engine],
+    ];
+    if (deadlineMs !== null) {
+      lines.push([PLAIN.timeLeft, String(deadlineMs)]);
+    }
+    if (resumeAfter !== null) {
+      lines.push([PLAIN.resumeAfter, resumeAfter]);
+    }
+    return lines;
+  },
+  readAnswer: (status, headers) => ({
+    notRun: headers[PLAIN.declined] !== undefined,
+    otherEngine: status === 421,
+    requestId: text(headers[PLAIN.request]),
+    signed: headers[PLAIN.signature] !== undefined,
+  }),
+  readCaller: (headers) => {
+    const requestId = text(headers[PLAIN.request]);
+    const deadline = text(headers[PLAIN.timeLeft]);
+    return requestId === null
+      ? null
+      : {
+          deadlineMs: deadline === null ? null : Number(deadline),
+          requestId,
+          resumeAfter: text(headers[PLAIN.resumeAfter]),
+        };
+  },
+};
--- /dev/null
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -0,0 +1,157 @@
+/**
+ * A stand-in engine for opaque requests: streams numbered events, goes on where it is asked to, and fails
+ * in the ways that engines do.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {createServer} from 'node:http';
+
+import {PLAIN} from './PlainWire';
+
+/** How an engine treats the next request. */
+export type EngineManner =
+  /** Breaks off in the middle of an event after some whole ones. */
+  | {readonly after: number; readonly kind: 'breakOff'}
+  /** Ends the body as if it were whole, within an event. */
+  | {readonly after: number; readonly kind: 'endWithin'}
+  | {readonly kind: 'decline'}
+  | {readonly kind: 'fail'; readonly status: number}
+  /** Takes the request and never says a word. */
+  | {readonly kind: 'mute'}
+  /** Another engine has the address. */
+  | {readonly kind: 'otherEngine'}
+  /** Leaves numbers out. */
+  | {readonly kind: 'skipEvent'}
+  | {readonly kind: 'serve'}
+  /** Answers with the name of another request. */
+  | {readonly kind: 'wrongRequest'};
+
+/** A request as the engine saw it. */
+export interface SeenRequest {
+  readonly body: string;
+  readonly headers: IncomingMessage['headers'];
+  /** Whether its connection was closed before the last event. */
+  left: boolean;
+  readonly url: string;
+}
+
+const SERVE: EngineManner = {kind: 'serve'};
+
+function eventText(number: number): string {
+  return `id: ${number}\ndata: piece ${number}\n\n`;
+}
+
+/** See the module's comment. */
+export class StreamEngine {
+  /** Treats the next requests, in order; then all are served. */
+  manners: EngineManner[] = [];
+  readonly seen: SeenRequest[] = [];
+
+  private constructor(
+    private readonly server: Server,
+    private readonly events: number,
+    private readonly gapMs: number,
+  ) {}
+
+  /**
+   * Starts an engine on a free port.
+   *
+   * @param events events of each whole answer
+   * @param gapMs pause between two events, in milliseconds
+   */
+  static async start(events = 5, gapMs = 2): Promise<StreamEngine> {
+    const server = createServer();
+    const engine = new StreamEngine(server, events, gapMs);
+    server.on('request', (req, res) => void engine.answer(req, res));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return engine;
+  }
+
+  /** IP number and port. */
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Text of a whole answer. */
+  get wholeText(): string {
+    return Array.from({length: this.events}, (_, at) => eventText(at + 1)).join('');
+  }
+
+  /** Ends the engine with all its connections. */
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) {
+      chunks.push(chunk as Buffer);
+    }
+    const body = Buffer.concat(chunks).toString();
+    const seen: SeenRequest = {body, headers: req.headers, left: false, url: req.url ?? ''};
+    this.seen.push(seen);
+    res.on('close', () => {
+      seen.left = !res.writableFinished;
+    });
+    await this.treat(this.manners.shift() ?? SERVE, req, res);
+  }
+
+  private async treat(
+    manner: EngineManner,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const id = String(req.headers[PLAIN.request]);
+    const signed = {[PLAIN.request]: id, [PLAIN.signature]: `signed-${id}`};
+    switch (manner.kind) {
+      case 'decline':
+        res.writeHead(503, {[PLAIN.declined]: '1', [PLAIN.request]: id}).end();
+        return;
+      case 'fail':
+        res.writeHead(manner.status, signed).end('it failed');
+        return;
+      case 'mute':
+        return;
+      case 'otherEngine':
+        res.writeHead(421).end();
+        return;
+      case 'breakOff':
+      case 'endWithin':
+      case 'serve':
+      case 'skipEvent':
+        res.writeHead(200, {...signed, 'content-type': 'text/event-stream'});
+        await this.stream(manner, Number(req.headers[PLAIN.resumeAfter] ?? 0), res);
+        return;
+      case 'wrongRequest':
+        res.writeHead(200, {...signed, [PLAIN.request]: 'another'}).end('not yours');
+        return;
+    }
+  }
+
+  private async stream(
+    manner: EngineManner,
+    resumeAfter: number,
+    res: ServerResponse,
+  ): Promise<void> {
+    for (let number = resumeAfter + 1; number <= this.events && !res.destroyed; number++) {
+      const isCut = 'after' in manner && number > resumeAfter + manner.after;
+      if (isCut) {
+        res.write(eventText(number).slice(0, 8));
+        await new Promise((resolve) => setTimeout(resolve, this.gapMs));
+        if (manner.kind === 'breakOff') {
+          res.destroy();
+        } else {
+          res.end();
+        }
+        return;
+      }
+      if (manner.kind !== 'skipEvent' || number !== resumeAfter + 2) {
+        res.write(eventText(number));
+      }
+      await new Promise((resolve) => setTimeout(resolve, this.gapMs));
+    }
+    res.end();
+  }
+}
--- a/packages/stallpaddle-testing/src/index.ts
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -1,3 +1,5 @@
 /** Helpers of tests; never shipped. */
 export {FakeCrashError, FakeDisk, type TornKeep} from './FakeDisk';
 export {assertHistories, fuzzTimeoutMs} from './FuzzParameters';
+export {PLAIN, plainRelay} from './PlainWire';
+export {type EngineManner, type SeenRequest, StreamEngine} from './StreamEngine';
