--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -1,7 +1,7 @@
 import type {Clock, GroupId} from 'stallpaddle';
+import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import {delay, encodeValue, RefusalError} from 'stallpaddle';
-import {type TryOutcome, tryRemote} from 'stallpaddle-rpc';
 
 /**
  * Calls to the leader of a group: finds it, and tries again while that can do no harm.
@@ -75,12 +75,12 @@
    * @param request the call
    * @param tryMs longest wait, in milliseconds
    */
-  async tryOnce(request: Parameters<typeof tryRemote>[1], tryMs: number): Promise<TryOutcome> {
+  async tryOnce(request: TryRequest, tryMs: number): Promise<TryOutcome> {
     const host = this.leader ?? this.nextHost();
     if (host === undefined) {
       return {kind: 'notLeader', leader: null};
     }
-    const outcome = await tryRemote(this.options.peers.at(host), request, tryMs);
+    const outcome = await this.options.peers.channel(host).call(request, tryMs);
     switch (outcome.kind) {
       case 'answered':
         this.leader = host;
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -12,10 +12,10 @@
  * Longest hold of a question for news, in milliseconds. It bounds the age of what a process knows: two
  * holds and a failed try stay below the second after which items are not started any more.
  */
-export const WATCH_HOLD_MS = 300;
+export const WATCH_HOLD_MS = 400;
 
 /** Longest single try of a question for news, in milliseconds: its hold, and a round trip on a busy VM. */
-export const WATCH_TRY_MS = 600;
+export const WATCH_TRY_MS = 700;
 
 /** Pause before another VM is asked, in milliseconds: about a round trip between availability zones. */
 export const CALL_AGAIN_MS = 30;
@@ -57,7 +57,7 @@
 export const SPARE_LEARNERS = 1;
 
 /** Time between words to the dispatcher when nothing has changed, in milliseconds. */
-export const TELL_AGAIN_MS = 250;
+export const TELL_AGAIN_MS = 400;
 
 /** Longest wait for the dispatcher's answer, in milliseconds. */
 export const TELL_TRY_MS = 300;
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -5,7 +5,7 @@
 import type {Message} from 'stallpaddle-replication';
 
 import {vmOfReplica} from 'stallpaddle';
-import {type PeerClient, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
+import {type PeerClient, RpcChannel, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
 
 import {PEER_PING_MS} from './NodeConstants';
 
@@ -14,6 +14,7 @@
 
 /** See the module's comment. */
 export class NodePeers {
+  private readonly channels = new Map<string, RpcChannel>();
   private readonly clients = new RpcClients(FLEET_KEY, {pingMs: PEER_PING_MS});
   private readonly outboxes = new Map<ReplicaId, RpcOutbox>();
   private stopped = false;
@@ -29,12 +30,14 @@
   }
 
   /**
-   * Client of the process at a host.
+   * Standing stream of calls to the process at a host.
    *
    * @param host IP number
    */
-  at(host: string): PeerClient {
-    return this.clients.at(host, this.port);
+  channel(host: string): RpcChannel {
+    const known = this.channels.get(host) ?? new RpcChannel(this.clients.at(host, this.port));
+    this.channels.set(host, known);
+    return known;
   }
 
   /**
@@ -43,7 +46,7 @@
    * @param replica the replica
    */
   of(replica: ReplicaId): PeerClient {
-    return this.at(vmOfReplica(replica));
+    return this.clients.at(vmOfReplica(replica), this.port);
   }
 
   /**
@@ -63,6 +66,7 @@
   /** Ends all connections. */
   close(): void {
     this.stopped = true;
+    this.channels.forEach((channel) => channel.close());
     this.outboxes.forEach((outbox) => outbox.close());
     this.clients.close();
   }
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -1,3 +1,4 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {GroupId} from 'stallpaddle';
 import type {Message} from 'stallpaddle-replication';
@@ -5,9 +6,14 @@
 import {Code, ConnectError} from '@connectrpc/connect';
 import {decodeValue} from 'stallpaddle';
 import {
+  type CallRequest,
+  type CallResponseSchema,
+  type ConverseRequest,
+  type ConverseResponseSchema,
   encodeOutcome,
   type InstallStep,
   PeerService,
+  RpcQueue,
   SnapshotReceiver,
   type SnapshotTarget,
   tryLocal,
@@ -22,6 +28,32 @@
   readonly replica: () => (SnapshotTarget & {receive: (message: Message) => void}) | undefined;
 }
 
+/** Answers the calls of a standing stream side by side. */
+async function* converse(
+  requests: AsyncIterable<ConverseRequest>,
+  answer: (call: CallRequest) => Promise<MessageInitShape<typeof CallResponseSchema>>,
+): AsyncGenerator<MessageInitShape<typeof ConverseResponseSchema>> {
+  const answers = new RpcQueue<MessageInitShape<typeof ConverseResponseSchema>>();
+  const readAll = async (): Promise<void> => {
+    try {
+      for await (const {call, id} of requests) {
+        if (call !== undefined) {
+          answer(call).then(
+            (answered) => answers.add({answer: answered, id}),
+            // Without an answer the caller takes the outcome for unknown.
+            () => answers.add({answer: {outcome: {case: 'outcomeUnknown', value: {}}}, id}),
+          );
+        }
+      }
+    } catch {
+      // The caller has gone; its answers go nowhere.
+    }
+    answers.end();
+  };
+  void readAll();
+  yield* answers.take();
+}
+
 /**
  * Adds the service between processes to a router.
  *
@@ -35,11 +67,13 @@
       throw new ConnectError(`no replica of ${group} here`, Code.NotFound);
     }
   };
+  const answer = async ({encoded, group}: Pick<CallRequest, 'encoded' | 'group'>) => {
+    expectGroup(group);
+    return {outcome: encodeOutcome(await tryLocal(() => options.answer(decodeValue(encoded))))};
+  };
   router.service(PeerService, {
-    call: async ({encoded, group}) => {
-      expectGroup(group);
-      return {outcome: encodeOutcome(await tryLocal(() => options.answer(decodeValue(encoded))))};
-    },
+    call: answer,
+    converse: (requests) => converse(requests, answer),
     deliver: async (requests) => {
       for await (const {encoded} of requests) {
         encoded.forEach((bytes) => options.replica()?.receive(decodeValue<Message>(bytes)));
--- a/packages/stallpaddle-rpc/src/RpcTry.ts
+++ b/packages/stallpaddle-rpc/src/RpcTry.ts
@@ -7,7 +7,7 @@
 /**
  * One try of a call to a group's leader, as the caller and the answering process see it.
  */
-import type {CallResponseSchema} from './gen/stallpaddle/v1/peer_pb';
+import type {CallResponse, CallResponseSchema} from './gen/stallpaddle/v1/peer_pb';
 import type {PeerClient} from './RpcClients';
 
 /** What one try came to. */
@@ -43,6 +43,23 @@
   }
 }
 
+/**
+ * Takes an outcome out of the answer of a call.
+ *
+ * @param outcome what the answer holds
+ */
+export function outcomeOf(outcome: CallResponse['outcome']): TryOutcome {
+  switch (outcome.case) {
+    case 'encoded':
+      return {kind: 'answered', result: decodeValue(outcome.value)};
+    case 'notLeader':
+      return {kind: 'notLeader', leader: outcome.value.leaderVm || null};
+    case 'outcomeUnknown':
+    case undefined:
+      return {kind: 'unknown'};
+  }
+}
+
 /**
  * Runs a call at a replica of this process and names what it came to.
  *
@@ -80,15 +97,7 @@
   }
   try {
     const {outcome} = await client.call(request, {timeoutMs});
-    switch (outcome.case) {
-      case 'encoded':
-        return {kind: 'answered', result: decodeValue(outcome.value)};
-      case 'notLeader':
-        return {kind: 'notLeader', leader: outcome.value.leaderVm || null};
-      case 'outcomeUnknown':
-      case undefined:
-        return {kind: 'unknown'};
-    }
+    return outcomeOf(outcome);
   } catch {
     // Refused, reset, silent for too long: nobody can tell whether the call arrived.
     return {kind: 'unknown'};
--- a/packages/stallpaddle-rpc/src/index.ts
+++ b/packages/stallpaddle-rpc/src/index.ts
@@ -1,7 +1,15 @@
-export {CallResponseSchema, PeerService} from './gen/stallpaddle/v1/peer_pb';
+export {
+  type CallRequest,
+  CallResponseSchema,
+  type ConverseRequest,
+  ConverseResponseSchema,
+  PeerService,
+} from './gen/stallpaddle/v1/peer_pb';
 /** Calls between VMs: generated service, server and clients. */
+export {RpcChannel} from './RpcChannel';
 export {type PeerClient, RpcClients, type RpcClientsOptions} from './RpcClients';
 export {RpcOutbox} from './RpcOutbox';
+export {RpcQueue} from './RpcQueue';
 export {type RpcServer, startRpcServer} from './RpcServer';
 export {
   type InstallReply,
