Record the commit index of a quiet group

A restart knew only the commit index that the record after the last commit carried; a group that rests wrote none. Now the index is recorded by itself, at most each 250 ms. The driver's test failed before (no text shown) and passes.

--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -86,7 +86,7 @@
 
   /** While nothing is known and no leader answers, what any replica holds is better than nothing. */
   private async peek(): Promise<void> {
-    if (this.current.config !== null) {
+    if (this.current.config !== null || this.options.caller.leaderHost !== null) {
       return;
     }
     const request: FleetRequest = {kind: 'peek'};
--- a/packages/stallpaddle-replication/src/ReplicaConstants.ts
+++ b/packages/stallpaddle-replication/src/ReplicaConstants.ts
@@ -10,3 +10,9 @@
 
 /** Size of one piece of a snapshot on its way, in bytes. */
 export const SNAPSHOT_CHUNK_BYTES = 524_288;
+
+/**
+ * Time between looks whether the commit index has to be recorded by itself, in milliseconds: a quiet group
+ * writes nothing that would carry it, and a restart should know it.
+ */
+export const COMMIT_RECORD_MS = 250;
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -22,7 +22,7 @@
   Term,
 } from './ReplicationTypes';
 
-import {LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
+import {COMMIT_RECORD_MS, LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
 import {NotLeaderError, ReplicaStoppedError} from './ReplicaErrors';
 import {ReplicaRequests} from './ReplicaRequests';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
@@ -82,6 +82,7 @@
   private snapshotting = false;
   private snapshotWork: Promise<void> = Promise.resolve();
   private stopped = false;
+  private commitTimer: NodeJS.Timeout | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly writer: ReplicaWriter;
 
@@ -119,6 +120,7 @@
       () => driver.dispatch({kind: 'tick'}),
       Math.max(1, timing.heartbeatMs / 4),
     );
+    driver.commitTimer = setInterval(() => driver.recordCommit(), COMMIT_RECORD_MS);
     return driver;
   }
 
@@ -353,6 +355,13 @@
     }
   }
 
+  private recordCommit(): void {
+    if (!this.stopped && this.replication.commit > this.writer.recordedCommit) {
+      this.writer.add(this.hardState(), []);
+      this.writer.flush();
+    }
+  }
+
   private startSnapshotWhenDue(): void {
     const {applied, log} = this.replication;
     const {snapshotLogBytes = LOG_BYTES_BEFORE_SNAPSHOT} = this.options;
@@ -512,6 +521,7 @@
 
   private stop(): void {
     this.stopped = true;
+    clearInterval(this.commitTimer);
     clearInterval(this.timer);
     this.requests.stop();
     this.writer.stop();
--- a/packages/stallpaddle-replication/src/ReplicaWriter.ts
+++ b/packages/stallpaddle-replication/src/ReplicaWriter.ts
@@ -31,6 +31,7 @@
   private batch = emptyBatch();
   private stopped = false;
   private syncCount = 0;
+  private lastCommit = 0;
   private work: Promise<void> = Promise.resolve();
   private writing = false;
 
@@ -49,6 +50,11 @@
     return this.syncCount;
   }
 
+  /** Commit index that the newest write holds, or will. */
+  get recordedCommit(): LogIndex {
+    return this.lastCommit;
+  }
+
   /**
    * Adds to the next write.
    *
@@ -56,6 +62,7 @@
    * @param entries entries, may be none; they replace any at the same or a later index
    */
   add(hardState: HardState, entries: readonly LogEntry[]): void {
+    this.lastCommit = hardState.commit ?? this.lastCommit;
     this.batch.hardState = hardState;
     addToBatch(this.batch.entries, entries);
   }
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
@@ -42,7 +42,7 @@
   const opened: ReplicaDriver<ListState>[] = [];
   let failure: unknown;
 
-  async function open(disk: FakeDisk): Promise<ReplicaDriver<ListState>> {
+  async function start(disk: FakeDisk): Promise<ReplicaDriver<ListState>> {
     const driver = await ReplicaDriver.open({
       clock: systemClock,
       disk,
@@ -58,6 +58,11 @@
       transport: {send: () => {}, sendSnapshot: () => Promise.resolve(false)},
     });
     opened.push(driver);
+    return driver;
+  }
+
+  async function open(disk: FakeDisk): Promise<ReplicaDriver<ListState>> {
+    const driver = await start(disk);
     while (!driver.leads) {
       await delay(1);
     }
@@ -76,6 +81,18 @@
     failure = undefined;
   });
 
+  test('shows after a restart, before any election, what it knew to be committed', async () => {
+    const disk = await formed();
+    const driver = await open(disk);
+    await driver.propose(Buffer.from('one'));
+    await delay(400);
+    await driver.close();
+    disk.restart();
+    const again = await start(disk);
+    expect(again.status.role.kind).toBe('follower');
+    expect(again.localState.texts).toEqual(['one']);
+  });
+
   test('comes back with everything acknowledged after many snapshots, and replays little', async () => {
     const disk = await formed();
     const driver = await open(disk);
