Metrics, one time line over several logs, and the verdict of an attempt that is cut off

Found by the new property test (40 drawn manners of three engines): a request that ended at its deadline with an attempt under way was logged as notRun, though answered as may have run. The verdict is now joined when the attempt is cut; a request that certainly did not run gets 503 at its deadline.

--- a/packages/stallpaddle-cli/src/Cli.ts
+++ b/packages/stallpaddle-cli/src/Cli.ts
@@ -10,6 +10,7 @@
 import {runBatchCancel, runBatchResults, runBatchStatus, runSubmit} from './CliBatch';
 import {CliCallError, type CliTarget, parseServer} from './CliClient';
 import {EXIT_FAILED, EXIT_MAY_HAVE_RUN, EXIT_NOT_RUN, EXIT_USAGE} from './CliConstants';
+import {runExplain} from './CliExplain';
 import {type LoadFlags, runLoad} from './CliLoad';
 import {runAddresses, runAudit, runConfirm, runPlan, runStatus} from './CliOperator';
 import {print} from './CliPrint';
@@ -112,6 +113,15 @@
     .action(async (action: string, file: string | undefined, flags: ClientFlags) =>
       runSettings(action, file, flags.json === true),
     );
+  cli
+    .command('explain [...files]', 'Print what became of a request, from logs of any processes')
+    .option('--id <id>', 'A request, a batch item or a job')
+    .example('stallpaddle explain --id 9c41d07be2a35f68 logs/*.log')
+    .action(async (files: readonly string[], flags: {id?: string}) => {
+      if (!(await runExplain(required(flags.id, '--id ID'), files))) {
+        process.exitCode = EXIT_FAILED;
+      }
+    });
   cli
     .command('plan <intent>', 'Plan an intent (JSON, or @FILE); nothing is changed yet')
     .example(`stallpaddle plan '{"kind":"drainVm","vm":"vm-4"}'`)
--- /dev/null
+++ b/packages/stallpaddle-cli/src/CliExplain.ts
@@ -0,0 +1,104 @@
+/**
+ * What became of a request, from the logs of several processes: one time line.
+ */
+import {createReadStream} from 'node:fs';
+import {createInterface} from 'node:readline';
+
+/** One line of a process's log. */
+export interface ExplainedLine {
+  readonly fields: Readonly<Record<string, unknown>>;
+  readonly message: string;
+  readonly part: string;
+  /** Wall time as the process wrote it; VMs may differ. */
+  readonly time: string;
+  readonly vm: string;
+}
+
+/** Fields that name a request, an item or a job. */
+const ID_FIELDS = ['id', 'job'] as const;
+
+function parseLine(text: string): ExplainedLine | undefined {
+  // Some collectors put words of their own before the line.
+  const start = text.indexOf('{');
+  if (start === -1) {
+    return undefined;
+  }
+  try {
+    const {
+      level: _,
+      message,
+      part,
+      time,
+      vm,
+      ...fields
+    } = JSON.parse(text.slice(start)) as Record<string, unknown>;
+    return {
+      fields,
+      message: String(message),
+      part: String(part),
+      time: String(time),
+      vm: String(vm ?? ''),
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+function concerns(line: ExplainedLine, id: string): boolean {
+  return ID_FIELDS.some((name) => line.fields[name] === id);
+}
+
+/**
+ * Lines about an id, oldest first.
+ *
+ * @param lines lines of any processes
+ * @param id a request, an item or a job
+ */
+export async function findLines(
+  lines: AsyncIterable<string>,
+  id: string,
+): Promise<readonly ExplainedLine[]> {
+  const found: ExplainedLine[] = [];
+  for await (const text of lines) {
+    // Most lines are about others; reading them all as JSON would take minutes on a day's logs.
+    const line = text.includes(id) ? parseLine(text) : undefined;
+    if (line !== undefined && concerns(line, id)) {
+      found.push(line);
+    }
+  }
+  return found.sort((a, b) => (a.time < b.time ? -1 : Number(a.time > b.time)));
+}
+
+/**
+ * Words one line.
+ *
+ * @param line the line
+ */
+export function describeLine({fields, message, part, time, vm}: ExplainedLine): string {
+  const facts = Object.entries(fields)
+    .filter(([name]) => name !== 'id')
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [time.slice(11, 23), `${vm}/${part}`, message, ...facts].join(' ');
+}
+
+async function* linesOf(files: readonly string[]): AsyncGenerator<string> {
+  for (const file of files) {
+    yield* createInterface({input: createReadStream(file)});
+  }
+}
+
+/**
+ * Prints the way of a request.
+ *
+ * @param id a request, an item or a job
+ * @param files logs, in any order
+ * @returns whether anything was found
+ */
+export async function runExplain(id: string, files: readonly string[]): Promise<boolean> {
+  const lines = await findLines(linesOf(files), id);
+  lines.forEach((line) => process.stdout.write(`${describeLine(line)}\n`));
+  if (lines.length === 0) {
+    process.stderr.write(`No line tells of ${id}.\n`);
+  }
+  return lines.length > 0;
+}
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -26,8 +26,9 @@
 import {CONTROL_CALL_MS, CONTROL_GROUP} from './NodeConstants';
 import {NodeDesk} from './NodeDesk';
 import {NodeGroup} from './NodeGroup';
-import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
+import {callOf, readBody, sendAnswer, startMetricsServer, startServer} from './NodeHttp';
 import {NodeLog} from './NodeLog';
+import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
 import {hostOf, lostDisksOf, portOf} from './NodeSettings';
@@ -68,6 +69,7 @@
 export class NodeControl implements RunningNode {
   private readonly caller: NodeCaller;
   private readonly log: NodeLog;
+  private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
   private seeds: readonly string[];
   private readonly watch: NodeWatch;
@@ -79,7 +81,7 @@
 
   private constructor(private readonly options: NodeOptions) {
     const {clock, logger, settings} = options;
-    this.log = new NodeLog(logger, clock);
+    this.log = new NodeLog(logger, clock, this.metrics);
     this.peers = new NodePeers(settings.peerPort);
     this.seeds = settings.seeds;
     this.caller = new NodeCaller({
@@ -171,6 +173,11 @@
         replica: () => this.group.driver,
       }),
     );
+    this.group.exposeMetrics(this.metrics);
+    this.metrics.exposeGauge('stallpaddle_config_version', 'Version held here.', () => {
+      return this.group.driver.localState.config?.version ?? 0;
+    });
+    await startMetricsServer(settings.metrics, this.metrics);
     this.server = await startServer(
       control,
       (req, res) => void this.handle(req, res, wire),
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -1,9 +1,11 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {LogFields} from 'stallpaddle';
 
 import {delay, drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
 import {type FleetRoute, RouteTable} from 'stallpaddle-fleet';
 import {
   type RelayContext,
+  type RelayDecision,
   RelayExperience,
   RelayOnline,
   RelayRun,
@@ -27,9 +29,17 @@
   JOBS_GROUP,
   ROUTE_FRESH_MS,
 } from './NodeConstants';
-import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
+import {
+  BodyTooLargeError,
+  callOf,
+  readBody,
+  sendAnswer,
+  startMetricsServer,
+  startServer,
+} from './NodeHttp';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
+import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
 import {hostOf} from './NodeSettings';
 import {NodeTells} from './NodeTells';
@@ -54,6 +64,7 @@
   private readonly jobCalls: NodeJobCalls;
   private leaving = false;
   private readonly log: NodeLog;
+  private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
   private routes: RouteTable | undefined;
   private seeds: readonly string[];
@@ -64,7 +75,7 @@
 
   private constructor(private readonly options: NodeOptions) {
     const {clock, logger, settings, wire} = options;
-    this.log = new NodeLog(logger, clock);
+    this.log = new NodeLog(logger, clock, this.metrics);
     this.peers = new NodePeers(settings.peerPort);
     this.seeds = settings.seeds;
     const {peers} = this;
@@ -95,7 +106,7 @@
     });
     this.context = {
       clock,
-      decide: (decision, id, fields) => this.log.decide(decision, id, fields),
+      decide: (decision, id, fields) => this.decide(decision, id, fields),
       engines: () => this.watch.view.news.engines,
       experience: new RelayExperience(clock),
       online,
@@ -145,6 +156,39 @@
     return !this.leaving && this.watch.view.config !== null && this.watch.ageMs < READY_AGE_MS;
   }
 
+  private decide(decision: RelayDecision, id: string, fields: LogFields): void {
+    this.log.decide(decision, id, fields);
+    if (decision === 'ended') {
+      const {end, firstMs, kind, verdict} = fields;
+      const labels = {end: String(end), kind: String(kind), verdict: String(verdict)};
+      this.metrics.count('stallpaddle_requests_total', 'Requests by how they ended.', labels);
+      if (typeof firstMs === 'number') {
+        const help = 'Time to the first event or byte.';
+        this.metrics.addLatency('stallpaddle_first_event_seconds', help, String(kind), firstMs);
+      }
+    }
+  }
+
+  private exposeMetrics(): void {
+    const {metrics, watch} = this;
+    metrics.exposeGauge('stallpaddle_config_version', 'Version in force here.', () => {
+      return watch.view.config?.version ?? 0;
+    });
+    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
+      return watch.ageMs / 1000;
+    });
+    metrics.exposeGauge('stallpaddle_requests_open', 'Requests under way.', () => this.active);
+    metrics.exposeGauge('stallpaddle_engines_silent', 'Engines that report no more.', () => {
+      return watch.view.news.engines.filter(({silent}) => silent).length;
+    });
+    metrics.exposeGauge('stallpaddle_engine_occupancy', 'Online requests for each slot.', () => {
+      const {engines} = watch.view.news;
+      const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
+      const online = engines.reduce((sum, {id}) => sum + this.context.online.at(id), 0);
+      return slots === 0 ? 0 : online / slots;
+    });
+  }
+
   private hostsOf(replicas: readonly string[], seeds: readonly string[]): readonly string[] {
     return [...new Set([...seeds, ...replicas.map((replica) => replica.split('/')[0]!)])];
   }
@@ -159,6 +203,8 @@
     for (const address of new Set([directory, ready].filter((other) => other !== null))) {
       servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
     }
+    this.exposeMetrics();
+    await startMetricsServer(this.options.settings.metrics, this.metrics);
     this.servers = await Promise.all(servers);
     void this.watch.run();
     void this.tells.run();
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -13,6 +13,7 @@
 /**
  * One replica of a group, and the care for the group's members while it leads.
  */
+import type {NodeMetrics, ReadGauge} from './NodeMetrics';
 import type {NodePeers} from './NodePeers';
 
 import {GROUP_TIMING, KEEP_MEMBERS_MS} from './NodeConstants';
@@ -96,6 +97,31 @@
     );
   }
 
+  /**
+   * Adds what tells of the replica's health.
+   *
+   * @param metrics the process's metrics
+   */
+  exposeMetrics(metrics: NodeMetrics): void {
+    const {driver} = this;
+    const expose = (name: string, help: string, read: ReadGauge): void =>
+      metrics.exposeGauge(`stallpaddle_replica_${name}`, help, read);
+    expose('leads', 'Whether this replica leads with its lease.', () => Number(driver.leads));
+    expose('term', 'Election period; rises with each election.', () => driver.status.term);
+    expose('commits', 'Entries applied since the start.', () => driver.counters.commits);
+    expose('syncs', 'Syncs of the log since the start.', () => driver.counters.syncs);
+    expose('voters', 'Voters of the group.', () => driver.status.log.members.voters.length);
+    expose('unapplied', 'Entries in the log that are not known to be committed.', () => {
+      const {commit, log} = driver.status;
+      return log.lastIndex - commit;
+    });
+    expose('lag', 'Entries that the replica furthest behind lacks, as the leader knows.', () => {
+      const {commit, role} = driver.status;
+      const matches = role.kind === 'leader' ? [...role.progress.values()] : [];
+      return Math.max(0, ...matches.map(({match}) => commit - match));
+    });
+  }
+
   /** Ends the replica. */
   async close(): Promise<void> {
     await this.stopKeeping();
--- a/packages/stallpaddle-node/src/NodeHttp.ts
+++ b/packages/stallpaddle-node/src/NodeHttp.ts
@@ -4,7 +4,9 @@
 import type {IncomingMessage, RequestListener, Server, ServerResponse} from 'node:http';
 
 import {createServer} from 'node:http';
+import {errorMessage} from 'stallpaddle';
 
+import type {NodeMetrics} from './NodeMetrics';
 import type {RawAnswer, RawCall} from './NodeWire';
 
 import {hostOf, portOf} from './NodeSettings';
@@ -12,6 +14,11 @@
 /** Largest header block of any call, in bytes; callers are bound by the configuration's own limit. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Path of the metrics. */
+const METRICS_PATH = '/metrics';
+/** Time that a rested connection of a metrics collector is kept, in milliseconds. */
+const METRICS_IDLE_MS = 10_000;
+
 /** A body that is longer than allowed. */
 export class BodyTooLargeError extends Error {
   override readonly name = 'BodyTooLargeError';
@@ -96,3 +103,30 @@
   });
   res.end(body);
 }
+
+/**
+ * Starts the server for metrics.
+ *
+ * @param address IP number and port; null for none
+ * @param metrics the process's metrics
+ */
+export async function startMetricsServer(
+  address: null | string,
+  metrics: NodeMetrics,
+): Promise<Server | null> {
+  if (address === null) {
+    return null;
+  }
+  const handler: RequestListener = (req, res) => {
+    req.resume();
+    if (req.url !== METRICS_PATH) {
+      sendAnswer(res, {status: 404});
+      return;
+    }
+    metrics.text().then(
+      (body) => sendAnswer(res, {body, headers: {'content-type': 'text/plain'}, status: 200}),
+      (err: unknown) => sendAnswer(res, {body: errorMessage(err), status: 500}),
+    );
+  };
+  return startServer(address, handler, METRICS_IDLE_MS);
+}
--- a/packages/stallpaddle-node/src/NodeLog.ts
+++ b/packages/stallpaddle-node/src/NodeLog.ts
@@ -4,6 +4,8 @@
  */
 import type {Clock, LogFields, Logger} from 'stallpaddle';
 
+import type {NodeMetrics} from './NodeMetrics';
+
 /** Lines of one kind a second; above twice the decisions of a busy entry VM of today. */
 const LINES_A_SECOND = 400;
 const SECOND_MS = 1_000;
@@ -21,10 +23,12 @@
   /**
    * @param logger writes the lines
    * @param clock this process's clock
+   * @param metrics count the decisions, also those that are left out of the log
    */
   constructor(
     private readonly logger: Logger,
     private readonly clock: Clock,
+    private readonly metrics: NodeMetrics,
   ) {}
 
   /**
@@ -35,6 +39,7 @@
    * @param fields what decided it, and what came of it
    */
   decide(decision: string, id: string, fields: LogFields): void {
+    this.metrics.count('stallpaddle_decisions_total', 'Decisions by kind.', {decision});
     const budget = this.budgetOf(decision);
     if (budget.left <= 0) {
       budget.omitted++;
--- a/packages/stallpaddle-node/src/NodeMain.ts
+++ b/packages/stallpaddle-node/src/NodeMain.ts
@@ -58,12 +58,12 @@
  */
 export async function runNode(file: string, wire: NodeWire): Promise<void> {
   const lines = new LineWriter(LOG_FD);
-  const loggers = createLoggerFactory('json', (line) => lines.add(line));
   const end = async (code: number): Promise<never> => {
     await lines.settle();
     process.exit(code);
   };
   const settings = parseNodeSettings(await readFile(file, 'utf8'));
+  const loggers = createLoggerFactory('json', (line) => lines.add(line), {vm: settings.name});
   const logger = loggers(settings.role);
   const fail = (err: unknown): void => {
     const stack = err instanceof Error ? err.stack : undefined;
@@ -73,8 +73,8 @@
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
   const node = await startNode(settings, wire, loggers, fail);
-  const {host, name, zone} = settings;
-  logger.info('The process has started.', {first: settings.first, host, name, zone});
+  const {first, host, zone} = settings;
+  logger.info('The process has started.', {first, host, zone});
   const follower = new SettingsFollower(file, node, logger);
   setInterval(() => void follower.look(), SETTINGS_LOOK_MS).unref();
   process.on('SIGHUP', () => void follower.reload());
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeMetrics.ts
@@ -0,0 +1,147 @@
+/**
+ * Counters, gauges and latencies of a process, in the text form that metrics collectors read. The
+ * libraries are loaded when they are first needed: a process that restarts must serve first.
+ */
+import type {Histogram} from 'hdr-histogram-js';
+
+/** Words that tell counts of one name apart. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+interface Count {
+  readonly labels: MetricLabels;
+  value: number;
+}
+
+interface Family<Value> {
+  readonly help: string;
+  readonly values: Value;
+}
+
+/** Latencies that wait to be added to their histogram. */
+const WAITING_LATENCIES = 4_096;
+/** Histograms count in microseconds, from one to ten minutes. */
+const LOWEST_US = 1;
+const HIGHEST_US = 600_000_000;
+const DIGITS = 3;
+const US_PER_MS = 1_000;
+const US_PER_S = 1_000_000;
+const PERCENTILES = [50, 95, 99, 99.9] as const;
+
+/** A value that is read when the metrics are. */
+export type ReadGauge = () => number;
+
+class Latencies {
+  private histogram: Histogram | undefined;
+  private loading: Promise<void> | undefined;
+  private waiting: number[] = [];
+
+  add(ms: number): void {
+    this.waiting.push(ms);
+    if (this.waiting.length >= WAITING_LATENCIES) {
+      void this.settle();
+    }
+  }
+
+  /** The histogram with all that was added. */
+  async settle(): Promise<Histogram> {
+    this.loading ??= this.load();
+    await this.loading;
+    const {waiting} = this;
+    this.waiting = [];
+    for (const ms of waiting) {
+      const us = Math.round(ms * US_PER_MS);
+      this.histogram!.recordValue(Math.min(HIGHEST_US, Math.max(LOWEST_US, us)));
+    }
+    return this.histogram!;
+  }
+
+  private async load(): Promise<void> {
+    const {build} = await import('hdr-histogram-js');
+    this.histogram = build({
+      highestTrackableValue: HIGHEST_US,
+      lowestDiscernibleValue: LOWEST_US,
+      numberOfSignificantValueDigits: DIGITS,
+    });
+  }
+}
+
+function keyOf(labels: MetricLabels): string {
+  return JSON.stringify(labels);
+}
+
+/** See the module's comment. */
+export class NodeMetrics {
+  private readonly counters = new Map<string, Family<Map<string, Count>>>();
+  private readonly gauges = new Map<string, Family<ReadGauge>>();
+  private readonly latencies = new Map<string, Family<Map<string, Latencies>>>();
+
+  /**
+   * Counts one.
+   *
+   * @param name the metric's name
+   * @param help one sentence
+   * @param labels tell it apart from others of the name; few values each
+   */
+  count(name: string, help: string, labels: MetricLabels): void {
+    const family = this.counters.get(name) ?? {help, values: new Map<string, Count>()};
+    this.counters.set(name, family);
+    const key = keyOf(labels);
+    const known = family.values.get(key) ?? {labels, value: 0};
+    family.values.set(key, known);
+    known.value++;
+  }
+
+  /**
+   * Adds a latency.
+   *
+   * @param name the metric's name, in seconds
+   * @param help one sentence
+   * @param kind tells it apart from others of the name
+   * @param ms milliseconds
+   */
+  addLatency(name: string, help: string, kind: string, ms: number): void {
+    const family = this.latencies.get(name) ?? {help, values: new Map<string, Latencies>()};
+    this.latencies.set(name, family);
+    const known = family.values.get(kind) ?? new Latencies();
+    family.values.set(kind, known);
+    known.add(ms);
+  }
+
+  /**
+   * Adds a value that is read when the metrics are.
+   *
+   * @param name the metric's name
+   * @param help one sentence
+   * @param read returns the present value
+   */
+  exposeGauge(name: string, help: string, read: ReadGauge): void {
+    this.gauges.set(name, {help, values: read});
+  }
+
+  /** All metrics as text. */
+  async text(): Promise<string> {
+    const {Counter, Gauge, Registry} = await import('prom-client');
+    const registers = [new Registry()];
+    for (const [name, {help, values}] of this.counters) {
+      const labelNames = [
+        ...new Set([...values.values()].flatMap(({labels}) => Object.keys(labels))),
+      ];
+      const counter = new Counter({help, labelNames, name, registers});
+      values.forEach(({labels, value}) => counter.inc(labels, value));
+    }
+    for (const [name, {help, values}] of this.gauges) {
+      new Gauge({help, name, registers}).set(values());
+    }
+    for (const [name, {help, values}] of this.latencies) {
+      const gauge = new Gauge({help, labelNames: ['kind', 'quantile'], name, registers});
+      for (const [kind, latencies] of values) {
+        const histogram = await latencies.settle();
+        for (const percentile of PERCENTILES) {
+          const seconds = histogram.getValueAtPercentile(percentile) / US_PER_S;
+          gauge.set({kind, quantile: String(percentile / 100)}, seconds);
+        }
+      }
+    }
+    return registers[0]!.metrics();
+  }
+}
--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -50,6 +50,8 @@
     vms: z.number().check(z.nonnegative()),
     zones: z.number().check(z.nonnegative()),
   }),
+  /** Where metrics are read, at the path `/metrics`. */
+  metrics: address,
   name: z.string(),
   /** Port on which processes of the fleet reach each other; the same on all VMs. */
   peerPort: z.number(),
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -31,7 +31,9 @@
 import {NodeCaller} from './NodeCaller';
 import {CONTROL_GROUP, ENTRY_SILENT_MS, JOBS_GROUP, JOBS_LOG_BYTES} from './NodeConstants';
 import {type Candidate, NodeGroup} from './NodeGroup';
+import {startMetricsServer} from './NodeHttp';
 import {NodeLog} from './NodeLog';
+import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
 import {hostOf, lostDisksOf} from './NodeSettings';
@@ -49,6 +51,7 @@
   private group: NodeGroup<JobsState> | undefined;
   private lastCommandAt: number | undefined;
   private readonly log: NodeLog;
+  private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
   private readonly resultWaiters = new Set<() => void>();
   private rpc!: RpcServer;
@@ -59,7 +62,7 @@
 
   private constructor(private readonly options: NodeOptions) {
     const {clock, logger, settings} = options;
-    this.log = new NodeLog(logger, clock);
+    this.log = new NodeLog(logger, clock, this.metrics);
     this.peers = new NodePeers(settings.peerPort);
     this.seeds = settings.seeds;
     this.caller = new NodeCaller({
@@ -136,6 +139,17 @@
     );
     void this.watch.run();
     void this.openGroup(dataFolder);
+    const {metrics} = this;
+    metrics.exposeGauge('stallpaddle_items_running', 'Batch items under way.', () => {
+      return this.dispatcher?.counts().running ?? 0;
+    });
+    metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
+      return this.dispatcher?.counts().waiting ?? 0;
+    });
+    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
+      return this.watch.ageMs / 1000;
+    });
+    await startMetricsServer(settings.metrics, metrics);
   }
 
   private async openGroup(dataFolder: string): Promise<void> {
@@ -158,6 +172,7 @@
       self: this.self,
       snapshotLogBytes: JOBS_LOG_BYTES,
     });
+    this.group.exposeMetrics(this.metrics);
     const {driver} = this.group;
     this.dispatcher = new JobsDispatcher({
       clock,
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -40,6 +40,7 @@
   private call: EngineCall | undefined;
   private declines = 0;
   private end: RelayEnd | undefined;
+  private firstMs: number | undefined;
   private lastEvent: string | null;
   private readonly sentTo = new Set<EngineId>();
   private verdict: Verdict = 'notRun';
@@ -103,6 +104,8 @@
     this.context.decide('ended', facts.requestId, {
       end: this.end,
       engines: [...this.sentTo].join(','),
+      firstMs: this.firstMs,
+      kind: route.kind,
       ms: Math.round(this.waitedMs),
       route: route.name,
       verdict: this.verdict,
@@ -112,7 +115,11 @@
   private finish(end: RelayEnd): void {
     if (this.end === undefined) {
       this.end = end;
-      this.call?.close();
+      if (this.call !== undefined) {
+        // An attempt that is cut off may have run.
+        this.verdict = joinVerdicts(this.verdict, 'mayHaveRun');
+        this.call.close();
+      }
     }
   }
 
@@ -141,10 +148,8 @@
       this.res.destroy();
       return;
     }
-    const code =
-      this.verdict === 'notRun' && this.sentTo.size === 0 ? 'unavailable' : 'deadlineExceeded';
-    const verdict = this.sentTo.size === 0 ? 'notRun' : 'mayHaveRun';
-    sendRefusal(this.res, new RefusalError(code, verdict, 'The request’s time is over.'));
+    const code = this.verdict === 'notRun' ? 'unavailable' : 'deadlineExceeded';
+    sendRefusal(this.res, new RefusalError(code, this.verdict, 'The request’s time is over.'));
   }
 
   private place(): EngineView | undefined {
@@ -240,11 +245,15 @@
       const timer = setTimeout(() => isResumable && call.close(), SILENT_FIRST_MS);
       const start = await call.started;
       clearTimeout(timer);
+      if (start.kind === 'notRun') {
+        this.call = undefined;
+      }
       if (this.end === undefined) {
         await this.onStart(engine, start);
       }
     } finally {
       this.call?.close();
+      this.call = undefined;
       end();
       if (this.end === undefined) {
         experience.note(engine.id, false);
@@ -329,6 +338,7 @@
     if (this.res.headersSent) {
       return;
     }
+    this.firstMs = Math.round(this.waitedMs);
     const headers = passedHeaders(res.rawHeaders);
     if (length !== null) {
       headers.push('Content-Length', String(length));
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -1,6 +1,7 @@
 /**
  * What callers get when engines serve, decline, fail, break off or mix answers up.
  */
+import type {LogFields} from 'stallpaddle';
 import type {FleetRoute} from 'stallpaddle-fleet';
 
 import {createServer, request, type Server} from 'node:http';
@@ -264,6 +265,46 @@
     expect(ends).toEqual(['left']);
   });
 
+  test('the log names the end that the caller saw, and the last engine that was offered it', async () => {
+    const manners = ['serve', 'decline', 'fail', 'mute', 'wrongRequest', 'breakOff', 'otherEngine'];
+    const random = seededRandom(20_261);
+    const draw = () => manners[Math.floor(random() * manners.length)];
+    const engines = await startEngines(3);
+    for (let turn = 0; turn < 40; turn++) {
+      engines.forEach((engine) => {
+        engine.seen.length = 0;
+        engine.manners = [0, 1, 2].map(() => ({after: 2, kind: draw(), status: 500}) as never);
+      });
+      const lines: {decision: string; fields: LogFields}[] = [];
+      const context = {
+        ...contextOf(engines),
+        decide: (decision: string, _: string, fields: LogFields) => lines.push({decision, fields}),
+      };
+      const route = routeOf({resumable: random() < 0.5, timeoutMs: 250});
+      const {port} = await startRelay(context as never, route);
+      const answer = await ask(port);
+      while (!lines.some(({decision}) => decision === 'ended')) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      const ended = lines.filter(({decision}) => decision === 'ended');
+      expect(ended).toHaveLength(1);
+      const {end, engines: sentTo, verdict} = ended[0]!.fields;
+      expect(end === 'served').toBe(answer.status === 200 && answer.isWhole);
+      expect(end === 'serverFailure').toBe(answer.status === 500);
+      expect(end === 'broken' || (end === 'timedOut' && answer.status === 200)).toBe(
+        !answer.isWhole,
+      );
+      expect(verdict === 'notRun').toBe(answer.status === 503);
+      const offered = lines.filter(({decision}) => decision === 'placed' || decision === 'resumed');
+      const last = offered.at(-1)?.fields.engine;
+      expect(String(sentTo).split(',').at(-1)).toBe(last ?? '');
+      const saw = engines.flatMap(({seen}, at) => seen.map(() => `e${at}`));
+      expect([...new Set(offered.map(({fields}) => fields.engine))].sort()).toEqual(
+        [...new Set(saw)].sort(),
+      );
+    }
+  });
+
   test('refuses after a wait what no engine may even queue', async () => {
     const [engine] = await startEngines(1);
     const context = contextOf([engine!]);
--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -43,7 +43,7 @@
     .join('');
 }
 
-function jsonReporter(write: WriteLine): (entry: LogObject) => void {
+function jsonReporter(write: WriteLine, base: LogFields): (entry: LogObject) => void {
   return (entry) => {
     const [message, fields] = entry.args as unknown as readonly [string, LogFields];
     const line = {
@@ -51,6 +51,7 @@
       message,
       part: entry.tag,
       time: entry.date.toISOString(),
+      ...base,
       ...fields,
     };
     write(`${JSON.stringify(line)}\n`);
@@ -74,12 +75,14 @@
  *
  * @param format how lines are written; `silent` writes none
  * @param write takes the lines; by default they go to standard error
+ * @param base facts that go with every JSON line, such as the VM's name
  */
 export function createLoggerFactory(
   format: LogFormat,
   write: WriteLine = writeToStandardError,
+  base: LogFields = {},
 ): LoggerFactory {
-  const log = format === 'json' ? jsonReporter(write) : textReporter(write);
+  const log = format === 'json' ? jsonReporter(write, base) : textReporter(write);
   return (part) => {
     const consola = createConsola({
       level: format === 'silent' ? -1 : 3,
