Bound what waits for a silent replica; reopen a replica whose disk was full

Now the replica waits for room inside its process. NodeGroup tests: full disk, lost disk, emptied VM, over real connections. Cause 3 (seen in that test): the h2 library goes on pinging a destroyed session and throws from a timer, which would end the process. Pings at rest are off: streams stand all the time, and calls after a rest verify first. Also: a founding cut short by a crash no longer leaves the disk counted as used.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -97,3 +97,6 @@
 
 /** Time left before the end of the grace at which a stopping process ends in any case, in milliseconds. */
 export const END_MARGIN_MS = 600;
+
+/** Pause before a replica whose disk has failed is opened again, in milliseconds. */
+export const REOPEN_MS = 1_000;
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -160,7 +160,7 @@
     });
     this.desk = new NodeDesk({
       clock,
-      driver: this.group.driver,
+      group: this.group,
       log: (message, fields) => this.log.note(message, fields),
       lostDisks,
       reportMs: settings.bounds.report,
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -1,5 +1,4 @@
 import type {Clock, EngineId, LogFields, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
-import type {ReplicaDriver} from 'stallpaddle-replication';
 
 import {encodeValue, unreachable} from 'stallpaddle';
 import {
@@ -22,7 +21,7 @@
  * Answers all processes while this one leads the control group. What it hears of their lives is kept in
  * memory only, and begins anew with each leader.
  */
-import type {Candidate} from './NodeGroup';
+import type {Candidate, NodeGroup} from './NodeGroup';
 
 import {ENTRY_SILENT_MS, MISSED_REPORTS, SETTLE_MS} from './NodeConstants';
 import {votersFor} from './NodeKeeper';
@@ -33,7 +32,8 @@
 /** What the desk needs of its process. */
 export interface NodeDeskOptions {
   readonly clock: Clock;
-  readonly driver: ReplicaDriver<FleetState>;
+  /** The control group's replica here. */
+  readonly group: Pick<NodeGroup<FleetState>, 'driver' | 'registerListener'>;
   readonly log: (message: string, fields: LogFields) => void;
   readonly lostDisks: number;
   /** Time between two reports of an engine, in milliseconds. */
@@ -89,7 +89,7 @@
    */
   constructor(private readonly options: NodeDeskOptions) {
     this.timer = setInterval(() => this.refresh(), REFRESH_MS);
-    options.driver.registerListener(() => this.refresh());
+    options.group.registerListener(() => this.refresh());
   }
 
   /** Ends the looks. */
@@ -117,7 +117,7 @@
       case 'putConfig':
         return this.propose({config: request.config, kind: 'putConfig'});
       case 'readConfig':
-        return this.options.driver.read().config;
+        return this.options.group.driver.read().config;
       case 'removeEngine':
         return this.propose({id: request.id, kind: 'removeEngine'});
       case 'reportEngine':
@@ -135,22 +135,23 @@
 
   /** What this replica holds, without proof that it is the latest. */
   private peek(): WatchAnswer {
-    const {config} = this.options.driver.localState;
+    const {config} = this.options.group.driver.localState;
     return {config, epoch: '', fleet: 0, heldMs: 0, news: this.makeNews(), proven: false};
   }
 
   private propose(command: FleetCommand): Promise<FleetAnswer> {
-    return this.options.driver.propose(encodeValue(command)) as Promise<FleetAnswer>;
+    return this.options.group.driver.propose(encodeValue(command)) as Promise<FleetAnswer>;
   }
 
   private async takeReport(report: EngineReport): Promise<FleetAnswer> {
-    const state = this.options.driver.read();
+    const state = this.options.group.driver.read();
     this.current().engines.set(report.id, this.options.clock.monotonicMs());
     return isNews(state, report) ? this.propose({kind: 'reportEngine', report}) : {kind: 'applied'};
   }
 
   private async watch(request: Extract<FleetRequest, {kind: 'watch'}>): Promise<WatchAnswer> {
-    const {clock, driver} = this.options;
+    const {clock, group} = this.options;
+    const {driver} = group;
     const arrivedAt = clock.monotonicMs();
     driver.read();
     if (this.hear(request.hello) || this.news === undefined) {
@@ -184,7 +185,7 @@
   }
 
   private newsFor(known: {config: number | null; epoch: string; fleet: number}): WatchAnswer {
-    const {config} = this.options.driver.read();
+    const {config} = this.options.group.driver.read();
     const {epoch} = this;
     const isNewer = config !== null && config.version > (known.config ?? -Infinity);
     const isKnown = known.epoch === epoch && known.fleet === this.fleet;
@@ -204,7 +205,8 @@
 
   /** What this leader has heard; begins anew with each term. */
   private current(): Heard {
-    const {clock, driver} = this.options;
+    const {clock, group} = this.options;
+    const {driver} = group;
     if (this.heard.term !== driver.status.term) {
       this.heard = emptyHeard(driver.status.term, clock.monotonicMs());
       // What an earlier term of this leader knew may be older than what others have accepted since.
@@ -239,7 +241,8 @@
   }
 
   private recordStore(name: VmId, replica: ReplicaId): void {
-    const {driver, log} = this.options;
+    const {group, log} = this.options;
+    const {driver} = group;
     if (driver.localState.stores.get(name)?.replica !== replica) {
       this.propose({kind: 'seeStore', name, replica}).then(
         () => log('A store process joins.', {name, replica}),
@@ -251,7 +254,7 @@
 
   /** Makes the news anew and wakes those that wait for it. */
   private refresh(): void {
-    const {driver} = this.options;
+    const {driver} = this.options.group;
     if (!driver.leads) {
       this.wake();
       return;
@@ -273,7 +276,8 @@
   }
 
   private makeNews(): FleetNews {
-    const {clock, driver, reportMs} = this.options;
+    const {clock, group, reportMs} = this.options;
+    const {driver} = group;
     const {engines, jobsFounders, stores} = driver.localState;
     const heard = this.current();
     const now = clock.monotonicMs();
@@ -307,13 +311,14 @@
   }
 
   private jobsReplicas(): readonly ReplicaId[] {
-    const {jobsFounders} = this.options.driver.localState;
+    const {jobsFounders} = this.options.group.driver.localState;
     return this.jobsReport()?.voters ?? jobsFounders ?? [];
   }
 
   /** Founds the group that keeps batch jobs, once enough store processes are there to bear a loss. */
   private foundJobs(): void {
-    const {driver, log, lostDisks} = this.options;
+    const {group, log, lostDisks} = this.options;
+    const {driver} = group;
     const wanted = votersFor(lostDisks);
     const stores = [...this.current().stores.values()];
     if (driver.localState.jobsFounders !== null || stores.length < wanted) {
@@ -330,7 +335,7 @@
   }
 
   private async retireStore(name: VmId): Promise<RetireAnswer> {
-    const state = this.options.driver.read();
+    const state = this.options.group.driver.read();
     const store = state.stores.get(name);
     if (store === undefined) {
       return 'unknown';
@@ -362,7 +367,7 @@
   }
 
   private retireState(name: VmId): RetireAnswer {
-    const store = this.options.driver.read().stores.get(name);
+    const store = this.options.group.driver.read().stores.get(name);
     if (store === undefined || !store.retiring) {
       return 'unknown';
     }
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -1,7 +1,7 @@
 import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
 import type {Disk} from 'stallpaddle-storage';
 
-import {errorMessage, registerLoop} from 'stallpaddle';
+import {delay, errorMessage, registerLoop} from 'stallpaddle';
 import {
   isCaughtUp,
   ReplicaDriver,
@@ -16,7 +16,7 @@
 import type {NodeMetrics, ReadGauge} from './NodeMetrics';
 import type {NodePeers} from './NodePeers';
 
-import {GROUP_TIMING, KEEP_MEMBERS_MS} from './NodeConstants';
+import {GROUP_TIMING, KEEP_MEMBERS_MS, REOPEN_MS} from './NodeConstants';
 import {type KnownReplica, planMembers} from './NodeKeeper';
 
 /** A replica that may belong to the group, as the process has heard of it. */
@@ -47,14 +47,22 @@
   readonly snapshotLogBytes?: number;
 }
 
+/**
+ * Whether a disk is only full: that may pass, and no byte that was synced is in doubt. After any other
+ * failure of a disk the process ends.
+ */
+function isFullDisk(err: unknown): boolean {
+  return err instanceof Error && 'code' in err && err.code === 'ENOSPC';
+}
+
 /** See the module's comment. */
 export class NodeGroup<State> {
+  private closed = false;
+  private current!: ReplicaDriver<State>;
+  private readonly listeners = new Set<() => void>();
   private readonly stopKeeping: () => Promise<void>;
 
-  private constructor(
-    private readonly options: NodeGroupOptions<State>,
-    readonly driver: ReplicaDriver<State>,
-  ) {
+  private constructor(private readonly options: NodeGroupOptions<State>) {
     this.stopKeeping = registerLoop(KEEP_MEMBERS_MS, () => this.keepMembers());
   }
 
@@ -64,20 +72,42 @@
    * @param options what the replica needs of its process
    */
   static async open<State>(options: NodeGroupOptions<State>): Promise<NodeGroup<State>> {
-    const {clock, disk, founders, group, logger, machine, onFailure, peers, self} = options;
-    const {snapshotLogBytes} = options;
+    const {disk, founders, machine, self} = options;
     const formed = await ReplicaStorage.formedMembers(disk);
     if (formed === undefined && founders !== null && founders.includes(self)) {
       const members = {learners: [], voters: founders};
       await ReplicaStorage.form(disk, machine.encode(machine.initial()), members);
     }
-    const driver = await ReplicaDriver.open({
+    const group = new NodeGroup(options);
+    await group.openDriver();
+    return group;
+  }
+
+  /** The replica; another one after its disk has failed and come back. */
+  get driver(): ReplicaDriver<State> {
+    return this.current;
+  }
+
+  /**
+   * Calls back after each change of the state.
+   *
+   * @param listener what to call
+   * @returns ends the calls
+   */
+  registerListener(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private async openDriver(): Promise<void> {
+    const {clock, disk, group, logger, machine, peers, self, snapshotLogBytes} = this.options;
+    this.current = await ReplicaDriver.open({
       clock,
       disk,
       group,
       logger,
       machine,
-      onFailure,
+      onFailure: (err) => this.onFailure(err),
       self,
       snapshotLogBytes,
       timing: GROUP_TIMING,
@@ -86,7 +116,38 @@
         sendSnapshot: (to, source) => sendSnapshot(peers.of(to), source),
       },
     });
-    return new NodeGroup(options, driver);
+    this.current.registerListener(() => [...this.listeners].forEach((listener) => listener()));
+  }
+
+  private onFailure(err: unknown): void {
+    if (isFullDisk(err)) {
+      void this.reopen(err);
+    } else {
+      this.options.onFailure(err);
+    }
+  }
+
+  /** Opens the replica again and again until its disk takes it; the others go on without it. */
+  private async reopen(failure: unknown): Promise<void> {
+    const {group, logger} = this.options;
+    logger.warn('The disk is full; the replica waits for room.', {
+      group,
+      reason: errorMessage(failure),
+    });
+    await this.current.close().catch(() => {});
+    while (!this.closed) {
+      await delay(REOPEN_MS);
+      try {
+        await this.openDriver();
+        logger.info('The replica is open again.', {group});
+        return;
+      } catch (err) {
+        if (!isFullDisk(err)) {
+          this.options.onFailure(err);
+          return;
+        }
+      }
+    }
   }
 
   /** Whether every voter holds all that was committed. */
@@ -103,20 +164,19 @@
    * @param metrics the process's metrics
    */
   exposeMetrics(metrics: NodeMetrics): void {
-    const {driver} = this;
     const expose = (name: string, help: string, read: ReadGauge): void =>
       metrics.exposeGauge(`stallpaddle_replica_${name}`, help, read);
-    expose('leads', 'Whether this replica leads with its lease.', () => Number(driver.leads));
-    expose('term', 'Election period; rises with each election.', () => driver.status.term);
-    expose('commits', 'Entries applied since the start.', () => driver.counters.commits);
-    expose('syncs', 'Syncs of the log since the start.', () => driver.counters.syncs);
-    expose('voters', 'Voters of the group.', () => driver.status.log.members.voters.length);
+    expose('leads', 'Whether this replica leads with its lease.', () => Number(this.driver.leads));
+    expose('term', 'Election period; rises with each election.', () => this.driver.status.term);
+    expose('commits', 'Entries applied since the start.', () => this.driver.counters.commits);
+    expose('syncs', 'Syncs of the log since the start.', () => this.driver.counters.syncs);
+    expose('voters', 'Voters of the group.', () => this.driver.status.log.members.voters.length);
     expose('unapplied', 'Entries in the log that are not known to be committed.', () => {
-      const {commit, log} = driver.status;
+      const {commit, log} = this.driver.status;
       return log.lastIndex - commit;
     });
     expose('lag', 'Entries that the replica furthest behind lacks, as the leader knows.', () => {
-      const {commit, role} = driver.status;
+      const {commit, role} = this.driver.status;
       const matches = role.kind === 'leader' ? [...role.progress.values()] : [];
       return Math.max(0, ...matches.map(({match}) => commit - match));
     });
@@ -124,6 +184,7 @@
 
   /** Ends the replica. */
   async close(): Promise<void> {
+    this.closed = true;
     await this.stopKeeping();
     await this.driver.close();
   }
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -18,7 +18,12 @@
   type ResultsAnswer,
   type TellAnswer,
 } from 'stallpaddle-jobs';
-import {loadIdentity, NotLeaderError, type ReplicaDriver} from 'stallpaddle-replication';
+import {
+  loadIdentity,
+  NotLeaderError,
+  type ReplicaDriver,
+  ReplicaStorage,
+} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
@@ -156,8 +161,7 @@
     const {clock, logger, onFailure, settings, wire} = this.options;
     const disk = await openDisk(path.join(dataFolder, JOBS_GROUP));
     // A disk that holds a replica opens at once; an empty one may be a founder's.
-    const isEmpty = (await disk.list()).length === 0;
-    const founders = isEmpty ? await this.findFounders() : null;
+    const founders = (await ReplicaStorage.isUsed(disk)) ? null : await this.findFounders();
     this.group = await NodeGroup.open({
       candidates: () => this.candidates(),
       clock,
@@ -173,18 +177,18 @@
       snapshotLogBytes: JOBS_LOG_BYTES,
     });
     this.group.exposeMetrics(this.metrics);
-    const {driver} = this.group;
+    const {group} = this;
     this.dispatcher = new JobsDispatcher({
       clock,
       decide: (decision, id, fields: LogFields) => this.log.decide(decision, id, fields),
-      leads: () => driver.leads && !this.stopped,
-      propose: (change) => this.propose(driver, change),
-      readBlob: (ref) => driver.readBlob(ref),
-      state: () => driver.localState,
+      leads: () => group.driver.leads && !this.stopped,
+      propose: (change) => this.propose(group.driver, change),
+      readBlob: (ref) => group.driver.readBlob(ref),
+      state: () => group.driver.localState,
       view: () => this.watch.view,
       wire: wire.relay,
     });
-    driver.registerListener(() => {
+    group.registerListener(() => {
       this.dispatcher?.poke();
       [...this.resultWaiters].forEach((wake) => wake());
     });
--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -0,0 +1,180 @@
+/**
+ * Groups of replicas over real connections: founding, a disk that fails for a while, a lost disk, one more
+ * replica, a VM to be emptied.
+ */
+import type {ReplicaMachine} from 'stallpaddle-replication';
+
+import {
+  decodeValue,
+  delay,
+  encodeValue,
+  type ReplicaId,
+  silentLogger,
+  systemClock,
+} from 'stallpaddle';
+import {startRpcServer} from 'stallpaddle-rpc';
+import {FakeDisk} from 'stallpaddle-testing';
+import {afterEach, describe, expect, test} from 'vitest';
+
+import {type Candidate, NodeGroup} from '../../NodeGroup';
+import {NodePeers} from '../../NodePeers';
+import {addNodeService} from '../../NodeService';
+
+interface ListState {
+  readonly texts: readonly string[];
+}
+
+const listMachine: ReplicaMachine<ListState> = {
+  apply: (state, command) => {
+    const texts = [...state.texts, Buffer.from(command).toString()];
+    return {blobs: [], result: texts.length, state: {texts}};
+  },
+  blobEnd: () => 0,
+  decode: (bytes) => decodeValue<ListState>(bytes),
+  encode: (state) => encodeValue(state),
+  initial: () => ({texts: []}),
+};
+
+const GROUP = 'g';
+const undo: (() => Promise<void> | void)[] = [];
+let port = 18_400;
+
+afterEach(async () => {
+  for (const step of undo.splice(0).reverse()) {
+    await step();
+  }
+});
+
+/** Replicas on addresses of their own. */
+class Fleet {
+  readonly groups = new Map<ReplicaId, NodeGroup<ListState>>();
+  readonly lost = new Set<ReplicaId>();
+  private readonly port = port++;
+  retiring: ReplicaId | undefined;
+
+  async start(id: ReplicaId, founders: readonly ReplicaId[] | null, disk = new FakeDisk()) {
+    const peers = new NodePeers(this.port);
+    const opened: {group?: NodeGroup<ListState>} = {};
+    const [host] = id.split('/');
+    const rpc = await startRpcServer(host!, this.port, peers.key, (router) =>
+      addNodeService(router, {
+        answer: () => null,
+        group: GROUP,
+        replica: () => opened.group?.driver,
+      }),
+    );
+    const group = await NodeGroup.open({
+      candidates: () => this.candidates(),
+      clock: systemClock,
+      disk,
+      founders,
+      group: GROUP,
+      logger: silentLogger,
+      lostDisks: 1,
+      machine: listMachine,
+      onFailure: () => {},
+      peers,
+      self: id,
+    });
+    opened.group = group;
+    this.groups.set(id, group);
+    const stop = async (): Promise<void> => {
+      this.groups.delete(id);
+      await group.close();
+      peers.close();
+      await rpc.stop();
+    };
+    undo.push(() => (this.groups.has(id) ? stop() : undefined));
+    return {disk, group, stop};
+  }
+
+  private candidates(): readonly Candidate[] {
+    return [...this.groups.keys()].map((id) => ({
+      id,
+      retiring: id === this.retiring,
+      silentMs: 0,
+    }));
+  }
+
+  async leader(): Promise<NodeGroup<ListState>> {
+    for (let tries = 0; tries < 1_000; tries++) {
+      const found = [...this.groups.values()].find(({driver}) => driver.leads);
+      if (found !== undefined) {
+        return found;
+      }
+      await delay(10);
+    }
+    throw new Error('nobody leads');
+  }
+
+  async untilVoters(expected: readonly ReplicaId[]): Promise<void> {
+    for (let tries = 0; tries < 1_000; tries++) {
+      const {voters} = (await this.leader()).driver.status.log.members;
+      if ([...voters].sort().join() === [...expected].sort().join()) {
+        return;
+      }
+      await delay(10);
+    }
+    expect((await this.leader()).driver.status.log.members.voters).toEqual(expected);
+  }
+}
+
+async function found(): Promise<{fleet: Fleet; ids: readonly string[]}> {
+  const fleet = new Fleet();
+  const ids = [1, 2, 3].map((number) => `127.0.7.${number}/first`);
+  await Promise.all(ids.map((id) => fleet.start(id, ids)));
+  return {fleet, ids};
+}
+
+describe('NodeGroup', () => {
+  test('a VM that comes back with another disk takes the place of the lost one', async () => {
+    const {fleet, ids} = await found();
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+    const lost = ids.find((id) => fleet.groups.get(id)!.driver.leads)!;
+    const group = fleet.groups.get(lost)!;
+    fleet.groups.delete(lost);
+    await group.close();
+    // The old server still stands: the new replica is reached by its own name.
+    const again = `127.0.7.9/again`;
+    await fleet.start(again, null);
+    await fleet.untilVoters([...ids.filter((id) => id !== lost), again]);
+    await (await fleet.leader()).driver.propose(Buffer.from('two'));
+    for (let tries = 0; fleet.groups.get(again)!.driver.localState.texts.length < 2; tries++) {
+      expect(tries).toBeLessThan(300);
+      await delay(10);
+    }
+    expect(fleet.groups.get(again)!.driver.localState.texts).toEqual(['one', 'two']);
+  });
+
+  test('empties a VM only after another has taken its place', async () => {
+    const {fleet, ids} = await found();
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+    const more = '127.0.7.4/more';
+    await fleet.start(more, null);
+    fleet.retiring = ids.find((id) => fleet.groups.get(id)!.driver.leads);
+    await fleet.untilVoters([...ids.filter((id) => id !== fleet.retiring), more]);
+    expect(fleet.groups.get(more)!.driver.localState.texts).toEqual(['one']);
+  });
+
+  test('a full disk costs one replica for as long as it is full, and nothing acknowledged', async () => {
+    const fleet = new Fleet();
+    const ids = [1, 2, 3].map((number) => `127.0.7.${number}/first`);
+    const started = await Promise.all(ids.map((id) => fleet.start(id, ids)));
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+    const at = started.findIndex(({group}) => group.driver.leads);
+    const {disk, group} = started[at]!;
+    disk.failAppends = Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+    group.driver.propose(Buffer.from('two')).catch(() => {});
+    for (let tries = 0; group.driver.leads; tries++) {
+      expect(tries).toBeLessThan(300);
+      await delay(10);
+    }
+    await (await fleet.leader()).driver.propose(Buffer.from('three'));
+    disk.failAppends = null;
+    for (let tries = 0; !group.driver.localState.texts.includes('three'); tries++) {
+      expect(tries).toBeLessThan(600);
+      await delay(10);
+    }
+    expect(group.driver.localState.texts[0]).toBe('one');
+  });
+});
--- a/packages/stallpaddle-replication/src/ReplicaStorage.ts
+++ b/packages/stallpaddle-replication/src/ReplicaStorage.ts
@@ -1,7 +1,13 @@
 import type {Disk} from 'stallpaddle-storage';
 
 import {decodeValue, encodeValue} from 'stallpaddle';
-import {readSnapshot, StorageLog, writeSnapshot} from 'stallpaddle-storage';
+import {
+  isLogName,
+  readSnapshot,
+  SNAPSHOT_FILE,
+  StorageLog,
+  writeSnapshot,
+} from 'stallpaddle-storage';
 
 /**
  * A replica's disk: log records and snapshots, decoded.
@@ -116,6 +122,16 @@
     return bytes === undefined ? undefined : decodeValue<MachineSnapshot>(bytes).meta.members;
   }
 
+  /**
+   * Whether the disk has ever held a replica; files of a founding that a crash cut short don't count.
+   *
+   * @param disk folder of the replica
+   */
+  static async isUsed(disk: Disk): Promise<boolean> {
+    const names = await disk.list();
+    return names.some((name) => name === SNAPSHOT_FILE || isLogName(name));
+  }
+
   /**
    * Writes and syncs one record.
    *
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -15,7 +15,7 @@
   Role,
 } from './ReplicationTypes';
 
-import {MAX_APPEND_BYTES} from './ReplicationConstants';
+import {MAX_APPEND_BYTES, MAX_PROBE_BYTES} from './ReplicationConstants';
 import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
 import {majorityValue, quorumHeardAt} from './ReplicationLease';
 
@@ -79,7 +79,9 @@
     $emit(draft, {kind: 'sendSnapshot', to: replica});
     return;
   }
-  const entries = log.entriesFrom(progress.next, MAX_APPEND_BYTES);
+  const isSilent = draft.now - progress.ackedSentAt > draft.timing.electionTimeoutMs;
+  const most = isSilent ? MAX_PROBE_BYTES : MAX_APPEND_BYTES;
+  const entries = log.entriesFrom(progress.next, most);
   const next = progress.mode === 'replicate' ? progress.next + entries.length : progress.next;
   $setProgress(draft, role, replica, {lastSentAt: draft.now, next});
   const {commit, now} = draft;
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -54,8 +54,10 @@
     }
     const {pingMs = DEFAULT_PING_MS} = this.options;
     const sessions = new Http2SessionManager(baseUrl, {
-      // A connection that was cut without a word must not hold up what comes after the cut.
-      pingIdleConnection: true,
+      // A connection that was cut without a word must not hold up what comes after the cut: it is pinged
+      // while streams stand, and before a call after a rest. Not at rest itself: the library would go on
+      // pinging a session that was destroyed in the meantime, and throw.
+      pingIdleConnection: false,
       pingIntervalMs: pingMs,
       pingTimeoutMs: pingMs,
     });
--- a/packages/stallpaddle-rpc/src/RpcOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -1,17 +1,21 @@
-/**
- * Replication messages on their way to one VM, over one standing stream: a call for each would cost
- * more than the message.
- */
 import type {Message} from 'stallpaddle-replication';
 
 import {delay, encodeValue} from 'stallpaddle';
 
+/**
+ * Replication messages on their way to one VM, over one standing stream: a call for each would cost
+ * more than the message.
+ */
 import type {PeerClient} from './RpcClients';
 
 /** Pause before a stream of replication messages that broke off is opened again, in milliseconds. */
 const OUTBOX_REOPEN_MS = 50;
-/** Most messages that wait for one VM; the oldest are dropped, as a network would. */
-const OUTBOX_MESSAGES = 512;
+
+/**
+ * Most bytes of messages that wait for one VM; the oldest are dropped, as a network would. A leader sends
+ * a replica that doesn't answer the same megabyte with each heartbeat, so counting messages bounds nothing.
+ */
+export const OUTBOX_BYTES = 2_097_152;
 
 interface Delivery {
   readonly encoded: Uint8Array[];
@@ -19,8 +23,9 @@
 
 /** See the module's comment. */
 export class RpcOutbox {
+  private bytes = 0;
   private closed = false;
-  private messages: Message[] = [];
+  private messages: Uint8Array[] = [];
   private open = false;
   private wake = (): void => {};
 
@@ -29,15 +34,22 @@
    */
   constructor(private readonly clientOf: () => PeerClient | undefined) {}
 
+  /** Bytes of messages that wait. */
+  get waitingBytes(): number {
+    return this.bytes;
+  }
+
   /**
-   * Sends a message soon; when too many wait, the oldest is lost.
+   * Sends a message soon; when too much waits, the oldest is lost.
    *
    * @param message the message
    */
   add(message: Message): void {
-    this.messages.push(message);
-    if (this.messages.length > OUTBOX_MESSAGES) {
-      this.messages.shift();
+    const encoded = encodeValue(message);
+    this.messages.push(encoded);
+    this.bytes += encoded.length;
+    while (this.bytes > OUTBOX_BYTES && this.messages.length > 1) {
+      this.bytes -= this.messages.shift()!.length;
     }
     this.wake();
     if (!this.open) {
@@ -73,8 +85,9 @@
       }
       const {messages} = this;
       this.messages = [];
+      this.bytes = 0;
       if (messages.length > 0) {
-        yield {encoded: messages.map(encodeValue)};
+        yield {encoded: messages};
       }
     }
   }
--- a/packages/stallpaddle-storage/src/StorageLog.ts
+++ b/packages/stallpaddle-storage/src/StorageLog.ts
@@ -8,6 +8,16 @@
 import {encodeRecord, scanRecords} from './StorageRecord';
 
 const FILE_PREFIX = 'log-';
+
+/**
+ * Whether a file is a log's.
+ *
+ * @param name the file's name
+ */
+export function isLogName(name: string): boolean {
+  return name.startsWith(FILE_PREFIX);
+}
+
 const GENERATION_DIGITS = 8;
 
 function fileName(generation: number): string {
--- a/packages/stallpaddle-storage/src/StorageSnapshot.ts
+++ b/packages/stallpaddle-storage/src/StorageSnapshot.ts
@@ -7,7 +7,8 @@
 import {CorruptionError} from './StorageErrors';
 import {decodeRecord, encodeRecord} from './StorageRecord';
 
-const FILE_NAME = 'snapshot';
+/** Name of a snapshot's file. */
+export const SNAPSHOT_FILE = 'snapshot';
 
 /**
  * Reads the latest snapshot, or undefined when none was taken.
@@ -15,13 +16,13 @@
  * @param disk folder of the replica
  */
 export async function readSnapshot(disk: Disk): Promise<Uint8Array | undefined> {
-  const bytes = await disk.read(FILE_NAME);
+  const bytes = await disk.read(SNAPSHOT_FILE);
   if (bytes === undefined) {
     return undefined;
   }
   const record = decodeRecord(bytes, 0);
   if (record === undefined || record.end !== bytes.length) {
-    throw new CorruptionError(FILE_NAME, 0, 'the checksum differs');
+    throw new CorruptionError(SNAPSHOT_FILE, 0, 'the checksum differs');
   }
   return record.payload;
 }
@@ -33,5 +34,5 @@
  * @param payload content
  */
 export async function writeSnapshot(disk: Disk, payload: Uint8Array): Promise<void> {
-  await replaceFile(disk, FILE_NAME, encodeRecord(0, payload));
+  await replaceFile(disk, SNAPSHOT_FILE, encodeRecord(0, payload));
 }
--- a/packages/stallpaddle-storage/src/index.ts
+++ b/packages/stallpaddle-storage/src/index.ts
@@ -2,7 +2,7 @@
 export {BLOB_SEGMENT_BYTES, type BlobRef, placeBlob, StorageBlobs} from './StorageBlobs';
 export {type Disk, type DiskFile, openDisk, replaceFile} from './StorageDisk';
 export {CorruptionError} from './StorageErrors';
-export {type OpenedLog, StorageLog} from './StorageLog';
+export {isLogName, type OpenedLog, StorageLog} from './StorageLog';
 export {
   decodeRecord,
   encodeRecord,
@@ -11,4 +11,4 @@
   type RecordScan,
   scanRecords,
 } from './StorageRecord';
-export {readSnapshot, writeSnapshot} from './StorageSnapshot';
+export {readSnapshot, SNAPSHOT_FILE, writeSnapshot} from './StorageSnapshot';
--- a/packages/stallpaddle-testing/src/FakeDisk.ts
+++ b/packages/stallpaddle-testing/src/FakeDisk.ts
@@ -28,6 +28,8 @@
 export class FakeDisk implements Disk {
   /** Operations until the crash; undefined for none. */
   crashAfter: number | undefined;
+  /** Makes every write fail with this, as a full disk does. */
+  failAppends: Error | null = null;
   /** Makes every sync fail without writing. */
   failSyncs = false;
   operations = 0;
@@ -49,6 +51,9 @@
     return {
       append: async (bytes) => {
         this.operate();
+        if (this.failAppends !== null) {
+          throw this.failAppends;
+        }
         inode.volatile = concat(inode.volatile, bytes);
       },
       close: async () => {},
