--- a/scripts/teeth.mjs
+++ b/scripts/teeth.mjs
@@ -20,7 +20,7 @@
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
 const [wanted = ''] = process.argv.slice(2);
 const faults = JSON.parse(readFileSync(path.join(root, 'scripts/teeth.json'), 'utf8')).filter(
-  ({fault}) => fault.includes(wanted),
+  ({fault, invariant}) => fault.includes(wanted) || invariant.includes(wanted),
 );
 const copy = mkdtempSync(path.join(tmpdir(), 'stallpaddle-teeth-'));
 
