--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -210,7 +210,7 @@
     expect(Number(declined.headers['retry-after'])).toBeGreaterThan(0);
   });
 
-  test.each(['wrongRequest', 'mute'] as const)(
+  test.each(['wrongRequest', 'mute', 'reset'] as const)(
     'answers a request that may have run with no promise after %s',
     async (kind) => {
       const engines = await startEngines(2);
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -21,6 +21,8 @@
   | {readonly kind: 'mute'}
   /** Another engine has the address. */
   | {readonly kind: 'otherEngine'}
+  /** Takes the request and resets the connection. */
+  | {readonly kind: 'reset'}
   /** Leaves numbers out. */
   | {readonly kind: 'skipEvent'}
   | {readonly kind: 'serve'}
@@ -114,6 +116,9 @@
         return;
       case 'mute':
         return;
+      case 'reset':
+        req.socket.resetAndDestroy();
+        return;
       case 'otherEngine':
         res.writeHead(421).end();
         return;
