Take no request that the end of a planned stop would cut; say over-quota as such

Ruled out: the configuration changed nothing of that route. Change: 3 s before the end of the grace it stops listening and refuses what still comes; it ends once nothing is under way. The fleet test (processes together, planned stop under constant requests) failed before: requests were open when the process would have ended; it passes now. Cause 2 (found by the same test): a job over the quota got 503 instead of 429, because the refusal was caught as if the store had not answered.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -95,8 +95,14 @@
 /** Time that a rested connection is kept beyond the configured one, in milliseconds. */
 export const IDLE_MARGIN_MS = 2_000;
 
+/**
+ * Time before the end of the grace from which a stopping process takes no more requests, in milliseconds:
+ * streams of today take about one second, and a request that is cut off at the end counts as lost.
+ */
+export const LAST_REQUESTS_MS = 3_000;
+
 /** Time left before the end of the grace at which a stopping process ends in any case, in milliseconds. */
-export const END_MARGIN_MS = 600;
+export const END_MARGIN_MS = 400;
 
 /** Pause before a replica whose disk has failed is opened again, in milliseconds. */
 export const REOPEN_MS = 1_000;
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -27,6 +27,7 @@
   END_MARGIN_MS,
   IDLE_MARGIN_MS,
   JOBS_GROUP,
+  LAST_REQUESTS_MS,
   ROUTE_FRESH_MS,
 } from './NodeConstants';
 import {
@@ -53,8 +54,8 @@
 const READY_AGE_MS = 3_000;
 /** Time between looks whether a stopping process is idle, in milliseconds. */
 const IDLE_LOOK_MS = 50;
-/** Some callers keep the addresses three times as long as they were told. */
-const ADDRESSES_KEPT_TIMES = 3;
+/** Some callers keep the addresses three times as long as they were told; in milliseconds. */
+const ADDRESSES_KEPT_MS = 3 * 1_000 * ADDRESSES_TTL_S;
 
 /** See the module's comment. */
 export class NodeEntry implements RunningNode {
@@ -66,6 +67,7 @@
   private readonly log: NodeLog;
   private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
+  private refusing = false;
   private routes: RouteTable | undefined;
   private seeds: readonly string[];
   private servers: readonly Server[] = [];
@@ -132,26 +134,31 @@
     this.seeds = settings.seeds;
   }
 
-  /** Takes no new callers, and ends once those that may still come have been served. */
+  /**
+   * Takes no new callers, serves those that still come for as long as a request may take before the end,
+   * then refuses what comes, and ends once nothing is under way.
+   */
   async stop(): Promise<void> {
-    const {clock, settings} = this.options;
-    const start = clock.monotonicMs();
+    const {grace} = this.options.settings.bounds;
     this.leaving = true;
     void this.watch.ask(0);
-    const kept = ADDRESSES_TTL_S * ADDRESSES_KEPT_TIMES * 1000;
-    const most = settings.bounds.grace - END_MARGIN_MS;
-    for (let age = 0; age < most; age = clock.monotonicMs() - start) {
-      if (age > kept && this.active === 0) {
-        break;
-      }
-      await delay(IDLE_LOOK_MS);
-    }
+    await delay(Math.min(ADDRESSES_KEPT_MS, Math.max(0, grace - LAST_REQUESTS_MS)));
+    this.refusing = true;
     this.servers.forEach((server) => server.close());
+    await this.untilIdle(Math.min(grace, LAST_REQUESTS_MS) - END_MARGIN_MS);
     this.tells.stop();
     this.watch.stop();
     this.peers.close();
   }
 
+  private async untilIdle(mostMs: number): Promise<void> {
+    const {clock} = this.options;
+    const end = clock.monotonicMs() + mostMs;
+    while (this.active > 0 && clock.monotonicMs() < end) {
+      await delay(IDLE_LOOK_MS);
+    }
+  }
+
   private get ready(): boolean {
     return !this.leaving && this.watch.view.config !== null && this.watch.ageMs < READY_AGE_MS;
   }
@@ -271,6 +278,9 @@
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {clock, wire} = this.options;
     const arrivedAt = clock.monotonicMs();
+    if (this.refusing) {
+      throw refuse('leaving', 'This VM stops.', {retryAfterMs: 0});
+    }
     const call = callOf(req);
     const jobCall = wire.readJobCall(call);
     if (jobCall !== null) {
--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -51,21 +51,20 @@
       maxWaitingTokens: route.maxWaitingTokens,
       submission,
     };
+    return this.onAnswer(read.id, await this.propose(read.id, request));
+  }
+
+  private async propose(id: string, value: JobsRequest): Promise<JobsAnswer> {
     try {
-      const answer = await this.caller.call<JobsAnswer>({
-        changes: true,
-        totalMs: JOB_CALL_MS,
-        value: request,
-      });
-      return this.onAnswer(read.id, answer);
+      return await this.caller.call<JobsAnswer>({changes: true, totalMs: JOB_CALL_MS, value});
     } catch (err) {
-      if (err instanceof RefusalError) {
-        this.log.decide('jobRefused', read.id, {reason: err.message, verdict: err.verdict});
-        throw err.verdict === 'notRun'
-          ? refuse('unavailable', err.message, {retryAfterMs: SUBMIT_AGAIN_MS})
-          : new RefusalError('engineFailed', err.verdict, 'The job may have been taken.');
+      if (!(err instanceof RefusalError)) {
+        throw err;
       }
-      throw err;
+      this.log.decide('jobRefused', id, {reason: err.message, verdict: err.verdict});
+      throw err.verdict === 'notRun'
+        ? refuse('unavailable', err.message, {retryAfterMs: SUBMIT_AGAIN_MS})
+        : new RefusalError('engineFailed', err.verdict, 'The job may have been taken.');
     }
   }
 
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -35,6 +35,8 @@
   readonly headers: IncomingMessage['headers'];
   /** Whether its connection was closed before the last event. */
   left: boolean;
+  /** Whether it is still under way. */
+  open: boolean;
   readonly url: string;
 }
 
@@ -92,10 +94,17 @@
       chunks.push(chunk as Buffer);
     }
     const body = Buffer.concat(chunks).toString();
-    const seen: SeenRequest = {body, headers: req.headers, left: false, url: req.url ?? ''};
+    const seen: SeenRequest = {
+      body,
+      headers: req.headers,
+      left: false,
+      open: true,
+      url: req.url ?? '',
+    };
     this.seen.push(seen);
     res.on('close', () => {
       seen.left = !res.writableFinished;
+      seen.open = false;
     });
     await this.treat(this.manners.shift() ?? SERVE, req, res);
   }
