Give a silent connection up by our own calls, not by the library's pings

The library's ping can do two things: throw from a session it has left, and wait forever, because a stream that ends takes the ping's time limit off; then no call to that VM works again (10 of 10 tries unknown after the link was back). Change: no pings; a call or a delivery that gets no answer in time, on a stream that brought nothing since, gives up stream and connection. Replication messages go over the same stream, one delivery at a time. A server ends connections that are quiet for 30 s. Tests: the silent link failed before and passes; rpc, node, vm, platform 33 passed.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -47,8 +47,11 @@
 /** Longest time that a caller's job call is tried, in milliseconds: under half of the time callers allow. */
 export const JOB_CALL_MS = 1_500;
 
-/** Time between pings of connections between processes, in milliseconds. */
-export const PEER_PING_MS = 700;
+/**
+ * Longest wait for a replica to take messages, in milliseconds: an election timeout, after which the others
+ * go on without it. A connection that brought nothing for as long is given up.
+ */
+export const DELIVER_TRY_MS = 500;
 
 /** Reports of an engine that must be missed before it counts as silent. */
 export const MISSED_REPORTS = 3;
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -5,9 +5,15 @@
 import type {Message} from 'stallpaddle-replication';
 
 import {vmOfReplica} from 'stallpaddle';
-import {type PeerClient, RpcChannel, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
+import {
+  type Delivery,
+  openConnection,
+  type PeerClient,
+  RpcChannel,
+  RpcOutbox,
+} from 'stallpaddle-rpc';
 
-import {PEER_PING_MS} from './NodeConstants';
+import {DELIVER_TRY_MS} from './NodeConstants';
 
 /** The platform hands out no secret; its network lets only the fleet's own VMs in. */
 const FLEET_KEY = 'fleet';
@@ -15,7 +21,6 @@
 /** See the module's comment. */
 export class NodePeers {
   private readonly channels = new Map<string, RpcChannel>();
-  private readonly clients = new RpcClients(FLEET_KEY, {pingMs: PEER_PING_MS});
   private readonly outboxes = new Map<ReplicaId, RpcOutbox>();
   private stopped = false;
 
@@ -35,7 +40,9 @@
    * @param host IP number
    */
   channel(host: string): RpcChannel {
-    const known = this.channels.get(host) ?? new RpcChannel(this.clients.at(host, this.port));
+    const known =
+      this.channels.get(host) ??
+      new RpcChannel(() => openConnection(FLEET_KEY, host, this.port, null));
     this.channels.set(host, known);
     return known;
   }
@@ -46,7 +53,7 @@
    * @param replica the replica
    */
   of(replica: ReplicaId): PeerClient {
-    return this.clients.at(vmOfReplica(replica), this.port);
+    return this.channel(vmOfReplica(replica)).client;
   }
 
   /**
@@ -58,7 +65,9 @@
     if (this.stopped) {
       return;
     }
-    const outbox = this.outboxes.get(message.to) ?? new RpcOutbox(() => this.of(message.to));
+    const outbox =
+      this.outboxes.get(message.to) ??
+      new RpcOutbox((deliveries) => this.carry(message.to, deliveries));
     this.outboxes.set(message.to, outbox);
     outbox.add(message);
   }
@@ -68,6 +77,12 @@
     this.stopped = true;
     this.channels.forEach((channel) => channel.close());
     this.outboxes.forEach((outbox) => outbox.close());
-    this.clients.close();
+  }
+
+  /** One delivery at a time: what comes meanwhile goes with the next. */
+  private async carry(to: ReplicaId, deliveries: AsyncIterable<Delivery>): Promise<void> {
+    for await (const {encoded} of deliveries) {
+      await this.channel(vmOfReplica(to)).deliver(encoded, DELIVER_TRY_MS);
+    }
   }
 }
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -7,7 +7,6 @@
 import {decodeValue} from 'stallpaddle';
 import {
   type CallRequest,
-  type CallResponseSchema,
   type ConverseRequest,
   type ConverseResponseSchema,
   encodeOutcome,
@@ -28,22 +27,24 @@
   readonly replica: () => (SnapshotTarget & {receive: (message: Message) => void}) | undefined;
 }
 
-/** Answers the calls of a standing stream side by side. */
+type ConverseAnswer = MessageInitShape<typeof ConverseResponseSchema>;
+
+/** Without an answer the caller takes a call's outcome for unknown. */
+const NO_OUTCOME: ConverseAnswer['answer'] = {outcome: {case: 'outcomeUnknown', value: {}}};
+
+/** Answers what comes on a standing stream, side by side. */
 async function* converse(
   requests: AsyncIterable<ConverseRequest>,
-  answer: (call: CallRequest) => Promise<MessageInitShape<typeof CallResponseSchema>>,
-): AsyncGenerator<MessageInitShape<typeof ConverseResponseSchema>> {
-  const answers = new RpcQueue<MessageInitShape<typeof ConverseResponseSchema>>();
+  answer: (content: ConverseRequest['content']) => Promise<ConverseAnswer['answer']>,
+): AsyncGenerator<ConverseAnswer> {
+  const answers = new RpcQueue<ConverseAnswer>();
   const readAll = async (): Promise<void> => {
     try {
-      for await (const {call, id} of requests) {
-        if (call !== undefined) {
-          answer(call).then(
-            (answered) => answers.add({answer: answered, id}),
-            // Without an answer the caller takes the outcome for unknown.
-            () => answers.add({answer: {outcome: {case: 'outcomeUnknown', value: {}}}, id}),
-          );
-        }
+      for await (const {content, id} of requests) {
+        answer(content).then(
+          (answered) => answers.add({answer: answered, id}),
+          () => answers.add({answer: NO_OUTCOME, id}),
+        );
       }
     } catch {
       // The caller has gone; its answers go nowhere.
@@ -71,15 +72,22 @@
     expectGroup(group);
     return {outcome: encodeOutcome(await tryLocal(() => options.answer(decodeValue(encoded))))};
   };
+  const receive = (encoded: readonly Uint8Array[]): void =>
+    encoded.forEach((bytes) => options.replica()?.receive(decodeValue<Message>(bytes)));
+  const answerAny = async (content: ConverseRequest['content']) => {
+    switch (content.case) {
+      case 'call':
+        return answer(content.value);
+      case 'deliver':
+        receive(content.value.encoded);
+        return {};
+      case undefined:
+        return NO_OUTCOME;
+    }
+  };
   router.service(PeerService, {
     call: answer,
-    converse: (requests) => converse(requests, answer),
-    deliver: async (requests) => {
-      for await (const {encoded} of requests) {
-        encoded.forEach((bytes) => options.replica()?.receive(decodeValue<Message>(bytes)));
-      }
-      return {};
-    },
+    converse: (requests) => converse(requests, answerAny),
     install: async ({group, step, term}) => {
       expectGroup(group);
       const replica = options.replica();
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -1,42 +1,53 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 
 import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
-import type {PeerClient} from './RpcClients';
+import type {PeerClient, PeerConnection} from './RpcClients';
 
 /**
- * Calls to one process over a standing stream. A stream that breaks leaves the calls under way unknown;
- * the next call opens another.
+ * Calls and messages to one process over a standing stream. A stream that breaks leaves the calls under
+ * way unknown; the next call opens another.
+ *
+ * A stream that brought nothing since a call was sent, until the call's time was over, is given up with its
+ * connection: after a cut, the old connection would bring nothing for seconds. The library's own pings are
+ * not used for this. They can wait forever: a stream that ends while a ping is out takes its time limit off.
  */
 import {RpcQueue} from './RpcQueue';
 import {outcomeOf, type TryOutcome, type TryRequest} from './RpcTry';
 
 type Request = MessageInitShape<typeof ConverseRequestSchema>;
+type Content = Request['content'];
 
 interface Waiting {
-  readonly resolve: (outcome: TryOutcome) => void;
+  /** Called with the answer, or with undefined when there is none. */
+  readonly resolve: (answer: ConverseResponse['answer'] | null) => void;
   readonly timer: NodeJS.Timeout;
 }
 
 interface OpenStream {
   readonly aborter: AbortController;
+  readonly connection: PeerConnection;
   /** When the last answer came, by the steady clock, in milliseconds. */
   heardAt: number;
   readonly queue: RpcQueue<Request>;
   readonly waiting: Map<number, Waiting>;
 }
 
-const UNKNOWN: TryOutcome = {kind: 'unknown'};
-
 /** See the module's comment. */
 export class RpcChannel {
   private closed = false;
+  private connection: PeerConnection | undefined;
   private lastId = 0;
   private stream: OpenStream | undefined;
 
   /**
-   * @param client the process
+   * @param connect makes a connection to the process
    */
-  constructor(private readonly client: PeerClient) {}
+  constructor(private readonly connect: () => PeerConnection) {}
+
+  /** Client for other calls over the same connection. */
+  get client(): PeerClient {
+    return this.connected().client;
+  }
 
   /**
    * Makes a call.
@@ -44,9 +55,34 @@
    * @param call the call
    * @param timeoutMs longest wait, in milliseconds
    */
-  call(call: TryRequest, timeoutMs: number): Promise<TryOutcome> {
+  async call(call: TryRequest, timeoutMs: number): Promise<TryOutcome> {
+    const answer = await this.send({case: 'call', value: {...call}}, timeoutMs);
+    return answer === null ? {kind: 'unknown'} : outcomeOf(answer?.outcome ?? {case: undefined});
+  }
+
+  /**
+   * Brings messages.
+   *
+   * @param encoded the messages
+   * @param timeoutMs longest wait, in milliseconds
+   * @returns whether they have arrived for certain
+   */
+  async deliver(encoded: Uint8Array[], timeoutMs: number): Promise<boolean> {
+    return (await this.send({case: 'deliver', value: {encoded}}, timeoutMs)) !== null;
+  }
+
+  /** Ends the stream and its connection; calls under way stay unknown. */
+  close(): void {
+    this.closed = true;
+    if (this.stream !== undefined) {
+      this.drop(this.stream);
+    }
+    this.connection?.close();
+  }
+
+  private send(content: Content, timeoutMs: number): Promise<ConverseResponse['answer'] | null> {
     if (this.closed) {
-      return Promise.resolve(UNKNOWN);
+      return Promise.resolve(null);
     }
     const stream = this.stream ?? this.open();
     const id = ++this.lastId;
@@ -54,21 +90,19 @@
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.onTimeout(stream, id, sentAt), timeoutMs);
       stream.waiting.set(id, {resolve, timer});
-      stream.queue.add({call: {...call}, id});
+      stream.queue.add({content, id});
     });
   }
 
-  /** Ends the stream; calls under way stay unknown. */
-  close(): void {
-    this.closed = true;
-    if (this.stream !== undefined) {
-      this.drop(this.stream);
-    }
+  private connected(): PeerConnection {
+    this.connection ??= this.connect();
+    return this.connection;
   }
 
   private open(): OpenStream {
     const stream: OpenStream = {
       aborter: new AbortController(),
+      connection: this.connected(),
       heardAt: -Infinity,
       queue: new RpcQueue(),
       waiting: new Map(),
@@ -79,9 +113,11 @@
   }
 
   private async read(stream: OpenStream): Promise<void> {
+    const {aborter, connection, queue} = stream;
     try {
-      const answers = this.client.converse(stream.queue.take(), {signal: stream.aborter.signal});
-      for await (const answer of answers) {
+      for await (const answer of connection.client.converse(queue.take(), {
+        signal: aborter.signal,
+      })) {
         stream.heardAt = performance.now();
         this.onAnswer(stream, answer);
       }
@@ -96,17 +132,25 @@
     if (waiting !== undefined) {
       clearTimeout(waiting.timer);
       stream.waiting.delete(id);
-      waiting.resolve(outcomeOf(answer?.outcome ?? {case: undefined}));
+      waiting.resolve(answer);
     }
   }
 
-  /** A call got no answer in time. A stream that brought nothing at all since then is not used again. */
+  /** A call got no answer in time. */
   private onTimeout(stream: OpenStream, id: number, sentAt: number): void {
-    stream.waiting.get(id)?.resolve(UNKNOWN);
+    stream.waiting.get(id)?.resolve(null);
     stream.waiting.delete(id);
     if (stream.heardAt < sentAt) {
       this.drop(stream);
+      this.giveUp(stream.connection);
+    }
+  }
+
+  private giveUp(connection: PeerConnection): void {
+    if (this.connection === connection) {
+      this.connection = undefined;
     }
+    connection.close();
   }
 
   private drop(stream: OpenStream): void {
@@ -115,7 +159,7 @@
     }
     for (const {resolve, timer} of stream.waiting.values()) {
       clearTimeout(timer);
-      resolve(UNKNOWN);
+      resolve(null);
     }
     stream.waiting.clear();
     stream.queue.end();
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -10,35 +10,65 @@
 import {authorizationOf} from './RpcServer';
 
 const MAX_MESSAGE_BYTES = 16_777_216;
-/** Time between pings of a quiet connection, in milliseconds. */
-const DEFAULT_PING_MS = 2_000;
-
-/** How connections are watched. */
-export interface RpcClientsOptions {
-  /** Time between pings, and longest wait for a ping's answer, in milliseconds. */
-  readonly pingMs?: number;
-}
+/** Time between pings of a quiet connection, and longest wait for an answer, in milliseconds. */
+const PING_MS = 2_000;
 
 /** Client of one VM. */
 export type PeerClient = Client<typeof PeerService>;
 
-interface KnownClient {
+/** A connection to one VM; made when first used, and again when it broke. */
+export interface PeerConnection {
   readonly client: PeerClient;
-  readonly sessions: Http2SessionManager;
+  /** Ends the connection and all calls on it. */
+  readonly close: () => void;
+}
+
+/**
+ * Makes a connection.
+ *
+ * @param vmKey key that all VMs share
+ * @param host IP number
+ * @param port TCP port
+ * @param pingMs time between pings, and longest wait for a ping's answer, in milliseconds; null for none
+ */
+export function openConnection(
+  vmKey: string,
+  host: string,
+  port: number,
+  pingMs: null | number,
+): PeerConnection {
+  const baseUrl = `http://${host.includes(':') ? `[${host}]` : host}:${port}`;
+  const sessions = new Http2SessionManager(baseUrl, {
+    // Not at rest: the library would go on pinging a session that was destroyed in the meantime, and throw.
+    pingIdleConnection: false,
+    pingIntervalMs: pingMs ?? undefined,
+    pingTimeoutMs: pingMs ?? undefined,
+  });
+  const transport = createConnectTransport({
+    // Messages are small and the network near: compressing costs more than it saves.
+    acceptCompression: [],
+    baseUrl,
+    httpVersion: '2',
+    interceptors: [
+      (next) => (req) => {
+        req.header.set('authorization', authorizationOf(vmKey));
+        return next(req);
+      },
+    ],
+    readMaxBytes: MAX_MESSAGE_BYTES,
+    sessionManager: sessions,
+  });
+  return {client: createClient(PeerService, transport), close: () => sessions.abort()};
 }
 
 /** Clients by address, made when first used. */
 export class RpcClients {
-  private readonly clients = new Map<string, KnownClient>();
+  private readonly connections = new Map<string, PeerConnection>();
 
   /**
    * @param vmKey key that all VMs share
-   * @param options how connections are watched
    */
-  constructor(
-    private readonly vmKey: string,
-    private readonly options: RpcClientsOptions = {},
-  ) {}
+  constructor(private readonly vmKey: string) {}
 
   /**
    * Client of the VM at an address.
@@ -47,42 +77,15 @@
    * @param port TCP port
    */
   at(host: string, port: number): PeerClient {
-    const baseUrl = `http://${host.includes(':') ? `[${host}]` : host}:${port}`;
-    const known = this.clients.get(baseUrl);
-    if (known !== undefined) {
-      return known.client;
-    }
-    const {pingMs = DEFAULT_PING_MS} = this.options;
-    const sessions = new Http2SessionManager(baseUrl, {
-      // A connection that was cut without a word must not hold up what comes after the cut: it is pinged
-      // while streams stand, and before a call after a rest. Not at rest itself: the library would go on
-      // pinging a session that was destroyed in the meantime, and throw.
-      pingIdleConnection: false,
-      pingIntervalMs: pingMs,
-      pingTimeoutMs: pingMs,
-    });
-    const transport = createConnectTransport({
-      // Messages are small and the network near: compressing costs more than it saves.
-      acceptCompression: [],
-      baseUrl,
-      httpVersion: '2',
-      interceptors: [
-        (next) => (req) => {
-          req.header.set('authorization', authorizationOf(this.vmKey));
-          return next(req);
-        },
-      ],
-      readMaxBytes: MAX_MESSAGE_BYTES,
-      sessionManager: sessions,
-    });
-    const client = createClient(PeerService, transport);
-    this.clients.set(baseUrl, {client, sessions});
-    return client;
+    const address = `${host}:${port}`;
+    const known = this.connections.get(address) ?? openConnection(this.vmKey, host, port, PING_MS);
+    this.connections.set(address, known);
+    return known.client;
   }
 
   /** Ends all connections. */
   close(): void {
-    this.clients.forEach(({sessions}) => sessions.abort());
-    this.clients.clear();
+    this.connections.forEach((connection) => connection.close());
+    this.connections.clear();
   }
 }
--- a/packages/stallpaddle-rpc/src/RpcOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -1,12 +1,10 @@
-import type {Message} from 'stallpaddle-replication';
-
-import {delay, encodeValue} from 'stallpaddle';
-
 /**
  * Replication messages on their way to one VM, over one standing stream: a call for each would cost
  * more than the message.
  */
-import type {PeerClient} from './RpcClients';
+import type {Message} from 'stallpaddle-replication';
+
+import {delay, encodeValue} from 'stallpaddle';
 
 /** Pause before a stream of replication messages that broke off is opened again, in milliseconds. */
 const OUTBOX_REOPEN_MS = 50;
@@ -17,10 +15,14 @@
  */
 export const OUTBOX_BYTES = 2_097_152;
 
-interface Delivery {
+/** Messages that go together. */
+export interface Delivery {
   readonly encoded: Uint8Array[];
 }
 
+/** Carries deliveries until it fails or they end; takes the next one only when it can carry it. */
+export type Carrier = (deliveries: AsyncIterable<Delivery>) => Promise<unknown> | undefined;
+
 /** See the module's comment. */
 export class RpcOutbox {
   private bytes = 0;
@@ -30,9 +32,9 @@
   private wake = (): void => {};
 
   /**
-   * @param clientOf client of the VM, or undefined while its address is not known
+   * @param carry brings the messages to the VM
    */
-  constructor(private readonly clientOf: () => PeerClient | undefined) {}
+  constructor(private readonly carry: Carrier) {}
 
   /** Bytes of messages that wait. */
   get waitingBytes(): number {
@@ -67,7 +69,7 @@
     this.open = true;
     while (!this.closed) {
       try {
-        await this.clientOf()?.deliver(this.deliveries());
+        await this.carry(this.deliveries());
       } catch {
         // What was lost is sent again by the next heartbeat.
       }
--- a/packages/stallpaddle-rpc/src/RpcServer.ts
+++ b/packages/stallpaddle-rpc/src/RpcServer.ts
@@ -9,6 +9,8 @@
 
 const MAX_MESSAGE_BYTES = 16_777_216;
 const UNAUTHORIZED = 401;
+/** Time without a byte after which a connection is ended: VMs call each other several times a second. */
+const QUIET_SESSION_MS = 30_000;
 
 /** A server that has started. */
 export interface RpcServer {
@@ -61,6 +63,8 @@
     sessions.add(session);
     session.on('close', () => sessions.delete(session));
     session.on('error', () => session.destroy());
+    // The other side may have gone without a word; it opens another when it needs one.
+    session.setTimeout(QUIET_SESSION_MS, () => session.destroy());
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
@@ -3,12 +3,13 @@
  */
 import type {ConnectRouter} from '@connectrpc/connect';
 
+import {connect, createServer, type Socket} from 'node:net';
 import {decodeValue, delay, encodeValue} from 'stallpaddle';
 import {afterEach, describe, expect, test} from 'vitest';
 
-import {PeerService} from '../../gen/stallpaddle/v1/peer_pb';
+import {type CallRequest, PeerService} from '../../gen/stallpaddle/v1/peer_pb';
 import {RpcChannel} from '../../RpcChannel';
-import {RpcClients} from '../../RpcClients';
+import {openConnection} from '../../RpcClients';
 import {type RpcServer, startRpcServer} from '../../RpcServer';
 import {encodeOutcome} from '../../RpcTry';
 
@@ -28,8 +29,8 @@
   router.service(PeerService, {
     converse: async function* (requests) {
       const answers: Promise<number>[] = [];
-      for await (const {call, id} of requests) {
-        const wait = decodeValue<number>(call!.encoded);
+      for await (const {content, id} of requests) {
+        const wait = decodeValue<number>((content.value as CallRequest).encoded);
         answers.push(wait < 0 ? new Promise(() => {}) : delay(wait).then(() => id));
         if (answers.length === 3) {
           while (answers.length > 0) {
@@ -51,12 +52,8 @@
 }
 
 function channelTo(port: number): RpcChannel {
-  const clients = new RpcClients(KEY, {pingMs: 200});
-  const channel = new RpcChannel(clients.at(HOST, port));
-  undo.push(() => {
-    channel.close();
-    clients.close();
-  });
+  const channel = new RpcChannel(() => openConnection(KEY, HOST, port, null));
+  undo.push(() => channel.close());
   return channel;
 }
 
@@ -64,6 +61,30 @@
   return {encoded: encodeValue(wait), group: 'g', query: true};
 }
 
+/** Passes bytes on, until it falls silent without closing anything, as a cut link does. */
+async function startLink(port: number, target: number): Promise<{silent: boolean}> {
+  const link = {silent: false};
+  const sockets = new Set<Socket>();
+  const server = createServer((near) => {
+    const far = connect(target, HOST);
+    for (const [from, to] of [
+      [near, far],
+      [far, near],
+    ] as const) {
+      sockets.add(from);
+      from.on('data', (bytes) => link.silent || to.write(bytes));
+      from.on('error', () => {});
+      from.on('close', () => to.destroy());
+    }
+  });
+  await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
+  undo.push(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return link;
+}
+
 describe('RpcChannel', () => {
   test('gives each call its own answer, in whatever order they come', async () => {
     await start(18_301);
@@ -94,4 +115,30 @@
     );
     expect(outcomes.map(({kind}) => kind)).toEqual(['answered', 'answered', 'answered']);
   });
+
+  test('survives a link that falls silent with calls and streams on it, and reaches the process after', async () => {
+    await start(18_304);
+    const link = await startLink(18_305, 18_304);
+    const channels = [1, 2].map(() => channelTo(18_305));
+    for (let cut = 0; cut < 4; cut++) {
+      link.silent = false;
+      for (const channel of channels) {
+        let kinds: readonly string[] = [];
+        for (let tries = 0; !kinds.includes('answered'); tries++) {
+          expect(tries).toBeLessThan(10);
+          const calls = [0, 0, 0].map((wait) => channel.call(requestOf(wait), 500));
+          kinds = (await Promise.all(calls)).map(({kind}) => kind);
+        }
+      }
+      link.silent = true;
+      const lost = channels.map((channel, at) => channel.call(requestOf(-1), 40 + at * 200));
+      expect((await Promise.all(lost)).map(({kind}) => kind)).toEqual(['unknown', 'unknown']);
+      // These open streams on a connection that is dead but not yet known to be.
+      for (const timeoutMs of [10, 30, 60, 90]) {
+        const more = channels.map((channel) => channel.call(requestOf(-1), timeoutMs));
+        expect((await Promise.all(more)).map(({kind}) => kind)).toEqual(['unknown', 'unknown']);
+      }
+      await delay(400);
+    }
+  });
 });
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
@@ -26,7 +26,7 @@
 
 describe('RpcOutbox', () => {
   test('holds a bounded number of bytes for a VM that is cut off, and always the newest message', () => {
-    const outbox = new RpcOutbox(() => undefined);
+    const outbox = new RpcOutbox(() => new Promise(() => {}));
     for (let sent = 0; sent < 100; sent++) {
       outbox.add(messageOf(1_000_000));
       expect(outbox.waitingBytes).toBeLessThanOrEqual(OUTBOX_BYTES);
--- a/packages/stallpaddle-rpc/src/index.ts
+++ b/packages/stallpaddle-rpc/src/index.ts
@@ -7,8 +7,8 @@
 } from './gen/stallpaddle/v1/peer_pb';
 /** Calls between VMs: generated service, server and clients. */
 export {RpcChannel} from './RpcChannel';
-export {type PeerClient, RpcClients, type RpcClientsOptions} from './RpcClients';
-export {RpcOutbox} from './RpcOutbox';
+export {openConnection, type PeerClient, type PeerConnection, RpcClients} from './RpcClients';
+export {type Carrier, type Delivery, RpcOutbox} from './RpcOutbox';
 export {RpcQueue} from './RpcQueue';
 export {type RpcServer, startRpcServer} from './RpcServer';
 export {
--- a/packages/stallpaddle-vm/src/VmPeers.ts
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -56,7 +56,9 @@
       return;
     }
     const vm = vmOfReplica(message.to);
-    const outbox = this.outboxes.get(vm) ?? new RpcOutbox(() => this.clientOf(vm));
+    const outbox =
+      this.outboxes.get(vm) ??
+      new RpcOutbox((deliveries) => this.clientOf(vm)?.deliver(deliveries));
     this.outboxes.set(vm, outbox);
     outbox.add(message);
   }
