--- a/packages/stallpaddle-cli/src/CliExplain.ts
+++ b/packages/stallpaddle-cli/src/CliExplain.ts
@@ -95,6 +95,8 @@
  * @returns whether anything was found
  */
 export async function runExplain(id: string, files: readonly string[]): Promise<boolean> {
+  // A reader that has seen enough, such as head, closes the pipe.
+  process.stdout.on('error', () => process.exit());
   const lines = await findLines(linesOf(files), id);
   lines.forEach((line) => process.stdout.write(`${describeLine(line)}\n`));
   if (lines.length === 0) {
