Say once what the processes share: waits, hosts to ask, the hand-over time

The hosts of a group were worked out in three processes: hostsToAsk in NodeCaller does it for all. The hand-over time stood in NodeControl and NodeStore. NodeOptions and RunningNode moved from NodeControl to NodeTypes. Behaviour is unchanged.

--- a/packages/stallpaddle-node/src/Node.ts
+++ b/packages/stallpaddle-node/src/Node.ts
@@ -1,15 +1,15 @@
 import type {LoggerFactory} from 'stallpaddle';
 
-import {unreachable} from 'stallpaddle';
-import {systemClock} from 'stallpaddle';
+import {systemClock, unreachable} from 'stallpaddle';
 
 /**
  * Starts the process that the settings describe.
  */
 import type {NodeSettings} from './NodeSettings';
+import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWire} from './NodeWire';
 
-import {NodeControl, type NodeOptions, type RunningNode} from './NodeControl';
+import {NodeControl} from './NodeControl';
 import {NodeEntry} from './NodeEntry';
 import {NodeStore} from './NodeStore';
 
--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -1,7 +1,7 @@
-import type {Clock, GroupId} from 'stallpaddle';
+import type {Clock, GroupId, ReplicaId} from 'stallpaddle';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
-import {delay, encodeValue, RefusalError} from 'stallpaddle';
+import {delay, encodeValue, RefusalError, vmOfReplica} from 'stallpaddle';
 
 /**
  * Calls to the leader of a group: finds it, and tries again while that can do no harm.
@@ -9,6 +9,7 @@
 import type {NodePeers} from './NodePeers';
 
 import {CALL_AGAIN_MS, CALL_TRY_MS} from './NodeConstants';
+import {hostOf} from './NodeSettings';
 
 /** What a caller needs of its process. */
 export interface NodeCallerOptions {
@@ -31,6 +32,19 @@
   readonly value: unknown;
 }
 
+/**
+ * Hosts that may lead a group, each once.
+ *
+ * @param seeds addresses that are known from the start; asked first
+ * @param replicas replicas of the group, best known first
+ */
+export function hostsToAsk(
+  seeds: readonly string[],
+  replicas: readonly ReplicaId[],
+): readonly string[] {
+  return [...new Set([...seeds.map(hostOf), ...replicas.map(vmOfReplica)])];
+}
+
 /** See the module's comment. */
 export class NodeCaller {
   private leader: string | null = null;
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -59,6 +59,12 @@
 /** Time that a new leader needs to hear from every process, in milliseconds: as long as silence takes. */
 export const SETTLE_MS = 1_500;
 
+/**
+ * Time for another replica to take over leadership at a planned stop, in milliseconds: below an election
+ * timeout, since the successor is told to stand at once.
+ */
+export const HAND_OVER_MS = 400;
+
 /** Time between looks at a group's members, in milliseconds. */
 export const KEEP_MEMBERS_MS = 250;
 
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -1,5 +1,4 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Clock, Logger} from 'stallpaddle';
 
 import path from 'node:path';
 import {delay, errorMessage, RefusalError, unreachable} from 'stallpaddle';
@@ -20,10 +19,11 @@
  * The process that serves engines and the operator, and holds a replica of the control group.
  */
 import type {NodeSettings} from './NodeSettings';
+import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {ControlCall, ControlReply, NodeWire} from './NodeWire';
 
-import {NodeCaller} from './NodeCaller';
-import {CONTROL_CALL_MS, CONTROL_GROUP} from './NodeConstants';
+import {hostsToAsk, NodeCaller} from './NodeCaller';
+import {CONTROL_CALL_MS, CONTROL_GROUP, HAND_OVER_MS} from './NodeConstants';
 import {NodeDesk} from './NodeDesk';
 import {NodeGroup} from './NodeGroup';
 import {callOf, readBody, sendAnswer, startMetricsServer, startServer} from './NodeHttp';
@@ -38,29 +38,9 @@
 const MAX_CALL_BYTES = 16_777_216;
 /** Time that a rested connection of an engine or the operator is kept, in milliseconds. */
 const IDLE_MS = 15_000;
-/** Time for another replica to take over leadership at a planned stop, in milliseconds. */
-const HAND_OVER_MS = 400;
 /** Name of the first disk of a founder, known to all founders beforehand. */
 const FOUNDER = 'first';
 
-/** What every process is made of. */
-export interface NodeOptions {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  /** Ends the process after a failure that it can't go on with. */
-  readonly onFailure: (err: unknown) => void;
-  readonly settings: NodeSettings;
-  readonly wire: NodeWire;
-}
-
-/** A running process. */
-export interface RunningNode {
-  /** Takes in settings that have changed. */
-  readonly reload: (settings: NodeSettings) => void;
-  /** Stops as planned; resolves when the process may end. */
-  readonly stop: () => Promise<void>;
-}
-
 function isLostCall(err: unknown): boolean {
   return err instanceof RefusalError || err instanceof NotLeaderError;
 }
@@ -129,8 +109,8 @@
   }
 
   private hosts(): readonly string[] {
-    const known = this.watch.view.news.controls.map((replica) => replica.split('/')[0]!);
-    return [...new Set([...this.seeds.map(hostOf), ...known, this.options.settings.host])];
+    const known = hostsToAsk(this.seeds, this.watch.view.news.controls);
+    return [...new Set([...known, this.options.settings.host])];
   }
 
   private async open(): Promise<void> {
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -25,6 +25,7 @@
 
 import {ENTRY_SILENT_MS, MISSED_REPORTS, SETTLE_MS} from './NodeConstants';
 import {votersFor} from './NodeKeeper';
+import {NodeWaiters} from './NodeWaiters';
 
 /** Time between looks at what has fallen silent, in milliseconds: a third of the shortest hold. */
 const REFRESH_MS = 100;
@@ -82,7 +83,7 @@
   private news: FleetNews | undefined;
   private newsText = '';
   private readonly timer: NodeJS.Timeout;
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new NodeWaiters();
 
   /**
    * @param options what it needs of its process
@@ -95,7 +96,7 @@
   /** Ends the looks. */
   stop(): void {
     clearInterval(this.timer);
-    this.wake();
+    this.waiters.wakeAll();
   }
 
   /** Processes that may belong to the control group. */
@@ -164,26 +165,10 @@
       if (answer.config !== null || answer.news !== null || left <= 0) {
         return {...answer, heldMs: clock.monotonicMs() - arrivedAt};
       }
-      await this.sleep(left);
+      await this.waiters.wait(left);
     }
   }
 
-  private sleep(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, ms);
-      this.waiters.add(wake);
-    });
-  }
-
-  private wake(): void {
-    [...this.waiters].forEach((wake) => wake());
-  }
-
   private newsFor(known: {config: number | null; epoch: string; fleet: number}): WatchAnswer {
     const {config} = this.options.group.driver.read();
     const {epoch} = this;
@@ -256,7 +241,7 @@
   private refresh(): void {
     const {driver} = this.options.group;
     if (!driver.leads) {
-      this.wake();
+      this.waiters.wakeAll();
       return;
     }
     this.foundJobs();
@@ -272,7 +257,7 @@
       this.news = news;
     }
     this.newsText = versionText;
-    this.wake();
+    this.waiters.wakeAll();
   }
 
   private makeNews(): FleetNews {
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -16,10 +16,10 @@
 /**
  * The process that serves callers: it brings their requests to engines and their jobs to the store.
  */
-import type {NodeOptions, RunningNode} from './NodeControl';
 import type {NodeSettings} from './NodeSettings';
+import type {NodeOptions, RunningNode} from './NodeTypes';
 
-import {NodeCaller} from './NodeCaller';
+import {hostsToAsk, NodeCaller} from './NodeCaller';
 import {
   ADDRESSES_MOST,
   ADDRESSES_TTL_S,
@@ -42,7 +42,6 @@
 import {NodeLog} from './NodeLog';
 import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
-import {hostOf} from './NodeSettings';
 import {NodeTells} from './NodeTells';
 import {NodeWatch} from './NodeWatch';
 
@@ -81,8 +80,8 @@
     this.peers = new NodePeers(settings.peerPort);
     this.seeds = settings.seeds;
     const {peers} = this;
-    const controlHosts = () => this.hostsOf(this.watch.view.news.controls, this.seeds.map(hostOf));
-    const jobsHosts = () => this.hostsOf(this.watch.view.news.jobsReplicas, []);
+    const controlHosts = () => hostsToAsk(this.seeds, this.watch.view.news.controls);
+    const jobsHosts = () => hostsToAsk([], this.watch.view.news.jobsReplicas);
     this.control = new NodeCaller({clock, group: CONTROL_GROUP, hosts: controlHosts, peers});
     const jobs = new NodeCaller({clock, group: JOBS_GROUP, hosts: jobsHosts, peers});
     const online = new RelayOnline();
@@ -196,10 +195,6 @@
     });
   }
 
-  private hostsOf(replicas: readonly string[], seeds: readonly string[]): readonly string[] {
-    return [...new Set([...seeds, ...replicas.map((replica) => replica.split('/')[0]!)])];
-  }
-
   private async open(): Promise<void> {
     const {callers, directory, ready} = this.options.settings;
     const servers: Promise<Server>[] = [];
--- a/packages/stallpaddle-node/src/NodeKeeper.ts
+++ b/packages/stallpaddle-node/src/NodeKeeper.ts
@@ -36,7 +36,11 @@
   return list.filter((other) => other !== id);
 }
 
-/** Number of voters that bears the loss of some disks. */
+/**
+ * Number of voters that bears the loss of some disks.
+ *
+ * @param lostDisks disks that may be lost at once
+ */
 export function votersFor(lostDisks: number): number {
   return 2 * lostDisks + 1;
 }
--- a/packages/stallpaddle-node/src/NodeMain.ts
+++ b/packages/stallpaddle-node/src/NodeMain.ts
@@ -4,7 +4,7 @@
 import {readFile, stat} from 'node:fs/promises';
 import {createLoggerFactory, errorMessage, LineWriter, type Logger} from 'stallpaddle';
 
-import type {RunningNode} from './NodeControl';
+import type {RunningNode} from './NodeTypes';
 import type {NodeWire} from './NodeWire';
 
 import {startNode} from './Node';
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -30,24 +30,29 @@
 /**
  * The process that keeps batch jobs, and runs their items while it leads their group.
  */
-import type {NodeOptions, RunningNode} from './NodeControl';
 import type {NodeSettings} from './NodeSettings';
+import type {NodeOptions, RunningNode} from './NodeTypes';
 
-import {NodeCaller} from './NodeCaller';
-import {CONTROL_GROUP, ENTRY_SILENT_MS, JOBS_GROUP, JOBS_LOG_BYTES} from './NodeConstants';
+import {hostsToAsk, NodeCaller} from './NodeCaller';
+import {
+  CONTROL_GROUP,
+  ENTRY_SILENT_MS,
+  HAND_OVER_MS,
+  JOBS_GROUP,
+  JOBS_LOG_BYTES,
+} from './NodeConstants';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
 import {NodeLog} from './NodeLog';
 import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
-import {hostOf, lostDisksOf} from './NodeSettings';
+import {lostDisksOf} from './NodeSettings';
+import {NodeWaiters} from './NodeWaiters';
 import {NodeWatch} from './NodeWatch';
 
 /** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
 const FOUND_AGAIN_MS = 20;
-/** Time for another replica to take over leadership at a planned stop, in milliseconds. */
-const HAND_OVER_MS = 400;
 
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
@@ -58,7 +63,7 @@
   private readonly log: NodeLog;
   private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
-  private readonly resultWaiters = new Set<() => void>();
+  private readonly resultWaiters = new NodeWaiters();
   private rpc!: RpcServer;
   private seeds: readonly string[];
   private self!: string;
@@ -73,7 +78,7 @@
     this.caller = new NodeCaller({
       clock,
       group: CONTROL_GROUP,
-      hosts: () => this.controlHosts(),
+      hosts: () => hostsToAsk(this.seeds, this.watch.view.news.controls),
       peers: this.peers,
     });
     this.watch = new NodeWatch({
@@ -123,11 +128,6 @@
     this.peers.close();
   }
 
-  private controlHosts(): readonly string[] {
-    const known = this.watch.view.news.controls.map((replica) => replica.split('/')[0]!);
-    return [...new Set([...this.seeds.map(hostOf), ...known])];
-  }
-
   private async open(): Promise<void> {
     const {settings} = this.options;
     const {dataFolder, host, peerPort} = settings;
@@ -190,7 +190,7 @@
     });
     group.registerListener(() => {
       this.dispatcher?.poke();
-      [...this.resultWaiters].forEach((wake) => wake());
+      this.resultWaiters.wakeAll();
     });
   }
 
@@ -298,19 +298,7 @@
         );
         return {kind: 'results', next: from + results.length, results, total: found.total};
       }
-      await this.sleep(left);
+      await this.resultWaiters.wait(left);
     }
   }
-
-  private sleep(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.resultWaiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, ms);
-      this.resultWaiters.add(wake);
-    });
-  }
 }
--- a/packages/stallpaddle-node/src/NodeTells.ts
+++ b/packages/stallpaddle-node/src/NodeTells.ts
@@ -10,13 +10,14 @@
 import type {NodeCaller} from './NodeCaller';
 
 import {CALL_AGAIN_MS, JOBS_GROUP, TELL_AGAIN_MS, TELL_TRY_MS} from './NodeConstants';
+import {NodeWaiters} from './NodeWaiters';
 
 /** See the module's comment. */
 export class NodeTells {
   private changed = false;
   private sequence = 0;
   private stopped = false;
-  private wake = (): void => {};
+  private readonly waiters = new NodeWaiters();
 
   /**
    * @param caller calls the dispatcher
@@ -30,7 +31,7 @@
   ) {
     online.registerListener(() => {
       this.changed = true;
-      this.wake();
+      this.waiters.wakeAll();
     });
   }
 
@@ -49,7 +50,7 @@
   /** Tells no more. */
   stop(): void {
     this.stopped = true;
-    this.wake();
+    this.waiters.wakeAll();
   }
 
   private async tell(own: OnlineCounts): Promise<boolean> {
@@ -75,14 +76,6 @@
     if (this.changed || this.stopped) {
       return Promise.resolve();
     }
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.wake = () => {};
-        resolve();
-      };
-      const timer = setTimeout(wake, TELL_AGAIN_MS);
-      this.wake = wake;
-    });
+    return this.waiters.wait(TELL_AGAIN_MS);
   }
 }
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeTypes.ts
@@ -0,0 +1,25 @@
+/**
+ * What the three kinds of processes have in common.
+ */
+import type {Clock, Logger} from 'stallpaddle';
+
+import type {NodeSettings} from './NodeSettings';
+import type {NodeWire} from './NodeWire';
+
+/** What every process is made of. */
+export interface NodeOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Ends the process after a failure that it can't go on with. */
+  readonly onFailure: (err: unknown) => void;
+  readonly settings: NodeSettings;
+  readonly wire: NodeWire;
+}
+
+/** A running process. */
+export interface RunningNode {
+  /** Takes in settings that have changed. */
+  readonly reload: (settings: NodeSettings) => void;
+  /** Stops as planned; resolves when the process may end. */
+  readonly stop: () => Promise<void>;
+}
--- a/packages/stallpaddle-node/src/index.ts
+++ b/packages/stallpaddle-node/src/index.ts
@@ -1,9 +1,9 @@
 /** Processes of a fleet whose engines register themselves. */
 export {startNode} from './Node';
 export {ADDRESSES_TTL_S} from './NodeConstants';
-export type {RunningNode} from './NodeControl';
 export {runNode} from './NodeMain';
 export {type NodeSettings, NodeSettingsError, parseNodeSettings} from './NodeSettings';
+export type {RunningNode} from './NodeTypes';
 export type {
   BadCall,
   ControlCall,
