Split the control group's desk: what was heard, the news, the stores' places

NodeDesk.ts keeps the requests, the holds and the numbering of the news. What one leader has heard moved to NodeHeard, the making of the news to NodeNews, and the choice of founders and of stores that may leave to NodeStorePlan; the last two are pure. Behaviour is unchanged.

--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -1,9 +1,8 @@
-import type {Clock, EngineId, LogFields, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
+import type {Clock, LogFields, ReplicaId, VmId} from 'stallpaddle';
 
 import {encodeValue, unreachable} from 'stallpaddle';
 import {
   type EngineReport,
-  type EntryView,
   type FleetAnswer,
   type FleetCommand,
   type FleetNews,
@@ -11,20 +10,20 @@
   type FleetState,
   type Hello,
   isNews,
-  type JobsGroupReport,
   type RetireAnswer,
   type WatchAnswer,
 } from 'stallpaddle-fleet';
 import {NotLeaderError} from 'stallpaddle-replication';
 
 /**
- * Answers all processes while this one leads the control group. What it hears of their lives is kept in
- * memory only, and begins anew with each leader.
+ * Answers all processes while this one leads the control group.
  */
 import type {Candidate, NodeGroup} from './NodeGroup';
 
-import {ENTRY_SILENT_MS, MISSED_REPORTS, SETTLE_MS} from './NodeConstants';
+import {NodeHeard} from './NodeHeard';
 import {votersFor} from './NodeKeeper';
+import {makeNews} from './NodeNews';
+import {chooseFounders, isEmptied, stayingReplicas} from './NodeStorePlan';
 import {NodeWaiters} from './NodeWaiters';
 
 /** Time between looks at what has fallen silent, in milliseconds: a third of the shortest hold. */
@@ -42,44 +41,10 @@
   readonly self: ReplicaId;
 }
 
-interface HeardEntry extends EntryView {
-  readonly at: MonotonicMs;
-  readonly ready: boolean;
-}
-
-interface HeardStore {
-  readonly at: MonotonicMs;
-  readonly leads: JobsGroupReport | null;
-  readonly name: VmId;
-  readonly replica: ReplicaId;
-  readonly zone: string;
-}
-
-/** What one leader has heard. */
-interface Heard {
-  readonly controls: Map<ReplicaId, MonotonicMs>;
-  readonly engines: Map<EngineId, MonotonicMs>;
-  readonly entries: Map<VmId, HeardEntry>;
-  readonly since: MonotonicMs;
-  readonly stores: Map<ReplicaId, HeardStore>;
-  readonly term: number;
-}
-
-function emptyHeard(term: number, since: MonotonicMs): Heard {
-  return {
-    controls: new Map(),
-    engines: new Map(),
-    entries: new Map(),
-    since,
-    stores: new Map(),
-    term,
-  };
-}
-
 /** See the module's comment. */
 export class NodeDesk {
   private fleet = 0;
-  private heard = emptyHeard(-1, -Infinity);
+  private heard = new NodeHeard(-1, -Infinity);
   private news: FleetNews | undefined;
   private newsText = '';
   private readonly timer: NodeJS.Timeout;
@@ -189,11 +154,11 @@
   }
 
   /** What this leader has heard; begins anew with each term. */
-  private current(): Heard {
+  private current(): NodeHeard {
     const {clock, group} = this.options;
     const {driver} = group;
     if (this.heard.term !== driver.status.term) {
-      this.heard = emptyHeard(driver.status.term, clock.monotonicMs());
+      this.heard = new NodeHeard(driver.status.term, clock.monotonicMs());
       // What an earlier term of this leader knew may be older than what others have accepted since.
       this.news = undefined;
       this.newsText = '';
@@ -203,26 +168,11 @@
 
   /** Notes who calls; returns whether it tells anything new. */
   private hear(hello: Hello): boolean {
-    const {controls, entries, stores} = this.current();
-    const at = this.options.clock.monotonicMs();
-    switch (hello.kind) {
-      case 'control':
-        controls.set(hello.replica, at);
-        return false;
-      case 'entry': {
-        const {callerAddress, name, ready, zone} = hello;
-        const isNew = entries.get(name)?.ready !== ready;
-        entries.set(name, {address: callerAddress, at, name, ready, zone});
-        return isNew;
-      }
-      case 'store': {
-        const {leads, name, replica, zone} = hello;
-        const isNew = JSON.stringify(stores.get(replica)?.leads) !== JSON.stringify(leads);
-        stores.set(replica, {at, leads, name, replica, zone});
-        this.recordStore(name, replica);
-        return isNew;
-      }
+    const isNew = this.current().hear(hello, this.options.clock.monotonicMs());
+    if (hello.kind === 'store') {
+      this.recordStore(hello.name, hello.replica);
     }
+    return isNew;
   }
 
   private recordStore(name: VmId, replica: ReplicaId): void {
@@ -263,55 +213,27 @@
   private makeNews(): FleetNews {
     const {clock, group, reportMs} = this.options;
     const {driver} = group;
-    const {engines, jobsFounders, stores} = driver.localState;
-    const heard = this.current();
-    const now = clock.monotonicMs();
-    const silentAfter = MISSED_REPORTS * reportMs;
-    const isAlive = (at: MonotonicMs | undefined, most: number): boolean =>
-      now - (at ?? heard.since) < most;
-    return {
-      controls: [...driver.status.log.members.voters, ...driver.status.log.members.learners],
-      engines: [...engines.values()].map((engine) => ({
-        ...engine,
-        sequence: 0,
-        silent: !isAlive(heard.engines.get(engine.id), silentAfter),
-      })),
-      entries: [...heard.entries.values()]
-        .filter(({at, ready}) => ready && now - at < ENTRY_SILENT_MS)
-        .map(({address, name, zone}) => ({address, name, zone}))
-        .sort((a, b) => (a.name < b.name ? -1 : 1)),
-      entriesComplete: now - heard.since > SETTLE_MS,
-      jobsFounders,
-      jobsReplicas: this.jobsReplicas(),
-      stores: [...stores.values()].map((store) => ({
-        ...store,
-        heard: now - (heard.stores.get(store.replica)?.at ?? -Infinity) < ENTRY_SILENT_MS,
-      })),
-    };
-  }
-
-  private jobsReport(): JobsGroupReport | null {
-    const reports = [...this.current().stores.values()].flatMap(({leads}) => leads ?? []);
-    return reports.sort((a, b) => b.term - a.term)[0] ?? null;
-  }
-
-  private jobsReplicas(): readonly ReplicaId[] {
-    const {jobsFounders} = this.options.group.driver.localState;
-    return this.jobsReport()?.voters ?? jobsFounders ?? [];
+    return makeNews({
+      heard: this.current(),
+      members: driver.status.log.members,
+      now: clock.monotonicMs(),
+      reportMs,
+      state: driver.localState,
+    });
   }
 
   /** Founds the group that keeps batch jobs, once enough store processes are there to bear a loss. */
   private foundJobs(): void {
     const {group, log, lostDisks} = this.options;
     const {driver} = group;
-    const wanted = votersFor(lostDisks);
-    const stores = [...this.current().stores.values()];
-    if (driver.localState.jobsFounders !== null || stores.length < wanted) {
+    const heard = this.current();
+    if (driver.localState.jobsFounders !== null) {
+      return;
+    }
+    const founders = chooseFounders([...heard.stores.values()], lostDisks);
+    if (founders === null) {
       return;
     }
-    const founders = spreadOverZones(stores)
-      .slice(0, wanted)
-      .map(({replica}) => replica);
     this.propose({founders, kind: 'foundJobs'}).then(
       () => log('The group for batch jobs is founded.', {founders: founders.join(',')}),
       // The next look tries again.
@@ -328,23 +250,14 @@
     if (store.retiring) {
       return this.retireState(name);
     }
-    const report = this.jobsReport();
+    const heard = this.current();
+    const report = heard.jobsReport;
     if (report === null) {
       throw new NotLeaderError(null);
     }
-    const staying = new Set([...report.voters, ...report.learners]);
-    const {stores} = this.current();
-    for (const {at, replica} of stores.values()) {
-      if (this.options.clock.monotonicMs() - at < ENTRY_SILENT_MS) {
-        staying.add(replica);
-      }
-    }
-    for (const {replica, retiring} of state.stores.values()) {
-      if (retiring || replica === store.replica) {
-        staying.delete(replica);
-      }
-    }
-    if (staying.size < votersFor(this.options.lostDisks)) {
+    const {clock, lostDisks} = this.options;
+    const staying = stayingReplicas(store, report, heard, state, clock.monotonicMs());
+    if (staying.size < votersFor(lostDisks)) {
       return 'tooFew';
     }
     await this.propose({kind: 'retireStore', name});
@@ -356,25 +269,7 @@
     if (store === undefined || !store.retiring) {
       return 'unknown';
     }
-    const report = this.jobsReport();
-    const isOut =
-      report !== null &&
-      report.settled &&
-      report.voters.length >= votersFor(this.options.lostDisks) &&
-      ![...report.voters, ...report.learners].includes(store.replica);
-    return isOut ? 'completed' : 'running';
+    const {lostDisks} = this.options;
+    return isEmptied(store, this.current().jobsReport, lostDisks) ? 'completed' : 'running';
   }
 }
-
-/** One store of each zone first, then the second of each, and so on. */
-function spreadOverZones(stores: readonly HeardStore[]): readonly HeardStore[] {
-  const seen = new Map<string, number>();
-  const ranked = [...stores]
-    .sort((a, b) => (a.replica < b.replica ? -1 : 1))
-    .map((store) => {
-      const rank = seen.get(store.zone) ?? 0;
-      seen.set(store.zone, rank + 1);
-      return {rank, store};
-    });
-  return ranked.sort((a, b) => a.rank - b.rank).map(({store}) => store);
-}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeHeard.ts
@@ -0,0 +1,75 @@
+/**
+ * What one leader of the control group has heard of other processes. It is kept in memory only, and begins
+ * anew with each leader.
+ */
+import type {EngineId, MonotonicMs, ReplicaId, VmId, ZoneId} from 'stallpaddle';
+import type {EntryView, Hello, JobsGroupReport} from 'stallpaddle-fleet';
+
+/** An entry VM, and when it last spoke. */
+export interface HeardEntry extends EntryView {
+  readonly at: MonotonicMs;
+  /** Whether it takes new callers. */
+  readonly ready: boolean;
+}
+
+/** A store process, and when it last spoke. */
+export interface HeardStore {
+  readonly at: MonotonicMs;
+  /** Present while it leads the group that keeps batch jobs. */
+  readonly leads: JobsGroupReport | null;
+  readonly name: VmId;
+  readonly replica: ReplicaId;
+  readonly zone: ZoneId;
+}
+
+/** See the module's comment. */
+export class NodeHeard {
+  /** When each process of the control group last spoke. */
+  readonly controls = new Map<ReplicaId, MonotonicMs>();
+  /** When each engine last reported. */
+  readonly engines = new Map<EngineId, MonotonicMs>();
+  readonly entries = new Map<VmId, HeardEntry>();
+  readonly stores = new Map<ReplicaId, HeardStore>();
+
+  /**
+   * @param term the leader's term
+   * @param since when it began to listen
+   */
+  constructor(
+    readonly term: number,
+    readonly since: MonotonicMs,
+  ) {}
+
+  /** What the latest leader of the group that keeps batch jobs says of it. */
+  get jobsReport(): JobsGroupReport | null {
+    const reports = [...this.stores.values()].flatMap(({leads}) => leads ?? []);
+    return reports.sort((a, b) => b.term - a.term)[0] ?? null;
+  }
+
+  /**
+   * Notes what a process says of itself.
+   *
+   * @param hello its words
+   * @param at the present moment
+   * @returns whether it tells anything new
+   */
+  hear(hello: Hello, at: MonotonicMs): boolean {
+    switch (hello.kind) {
+      case 'control':
+        this.controls.set(hello.replica, at);
+        return false;
+      case 'entry': {
+        const {callerAddress, name, ready, zone} = hello;
+        const isNew = this.entries.get(name)?.ready !== ready;
+        this.entries.set(name, {address: callerAddress, at, name, ready, zone});
+        return isNew;
+      }
+      case 'store': {
+        const {leads, name, replica, zone} = hello;
+        const isNew = JSON.stringify(this.stores.get(replica)?.leads) !== JSON.stringify(leads);
+        this.stores.set(replica, {at, leads, name, replica, zone});
+        return isNew;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -0,0 +1,66 @@
+/**
+ * The news that a leader of the control group has for all processes: pure, from the group's state and what
+ * the leader has heard.
+ */
+import type {MonotonicMs} from 'stallpaddle';
+import type {EngineView, EntryView, FleetNews, FleetState, StoreView} from 'stallpaddle-fleet';
+import type {GroupMembers} from 'stallpaddle-replication';
+
+import type {NodeHeard} from './NodeHeard';
+
+import {ENTRY_SILENT_MS, MISSED_REPORTS, SETTLE_MS} from './NodeConstants';
+
+/** What the news are made from. */
+export interface NewsInput {
+  readonly heard: NodeHeard;
+  /** Members of the control group. */
+  readonly members: GroupMembers;
+  /** The present moment. */
+  readonly now: MonotonicMs;
+  /** Time between two reports of an engine, in milliseconds. */
+  readonly reportMs: number;
+  readonly state: FleetState;
+}
+
+/** An engine that a new leader hasn't heard yet counts as heard when it began to listen. */
+function engineViews({heard, now, reportMs, state}: NewsInput): readonly EngineView[] {
+  const silentAfter = MISSED_REPORTS * reportMs;
+  return [...state.engines.values()].map((engine) => ({
+    ...engine,
+    sequence: 0,
+    silent: now - (heard.engines.get(engine.id) ?? heard.since) >= silentAfter,
+  }));
+}
+
+function entryViews({heard, now}: NewsInput): readonly EntryView[] {
+  return [...heard.entries.values()]
+    .filter(({at, ready}) => ready && now - at < ENTRY_SILENT_MS)
+    .map(({address, name, zone}) => ({address, name, zone}))
+    .sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
+function storeViews({heard, now, state}: NewsInput): readonly StoreView[] {
+  return [...state.stores.values()].map((store) => ({
+    ...store,
+    heard: now - (heard.stores.get(store.replica)?.at ?? -Infinity) < ENTRY_SILENT_MS,
+  }));
+}
+
+/**
+ * Makes the news.
+ *
+ * @param input what they are made from
+ */
+export function makeNews(input: NewsInput): FleetNews {
+  const {heard, members, now, state} = input;
+  const {jobsFounders} = state;
+  return {
+    controls: [...members.voters, ...members.learners],
+    engines: engineViews(input),
+    entries: entryViews(input),
+    entriesComplete: now - heard.since > SETTLE_MS,
+    jobsFounders,
+    jobsReplicas: heard.jobsReport?.voters ?? jobsFounders ?? [],
+    stores: storeViews(input),
+  };
+}
