Split the batch dispatcher: saving progress, recording ends, urgency

JobsDispatcher.ts keeps the looks, the runs and what follows from their ends. What runs have brought is recorded by JobsProgress, the ends of items by JobsEnds, and the order of the waiting items is worked out by JobsUrgency. What they need of the process moved to JobsContext. The start of a run is three shorter functions. TaskRun.startedAt, which nothing read, is gone. Behaviour is unchanged.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -1,90 +1,49 @@
-import type {Clock, EngineId, LogFields} from 'stallpaddle';
-import type {BlobRef} from 'stallpaddle-storage';
+import type {EngineId, LogFields} from 'stallpaddle';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {type FleetRoute, type FleetView, RouteTable} from 'stallpaddle-fleet';
-import {isSound, RelayExperience, type RelayWire} from 'stallpaddle-relay';
+import {engineOf, type EngineView, type FleetView} from 'stallpaddle-fleet';
+import {isSound, RelayExperience} from 'stallpaddle-relay';
 
 /**
  * Runs the open items of a group in the slots that online requests leave, while this process leads it.
  */
-import type {ItemEnd, ItemOutcome, JobsChange, JobsState, ProgressPart} from './JobsTypes';
+import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
+import type {ItemOutcome} from './JobsTypes';
 
 import {
   DECLINED_PAUSE_MS,
   ENGINE_SILENT_MS,
-  PROPOSE_AGAIN_MS,
   SAVE_MS,
   SPARE_SLOTS,
   START_FRESH_MS,
   TIDY_MS,
 } from './JobsConstants';
-import {JobsEstimates} from './JobsEstimates';
-import {type ItemRunEnd, startItemRun} from './JobsItemRun';
+import {JobsEnds} from './JobsEnds';
+import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 import {JobsOnline} from './JobsOnline';
-import {planItems, type PlannedEngine, type PlannedItem, type PlannedRun} from './JobsPlan';
-import {JobsTasks, type Task} from './JobsTasks';
-
-/** Decisions on items. */
-export type ItemDecision =
-  'itemCut' | 'itemEnded' | 'itemPlaced' | 'itemReturned' | 'progressNotSaved' | 'tickFailed';
-
-/** What the dispatcher needs of its process. */
-export interface JobsDispatcherOptions {
-  readonly clock: Clock;
-  readonly decide: (decision: ItemDecision, itemId: string, fields: LogFields) => void;
-  /** Whether this process leads the group, and may decide for it. */
-  readonly leads: () => boolean;
-  /** Records a change; rejects when it may not have been recorded. */
-  readonly propose: (change: JobsChange) => Promise<unknown>;
-  /** Reads a body or a part of an output. */
-  readonly readBlob: (ref: BlobRef) => Promise<Uint8Array>;
-  readonly state: () => JobsState;
-  readonly view: () => FleetView;
-  readonly wire: RelayWire;
-}
+import {planItems, type PlannedEngine, type PlannedRun} from './JobsPlan';
+import {JobsProgress} from './JobsProgress';
+import {JobsTasks, type Task, type TaskRun} from './JobsTasks';
+import {JobsUrgency} from './JobsUrgency';
 
+/** Status (RFC 9110) of an item that no engine can take. */
 const UNPROCESSABLE = 422;
+/** First of the statuses by which an engine says that it failed itself. */
 const SERVER_ERROR = 500;
 
-/** In time before late; then whatever is due first, or, among the late, whatever ends first. */
-function compareUrgency(
-  a: {readonly late: boolean; readonly remainingMs: number; readonly slackMs: number},
-  b: {readonly late: boolean; readonly remainingMs: number; readonly slackMs: number},
-): number {
-  if (a.late !== b.late) {
-    return Number(a.late) - Number(b.late);
-  }
-  return a.late ? a.remainingMs - b.remainingMs : a.slackMs - b.slackMs;
-}
-
-function partOf(task: Task): ProgressPart {
-  const {data, events, index, job, lastEvent, savedData, savedEvents} = task;
-  return {
-    after: savedEvents,
-    events: events - savedEvents,
-    item: index,
-    job: job.id,
-    lastEvent,
-    text: Buffer.from(data.slice(savedData).join('\n')),
-  };
-}
-
 /** See the module's comment. */
 export class JobsDispatcher {
   private readonly experience: RelayExperience;
   /** Online requests of all entry VMs. */
   readonly online: JobsOnline;
-  private pendingEnds: ItemEnd[] = [];
-  private readonly estimates = new JobsEstimates();
+  private readonly ends: JobsEnds;
   private planned = false;
-  private recording = false;
+  private readonly progress: JobsProgress;
   private readonly saver: NodeJS.Timeout;
-  private saving = false;
-  private routes: {readonly table: RouteTable; readonly version: number} | undefined;
   private stopped = false;
   private readonly tasks = new JobsTasks();
   private readonly timer: NodeJS.Timeout;
+  private readonly urgency: JobsUrgency;
 
   /**
    * @param options what the dispatcher needs of its process
@@ -92,6 +51,9 @@
   constructor(private readonly options: JobsDispatcherOptions) {
     this.experience = new RelayExperience(options.clock);
     this.online = new JobsOnline(options.clock);
+    this.ends = new JobsEnds(options);
+    this.progress = new JobsProgress(options);
+    this.urgency = new JobsUrgency(() => options.state().clockMs);
     this.timer = setInterval(() => this.tidy(), TIDY_MS);
     this.saver = setInterval(() => void this.saveProgress(), SAVE_MS);
   }
@@ -110,6 +72,7 @@
   /** Cuts all runs and does nothing more. */
   stop(): void {
     this.stopped = true;
+    this.ends.stop();
     clearInterval(this.saver);
     clearInterval(this.timer);
     this.tasks.clear();
@@ -143,26 +106,8 @@
 
   /** Records what runs have brought since the last record, so that the next leader can go on from there. */
   async saveProgress(): Promise<void> {
-    if (this.saving || this.stopped || !this.options.leads()) {
-      return;
-    }
-    this.saving = true;
-    const tasks = [...this.tasks.all()].filter(
-      ({ending, events, savedEvents}) => !ending && events > savedEvents,
-    );
-    const saved = tasks.map((task) => ({data: task.data.length, events: task.events, task}));
-    try {
-      if (tasks.length > 0) {
-        await this.options.propose({kind: 'saveProgress', parts: tasks.map(partOf)});
-        saved.forEach(({data, events, task}) => {
-          task.savedData = data;
-          task.savedEvents = events;
-        });
-      }
-    } catch (err) {
-      this.options.decide('progressNotSaved', '', {reason: errorMessage(err)});
-    } finally {
-      this.saving = false;
+    if (!this.stopped) {
+      await this.progress.save(this.tasks.all());
     }
   }
 
@@ -173,7 +118,9 @@
     }
     this.tasks.follow(this.options.state());
     const view = this.options.view();
-    const {cuts, starts} = planItems(this.plannedEngines(view), this.waiting(view), SPARE_SLOTS);
+    const now = this.options.clock.monotonicMs();
+    const waiting = this.urgency.waiting(view, this.tasks.all(), now);
+    const {cuts, starts} = planItems(this.plannedEngines(view), waiting, SPARE_SLOTS);
     for (const key of cuts) {
       const task = this.tasks.get(key);
       if (task?.run !== undefined) {
@@ -195,7 +142,11 @@
     for (const task of this.tasks.all()) {
       if (task.run !== undefined) {
         const known = runs.get(task.run.engine) ?? [];
-        known.push({events: task.run.events, key: task.key, late: this.slackMs(view, task) < 0});
+        known.push({
+          events: task.run.events,
+          key: task.key,
+          late: this.urgency.slackMs(view, task) < 0,
+        });
         runs.set(task.run.engine, known);
       }
     }
@@ -212,43 +163,6 @@
     }));
   }
 
-  private routeOf(view: FleetView, task: Task): FleetRoute | undefined {
-    const {config} = view;
-    if (config === null) {
-      return undefined;
-    }
-    if (this.routes?.version !== config.version) {
-      this.routes = {table: new RouteTable(config), version: config.version};
-    }
-    return this.routes.table.find(task.job.host, task.job.path);
-  }
-
-  /** Time until an item is due, in milliseconds; negative when it is late. */
-  private slackMs(view: FleetView, task: Task): number {
-    const due = task.acceptedAt + (this.routeOf(view, task)?.targetMs ?? 0);
-    return due - this.options.state().clockMs;
-  }
-
-  /** Items that may start, the most urgent first; those that can't be in time come last. */
-  private waiting(view: FleetView): readonly PlannedItem[] {
-    const now = this.options.clock.monotonicMs();
-    const found: (PlannedItem & {readonly remainingMs: number; readonly slackMs: number})[] = [];
-    for (const task of this.tasks.all()) {
-      const {ending, events, key, notBefore, run, starting} = task;
-      if (run !== undefined || starting || ending || now < notBefore) {
-        continue;
-      }
-      const route = this.routeOf(view, task);
-      const service = route?.split.find(({weight}) => weight > 0)?.service;
-      if (route !== undefined && service !== undefined) {
-        const slackMs = this.slackMs(view, task);
-        const remainingMs = this.estimates.remainingMs(route.name, events);
-        found.push({key, late: slackMs < remainingMs, remainingMs, service, slackMs});
-      }
-    }
-    return found.sort(compareUrgency);
-  }
-
   /** Reads an item's body and what is recorded of its output, when it starts here for the first time. */
   private async readTask(task: Task): Promise<void> {
     if (task.body !== undefined) {
@@ -263,7 +177,7 @@
 
   private async start(key: string, engineId: string): Promise<void> {
     const task = this.tasks.get(key);
-    const engine = this.options.view().news.engines.find(({id}) => id === engineId);
+    const engine = engineOf(this.options.view(), engineId);
     if (task === undefined || engine === undefined) {
       return;
     }
@@ -280,40 +194,50 @@
     if (this.tasks.get(key) !== task || !this.options.leads()) {
       return;
     }
-    const view = this.options.view();
+    await this.run(task, engine);
+    this.poke();
+  }
+
+  private async run(task: Task, engine: EngineView): Promise<void> {
+    const {clock} = this.options;
     this.decide('itemPlaced', task, {
-      engine: engineId,
+      engine: engine.id,
       resumeAfter: task.lastEvent ?? undefined,
-      viewAgeMs: Math.round(this.options.clock.monotonicMs() - view.asOf),
+      viewAgeMs: Math.round(clock.monotonicMs() - this.options.view().asOf),
     });
-    const run = startItemRun(this.options.wire, {
+    const run = this.startRun(task, engine);
+    const startedAt = clock.monotonicMs();
+    const taskRun: TaskRun = {engine: engine.id, events: 0, lastEventAt: startedAt, run};
+    task.run = taskRun;
+    const end = await run.ended;
+    task.run = undefined;
+    this.urgency.estimates.noteRun(taskRun.events, taskRun.lastEventAt - startedAt);
+    if (this.tasks.get(task.key) === task) {
+      this.onRunEnd(task, engine.id, end);
+    }
+  }
+
+  private startRun(task: Task, engine: EngineView): ItemRun {
+    return startItemRun(this.options.wire, {
       body: task.body!,
       engine,
       headers: task.item.headers,
       host: task.job.host,
       id: task.item.id,
       lastEvent: task.lastEvent,
-      onEvent: (data, id) => {
-        task.data.push(data);
-        task.events++;
-        task.lastEvent = id ?? task.lastEvent;
-        if (task.run !== undefined) {
-          task.run.events++;
-          task.run.lastEventAt = this.options.clock.monotonicMs();
-        }
-      },
+      onEvent: (data, id) => this.onEvent(task, data, id),
       path: task.item.path,
     });
-    const startedAt = this.options.clock.monotonicMs();
-    const taskRun = {engine: engineId, events: 0, lastEventAt: startedAt, run, startedAt};
-    task.run = taskRun;
-    const end = await run.ended;
-    task.run = undefined;
-    this.estimates.noteRun(taskRun.events, taskRun.lastEventAt - startedAt);
-    if (this.tasks.get(key) === task) {
-      this.onRunEnd(task, engineId, end);
+  }
+
+  private onEvent(task: Task, data: string, id: string | null): void {
+    task.data.push(data);
+    task.events++;
+    task.lastEvent = id ?? task.lastEvent;
+    if (task.run !== undefined) {
+      task.run.events++;
+      task.run.lastEventAt = this.options.clock.monotonicMs();
     }
-    this.poke();
   }
 
   private onRunEnd(task: Task, engine: string, end: ItemRunEnd): void {
@@ -341,7 +265,7 @@
         return;
       case 'whole':
         this.experience.note(engine, true);
-        this.estimates.noteItem(task.job.route, task.events);
+        this.urgency.estimates.noteItem(task.job.route, task.events);
         this.endTask(task, 'completed');
         return;
       default:
@@ -350,7 +274,7 @@
   }
 
   private onItemFailure(task: Task, status: number): void {
-    const route = this.routeOf(this.options.view(), task);
+    const route = this.urgency.routeOf(this.options.view(), task);
     if (status === UNPROCESSABLE) {
       this.endTask(task, 'givenUp');
       return;
@@ -375,32 +299,9 @@
     }
     task.ending = true;
     const text = outcome === 'completed' ? Buffer.from(task.data.join('\n')) : null;
-    this.pendingEnds.push({item: task.index, job: task.job.id, outcome, text});
+    const end = {item: task.index, job: task.job.id, outcome, text};
     this.decide('itemEnded', task, {events: task.events, outcome});
-    void this.record();
-  }
-
-  /** Records ends in groups: those that come while one is under way go with the next. */
-  private async record(): Promise<void> {
-    if (this.recording) {
-      return;
-    }
-    this.recording = true;
-    while (this.pendingEnds.length > 0 && !this.stopped && this.options.leads()) {
-      const ends = this.pendingEnds;
-      this.pendingEnds = [];
-      try {
-        await this.options.propose({ends, kind: 'endItems'});
-      } catch {
-        // An end may be recorded twice without harm: only the first counts.
-        this.pendingEnds = [...ends, ...this.pendingEnds];
-        await new Promise((resolve) => setTimeout(resolve, PROPOSE_AGAIN_MS));
-      }
-    }
-    if (!this.options.leads()) {
-      this.pendingEnds = [];
-    }
-    this.recording = false;
+    this.ends.add(end);
   }
 
   /** Gives up items whose time is over or whose route was removed, and lets the group's clock run. */
@@ -413,7 +314,7 @@
     const isFresh = this.options.clock.monotonicMs() - view.asOf < START_FRESH_MS;
     const {clockMs, open} = this.options.state();
     for (const task of isFresh && view.config !== null ? [...this.tasks.all()] : []) {
-      const route = this.routeOf(view, task);
+      const route = this.urgency.routeOf(view, task);
       if (route === undefined || clockMs - task.acceptedAt > route.giveUpAfterMs) {
         task.run?.run.cut();
         this.endTask(task, 'givenUp');
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -15,7 +15,6 @@
   /** When its last event came, or its start. */
   lastEventAt: MonotonicMs;
   readonly run: ItemRun;
-  readonly startedAt: MonotonicMs;
 }
 
 /** One item. */
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -1,6 +1,7 @@
 /** Batch jobs of opaque requests: replicated state, and the dispatcher that runs their items. */
 export {RESULT_BYTES, SPARE_SLOTS, START_FRESH_MS} from './JobsConstants';
-export {type ItemDecision, JobsDispatcher, type JobsDispatcherOptions} from './JobsDispatcher';
+export type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
+export {JobsDispatcher} from './JobsDispatcher';
 export {jobsMachine, updateJobs} from './JobsMachine';
 export {type ItemPlan, planItems, type PlannedEngine, type PlannedItem} from './JobsPlan';
 export {
