Split the relay's run: reading an engine's answer and passing it on

RelayRun.ts keeps the attempts, the verdict and the refusals. What reads an engine's answer and writes it to the caller moved to RelayPass. Statuses got names. Behaviour is unchanged.

--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -0,0 +1,146 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+/**
+ * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
+ * for whole.
+ */
+import {SILENT_FIRST_MS, SILENT_STREAM_MS, WHOLE_ANSWER_BYTES} from './RelayConstants';
+import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
+import {passedHeaders} from './RelayHeaders';
+
+/** What reading an answer came to. */
+export type ReadEnd = 'broken' | 'whole';
+
+/** What passing answers on needs of its request. */
+export interface RelayPassOptions {
+  /** Closes the connection to the engine, which ends the reading. */
+  readonly giveUp: () => void;
+  /** Whether the request has ended, so that nothing more may be passed on. */
+  readonly isOver: () => boolean;
+  /** Last event that the caller already has. */
+  readonly lastEvent: string | null;
+  /** Called once, before the head of the answer is written. */
+  readonly onHead: () => void;
+  /** The caller's response. */
+  readonly res: ServerResponse;
+  /** Whether a stream may go on at another engine. */
+  readonly resumable: boolean;
+}
+
+/** See the module's comment. */
+export class RelayPass {
+  private last: string | null;
+  private readonly res: ServerResponse;
+
+  /**
+   * @param options what it needs of its request
+   */
+  constructor(private readonly options: RelayPassOptions) {
+    this.last = options.lastEvent;
+    this.res = options.res;
+  }
+
+  /** Last event that the caller has; null before the first, and where events have no numbers. */
+  get lastEvent(): string | null {
+    return this.last;
+  }
+
+  /**
+   * Passes events on as they come, each of them whole. Only a stream that can go on elsewhere is given up
+   * for silence.
+   *
+   * @param answer the engine's answer
+   */
+  async passStream(answer: IncomingMessage): Promise<ReadEnd> {
+    const splitter = new EventSplitter();
+    const giveUp = (): void => {
+      if (this.options.resumable) {
+        this.options.giveUp();
+      }
+    };
+    let timer = setTimeout(giveUp, SILENT_FIRST_MS);
+    try {
+      for await (const chunk of answer) {
+        clearTimeout(timer);
+        timer = setTimeout(giveUp, SILENT_STREAM_MS);
+        for (const event of splitter.push(chunk as Buffer)) {
+          if (!(await this.passEvent(answer, event))) {
+            return 'broken';
+          }
+        }
+      }
+    } catch {
+      return 'broken';
+    } finally {
+      clearTimeout(timer);
+    }
+    return answer.complete && splitter.pending === 0 && this.res.headersSent ? 'whole' : 'broken';
+  }
+
+  /**
+   * Passes an answer on once it has come whole; a long one as it comes.
+   *
+   * @param answer the engine's answer
+   */
+  async passWhole(answer: IncomingMessage): Promise<ReadEnd> {
+    let held: Buffer[] | null = [];
+    let size = 0;
+    try {
+      for await (const chunk of answer) {
+        const bytes = chunk as Buffer;
+        size += bytes.length;
+        held?.push(bytes);
+        if (held !== null && size > WHOLE_ANSWER_BYTES) {
+          const length = answer.headers['content-length'];
+          this.writeHead(answer, length === undefined ? null : Number(length));
+          await this.write(Buffer.concat(held));
+          held = null;
+        } else if (held === null) {
+          await this.write(bytes);
+        }
+      }
+    } catch {
+      return 'broken';
+    }
+    if (!answer.complete || this.options.isOver()) {
+      return 'broken';
+    }
+    if (held !== null) {
+      const whole = Buffer.concat(held);
+      this.writeHead(answer, whole.length);
+      await this.write(whole);
+    }
+    return 'whole';
+  }
+
+  private async passEvent(answer: IncomingMessage, event: StreamEvent): Promise<boolean> {
+    if (this.options.isOver() || !continues(this.last, event.id)) {
+      return false;
+    }
+    this.writeHead(answer, null);
+    this.last = event.id ?? this.last;
+    await this.write(event.raw);
+    return true;
+  }
+
+  private writeHead(answer: IncomingMessage, length: number | null): void {
+    if (this.res.headersSent) {
+      return;
+    }
+    this.options.onHead();
+    const headers = passedHeaders(answer.rawHeaders);
+    if (length !== null) {
+      headers.push('Content-Length', String(length));
+    }
+    this.res.writeHead(answer.statusCode!, answer.statusMessage ?? '', headers);
+  }
+
+  private async write(bytes: Uint8Array): Promise<void> {
+    if (!this.res.write(bytes) && !this.res.destroyed) {
+      await new Promise<void>((resolve) => {
+        this.res.once('drain', resolve);
+        this.res.once('close', resolve);
+      });
+    }
+  }
+}
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -20,20 +20,20 @@
   QUEUED_IN_TIME,
   RETRY_AFTER_MS,
   SILENT_FIRST_MS,
-  SILENT_STREAM_MS,
-  WHOLE_ANSWER_BYTES,
 } from './RelayConstants';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
-import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
 import {passedHeaders} from './RelayHeaders';
+import {RelayPass} from './RelayPass';
 import {drawService, placeRequest} from './RelayPlacement';
 
 type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
 
-/** What reading an answer came to. */
-type ReadEnd = 'broken' | 'whole';
-
+/** First of the statuses by which an engine says that it failed itself. */
 const SERVER_ERROR = 500;
+/** The engine's word that it did not run the request. */
+const UNAVAILABLE = 503;
+/** First status that is no success; events come with a success only. */
+const REDIRECTION = 300;
 
 /** See the module's comment. */
 export class RelayRun {
@@ -41,7 +41,7 @@
   private declines = 0;
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
-  private lastEvent: string | null;
+  private readonly pass: RelayPass;
   private readonly sentTo = new Set<EngineId>();
   private verdict: Verdict = 'notRun';
 
@@ -55,7 +55,16 @@
     private readonly req: RelayRequest,
     private readonly res: ServerResponse,
   ) {
-    this.lastEvent = req.facts.resumeAfter;
+    this.pass = new RelayPass({
+      giveUp: () => this.call?.close(),
+      isOver: () => this.end !== undefined,
+      lastEvent: req.facts.resumeAfter,
+      onHead: () => {
+        this.firstMs = Math.round(this.waitedMs);
+      },
+      res,
+      resumable: req.route.resumable,
+    });
   }
 
   private get repeatable(): boolean {
@@ -213,7 +222,7 @@
   private async send(engine: EngineView): Promise<void> {
     const {decide, experience, online, viewAgeMs, wire} = this.context;
     const {body, facts, method, path, rawHeaders} = this.req;
-    const resumeAfter = this.lastEvent;
+    const resumeAfter = this.pass.lastEvent;
     this.sentTo.add(engine.id);
     decide(this.res.headersSent ? 'resumed' : 'placed', facts.requestId, {
       attempt: this.sentTo.size,
@@ -298,7 +307,8 @@
     }
     this.verdict = 'ran';
     const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
-    const read = isStream && status < 300 ? this.passStream(res) : this.passWhole(res);
+    const read =
+      isStream && status < REDIRECTION ? this.pass.passStream(res) : this.pass.passWhole(res);
     const end = await read;
     if (this.end !== undefined) {
       return;
@@ -321,110 +331,16 @@
     if (this.res.headersSent || (this.repeatable && attemptsLeft)) {
       return;
     }
-    if (status === 503) {
+    if (status === UNAVAILABLE) {
       // The status would promise that nothing ran.
       this.refuse('The engine failed.');
       return;
     }
-    if ((await this.passWhole(res)) === 'whole' && this.end === undefined) {
+    if ((await this.pass.passWhole(res)) === 'whole' && this.end === undefined) {
       this.res.end();
       this.finish('serverFailure');
     } else {
       this.refuse('The engine failed and broke its answer off.');
     }
   }
-
-  private writeHead(res: IncomingMessage, length: number | null): void {
-    if (this.res.headersSent) {
-      return;
-    }
-    this.firstMs = Math.round(this.waitedMs);
-    const headers = passedHeaders(res.rawHeaders);
-    if (length !== null) {
-      headers.push('Content-Length', String(length));
-    }
-    this.res.writeHead(res.statusCode!, res.statusMessage ?? '', headers);
-  }
-
-  private async write(bytes: Uint8Array): Promise<void> {
-    if (!this.res.write(bytes) && !this.res.destroyed) {
-      await new Promise<void>((resolve) => {
-        this.res.once('drain', resolve);
-        this.res.once('close', resolve);
-      });
-    }
-  }
-
-  /**
-   * Passes events on as they come, each of them whole. Only a stream that can go on elsewhere is given up
-   * for silence.
-   */
-  private async passStream(res: IncomingMessage): Promise<ReadEnd> {
-    const splitter = new EventSplitter();
-    const isResumable = this.req.route.resumable;
-    const giveUp = (): void => {
-      if (isResumable) {
-        this.call?.close();
-      }
-    };
-    let timer = setTimeout(giveUp, SILENT_FIRST_MS);
-    try {
-      for await (const chunk of res) {
-        clearTimeout(timer);
-        timer = setTimeout(giveUp, SILENT_STREAM_MS);
-        for (const event of splitter.push(chunk as Buffer)) {
-          if (!(await this.passEvent(res, event))) {
-            return 'broken';
-          }
-        }
-      }
-    } catch {
-      return 'broken';
-    } finally {
-      clearTimeout(timer);
-    }
-    return res.complete && splitter.pending === 0 && this.res.headersSent ? 'whole' : 'broken';
-  }
-
-  private async passEvent(res: IncomingMessage, event: StreamEvent): Promise<boolean> {
-    if (this.end !== undefined || !continues(this.lastEvent, event.id)) {
-      return false;
-    }
-    this.writeHead(res, null);
-    this.lastEvent = event.id ?? this.lastEvent;
-    await this.write(event.raw);
-    return true;
-  }
-
-  /** Passes an answer on once it has come whole; a long one as it comes. */
-  private async passWhole(res: IncomingMessage): Promise<ReadEnd> {
-    let held: Buffer[] | null = [];
-    let size = 0;
-    try {
-      for await (const chunk of res) {
-        const bytes = chunk as Buffer;
-        size += bytes.length;
-        held?.push(bytes);
-        if (held !== null && size > WHOLE_ANSWER_BYTES) {
-          const length = res.headers['content-length'];
-          this.writeHead(res, length === undefined ? null : Number(length));
-          await this.write(Buffer.concat(held));
-          held = null;
-        } else if (held === null) {
-          await this.write(bytes);
-        }
-      }
-    } catch {
-      return 'broken';
-    }
-    if (!res.complete || this.end !== undefined) {
-      return 'broken';
-    }
-    if (held !== null) {
-      const whole = Buffer.concat(held);
-      this.writeHead(res, whole.length);
-      await this.write(whole);
-    }
-    return 'whole';
-  }
 }
