Split the store's process: answers about jobs stand in a desk of their own

NodeStore.ts keeps the life of the process. Answering what other processes ask of the leader of the jobs' group, and proposing changes with the time since the last one, moved to NodeJobsDesk, as NodeDesk does it for the control group. Behaviour is unchanged.

--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -0,0 +1,134 @@
+import type {Clock, MonotonicMs} from 'stallpaddle';
+
+import {encodeValue, unreachable} from 'stallpaddle';
+import {
+  type BodyAnswer,
+  findBody,
+  findResults,
+  type JobId,
+  type JobsAnswer,
+  type JobsChange,
+  type JobsCommand,
+  type JobsDispatcher,
+  type JobsRequest,
+  type JobsState,
+  type ReadResult,
+  RESULT_BYTES,
+  type ResultRef,
+  type ResultsAnswer,
+  type TellAnswer,
+} from 'stallpaddle-jobs';
+
+/**
+ * Answers all processes while this one leads the group that keeps batch jobs.
+ */
+import type {NodeGroup} from './NodeGroup';
+
+import {NodeWaiters} from './NodeWaiters';
+
+type Driver = NodeGroup<JobsState>['driver'];
+
+async function readResult(driver: Driver, {id, outcome, text}: ResultRef): Promise<ReadResult> {
+  return {id, outcome, text: text === null ? new Uint8Array() : await driver.readBlob(text)};
+}
+
+async function readBody(driver: Driver, job: JobId, item: string): Promise<BodyAnswer> {
+  const ref = findBody(driver.read(), job, item);
+  return ref === undefined ? {kind: 'notFound'} : {body: await driver.readBlob(ref), kind: 'body'};
+}
+
+/** See the module's comment. */
+export class NodeJobsDesk {
+  private lastCommandAt: MonotonicMs | undefined;
+  private readonly waiters = new NodeWaiters();
+
+  /**
+   * @param clock this process's clock
+   * @param group the replica here of the group that keeps batch jobs
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly group: Pick<NodeGroup<JobsState>, 'driver'>,
+  ) {}
+
+  /**
+   * Records a change.
+   *
+   * @param change the change
+   * @returns the group's answer
+   * @throws {NotLeaderError} without leadership
+   * @throws {OutcomeUnknownError} when it may still be recorded
+   */
+  propose(change: JobsChange): Promise<unknown> {
+    return this.proposeTo(this.group.driver, change);
+  }
+
+  /** Tells reads that wait for results to look again. */
+  wakeReads(): void {
+    this.waiters.wakeAll();
+  }
+
+  /**
+   * Answers a request.
+   *
+   * @param request the request
+   * @param dispatcher runs the items
+   * @throws {NotLeaderError} without leadership or lease
+   */
+  async answer(request: JobsRequest, dispatcher: JobsDispatcher): Promise<unknown> {
+    const {driver} = this.group;
+    const state = driver.read();
+    switch (request.kind) {
+      case 'endJob':
+        return this.proposeTo(driver, {job: request.job, kind: 'endJob'});
+      case 'readBody':
+        return readBody(driver, request.job, request.item);
+      case 'readResults':
+        return this.readResults(driver, request);
+      case 'submit': {
+        const {maxWaitingTokens, submission} = request;
+        if (state.jobs.has(submission.id)) {
+          return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
+        }
+        return this.proposeTo(driver, {kind: 'submit', maxWaitingTokens, submission});
+      }
+      case 'tellOnline': {
+        const {online} = dispatcher;
+        online.learn(request.sender, request.sequence, request.own);
+        dispatcher.poke();
+        const suspects = dispatcher.silentEngines();
+        return {suspects, totals: online.totals()} satisfies TellAnswer;
+      }
+      default:
+        return unreachable(request);
+    }
+  }
+
+  private proposeTo(driver: Driver, change: JobsChange): Promise<unknown> {
+    const now = this.clock.monotonicMs();
+    // Time without a leader isn't counted: an item is rather given up late than early.
+    const elapsedMs = driver.leads ? now - (this.lastCommandAt ?? now) : 0;
+    this.lastCommandAt = driver.leads ? now : undefined;
+    const command: JobsCommand = {change, elapsedMs};
+    return driver.propose(encodeValue(command));
+  }
+
+  private async readResults(
+    driver: Driver,
+    {from, job, waitMs}: Extract<JobsRequest, {kind: 'readResults'}>,
+  ): Promise<ResultsAnswer> {
+    const end = this.clock.monotonicMs() + waitMs;
+    for (;;) {
+      const found = findResults(driver.read(), job, from, RESULT_BYTES);
+      if (found === undefined) {
+        return {kind: 'notFound'};
+      }
+      const left = end - this.clock.monotonicMs();
+      if (found.results.length > 0 || left <= 0 || from >= found.total) {
+        const results = await Promise.all(found.results.map((ref) => readResult(driver, ref)));
+        return {kind: 'results', next: from + results.length, results, total: found.total};
+      }
+      await this.waiters.wait(left);
+    }
+  }
+}
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -1,29 +1,9 @@
 import type {LogFields} from 'stallpaddle';
 
 import path from 'node:path';
-import {delay, encodeValue, unreachable} from 'stallpaddle';
-import {
-  type BodyAnswer,
-  findBody,
-  findResults,
-  type JobId,
-  type JobsAnswer,
-  type JobsChange,
-  type JobsCommand,
-  JobsDispatcher,
-  jobsMachine,
-  type JobsRequest,
-  type JobsState,
-  RESULT_BYTES,
-  type ResultsAnswer,
-  type TellAnswer,
-} from 'stallpaddle-jobs';
-import {
-  loadIdentity,
-  NotLeaderError,
-  type ReplicaDriver,
-  ReplicaStorage,
-} from 'stallpaddle-replication';
+import {delay} from 'stallpaddle';
+import {JobsDispatcher, jobsMachine, type JobsRequest, type JobsState} from 'stallpaddle-jobs';
+import {loadIdentity, NotLeaderError, ReplicaStorage} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
@@ -43,12 +23,12 @@
 } from './NodeConstants';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
+import {NodeJobsDesk} from './NodeJobsDesk';
 import {NodeLog} from './NodeLog';
 import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
 import {lostDisksOf} from './NodeSettings';
-import {NodeWaiters} from './NodeWaiters';
 import {NodeWatch} from './NodeWatch';
 
 /** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
@@ -57,13 +37,12 @@
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
   private readonly caller: NodeCaller;
+  private desk: NodeJobsDesk | undefined;
   private dispatcher: JobsDispatcher | undefined;
   private group: NodeGroup<JobsState> | undefined;
-  private lastCommandAt: number | undefined;
   private readonly log: NodeLog;
   private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
-  private readonly resultWaiters = new NodeWaiters();
   private rpc!: RpcServer;
   private seeds: readonly string[];
   private self!: string;
@@ -178,11 +157,13 @@
     });
     this.group.exposeMetrics(this.metrics);
     const {group} = this;
+    const desk = new NodeJobsDesk(clock, group);
+    this.desk = desk;
     this.dispatcher = new JobsDispatcher({
       clock,
       decide: (decision, id, fields: LogFields) => this.log.decide(decision, id, fields),
       leads: () => group.driver.leads && !this.stopped,
-      propose: (change) => this.propose(group.driver, change),
+      propose: (change) => desk.propose(change),
       readBlob: (ref) => group.driver.readBlob(ref),
       state: () => group.driver.localState,
       view: () => this.watch.view,
@@ -190,7 +171,7 @@
     });
     group.registerListener(() => {
       this.dispatcher?.poke();
-      this.resultWaiters.wakeAll();
+      desk.wakeReads();
     });
   }
 
@@ -224,81 +205,11 @@
     return {learners, settled: group.settled, term, voters};
   }
 
-  private propose(driver: ReplicaDriver<JobsState>, change: JobsChange): Promise<unknown> {
-    const now = this.options.clock.monotonicMs();
-    // Time without a leader isn't counted: an item is rather given up late than early.
-    const elapsedMs = driver.leads ? now - (this.lastCommandAt ?? now) : 0;
-    this.lastCommandAt = driver.leads ? now : undefined;
-    const command: JobsCommand = {change, elapsedMs};
-    return driver.propose(encodeValue(command));
-  }
-
   private async answer(request: JobsRequest): Promise<unknown> {
-    const driver = this.group?.driver;
-    if (driver === undefined || this.dispatcher === undefined) {
+    const {desk, dispatcher} = this;
+    if (desk === undefined || dispatcher === undefined) {
       throw new NotLeaderError(null);
     }
-    const state = driver.read();
-    switch (request.kind) {
-      case 'endJob':
-        return this.propose(driver, {job: request.job, kind: 'endJob'});
-      case 'readBody':
-        return this.readBody(driver, request.job, request.item);
-      case 'readResults':
-        return this.readResults(driver, request);
-      case 'submit': {
-        const {maxWaitingTokens, submission} = request;
-        if (state.jobs.has(submission.id)) {
-          return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
-        }
-        return this.propose(driver, {kind: 'submit', maxWaitingTokens, submission});
-      }
-      case 'tellOnline': {
-        const {online} = this.dispatcher;
-        online.learn(request.sender, request.sequence, request.own);
-        this.dispatcher.poke();
-        const suspects = this.dispatcher.silentEngines();
-        return {suspects, totals: online.totals()} satisfies TellAnswer;
-      }
-      default:
-        return unreachable(request);
-    }
-  }
-
-  private async readBody(
-    driver: ReplicaDriver<JobsState>,
-    job: JobId,
-    item: string,
-  ): Promise<BodyAnswer> {
-    const ref = findBody(driver.read(), job, item);
-    return ref === undefined
-      ? {kind: 'notFound'}
-      : {body: await driver.readBlob(ref), kind: 'body'};
-  }
-
-  private async readResults(
-    driver: ReplicaDriver<JobsState>,
-    {from, job, waitMs}: Extract<JobsRequest, {kind: 'readResults'}>,
-  ): Promise<ResultsAnswer> {
-    const {clock} = this.options;
-    const end = clock.monotonicMs() + waitMs;
-    for (;;) {
-      const found = findResults(driver.read(), job, from, RESULT_BYTES);
-      if (found === undefined) {
-        return {kind: 'notFound'};
-      }
-      const left = end - clock.monotonicMs();
-      if (found.results.length > 0 || left <= 0 || from >= found.total) {
-        const results = await Promise.all(
-          found.results.map(async ({id, outcome, text}) => ({
-            id,
-            outcome,
-            text: text === null ? new Uint8Array() : await driver.readBlob(text),
-          })),
-        );
-        return {kind: 'results', next: from + results.length, results, total: found.total};
-      }
-      await this.resultWaiters.wait(left);
-    }
+    return desk.answer(request, dispatcher);
   }
 }
