An answer without a length is not whole when its connection was reset

Ruled out: the relay's own framing; chunked answers and those with a length were right. Change: a connection error after the head destroys the answer, so that whoever reads it sees a break; online requests and items alike. Tests: three, for events, other bodies and items; all three failed before and pass now. Also: the line of a refused or broken request names the reason.

--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -207,6 +207,16 @@
     expect(group.textOf(0)).toBe(whole(5));
   });
 
+  test('does not take an answer without a length for whole when its connection was reset', async () => {
+    const engines = await startEngines(1, 5, 2);
+    engines[0]!.manners = [{after: 3, kind: 'resetUnframed'}];
+    const group = new Group();
+    lead(group, () => viewOf(engines));
+    group.submit(1);
+    await until(() => group.results.length === 1);
+    expect(group.textOf(0)).toBe(whole(5));
+  });
+
   test('gives an item up after as many failures as its route allows, and at once when it can never be done', async () => {
     const engines = await startEngines(1, 5, 2);
     engines[0]!.manners = [
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -79,6 +79,7 @@
 export function startEngineCall(wire: RelayWire, req: EngineRequest): EngineCall {
   const {host, port} = splitAddress(req.address);
   const headers = [...req.headers, 'Content-Length', String(req.body.length)];
+  let answer: IncomingMessage | undefined;
   let connected = false;
   let out: ClientRequest | undefined;
   const started = new Promise<EngineCallStart>((resolve) => {
@@ -99,6 +100,7 @@
       });
     });
     out.on('response', (res) => {
+      answer = res;
       // Errors of the body are seen by whoever reads it; before that they must not go unhandled.
       res.on('error', () => {});
       const start = startOf(wire, res, req.requestId);
@@ -109,6 +111,8 @@
     });
     out.on('error', (err) => {
       clearTimeout(timer);
+      // The parser takes an answer without a length for whole when its connection ends, also by a reset.
+      answer?.destroy(err);
       resolve(
         connected
           ? {kind: 'mayHaveRun', reason: err.message}
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -42,6 +42,7 @@
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
   private readonly pass: RelayPass;
+  private reason: string | undefined;
   private readonly sentTo = new Set<EngineId>();
   private verdict: Verdict = 'notRun';
 
@@ -116,6 +117,7 @@
       firstMs: this.firstMs,
       kind: route.kind,
       ms: Math.round(this.waitedMs),
+      reason: this.reason,
       route: route.name,
       verdict: this.verdict,
     });
@@ -136,6 +138,7 @@
     if (this.end !== undefined) {
       return;
     }
+    this.reason = message;
     this.finish(this.res.headersSent ? 'broken' : 'refused');
     if (this.res.headersSent) {
       // Without its last chunk the answer can't be taken for a whole one.
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -115,10 +115,15 @@
   return {ends, port: (server.address() as AddressInfo).port};
 }
 
-function ask(port: number, leaveAfterMs?: number): Promise<CallerAnswer> {
+function ask(
+  port: number,
+  leaveAfterMs?: number,
+  more: Readonly<Record<string, string>> = {},
+): Promise<CallerAnswer> {
   return new Promise((resolve) => {
     const req = request({
       headers: {
+        ...more,
         host: 'a.example',
         [PLAIN.request]: 'q1',
         [PLAIN.timeLeft]: '1500',
@@ -192,6 +197,18 @@
     },
   );
 
+  test.each(['text/event-stream', 'text/plain'])(
+    'does not take a %s answer without a length for whole when its connection was reset',
+    async (type) => {
+      const [engine] = await startEngines(1);
+      engine!.manners = [{after: 3, kind: 'resetUnframed'}];
+      const {ends, port} = await startRelay(contextOf([engine!]), routeOf({resumable: false}));
+      const answer = await ask(port, undefined, {[PLAIN.wanted]: type});
+      expect(answer.isWhole && answer.status === 200).toBe(false);
+      expect(ends[0]).not.toBe('served');
+    },
+  );
+
   test('never joins an event that does not follow the last one', async () => {
     const engines = await startEngines(1);
     engines[0]!.manners = [{kind: 'skipEvent'}];
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -11,6 +11,8 @@
   resumeAfter: 'x-resume-after',
   signature: 'x-signature',
   timeLeft: 'x-time-left',
+  /** Content type that a stand-in engine gives an answer without a length. */
+  wanted: 'x-wanted-type',
 } as const;
 
 function text(value: string | string[] | undefined): string | null {
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -21,6 +21,8 @@
   | {readonly kind: 'mute'}
   /** Another engine has the address. */
   | {readonly kind: 'otherEngine'}
+  /** Sends some whole events of an answer without a length, and resets the connection. */
+  | {readonly after: number; readonly kind: 'resetUnframed'}
   /** Takes the request and resets the connection. */
   | {readonly kind: 'reset'}
   /** Leaves numbers out. */
@@ -40,6 +42,8 @@
   readonly url: string;
 }
 
+const EVENT_STREAM = 'text/event-stream';
+
 const SERVE: EngineManner = {kind: 'serve'};
 
 function eventText(number: number): string {
@@ -131,11 +135,19 @@
       case 'otherEngine':
         res.writeHead(421).end();
         return;
+      case 'resetUnframed':
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+        res.writeHead(200, {...signed, 'content-type': req.headers[PLAIN.wanted] ?? EVENT_STREAM});
+        res.write(Array.from({length: manner.after}, (_, at) => eventText(at + 1)).join(''));
+        await new Promise((resolve) => setTimeout(resolve, this.gapMs));
+        req.socket.resetAndDestroy();
+        return;
       case 'breakOff':
       case 'endWithin':
       case 'serve':
       case 'skipEvent':
-        res.writeHead(200, {...signed, 'content-type': 'text/event-stream'});
+        res.writeHead(200, {...signed, 'content-type': EVENT_STREAM});
         await this.stream(manner, Number(req.headers[PLAIN.resumeAfter] ?? 0), res);
         return;
       case 'wrongRequest':
