Split the entry process: its intake and its metrics

NodeEntry.ts keeps the life of the process and the ways of its calls. The count of requests under way and the phases of a planned stop moved to NodeIntake, the metrics to NodeEntryMetrics. The seconds' constant stood in two files, a refusal's pause had no name. Behaviour is unchanged.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -4,6 +4,9 @@
 
 import type {ReplicationTiming} from 'stallpaddle-replication';
 
+/** Milliseconds in a second. */
+export const SECOND_MS = 1_000;
+
 /**
  * Times of both groups: replicas are a few milliseconds apart, and nothing but a lost process keeps a
  * heartbeat back for half a second. Each group that restarts whole pays one to two election timeouts.
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {LogFields} from 'stallpaddle';
 
-import {delay, drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
+import {drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
 import {type FleetRoute, RouteTable} from 'stallpaddle-fleet';
 import {
   type RelayContext,
@@ -22,14 +22,12 @@
 import {hostsToAsk, NodeCaller} from './NodeCaller';
 import {
   ADDRESSES_MOST,
-  ADDRESSES_TTL_S,
   CONTROL_GROUP,
-  END_MARGIN_MS,
   IDLE_MARGIN_MS,
   JOBS_GROUP,
-  LAST_REQUESTS_MS,
   ROUTE_FRESH_MS,
 } from './NodeConstants';
+import {countEnd, exposeEntryMetrics} from './NodeEntryMetrics';
 import {
   BodyTooLargeError,
   callOf,
@@ -38,6 +36,7 @@
   startMetricsServer,
   startServer,
 } from './NodeHttp';
+import {NodeIntake} from './NodeIntake';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
 import {NodeMetrics} from './NodeMetrics';
@@ -49,24 +48,19 @@
 const FIRST_IDLE_MS = 15_000;
 /** Largest body before the first configuration, in bytes. */
 const FIRST_BODY_BYTES = 4_194_304;
+/** Pause after which a caller should come back while the configuration is not known, in milliseconds. */
+const CONFIG_AGAIN_MS = 500;
 /** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
 const READY_AGE_MS = 3_000;
-/** Time between looks whether a stopping process is idle, in milliseconds. */
-const IDLE_LOOK_MS = 50;
-/** Some callers keep the addresses three times as long as they were told; in milliseconds. */
-const ADDRESSES_KEPT_MS = 3 * 1_000 * ADDRESSES_TTL_S;
-
 /** See the module's comment. */
 export class NodeEntry implements RunningNode {
-  private active = 0;
   private readonly context: RelayContext;
   private readonly control: NodeCaller;
+  private readonly intake: NodeIntake;
   private readonly jobCalls: NodeJobCalls;
-  private leaving = false;
   private readonly log: NodeLog;
   private readonly metrics = new NodeMetrics();
   private readonly peers: NodePeers;
-  private refusing = false;
   private routes: RouteTable | undefined;
   private seeds: readonly string[];
   private servers: readonly Server[] = [];
@@ -77,6 +71,7 @@
   private constructor(private readonly options: NodeOptions) {
     const {clock, logger, settings, wire} = options;
     this.log = new NodeLog(logger, clock, this.metrics);
+    this.intake = new NodeIntake(clock, settings.bounds.grace);
     this.peers = new NodePeers(settings.peerPort);
     this.seeds = settings.seeds;
     const {peers} = this;
@@ -138,63 +133,29 @@
    * then refuses what comes, and ends once nothing is under way.
    */
   async stop(): Promise<void> {
-    const {grace} = this.options.settings.bounds;
-    this.leaving = true;
+    this.intake.leave();
     void this.watch.ask(0);
-    await delay(Math.min(ADDRESSES_KEPT_MS, Math.max(0, grace - LAST_REQUESTS_MS)));
-    this.refusing = true;
+    await this.intake.untilLastRequests();
     this.servers.forEach((server) => server.close());
-    await this.untilIdle(Math.min(grace, LAST_REQUESTS_MS) - END_MARGIN_MS);
+    await this.intake.untilIdle();
     this.tells.stop();
     this.watch.stop();
     this.peers.close();
   }
 
-  private async untilIdle(mostMs: number): Promise<void> {
-    const {clock} = this.options;
-    const end = clock.monotonicMs() + mostMs;
-    while (this.active > 0 && clock.monotonicMs() < end) {
-      await delay(IDLE_LOOK_MS);
-    }
-  }
-
   private get ready(): boolean {
-    return !this.leaving && this.watch.view.config !== null && this.watch.ageMs < READY_AGE_MS;
+    return (
+      !this.intake.isLeaving && this.watch.view.config !== null && this.watch.ageMs < READY_AGE_MS
+    );
   }
 
   private decide(decision: RelayDecision, id: string, fields: LogFields): void {
     this.log.decide(decision, id, fields);
     if (decision === 'ended') {
-      const {end, firstMs, kind, verdict} = fields;
-      const labels = {end: String(end), kind: String(kind), verdict: String(verdict)};
-      this.metrics.count('stallpaddle_requests_total', 'Requests by how they ended.', labels);
-      if (typeof firstMs === 'number') {
-        const help = 'Time to the first event or byte.';
-        this.metrics.addLatency('stallpaddle_first_event_seconds', help, String(kind), firstMs);
-      }
+      countEnd(this.metrics, fields);
     }
   }
 
-  private exposeMetrics(): void {
-    const {metrics, watch} = this;
-    metrics.exposeGauge('stallpaddle_config_version', 'Version in force here.', () => {
-      return watch.view.config?.version ?? 0;
-    });
-    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
-      return watch.ageMs / 1000;
-    });
-    metrics.exposeGauge('stallpaddle_requests_open', 'Requests under way.', () => this.active);
-    metrics.exposeGauge('stallpaddle_engines_silent', 'Engines that report no more.', () => {
-      return watch.view.news.engines.filter(({silent}) => silent).length;
-    });
-    metrics.exposeGauge('stallpaddle_engine_occupancy', 'Online requests for each slot.', () => {
-      const {engines} = watch.view.news;
-      const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
-      const online = engines.reduce((sum, {id}) => sum + this.context.online.at(id), 0);
-      return slots === 0 ? 0 : online / slots;
-    });
-  }
-
   private async open(): Promise<void> {
     const {callers, directory, ready} = this.options.settings;
     const servers: Promise<Server>[] = [];
@@ -205,7 +166,8 @@
     for (const address of new Set([directory, ready].filter((other) => other !== null))) {
       servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
     }
-    this.exposeMetrics();
+    const {intake, watch} = this;
+    exposeEntryMetrics(this.metrics, {intake, online: this.context.online, watch});
     await startMetricsServer(this.options.settings.metrics, this.metrics);
     this.servers = await Promise.all(servers);
     void this.watch.run();
@@ -243,19 +205,18 @@
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    this.active++;
-    if (this.leaving) {
+    if (this.intake.isLeaving) {
       res.setHeader('connection', 'close');
     }
     // A caller that leaves while its answer is written is seen by whoever writes.
     res.on('error', () => {});
-    try {
-      await this.serve(req, res);
-    } catch (err) {
-      this.onFailure(req, res, err);
-    } finally {
-      this.active--;
-    }
+    await this.intake.count(async () => {
+      try {
+        await this.serve(req, res);
+      } catch (err) {
+        this.onFailure(req, res, err);
+      }
+    });
   }
 
   private onFailure(req: IncomingMessage, res: ServerResponse, err: unknown): void {
@@ -273,7 +234,7 @@
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {clock, wire} = this.options;
     const arrivedAt = clock.monotonicMs();
-    if (this.refusing) {
+    if (this.intake.isRefusing) {
       throw refuse('leaving', 'This VM stops.', {retryAfterMs: 0});
     }
     const call = callOf(req);
@@ -312,14 +273,18 @@
   private routeOf(req: IncomingMessage): FleetRoute {
     const {routes} = this;
     if (routes === undefined) {
-      throw refuse('unavailable', 'No configuration is known yet.', {retryAfterMs: 500});
+      throw refuse('unavailable', 'No configuration is known yet.', {
+        retryAfterMs: CONFIG_AGAIN_MS,
+      });
     }
     const found = routes.find(req.headers.host ?? '', req.url ?? '/');
     if (found !== undefined) {
       return found;
     }
     if (this.watch.ageMs > ROUTE_FRESH_MS) {
-      throw refuse('stale', 'The latest configuration is not known now.', {retryAfterMs: 500});
+      throw refuse('stale', 'The latest configuration is not known now.', {
+        retryAfterMs: CONFIG_AGAIN_MS,
+      });
     }
     this.log.decide('noRoute', String(req.headers.host), {
       path: req.url,
--- a/packages/stallpaddle-node/src/NodeLog.ts
+++ b/packages/stallpaddle-node/src/NodeLog.ts
@@ -6,9 +6,10 @@
 
 import type {NodeMetrics} from './NodeMetrics';
 
+import {SECOND_MS} from './NodeConstants';
+
 /** Lines of one kind a second; above twice the decisions of a busy entry VM of today. */
 const LINES_A_SECOND = 400;
-const SECOND_MS = 1_000;
 
 interface Budget {
   left: number;
--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -3,7 +3,7 @@
  */
 import * as z from 'zod/mini';
 
-const SECOND_MS = 1_000;
+import {SECOND_MS} from './NodeConstants';
 
 /** IP number and port; an empty text stands for none. */
 const address = z.pipe(
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -20,6 +20,7 @@
   HAND_OVER_MS,
   JOBS_GROUP,
   JOBS_LOG_BYTES,
+  SECOND_MS,
 } from './NodeConstants';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
@@ -131,7 +132,7 @@
       return this.dispatcher?.counts().waiting ?? 0;
     });
     metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
-      return this.watch.ageMs / 1000;
+      return this.watch.ageMs / SECOND_MS;
     });
     await startMetricsServer(settings.metrics, metrics);
   }
