Name bare numbers, complete doc comments, drop unused exports of the new packages

Statuses, offsets and pauses got names; the first status of an engine's own failure stood twice and is the relay's SERVER_ERROR now. The jobs' FIRST_EVENT_MS is FIRST_EVENT_WAIT_MS: the relay has another of that name. JobsItemRun and LineWriter use errorMessage and delay instead of their own. RpcChannel's module comment stands before its first relative import. Exports that no other package used left the index files of jobs and relay. Behaviour is unchanged.

--- a/packages/stallpaddle-cli/src/CliExplain.ts
+++ b/packages/stallpaddle-cli/src/CliExplain.ts
@@ -17,6 +17,9 @@
 /** Fields that name a request, an item or a job. */
 const ID_FIELDS = ['id', 'job'] as const;
 
+/** Where the time of day stands in a line's time, from hours to milliseconds. */
+const TIME_OF_DAY = [11, 23] as const;
+
 function parseLine(text: string): ExplainedLine | undefined {
   // Some collectors put words of their own before the line.
   const start = text.indexOf('{');
@@ -78,7 +81,7 @@
   const facts = Object.entries(fields)
     .filter(([name]) => name !== 'id')
     .map(([name, value]) => `${name}=${String(value)}`);
-  return [time.slice(11, 23), `${vm}/${part}`, message, ...facts].join(' ');
+  return [time.slice(...TIME_OF_DAY), `${vm}/${part}`, message, ...facts].join(' ');
 }
 
 async function* linesOf(files: readonly string[]): AsyncGenerator<string> {
--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -15,7 +15,7 @@
 export const START_FRESH_MS = 1_000;
 
 /** Longest wait for an item's first event, in milliseconds; a full engine needs well under one second. */
-export const FIRST_EVENT_MS = 2_000;
+export const FIRST_EVENT_WAIT_MS = 2_000;
 
 /**
  * Longest pause between an item's events, in milliseconds: some fifty times the usual one, and a loss of
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -2,7 +2,7 @@
 
 import {errorMessage, unreachable} from 'stallpaddle';
 import {engineOf, type EngineView, type FleetView} from 'stallpaddle-fleet';
-import {isSound, RelayExperience} from 'stallpaddle-relay';
+import {isSound, RelayExperience, SERVER_ERROR} from 'stallpaddle-relay';
 
 /**
  * Runs the open items of a group in the slots that online requests leave, while this process leads it.
@@ -28,8 +28,6 @@
 
 /** Status (RFC 9110) of an item that no engine can take. */
 const UNPROCESSABLE = 422;
-/** First of the statuses by which an engine says that it failed itself. */
-const SERVER_ERROR = 500;
 
 /** See the module's comment. */
 export class JobsDispatcher {
--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -4,9 +4,19 @@
 import type {EngineView} from 'stallpaddle-fleet';
 import type {EngineCall, EngineCallStart, NotRunReason, RelayWire} from 'stallpaddle-relay';
 
-import {continues, EventSplitter, passedHeaders, startEngineCall} from 'stallpaddle-relay';
+import {errorMessage} from 'stallpaddle';
+import {
+  continues,
+  EventSplitter,
+  passedHeaders,
+  SERVER_ERROR,
+  startEngineCall,
+} from 'stallpaddle-relay';
 
-import {EVENT_GAP_MS, FIRST_EVENT_MS} from './JobsConstants';
+import {EVENT_GAP_MS, FIRST_EVENT_WAIT_MS} from './JobsConstants';
+
+/** The only status that events come with. */
+const SUCCESS = 200;
 
 /** What a run is made of. */
 export interface ItemRunRequest {
@@ -60,7 +70,7 @@
       }
     }
   } catch (err) {
-    return {kind: 'broken', reason: err instanceof Error ? err.message : String(err)};
+    return {kind: 'broken', reason: errorMessage(err)};
   }
   return res.complete && splitter.pending === 0
     ? {kind: 'whole'}
@@ -75,8 +85,8 @@
   const start = await call.started;
   switch (start.kind) {
     case 'answer': {
-      const status = start.res.statusCode ?? 500;
-      return status === 200 ? readEvents(start, req, alive) : {kind: 'failed', status};
+      const status = start.res.statusCode ?? SERVER_ERROR;
+      return status === SUCCESS ? readEvents(start, req, alive) : {kind: 'failed', status};
     }
     case 'mayHaveRun':
       return {kind: 'broken', reason: start.reason};
@@ -107,7 +117,7 @@
     path: req.path,
     requestId: req.id,
   });
-  let timer = setTimeout(call.close, FIRST_EVENT_MS);
+  let timer = setTimeout(call.close, FIRST_EVENT_WAIT_MS);
   const alive = (): void => {
     clearTimeout(timer);
     timer = setTimeout(call.close, EVENT_GAP_MS);
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -1,9 +1,8 @@
 /** Batch jobs of opaque requests: replicated state, and the dispatcher that runs their items. */
-export {RESULT_BYTES, SPARE_SLOTS, START_FRESH_MS} from './JobsConstants';
+export {RESULT_BYTES} from './JobsConstants';
 export type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 export {JobsDispatcher} from './JobsDispatcher';
-export {jobsMachine, updateJobs} from './JobsMachine';
-export {type ItemPlan, planItems, type PlannedEngine, type PlannedItem} from './JobsPlan';
+export {jobsMachine} from './JobsMachine';
 export {
   type BodyAnswer,
   findBody,
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -89,7 +89,11 @@
     return node;
   }
 
-  /** Takes in settings that have changed. */
+  /**
+   * Takes in settings that have changed.
+   *
+   * @param settings the settings as they are now; only the seeds are followed
+   */
   reload(settings: NodeSettings): void {
     this.seeds = settings.seeds;
   }
--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -76,6 +76,7 @@
  *
  * @param text JSON
  * @throws {NodeSettingsError} names the first field at fault
+ * @throws {SyntaxError} when the text is no JSON
  */
 export function parseNodeSettings(text: string): NodeSettings {
   const result = z.safeParse(settingsSchema, JSON.parse(text));
--- a/packages/stallpaddle-relay/src/RelayAnswers.ts
+++ b/packages/stallpaddle-relay/src/RelayAnswers.ts
@@ -5,6 +5,9 @@
 
 import {type RefusalError, VERDICT_HEADER} from 'stallpaddle';
 
+/** Milliseconds in a second. */
+const SECOND_MS = 1_000;
+
 /**
  * Answers with a refusal. Only a request that certainly did not run is told to come back.
  *
@@ -23,7 +26,7 @@
     [VERDICT_HEADER]: verdict,
   };
   if (details.retryAfterMs !== undefined) {
-    headers['retry-after'] = String(details.retryAfterMs / 1000);
+    headers['retry-after'] = String(details.retryAfterMs / SECOND_MS);
   }
   res.writeHead(refusal.status, headers).end(text);
 }
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -17,6 +17,9 @@
  */
 export const LATE_WAIT_MS = 900;
 
+/** First of the statuses by which an engine says that it failed itself. */
+export const SERVER_ERROR = 500;
+
 /** Time from sending to the first event at an engine that is not full, in milliseconds, measured: 55 to 70. */
 export const FIRST_EVENT_MS = 70;
 
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -12,7 +12,7 @@
  * Time for a connection to come up, in milliseconds: well above the few milliseconds between
  * availability zones, and below an objective of 300 ms.
  */
-export const CONNECT_TIMEOUT_MS = 250;
+const CONNECT_TIMEOUT_MS = 250;
 
 /** A request as it is sent. */
 export interface EngineRequest {
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -19,6 +19,7 @@
   QUEUED_AT_LAST,
   QUEUED_IN_TIME,
   RETRY_AFTER_MS,
+  SERVER_ERROR,
   SILENT_FIRST_MS,
 } from './RelayConstants';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
@@ -28,8 +29,6 @@
 
 type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
 
-/** First of the statuses by which an engine says that it failed itself. */
-const SERVER_ERROR = 500;
 /** The engine's word that it did not run the request. */
 const UNAVAILABLE = 503;
 /** First status that is no success; events come with a success only. */
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -1,8 +1,7 @@
 /** Brings callers' requests to engines and the answers back. */
 export {sendRefusal} from './RelayAnswers';
-export {RETRY_AFTER_MS} from './RelayConstants';
+export {SERVER_ERROR} from './RelayConstants';
 export {
-  CONNECT_TIMEOUT_MS,
   type EngineCall,
   type EngineCallStart,
   type EngineRequest,
@@ -13,14 +12,7 @@
 export {RelayExperience} from './RelayExperience';
 export {passedHeaders} from './RelayHeaders';
 export {type OnlineCounts, RelayOnline} from './RelayOnline';
-export {
-  drawService,
-  type EngineExperience,
-  isSound,
-  NO_EXPERIENCE,
-  type PlacementInput,
-  placeRequest,
-} from './RelayPlacement';
+export {type EngineExperience, isSound} from './RelayPlacement';
 export {RelayRun} from './RelayRun';
 export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
 export {RelayUsual} from './RelayUsual';
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -1,22 +1,24 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 
-import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
-import type {PeerClient} from './RpcClients';
-
 /**
  * Calls to one process over a standing stream. A stream that breaks leaves the calls under way unknown;
  * the next call opens another.
  */
+import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
+import type {PeerClient} from './RpcClients';
+
 import {RpcQueue} from './RpcQueue';
 import {outcomeOf, type TryOutcome, type TryRequest} from './RpcTry';
 
 type Request = MessageInitShape<typeof ConverseRequestSchema>;
 
+/** A call under way. */
 interface Waiting {
   readonly resolve: (outcome: TryOutcome) => void;
   readonly timer: NodeJS.Timeout;
 }
 
+/** One stream, and the calls that wait on it by their numbers. */
 interface OpenStream {
   readonly aborter: AbortController;
   /** When the last answer came, by the steady clock, in milliseconds. */
@@ -25,6 +27,7 @@
   readonly waiting: Map<number, Waiting>;
 }
 
+/** What a call came to that got no answer. */
 const UNKNOWN: TryOutcome = {kind: 'unknown'};
 
 /** See the module's comment. */
--- a/packages/stallpaddle-rpc/src/RpcOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -17,6 +17,7 @@
  */
 export const OUTBOX_BYTES = 2_097_152;
 
+/** Messages that go in one frame. */
 interface Delivery {
   readonly encoded: Uint8Array[];
 }
--- a/packages/stallpaddle-rpc/src/RpcSnapshots.ts
+++ b/packages/stallpaddle-rpc/src/RpcSnapshots.ts
@@ -14,6 +14,7 @@
  */
 import type {PeerClient} from './RpcClients';
 
+/** Longest wait for the receipt of one piece, in milliseconds. */
 const PIECE_TIMEOUT_MS = 10_000;
 
 /** A replica, as far as a transfer needs it. */
@@ -38,6 +39,10 @@
   readonly ok: boolean;
 }
 
+/** Sends one step and waits for its receipt. */
+type SendStep = (step: Parameters<PeerClient['install']>[0]['step']) => Promise<InstallReply>;
+
+/** The receiver wants no more of the transfer. */
 const REFUSED: InstallReply = {blobEnd: 0n, ok: false};
 
 /**
@@ -54,7 +59,7 @@
   if (client === undefined) {
     return false;
   }
-  const call = (step: Parameters<PeerClient['install']>[0]['step']): Promise<InstallReply> =>
+  const call: SendStep = (step) =>
     client.install(
       {group: source.group, step, term: BigInt(source.term)},
       {timeoutMs: PIECE_TIMEOUT_MS},
@@ -76,10 +81,7 @@
   return sendState(source, call);
 }
 
-async function sendState(
-  source: SnapshotSource,
-  call: (step: Parameters<PeerClient['install']>[0]['step']) => Promise<InstallReply>,
-): Promise<boolean> {
+async function sendState(source: SnapshotSource, call: SendStep): Promise<boolean> {
   const state = encodeValue(source.snapshot);
   for (let offset = 0; ; offset += SNAPSHOT_CHUNK_BYTES) {
     const bytes = state.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES);
--- a/packages/stallpaddle/src/LineWriter.ts
+++ b/packages/stallpaddle/src/LineWriter.ts
@@ -4,10 +4,14 @@
  */
 import {write} from 'node:fs';
 
+import {delay} from './Clock';
+
 /** Most bytes of lines that wait for a slow reader: some seconds of a busy process's lines. */
 const WAITING_BYTES = 262_144;
 /** Pause before a full pipe is tried again, in milliseconds. */
 const FULL_PIPE_MS = 20;
+/** Time between looks whether everything has been written, in milliseconds. */
+const SETTLE_LOOK_MS = 1;
 
 /** See the module's comment. */
 export class LineWriter {
@@ -47,7 +51,7 @@
   /** Resolves once everything that was added has been written. */
   async settle(): Promise<void> {
     while (this.writing) {
-      await new Promise((resolve) => setTimeout(resolve, 1));
+      await delay(SETTLE_LOOK_MS);
     }
   }
 
