--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -3,7 +3,7 @@
  */
 import * as z from 'zod/mini';
 
-const SECOND_MS = 1_000;
+import {SECOND_MS} from './NodeConstants';
 
 /** IP number and port; an empty text stands for none. */
 const address = z.pipe(
@@ -76,6 +76,7 @@
  *
  * @param text JSON
  * @throws {NodeSettingsError} names the first field at fault
+ * @throws {SyntaxError} when the text is no JSON
  */
 export function parseNodeSettings(text: string): NodeSettings {
   const result = z.safeParse(settingsSchema, JSON.parse(text));
