Three faults that the tidy-up found: a slow disk at the start, an end that was dropped, progress that stuck

The look at a group's members began before the replica was open: on a disk that took longer than 250 ms the process would have ended. 2. An item's end was dropped when the lease lapsed for a moment, and the item then never ended under this leader. 3. After a record of progress whose outcome was unknown but which stood, nothing more was recorded for the item.

--- a/packages/stallpaddle-jobs/src/JobsEnds.ts
+++ b/packages/stallpaddle-jobs/src/JobsEnds.ts
@@ -8,6 +8,9 @@
 
 import {PROPOSE_AGAIN_MS} from './JobsConstants';
 
+/** Pauses without leadership after which another process runs the items: five seconds in all. */
+const MOST_WAITS = 100;
+
 /** See the module's comment. */
 export class JobsEnds {
   private pending: ItemEnd[] = [];
@@ -34,17 +37,21 @@
     this.stopped = true;
   }
 
+  /** An end outlasts a lease that lapses for a moment: its item would else never end under this leader. */
   private async record(): Promise<void> {
     if (this.recording) {
       return;
     }
     this.recording = true;
-    while (this.pending.length > 0 && !this.stopped && this.options.leads()) {
-      await this.recordPending();
-    }
-    if (!this.options.leads()) {
-      this.pending = [];
+    for (let waits = 0; this.pending.length > 0 && !this.stopped && waits < MOST_WAITS; waits++) {
+      if (this.options.leads()) {
+        waits = 0;
+        await this.recordPending();
+      } else {
+        await delay(PROPOSE_AGAIN_MS);
+      }
     }
+    this.pending = [];
     this.recording = false;
   }
 
--- a/packages/stallpaddle-jobs/src/JobsProgress.ts
+++ b/packages/stallpaddle-jobs/src/JobsProgress.ts
@@ -19,6 +19,16 @@
   };
 }
 
+/** A record whose outcome was unknown may stand after all: what is recorded is not recorded again. */
+function catchUp(task: Task): void {
+  const recorded = task.item.progress?.events ?? 0;
+  if (recorded > task.savedEvents) {
+    // After the recorded parts, each event is one entry.
+    task.savedData += recorded - task.savedEvents;
+    task.savedEvents = recorded;
+  }
+}
+
 /** See the module's comment. */
 export class JobsProgress {
   private saving = false;
@@ -41,9 +51,9 @@
     }
     this.saving = true;
     try {
-      const tasks = [...all].filter(
-        ({ending, events, savedEvents}) => !ending && events > savedEvents,
-      );
+      const open = [...all];
+      open.forEach(catchUp);
+      const tasks = open.filter(({ending, events, savedEvents}) => !ending && events > savedEvents);
       if (tasks.length > 0) {
         await this.record(tasks);
       }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -113,13 +113,18 @@
   };
 }
 
-function lead(group: Group, view: () => FleetView): JobsDispatcher {
+function lead(
+  group: Group,
+  view: () => FleetView,
+  propose: (change: JobsChange) => Promise<unknown> = (change) => group.propose(change),
+  mayLead: () => boolean = () => true,
+): JobsDispatcher {
   let leads = true;
   const dispatcher = new JobsDispatcher({
     clock: systemClock,
     decide: () => {},
-    leads: () => leads,
-    propose: (change) => group.propose(change),
+    leads: () => leads && mayLead(),
+    propose,
     readBlob: async (ref) => group.blobs.get(ref.offset)!,
     state: () => group.state,
     view,
@@ -260,6 +265,62 @@
     expect(group.textOf(0)).toBe(whole(5));
   });
 
+  test('records an end although the lease lapses for a moment', async () => {
+    const engines = await startEngines(1, 5, 2);
+    const group = new Group();
+    let mayLead = true;
+    const propose = (change: JobsChange): Promise<unknown> => {
+      if (change.kind !== 'endItems' || !mayLead) {
+        return group.propose(change);
+      }
+      if (engines[0]!.seen.length === 1 && !lapsed) {
+        lapsed = true;
+        mayLead = false;
+        setTimeout(() => (mayLead = true), 120);
+        return Promise.reject(new Error('no lease'));
+      }
+      return group.propose(change);
+    };
+    let lapsed = false;
+    lead(
+      group,
+      () => viewOf(engines),
+      propose,
+      () => mayLead,
+    );
+    group.submit(1);
+    await until(() => group.results.length === 1);
+    expect(lapsed).toBe(true);
+  });
+
+  test('goes on recording after a record whose outcome was unknown', async () => {
+    const engines = await startEngines(1, 100, 5);
+    const group = new Group();
+    let failed = 0;
+    const propose = async (change: JobsChange): Promise<unknown> => {
+      const answer = await group.propose(change);
+      if (change.kind === 'saveProgress' && failed === 0) {
+        failed++;
+        throw new Error('the outcome is unknown');
+      }
+      return answer;
+    };
+    const dispatcher = lead(group, () => viewOf(engines), propose);
+    group.submit(1);
+    const progress = (): number => group.state.jobs.get('job')!.items[0]!.progress?.events ?? 0;
+    await until(() => engines[0]!.seen.length > 0);
+    await delay(100);
+    await dispatcher.saveProgress();
+    const first = progress();
+    await delay(100);
+    await dispatcher.saveProgress();
+    expect([failed, progress() > first]).toEqual([1, true]);
+    dispatcher.stop();
+    lead(group, () => viewOf(engines));
+    await until(() => group.results.length === 1);
+    expect(group.textOf(0)).toBe(whole(100));
+  });
+
   test('starts nothing on old knowledge', async () => {
     const engines = await startEngines(1, 5, 2);
     const old = viewOf(engines);
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -60,11 +60,9 @@
   private closed = false;
   private current!: ReplicaDriver<State>;
   private readonly listeners = new Set<() => void>();
-  private readonly stopKeeping: () => Promise<void>;
+  private stopKeeping: () => Promise<void> = () => Promise.resolve();
 
-  private constructor(private readonly options: NodeGroupOptions<State>) {
-    this.stopKeeping = registerLoop(KEEP_MEMBERS_MS, () => this.keepMembers());
-  }
+  private constructor(private readonly options: NodeGroupOptions<State>) {}
 
   /**
    * Opens the replica. A disk that holds none yet and isn't among the founders waits to be taken in.
@@ -80,6 +78,8 @@
     }
     const group = new NodeGroup(options);
     await group.openDriver();
+    // Only now: a slow disk may take longer to open than a round waits.
+    group.stopKeeping = registerLoop(KEEP_MEMBERS_MS, () => group.keepMembers());
     return group;
   }
 
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -127,6 +127,19 @@
 }
 
 describe('NodeGroup', () => {
+  test('opens on a disk that is slower than a look at the members', async () => {
+    const fleet = new Fleet();
+    const ids = [1, 2, 3].map((number) => `127.0.7.${number}/first`);
+    await Promise.all(
+      ids.map((id) => {
+        const disk = new FakeDisk();
+        disk.onSync = () => delay(300);
+        return fleet.start(id, ids, disk);
+      }),
+    );
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+  });
+
   test('a VM that comes back with another disk takes the place of the lost one', async () => {
     const {fleet, ids} = await found();
     await (await fleet.leader()).driver.propose(Buffer.from('one'));
