--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -78,7 +78,8 @@
 /** What any process may ask of the control group's leader. */
 export type FleetRequest =
   | {
-      readonly hello: Hello;
+      /** One for each part of the process. */
+      readonly hellos: readonly Hello[];
       readonly kind: 'watch';
       readonly known: KnownVersions;
       /** Longest time to hold the answer while there is nothing new, in milliseconds. */
--- a/packages/stallpaddle-node/src/Node.ts
+++ b/packages/stallpaddle-node/src/Node.ts
@@ -9,8 +9,7 @@
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWire} from './NodeWire';
 
-import {NodeControl} from './NodeControl';
-import {NodeEntry} from './NodeEntry';
+import {NodeFront} from './NodeFront';
 import {NodeStore} from './NodeStore';
 
 /**
@@ -18,7 +17,7 @@
  *
  * @param settings what it is to be
  * @param wire the words of the outside
- * @param loggers makes its log
+ * @param loggers makes the logs of its parts
  * @param onFailure called once when it can't go on
  */
 export function startNode(
@@ -27,13 +26,10 @@
   loggers: LoggerFactory,
   onFailure: (err: unknown) => void,
 ): Promise<RunningNode> {
-  const logger = loggers(settings.role);
-  const options: NodeOptions = {clock: systemClock, logger, onFailure, settings, wire};
+  const options: NodeOptions = {clock: systemClock, loggers, onFailure, settings, wire};
   switch (settings.role) {
-    case 'control':
-      return NodeControl.start(options);
-    case 'entry':
-      return NodeEntry.start(options);
+    case 'front':
+      return NodeFront.start(options);
     case 'store':
       return NodeStore.start(options);
     default:
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -1,7 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {ReplicaId} from 'stallpaddle';
 
 import path from 'node:path';
-import {delay, errorMessage, RefusalError, unreachable} from 'stallpaddle';
+import {delay, errorMessage, RefusalError, unreachable, vmOfReplica} from 'stallpaddle';
 import {
   findConfigFault,
   type FleetAnswer,
@@ -9,6 +10,7 @@
   fleetMachine,
   type FleetRequest,
   type FleetState,
+  type Hello,
   type RetireAnswer,
 } from 'stallpaddle-fleet';
 import {loadIdentity, NotLeaderError} from 'stallpaddle-replication';
@@ -16,23 +18,20 @@
 import {openDisk} from 'stallpaddle-storage';
 
 /**
- * The process that serves engines and the operator, and holds a replica of the control group.
+ * The part of a process that serves engines and the operator. Where the VM has a disk it holds a replica of
+ * the control group; elsewhere it hands every call on to the group's leader.
  */
-import type {NodeSettings} from './NodeSettings';
-import type {NodeOptions, RunningNode} from './NodeTypes';
-import type {ControlCall, ControlReply, NodeWire} from './NodeWire';
+import type {NodeFleet} from './NodeFleet';
+import type {NodeOptions} from './NodeTypes';
+import type {ControlCall, ControlReply} from './NodeWire';
 
-import {hostsToAsk, NodeCaller} from './NodeCaller';
 import {CONTROL_CALL_MS, CONTROL_GROUP, HAND_OVER_MS} from './NodeConstants';
 import {NodeDesk} from './NodeDesk';
 import {NodeGroup} from './NodeGroup';
-import {callOf, readBody, sendAnswer, startMetricsServer, startServer} from './NodeHttp';
+import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
 import {NodeLog} from './NodeLog';
-import {NodeMetrics} from './NodeMetrics';
-import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
 import {hostOf, lostDisksOf, portOf} from './NodeSettings';
-import {NodeWatch} from './NodeWatch';
 
 /** Largest call of the operator, in bytes: a configuration of some hundred thousand routes' shares. */
 const MAX_CALL_BYTES = 16_777_216;
@@ -46,131 +45,128 @@
 }
 
 /** See the module's comment. */
-export class NodeControl implements RunningNode {
-  private readonly caller: NodeCaller;
+export class NodeControl {
+  private desk: NodeDesk | undefined;
+  private group: NodeGroup<FleetState> | undefined;
   private readonly log: NodeLog;
-  private readonly metrics = new NodeMetrics();
-  private readonly peers: NodePeers;
-  private seeds: readonly string[];
-  private readonly watch: NodeWatch;
-  private group!: NodeGroup<FleetState>;
-  private desk!: NodeDesk;
-  private self!: string;
-  private server!: Server;
-  private rpc!: RpcServer;
-
-  private constructor(private readonly options: NodeOptions) {
-    const {clock, logger, settings} = options;
-    this.log = new NodeLog(logger, clock, this.metrics);
-    this.peers = new NodePeers(settings.peerPort);
-    this.seeds = settings.seeds;
-    this.caller = new NodeCaller({
-      clock,
-      group: CONTROL_GROUP,
-      hosts: () => this.hosts(),
-      peers: this.peers,
-    });
-    this.watch = new NodeWatch({
-      caller: this.caller,
-      clock,
-      hello: () => ({kind: 'control', replica: this.self}),
-      onView: () => {},
-    });
-  }
+  private rpc: RpcServer | undefined;
+  private self: ReplicaId | undefined;
+  private server: Server | undefined;
 
   /**
-   * Starts the process.
-   *
-   * @param options what it is made of
+   * @param options what the process is made of
+   * @param fleet the process's place in its fleet
    */
-  static async start(options: NodeOptions): Promise<NodeControl> {
-    const node = new NodeControl(options);
-    await node.open();
-    return node;
+  constructor(
+    private readonly options: NodeOptions,
+    private readonly fleet: NodeFleet,
+  ) {
+    const {clock, loggers} = options;
+    this.log = new NodeLog(loggers('control'), clock, fleet.metrics);
   }
 
-  /**
-   * Takes in settings that have changed.
-   *
-   * @param settings the settings as they are now; only the seeds are followed
-   */
-  reload(settings: NodeSettings): void {
-    this.seeds = settings.seeds;
+  /** What this part says of itself to the control group's leader. */
+  hellos(): readonly Hello[] {
+    return this.self === undefined ? [] : [{kind: 'control', replica: this.self}];
   }
 
-  /** Hands leadership over and stops. */
-  async stop(): Promise<void> {
-    this.watch.stop();
-    const {driver} = this.group;
-    driver.transferLeadership();
-    // Calls under way get their answers from the next leader.
-    await delay(HAND_OVER_MS);
-    this.server.close();
-    this.desk.stop();
-    await this.group.close();
-    await this.rpc.stop();
-    this.peers.close();
+  /** Begins to listen, and opens the replica where the VM has a disk. */
+  async open(): Promise<void> {
+    const {control, dataFolder, host, peerPort} = this.options.settings;
+    const {key} = this.fleet.peers;
+    this.rpc = await startRpcServer(host, peerPort, key, (router) =>
+      addNodeService(router, {
+        answer: (value) => this.answer(value as FleetRequest),
+        group: CONTROL_GROUP,
+        replica: () => this.group?.driver,
+      }),
+    );
+    if (control !== null) {
+      const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
+      this.server = await startServer(control, handler, IDLE_MS);
+    }
+    if (dataFolder !== '') {
+      await this.openReplica(dataFolder);
+    }
   }
 
-  private hosts(): readonly string[] {
-    const known = hostsToAsk(this.seeds, this.watch.view.news.controls);
-    return [...new Set([...known, this.options.settings.host])];
+  /** Leads no more; calls are answered and votes are cast on. */
+  leave(): void {
+    this.group?.driver.transferLeadership();
   }
 
-  private async open(): Promise<void> {
-    const {clock, logger, onFailure, settings, wire} = this.options;
-    const {control, dataFolder, first, host, peerPort, seeds} = settings;
-    const lostDisks = lostDisksOf(settings);
-    if (dataFolder === '' || control === null) {
-      throw new Error('a control process needs a data folder and an address for control calls');
+  /** Ends the replica; a leader hands over first. */
+  async stop(): Promise<void> {
+    if (this.group?.driver.leads === true) {
+      this.leave();
+      // Calls under way get their answers from the next leader.
+      await delay(HAND_OVER_MS);
     }
+    this.server?.close();
+    this.desk?.stop();
+    await this.group?.close();
+    await this.rpc?.stop();
+  }
+
+  private async openReplica(dataFolder: string): Promise<void> {
+    const {clock, loggers, onFailure, settings} = this.options;
+    const {first, host, seeds} = settings;
+    const lostDisks = lostDisksOf(settings);
     const founders = first ? seeds.map((seed) => `${hostOf(seed)}/${FOUNDER}`).sort() : null;
     const isFounder = founders?.includes(`${host}/${FOUNDER}`) === true;
     const root = await openDisk(dataFolder);
-    this.self = await loadIdentity(root, host, isFounder ? FOUNDER : undefined);
-    const disk = await openDisk(path.join(dataFolder, CONTROL_GROUP));
-    this.group = await NodeGroup.open({
-      candidates: () => this.desk.candidates(),
+    const self = await loadIdentity(root, host, isFounder ? FOUNDER : undefined);
+    const group = await NodeGroup.open({
+      candidates: () => this.desk?.candidates() ?? [],
       clock,
-      disk,
+      disk: await openDisk(path.join(dataFolder, CONTROL_GROUP)),
       founders,
       group: CONTROL_GROUP,
-      logger,
+      logger: loggers('control'),
       lostDisks,
       machine: fleetMachine,
       onFailure,
-      peers: this.peers,
-      self: this.self,
+      peers: this.fleet.peers,
+      self,
     });
     this.desk = new NodeDesk({
       clock,
-      group: this.group,
+      group,
       log: (message, fields) => this.log.note(message, fields),
       lostDisks,
       reportMs: settings.bounds.report,
-      self: this.self,
+      self,
     });
-    this.rpc = await startRpcServer(host, peerPort, this.peers.key, (router) =>
-      addNodeService(router, {
-        answer: (value) => this.desk.answer(value as FleetRequest),
-        group: CONTROL_GROUP,
-        replica: () => this.group.driver,
-      }),
-    );
-    this.group.exposeMetrics(this.metrics);
-    this.metrics.exposeGauge('stallpaddle_config_version', 'Version held here.', () => {
-      return this.group.driver.localState.config?.version ?? 0;
+    this.group = group;
+    this.self = self;
+    this.exposeMetrics(group);
+    this.fleet.watch.offer(this.desk.peek());
+  }
+
+  private exposeMetrics(group: NodeGroup<FleetState>): void {
+    const {metrics} = this.fleet;
+    group.exposeMetrics(metrics);
+    metrics.exposeGauge('stallpaddle_replica_config_version', 'Version held here.', () => {
+      return group.driver.localState.config?.version ?? 0;
     });
-    await startMetricsServer(settings.metrics, this.metrics);
-    this.server = await startServer(
-      control,
-      (req, res) => void this.handle(req, res, wire),
-      IDLE_MS,
-    );
-    void this.watch.run();
   }
 
-  private async handle(req: IncomingMessage, res: ServerResponse, wire: NodeWire): Promise<void> {
+  /** Answers other processes: as a replica does, or, without one, with what this process was told. */
+  private answer(request: FleetRequest): Promise<unknown> {
+    if (this.desk !== undefined) {
+      return this.desk.answer(request);
+    }
+    const {control, watch} = this.fleet;
+    if (request.kind === 'peek') {
+      return Promise.resolve(watch.told());
+    }
+    const {controls} = watch.view.news;
+    const leads = (replica: ReplicaId): boolean => vmOfReplica(replica) === control.leaderHost;
+    throw new NotLeaderError(controls.find(leads) ?? null);
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {wire} = this.options;
     try {
       const body = await readBody(req, MAX_CALL_BYTES);
       const call = wire.readControl({...callOf(req), body});
@@ -209,7 +205,7 @@
         return {kind: 'done'};
       case 'reportEngine': {
         await this.order<FleetAnswer>(call);
-        const {leaderHost} = this.caller;
+        const {leaderHost} = this.fleet.control;
         const port = portOf(this.options.settings.control!);
         return {beatsTo: leaderHost === null ? null : `${leaderHost}:${port}`, kind: 'reported'};
       }
@@ -238,10 +234,10 @@
   }
 
   private ask<Answer>(value: FleetRequest): Promise<Answer> {
-    return this.caller.call<Answer>({changes: false, totalMs: CONTROL_CALL_MS, value});
+    return this.fleet.control.call<Answer>({changes: false, totalMs: CONTROL_CALL_MS, value});
   }
 
   private order<Answer>(value: FleetRequest): Promise<Answer> {
-    return this.caller.call<Answer>({changes: true, totalMs: CONTROL_CALL_MS, value});
+    return this.fleet.control.call<Answer>({changes: true, totalMs: CONTROL_CALL_MS, value});
   }
 }
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -100,7 +100,7 @@
   }
 
   /** What this replica holds, without proof that it is the latest. */
-  private peek(): WatchAnswer {
+  peek(): WatchAnswer {
     const {config} = this.options.group.driver.localState;
     return {config, epoch: '', fleet: 0, heldMs: 0, news: this.makeNews(), proven: false};
   }
@@ -120,7 +120,8 @@
     const {driver} = group;
     const arrivedAt = clock.monotonicMs();
     driver.read();
-    if (this.hear(request.hello) || this.news === undefined) {
+    const told = request.hellos.map((hello) => this.hear(hello));
+    if (told.includes(true) || this.news === undefined) {
       this.refresh();
     }
     const end = arrivedAt + request.waitMs;
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -2,7 +2,7 @@
 import type {LogFields} from 'stallpaddle';
 
 import {drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
-import {type FleetRoute, RouteTable} from 'stallpaddle-fleet';
+import {type FleetRoute, type FleetView, type Hello, RouteTable} from 'stallpaddle-fleet';
 import {
   type RelayContext,
   type RelayDecision,
@@ -14,35 +14,19 @@
 } from 'stallpaddle-relay';
 
 /**
- * The process that serves callers: it brings their requests to engines and their jobs to the store.
+ * The part of a process that serves callers: it brings their requests to engines and their jobs to the store.
  */
-import type {NodeSettings} from './NodeSettings';
-import type {NodeOptions, RunningNode} from './NodeTypes';
+import type {NodeFleet} from './NodeFleet';
+import type {NodeOptions} from './NodeTypes';
+import type {NodeWatch} from './NodeWatch';
 
-import {hostsToAsk, NodeCaller} from './NodeCaller';
-import {
-  ADDRESSES_MOST,
-  CONTROL_GROUP,
-  IDLE_MARGIN_MS,
-  JOBS_GROUP,
-  ROUTE_FRESH_MS,
-} from './NodeConstants';
+import {ADDRESSES_MOST, IDLE_MARGIN_MS, ROUTE_FRESH_MS} from './NodeConstants';
 import {countEnd, exposeEntryMetrics} from './NodeEntryMetrics';
-import {
-  BodyTooLargeError,
-  callOf,
-  readBody,
-  sendAnswer,
-  startMetricsServer,
-  startServer,
-} from './NodeHttp';
+import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
 import {NodeIntake} from './NodeIntake';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
-import {NodeMetrics} from './NodeMetrics';
-import {NodePeers} from './NodePeers';
 import {NodeTells} from './NodeTells';
-import {NodeWatch} from './NodeWatch';
 
 /** Time that a rested connection is kept before the first configuration, in milliseconds. */
 const FIRST_IDLE_MS = 15_000;
@@ -53,88 +37,68 @@
 /** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
 const READY_AGE_MS = 3_000;
 /** See the module's comment. */
-export class NodeEntry implements RunningNode {
+export class NodeEntry {
   private readonly context: RelayContext;
-  private readonly control: NodeCaller;
   private readonly intake: NodeIntake;
   private readonly jobCalls: NodeJobCalls;
   private readonly log: NodeLog;
-  private readonly metrics = new NodeMetrics();
-  private readonly peers: NodePeers;
   private routes: RouteTable | undefined;
-  private seeds: readonly string[];
   private servers: readonly Server[] = [];
   private readonly tells: NodeTells;
   private readonly usual = new RelayUsual();
-  private readonly watch: NodeWatch;
 
-  private constructor(private readonly options: NodeOptions) {
-    const {clock, logger, settings, wire} = options;
-    this.log = new NodeLog(logger, clock, this.metrics);
+  /**
+   * @param options what the process is made of
+   * @param fleet the process's place in its fleet
+   */
+  constructor(
+    private readonly options: NodeOptions,
+    private readonly fleet: NodeFleet,
+  ) {
+    const {clock, loggers, settings, wire} = options;
+    const {jobs, metrics, watch} = fleet;
+    this.log = new NodeLog(loggers('entry'), clock, metrics);
     this.intake = new NodeIntake(clock, settings.bounds.grace);
-    this.peers = new NodePeers(settings.peerPort);
-    this.seeds = settings.seeds;
-    const {peers} = this;
-    const controlHosts = () => hostsToAsk(this.seeds, this.watch.view.news.controls);
-    const jobsHosts = () => hostsToAsk([], this.watch.view.news.jobsReplicas);
-    this.control = new NodeCaller({clock, group: CONTROL_GROUP, hosts: controlHosts, peers});
-    const jobs = new NodeCaller({clock, group: JOBS_GROUP, hosts: jobsHosts, peers});
     const online = new RelayOnline();
     this.tells = new NodeTells(jobs, online, drawId(settings.name));
     this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
-    this.watch = new NodeWatch({
-      caller: this.control,
-      clock,
-      hello: () => ({
-        callerAddress: settings.callers ?? '',
-        kind: 'entry',
-        name: settings.name,
-        ready: this.ready,
-        zone: settings.zone,
-      }),
-      onView: (view, before) => {
-        if (view.config !== null && view.config !== before.config) {
-          this.routes = new RouteTable(view.config);
-          this.followLimits();
-          this.log.note('A configuration is in force.', {version: view.config.version});
-        }
-      },
-    });
     this.context = {
       clock,
       decide: (decision, id, fields) => this.decide(decision, id, fields),
-      engines: () => this.watch.view.news.engines,
+      engines: () => watch.view.news.engines,
       experience: new RelayExperience(clock),
       online,
       random: Math.random,
-      viewAgeMs: () => this.watch.ageMs,
+      viewAgeMs: () => watch.ageMs,
       wire: wire.relay,
     };
   }
 
-  /**
-   * Starts the process.
-   *
-   * @param options what it is made of
-   */
-  static async start(options: NodeOptions): Promise<NodeEntry> {
-    const node = new NodeEntry(options);
-    await node.open();
-    return node;
+  /** What this part says of itself to the control group's leader. */
+  hellos(): readonly Hello[] {
+    const {callers, name, zone} = this.options.settings;
+    return callers === null
+      ? []
+      : [{callerAddress: callers, kind: 'entry', name, ready: this.ready, zone}];
   }
 
   /**
-   * Takes in settings that have changed.
+   * Follows what is known of the fleet.
    *
-   * @param settings the settings as they are now; only the seeds are followed
+   * @param view what is known now
+   * @param before what was known before
    */
-  reload(settings: NodeSettings): void {
-    this.seeds = settings.seeds;
+  onView(view: FleetView, before: FleetView): void {
+    if (view.config !== null && view.config !== before.config) {
+      this.routes = new RouteTable(view.config);
+      this.followLimits();
+      this.log.note('A configuration is in force.', {version: view.config.version});
+    }
   }
 
   /**
    * Takes no new callers, serves those that still come for as long as a request may take before the end,
-   * then refuses what comes, and ends once nothing is under way.
+   * then refuses what comes; resolves once nothing is under way.
    */
   async stop(): Promise<void> {
     this.intake.leave();
@@ -143,8 +107,10 @@
     this.servers.forEach((server) => server.close());
     await this.intake.untilIdle();
     this.tells.stop();
-    this.watch.stop();
-    this.peers.close();
+  }
+
+  private get watch(): NodeWatch {
+    return this.fleet.watch;
   }
 
   private get ready(): boolean {
@@ -156,11 +122,12 @@
   private decide(decision: RelayDecision, id: string, fields: LogFields): void {
     this.log.decide(decision, id, fields);
     if (decision === 'ended') {
-      countEnd(this.metrics, fields);
+      countEnd(this.fleet.metrics, fields);
     }
   }
 
-  private async open(): Promise<void> {
+  /** Begins to listen. */
+  async open(): Promise<void> {
     const {callers, directory, ready} = this.options.settings;
     const servers: Promise<Server>[] = [];
     if (callers !== null) {
@@ -171,10 +138,8 @@
       servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
     }
     const {intake, watch} = this;
-    exposeEntryMetrics(this.metrics, {intake, online: this.context.online, watch});
-    await startMetricsServer(this.options.settings.metrics, this.metrics);
+    exposeEntryMetrics(this.fleet.metrics, {intake, online: this.context.online, watch});
     this.servers = await Promise.all(servers);
-    void this.watch.run();
     void this.tells.run();
   }
 
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeFleet.ts
@@ -0,0 +1,83 @@
+/**
+ * A process's place in its fleet: the other processes, the control group's leader, and what is known of the
+ * whole. Every process has one, whatever else it does.
+ */
+import type {Clock, VmId} from 'stallpaddle';
+import type {FleetView, Hello} from 'stallpaddle-fleet';
+
+import type {NodeSettings} from './NodeSettings';
+
+import {hostsToAsk, NodeCaller} from './NodeCaller';
+import {CONTROL_GROUP, JOBS_GROUP} from './NodeConstants';
+import {NodeMetrics} from './NodeMetrics';
+import {NodePeers} from './NodePeers';
+import {NodeWatch} from './NodeWatch';
+
+/** What the place needs of its process. */
+export interface NodeFleetOptions {
+  readonly clock: Clock;
+  /** What each part of the process says of itself now. */
+  readonly hellos: () => readonly Hello[];
+  /** Called after each answer of the control group's leader. */
+  readonly onView: (view: FleetView, before: FleetView) => void;
+  /** Whether the process holds a replica of the control group, so that it may lead it itself. */
+  readonly ownReplica: boolean;
+  readonly settings: NodeSettings;
+}
+
+/** See the module's comment. */
+export class NodeFleet {
+  /** Calls to the control group's leader. */
+  readonly control: NodeCaller;
+  /** Calls to the leader of the group that keeps batch jobs. */
+  readonly jobs: NodeCaller;
+  readonly metrics = new NodeMetrics();
+  private readonly ownHosts: readonly VmId[];
+  readonly peers: NodePeers;
+  private seeds: readonly string[];
+  readonly watch: NodeWatch;
+
+  /**
+   * @param options what it needs of its process
+   */
+  constructor(options: NodeFleetOptions) {
+    const {clock, hellos, onView, ownReplica, settings} = options;
+    this.ownHosts = ownReplica ? [settings.host] : [];
+    this.peers = new NodePeers(settings.peerPort);
+    this.seeds = settings.seeds;
+    const {peers} = this;
+    this.control = new NodeCaller({
+      clock,
+      group: CONTROL_GROUP,
+      hosts: () => this.controlHosts(),
+      peers,
+    });
+    this.jobs = new NodeCaller({
+      clock,
+      group: JOBS_GROUP,
+      hosts: () => hostsToAsk([], this.watch.view.news.jobsReplicas),
+      peers,
+    });
+    this.watch = new NodeWatch({caller: this.control, clock, hellos, onView});
+  }
+
+  /**
+   * Takes in settings that have changed; only the seeds are followed.
+   *
+   * @param settings the settings as they are now
+   */
+  reload(settings: NodeSettings): void {
+    this.seeds = settings.seeds;
+  }
+
+  /** Ends all connections to other processes. */
+  close(): void {
+    this.watch.stop();
+    this.peers.close();
+  }
+
+  private controlHosts(): readonly VmId[] {
+    const known = hostsToAsk(this.seeds, this.watch.view.news.controls);
+    return [...new Set([...known, ...this.ownHosts])];
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeFront.ts
@@ -0,0 +1,73 @@
+/**
+ * The process on an entry VM: it serves callers, engines and the operator, and holds a replica of the
+ * control group where the VM has a disk.
+ */
+import type {Hello} from 'stallpaddle-fleet';
+
+import type {NodeSettings} from './NodeSettings';
+import type {NodeOptions, RunningNode} from './NodeTypes';
+
+import {NodeControl} from './NodeControl';
+import {NodeEntry} from './NodeEntry';
+import {NodeFleet} from './NodeFleet';
+import {startMetricsServer} from './NodeHttp';
+
+/** See the module's comment. */
+export class NodeFront implements RunningNode {
+  private readonly control: NodeControl;
+  private readonly entry: NodeEntry;
+  private readonly fleet: NodeFleet;
+
+  private constructor(private readonly options: NodeOptions) {
+    const {clock, settings} = options;
+    this.fleet = new NodeFleet({
+      clock,
+      hellos: () => this.hellos(),
+      onView: (view, before) => this.entry.onView(view, before),
+      ownReplica: settings.dataFolder !== '',
+      settings,
+    });
+    this.control = new NodeControl(options, this.fleet);
+    this.entry = new NodeEntry(options, this.fleet);
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @param options what it is made of
+   */
+  static async start(options: NodeOptions): Promise<NodeFront> {
+    const node = new NodeFront(options);
+    await node.open();
+    return node;
+  }
+
+  /**
+   * Takes in settings that have changed.
+   *
+   * @param settings the settings as they are now; only the seeds are followed
+   */
+  reload(settings: NodeSettings): void {
+    this.fleet.reload(settings);
+  }
+
+  /** Leads no more, serves callers to the end as planned, then ends the replica. */
+  async stop(): Promise<void> {
+    this.control.leave();
+    await this.entry.stop();
+    await this.control.stop();
+    this.fleet.close();
+  }
+
+  private hellos(): readonly Hello[] {
+    return [...this.entry.hellos(), ...this.control.hellos()];
+  }
+
+  private async open(): Promise<void> {
+    const {metrics, watch} = this.fleet;
+    await startMetricsServer(this.options.settings.metrics, metrics);
+    // Callers are heard while the disk is still being read.
+    await Promise.all([this.entry.open(), this.control.open()]);
+    void watch.run();
+  }
+}
--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -57,8 +57,8 @@
   peerPort: z.number(),
   /** Where the platform asks whether this process takes callers. */
   ready: address,
-  role: z.enum(['control', 'entry', 'store']),
-  /** Control VMs to be asked first. */
+  role: z.enum(['front', 'store']),
+  /** VMs that serve control calls, to be asked first. */
   seeds: z.array(z.string().check(z.regex(/^[0-9.]+:\d+$/))),
   zone: z.string(),
 });
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -1,4 +1,5 @@
-import type {LogFields} from 'stallpaddle';
+import type {LogFields, Logger} from 'stallpaddle';
+import type {Hello} from 'stallpaddle-fleet';
 
 import path from 'node:path';
 import {delay} from 'stallpaddle';
@@ -12,71 +13,53 @@
  */
 import type {NodeSettings} from './NodeSettings';
 import type {NodeOptions, RunningNode} from './NodeTypes';
+import type {NodeWatch} from './NodeWatch';
 
-import {hostsToAsk, NodeCaller} from './NodeCaller';
 import {
-  CONTROL_GROUP,
   ENTRY_SILENT_MS,
   HAND_OVER_MS,
   JOBS_GROUP,
   JOBS_LOG_BYTES,
   SECOND_MS,
 } from './NodeConstants';
+import {NodeFleet} from './NodeFleet';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
 import {NodeJobsDesk} from './NodeJobsDesk';
 import {NodeLog} from './NodeLog';
-import {NodeMetrics} from './NodeMetrics';
-import {NodePeers} from './NodePeers';
 import {addNodeService} from './NodeService';
 import {lostDisksOf} from './NodeSettings';
-import {NodeWatch} from './NodeWatch';
 
 /** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
 const FOUND_AGAIN_MS = 20;
 
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
-  private readonly caller: NodeCaller;
   private desk: NodeJobsDesk | undefined;
   private dispatcher: JobsDispatcher | undefined;
+  private readonly fleet: NodeFleet;
   private group: NodeGroup<JobsState> | undefined;
   private readonly log: NodeLog;
-  private readonly metrics = new NodeMetrics();
-  private readonly peers: NodePeers;
+  private readonly logger: Logger;
   private rpc!: RpcServer;
-  private seeds: readonly string[];
   private self!: string;
   private stopped = false;
-  private readonly watch: NodeWatch;
 
   private constructor(private readonly options: NodeOptions) {
-    const {clock, logger, settings} = options;
-    this.log = new NodeLog(logger, clock, this.metrics);
-    this.peers = new NodePeers(settings.peerPort);
-    this.seeds = settings.seeds;
-    this.caller = new NodeCaller({
+    const {clock, loggers, settings} = options;
+    this.logger = loggers('store');
+    this.fleet = new NodeFleet({
       clock,
-      group: CONTROL_GROUP,
-      hosts: () => hostsToAsk(this.seeds, this.watch.view.news.controls),
-      peers: this.peers,
-    });
-    this.watch = new NodeWatch({
-      caller: this.caller,
-      clock,
-      hello: () => ({
-        kind: 'store',
-        leads: this.report(),
-        name: settings.name,
-        replica: this.self,
-        zone: settings.zone,
-      }),
+      hellos: () => [this.hello()],
       onView: (view, before) => {
         if (view.news !== before.news || view.config !== before.config) {
           this.dispatcher?.poke();
         }
       },
+      ownReplica: false,
+      settings,
     });
+    this.log = new NodeLog(this.logger, clock, this.fleet.metrics);
   }
 
   /**
@@ -96,7 +79,7 @@
    * @param settings the settings as they are now; only the seeds are followed
    */
   reload(settings: NodeSettings): void {
-    this.seeds = settings.seeds;
+    this.fleet.reload(settings);
   }
 
   /** Hands leadership over and stops. */
@@ -106,10 +89,18 @@
     this.group?.driver.transferLeadership();
     await delay(HAND_OVER_MS);
     this.dispatcher?.stop();
-    this.watch.stop();
     await this.group?.close();
     await this.rpc.stop();
-    this.peers.close();
+    this.fleet.close();
+  }
+
+  private get watch(): NodeWatch {
+    return this.fleet.watch;
+  }
+
+  private hello(): Hello {
+    const {name, zone} = this.options.settings;
+    return {kind: 'store', leads: this.report(), name, replica: this.self, zone};
   }
 
   private async open(): Promise<void> {
@@ -119,7 +110,7 @@
       throw new Error('a store process needs a data folder');
     }
     this.self = await loadIdentity(await openDisk(dataFolder), host);
-    this.rpc = await startRpcServer(host, peerPort, this.peers.key, (router) =>
+    this.rpc = await startRpcServer(host, peerPort, this.fleet.peers.key, (router) =>
       addNodeService(router, {
         answer: (value) => this.answer(value as JobsRequest),
         group: JOBS_GROUP,
@@ -128,7 +119,7 @@
     );
     void this.watch.run();
     void this.openGroup(dataFolder);
-    const {metrics} = this;
+    const {metrics} = this.fleet;
     metrics.exposeGauge('stallpaddle_items_running', 'Batch items under way.', () => {
       return this.dispatcher?.counts().running ?? 0;
     });
@@ -142,7 +133,8 @@
   }
 
   private async openGroup(dataFolder: string): Promise<void> {
-    const {clock, logger, onFailure, settings, wire} = this.options;
+    const {clock, onFailure, settings, wire} = this.options;
+    const {logger} = this;
     const disk = await openDisk(path.join(dataFolder, JOBS_GROUP));
     // A disk that holds a replica opens at once; an empty one may be a founder's.
     const founders = (await ReplicaStorage.isUsed(disk)) ? null : await this.findFounders();
@@ -156,11 +148,11 @@
       lostDisks: lostDisksOf(settings),
       machine: jobsMachine,
       onFailure,
-      peers: this.peers,
+      peers: this.fleet.peers,
       self: this.self,
       snapshotLogBytes: JOBS_LOG_BYTES,
     });
-    this.group.exposeMetrics(this.metrics);
+    this.group.exposeMetrics(this.fleet.metrics);
     const {group} = this;
     const desk = new NodeJobsDesk(clock, group);
     this.desk = desk;
--- a/packages/stallpaddle-node/src/NodeTypes.ts
+++ b/packages/stallpaddle-node/src/NodeTypes.ts
@@ -1,7 +1,7 @@
 /**
- * What the three kinds of processes have in common.
+ * What all processes of a fleet have in common.
  */
-import type {Clock, Logger} from 'stallpaddle';
+import type {Clock, LoggerFactory} from 'stallpaddle';
 
 import type {NodeSettings} from './NodeSettings';
 import type {NodeWire} from './NodeWire';
@@ -9,7 +9,8 @@
 /** What every process is made of. */
 export interface NodeOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
+  /** Makes the log of each part of the process. */
+  readonly loggers: LoggerFactory;
   /** Ends the process after a failure that it can't go on with. */
   readonly onFailure: (err: unknown) => void;
   readonly settings: NodeSettings;
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -21,8 +21,8 @@
 export interface NodeWatchOptions {
   readonly caller: NodeCaller;
   readonly clock: Clock;
-  /** What the process says of itself now. */
-  readonly hello: () => Hello;
+  /** What each part of the process says of itself now. */
+  readonly hellos: () => readonly Hello[];
   /** Called after each answer. */
   readonly onView: (view: FleetView, before: FleetView) => void;
 }
@@ -63,10 +63,10 @@
    * @returns whether the leader answered
    */
   async ask(waitMs: number): Promise<boolean> {
-    const {caller, clock, hello} = this.options;
+    const {caller, clock, hellos} = this.options;
     const {config, epoch, fleet} = this.current;
     const request: FleetRequest = {
-      hello: hello(),
+      hellos: hellos(),
       kind: 'watch',
       known: {config: config?.version ?? null, epoch, fleet},
       waitMs,
@@ -100,6 +100,23 @@
     }
   }
 
+  /** What this process was told, for others that know less; without proof that it is the latest. */
+  told(): WatchAnswer {
+    const {config, news} = this.current;
+    return {config, epoch: '', fleet: 0, heldMs: 0, news, proven: false};
+  }
+
+  /**
+   * Takes in what a replica in this process holds, which may be old: better than nothing after a start.
+   *
+   * @param answer what it holds
+   */
+  offer(answer: WatchAnswer): void {
+    if (this.current.config === null) {
+      this.take(answer, -Infinity);
+    }
+  }
+
   private take(answer: WatchAnswer, sentAt: number): void {
     const before = this.current;
     this.current = takeAnswer(before, answer, sentAt);
--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -8,6 +8,7 @@
   | 'batch'
   | 'control'
   | 'entry'
+  | 'front'
   | 'gateway'
   | 'ledger'
   | 'load'
