Replicas of the control group introduce themselves to seeds without one

Since every entry VM serves control calls, seeds may be exchanged for VMs without a disk. Ruled out: the groups themselves, the engines, the dispatcher (it only lacks a view younger than 1 s). Change: a replica tells each seed that is not known to hold one where the replicas are, every 250 ms; a process without a replica keeps that for 10 s, asks there, and tells it to whoever asks.

--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -87,6 +87,8 @@
     }
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
   | {readonly id: EngineId; readonly kind: 'removeEngine'}
+  /** Tells a process without a replica where replicas are: it may know nobody, and be asked by others. */
+  | {readonly kind: 'introduce'; readonly replicas: readonly ReplicaId[]}
   /** Asks any replica for what it holds, which may be old; for a process that knows nothing at all. */
   | {readonly kind: 'peek'}
   | {readonly kind: 'readConfig'}
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -44,6 +44,12 @@
  */
 export const PEEK_TRY_MS = 250;
 
+/** Time between words of a replica to seeds that hold none, in milliseconds: half of an election timeout. */
+export const INTRODUCE_MS = 250;
+
+/** Time for which such a word counts, in milliseconds: a VM that is gone for good is forgotten after it. */
+export const INTRODUCED_COUNTS_MS = 10_000;
+
 /** Pause before another VM is asked, in milliseconds: about a round trip between availability zones. */
 export const CALL_AGAIN_MS = 30;
 
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -2,7 +2,15 @@
 import type {ReplicaId} from 'stallpaddle';
 
 import path from 'node:path';
-import {delay, errorMessage, RefusalError, unreachable, vmOfReplica} from 'stallpaddle';
+import {
+  delay,
+  encodeValue,
+  errorMessage,
+  RefusalError,
+  registerLoop,
+  unreachable,
+  vmOfReplica,
+} from 'stallpaddle';
 import {
   findConfigFault,
   type FleetAnswer,
@@ -25,7 +33,7 @@
 import type {NodeOptions} from './NodeTypes';
 import type {ControlCall, ControlReply} from './NodeWire';
 
-import {CONTROL_CALL_MS, CONTROL_GROUP, HAND_OVER_MS} from './NodeConstants';
+import {CONTROL_CALL_MS, CONTROL_GROUP, HAND_OVER_MS, INTRODUCE_MS} from './NodeConstants';
 import {NodeDesk} from './NodeDesk';
 import {NodeGroup} from './NodeGroup';
 import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
@@ -52,6 +60,7 @@
   private rpc: RpcServer | undefined;
   private self: ReplicaId | undefined;
   private server: Server | undefined;
+  private stopIntroducing: () => Promise<void> = () => Promise.resolve();
 
   /**
    * @param options what the process is made of
@@ -104,6 +113,7 @@
     }
     this.server?.close();
     this.desk?.stop();
+    await this.stopIntroducing();
     await this.group?.close();
     await this.rpc?.stop();
   }
@@ -140,9 +150,24 @@
     this.group = group;
     this.self = self;
     this.exposeMetrics(group);
+    this.stopIntroducing = registerLoop(INTRODUCE_MS, () => this.introduce(group));
     this.fleet.watch.offer(this.desk.peek());
   }
 
+  /**
+   * Tells seeds without a replica where replicas are. After a loss of all processes such a seed knows nobody,
+   * and whoever has only such seeds would never find the group.
+   */
+  private async introduce(group: NodeGroup<FleetState>): Promise<void> {
+    const {control} = this.fleet;
+    const {learners, voters} = group.driver.status.log.members;
+    const replicas = [...voters, ...learners];
+    const request: FleetRequest = {kind: 'introduce', replicas};
+    const call = {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
+    const hosts = this.fleet.seedsWithout([...replicas, group.driver.status.self]);
+    await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_MS)));
+  }
+
   private exposeMetrics(group: NodeGroup<FleetState>): void {
     const {metrics} = this.fleet;
     group.exposeMetrics(metrics);
@@ -157,12 +182,15 @@
       return this.desk.answer(request);
     }
     const {control, watch} = this.fleet;
+    if (request.kind === 'introduce') {
+      watch.noteReplicas(request.replicas);
+      return Promise.resolve(null);
+    }
     if (request.kind === 'peek') {
       return Promise.resolve(watch.told());
     }
-    const {controls} = watch.view.news;
     const leads = (replica: ReplicaId): boolean => vmOfReplica(replica) === control.leaderHost;
-    throw new NotLeaderError(controls.find(leads) ?? null);
+    throw new NotLeaderError(watch.controls.find(leads) ?? null);
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -78,6 +78,9 @@
    */
   async answer(request: FleetRequest): Promise<unknown> {
     switch (request.kind) {
+      case 'introduce':
+        // A replica knows the others from its log.
+        return null;
       case 'peek':
         return this.peek();
       case 'putConfig':
--- a/packages/stallpaddle-node/src/NodeFleet.ts
+++ b/packages/stallpaddle-node/src/NodeFleet.ts
@@ -2,15 +2,18 @@
  * A process's place in its fleet: the other processes, the control group's leader, and what is known of the
  * whole. Every process has one, whatever else it does.
  */
-import type {Clock, VmId} from 'stallpaddle';
+import type {Clock, ReplicaId, VmId} from 'stallpaddle';
 import type {FleetView, Hello} from 'stallpaddle-fleet';
 
+import {vmOfReplica} from 'stallpaddle';
+
 import type {NodeSettings} from './NodeSettings';
 
 import {hostsToAsk, NodeCaller} from './NodeCaller';
 import {CONTROL_GROUP, JOBS_GROUP} from './NodeConstants';
 import {NodeMetrics} from './NodeMetrics';
 import {NodePeers} from './NodePeers';
+import {hostOf} from './NodeSettings';
 import {NodeWatch} from './NodeWatch';
 
 /** What the place needs of its process. */
@@ -76,8 +79,14 @@
     this.peers.close();
   }
 
+  /** Hosts of the seeds that hold no replica, as far as known. */
+  seedsWithout(replicas: readonly ReplicaId[]): readonly VmId[] {
+    const hosts = new Set(replicas.map(vmOfReplica));
+    return this.seeds.map(hostOf).filter((host) => !hosts.has(host));
+  }
+
   private controlHosts(): readonly VmId[] {
-    const known = hostsToAsk(this.seeds, this.watch.view.news.controls);
+    const known = hostsToAsk(this.seeds, this.watch.controls);
     return [...new Set([...known, ...this.ownHosts])];
   }
 }
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -1,4 +1,4 @@
-import type {Clock, VmId} from 'stallpaddle';
+import type {Clock, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
 
 import {delay, encodeValue} from 'stallpaddle';
 import {
@@ -18,6 +18,7 @@
 import {
   CALL_AGAIN_MS,
   CONTROL_GROUP,
+  INTRODUCED_COUNTS_MS,
   PEEK_TRY_MS,
   WATCH_HOLD_MS,
   WATCH_TRY_MS,
@@ -37,6 +38,8 @@
 export class NodeWatch {
   private stopped = false;
   private current: FleetView = EMPTY_VIEW;
+  /** When each replica last told of itself. */
+  private readonly introduced = new Map<ReplicaId, MonotonicMs>();
 
   /**
    * @param options what it needs of its process
@@ -108,9 +111,27 @@
     }
   }
 
+  /** Replicas of the control group, as far as known: by a leader's news, or by their own word since. */
+  get controls(): readonly ReplicaId[] {
+    const oldest = this.options.clock.monotonicMs() - INTRODUCED_COUNTS_MS;
+    const introduced = [...this.introduced].filter(([, at]) => at > oldest).map(([id]) => id);
+    return [...new Set([...this.current.news.controls, ...introduced])];
+  }
+
+  /**
+   * Notes replicas that have told of themselves.
+   *
+   * @param replicas the replicas
+   */
+  noteReplicas(replicas: readonly ReplicaId[]): void {
+    const now = this.options.clock.monotonicMs();
+    replicas.forEach((replica) => this.introduced.set(replica, now));
+  }
+
   /** What this process was told, for others that know less; without proof that it is the latest. */
   told(): WatchAnswer {
-    const {config, news} = this.current;
+    const {config} = this.current;
+    const news = {...this.current.news, controls: this.controls};
     return {config, epoch: '', fleet: 0, heldMs: 0, news, proven: false};
   }
 
