The log of an item names its end and every engine that was offered it: a property test

Drawn manners of three engines (serve, decline, fail with 422 and 500, reset, break off, another engine's address, a gap), six turns of four items: one end in the log, the one that is listed; engines in the log are those that saw the item.

--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -3,11 +3,12 @@
  */
 import type {FleetRoute, FleetView} from 'stallpaddle-fleet';
 
-import {delay, systemClock} from 'stallpaddle';
+import {delay, type LogFields, seededRandom, systemClock} from 'stallpaddle';
 import {EMPTY_VIEW} from 'stallpaddle-fleet';
 import {PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
+import type {JobsDispatcherOptions} from '../../JobsContext';
 import type {JobsChange, JobsState} from '../../JobsTypes';
 
 import {JobsDispatcher} from '../../JobsDispatcher';
@@ -118,11 +119,12 @@
   view: () => FleetView,
   propose: (change: JobsChange) => Promise<unknown> = (change) => group.propose(change),
   mayLead: () => boolean = () => true,
+  decide: JobsDispatcherOptions['decide'] = () => {},
 ): JobsDispatcher {
   let leads = true;
   const dispatcher = new JobsDispatcher({
     clock: systemClock,
-    decide: () => {},
+    decide,
     leads: () => leads && mayLead(),
     propose,
     readBlob: async (ref) => group.blobs.get(ref.offset)!,
@@ -321,6 +323,46 @@
     expect(group.textOf(0)).toBe(whole(100));
   });
 
+  test('the log names how each item ended, and every engine that was offered it', async () => {
+    const manners = ['serve', 'decline', 'fail', 'reset', 'breakOff', 'otherEngine', 'skipEvent'];
+    const random = seededRandom(20_261);
+    const draw = () => manners[Math.floor(random() * manners.length)];
+    const engines = await startEngines(3, 6, 2);
+    for (let turn = 0; turn < 6; turn++) {
+      engines.forEach((engine) => {
+        engine.seen.length = 0;
+        engine.manners = [0, 1, 2].map(
+          () => ({after: 2, kind: draw(), status: random() < 0.3 ? 422 : 500}) as never,
+        );
+      });
+      const lines: {decision: string; fields: LogFields; id: string}[] = [];
+      const group = new Group();
+      const dispatcher = lead(
+        group,
+        () => viewOf(engines),
+        undefined,
+        undefined,
+        (decision, id, fields) => lines.push({decision, fields, id}),
+      );
+      group.submit(4);
+      await until(() => group.results.length === 4, 20_000);
+      dispatcher.stop();
+      for (const {item, outcome} of group.results) {
+        const id = `i${item}`;
+        const own = lines.filter((line) => line.id === id);
+        const ends = own.filter(({decision}) => decision === 'itemEnded');
+        expect(ends.map(({fields}) => fields.outcome)).toEqual([outcome]);
+        const offered = own.flatMap(({decision, fields}) =>
+          decision === 'itemPlaced' ? [String(fields.engine)] : [],
+        );
+        const saw = engines.flatMap(({seen}, at) =>
+          seen.flatMap(({headers}) => (headers[PLAIN.request] === id ? [`e${at}`] : [])),
+        );
+        expect(offered.sort()).toEqual(saw.sort());
+      }
+    }
+  }, 60_000);
+
   test('starts nothing on old knowledge', async () => {
     const engines = await startEngines(1, 5, 2);
     const old = viewOf(engines);
