Split the replica's bulk data off the driver

No change of behaviour but one: a sync waits for tasks given before it at both places, as it did at one.

--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -8,7 +8,7 @@
  * Runs one replica: feeds events to the state machine and carries out its effects on the disk, the
  * network and the replicated state.
  */
-import type {PlacedBlob, ReplicaMachine} from './ReplicaMachine';
+import type {ReplicaMachine} from './ReplicaMachine';
 import type {MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 import type {
   GroupMembers,
@@ -22,6 +22,7 @@
   Term,
 } from './ReplicationTypes';
 
+import {ReplicaBlobs} from './ReplicaBlobs';
 import {COMMIT_RECORD_MS, LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
 import {NotLeaderError, ReplicaStoppedError} from './ReplicaErrors';
 import {ReplicaRequests} from './ReplicaRequests';
@@ -75,7 +76,7 @@
 
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
-  private blobWork: Promise<void> = Promise.resolve();
+  private readonly blobs: ReplicaBlobs;
   private commits = 0;
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
@@ -89,12 +90,13 @@
   private constructor(
     private readonly options: ReplicaOptions<State>,
     private readonly storage: ReplicaStorage,
-    private readonly blobs: StorageBlobs,
+    blobs: StorageBlobs,
     private replication: ReplicationState,
     private machineState: State,
     /** Log entries found at the start that the snapshot doesn't cover. */
     readonly replayed: number,
   ) {
+    this.blobs = new ReplicaBlobs(blobs, (err) => this.fail(err));
     this.writer = new ReplicaWriter({
       onFailure: (err) => this.fail(err),
       onPersisted: (index, term) => this.dispatch({index, kind: 'persisted', term}),
@@ -218,8 +220,7 @@
    *
    * @param ref its place, from the state
    */
-  async readBlob(ref: BlobRef): Promise<Uint8Array> {
-    await this.blobWork;
+  readBlob(ref: BlobRef): Promise<Uint8Array> {
     return this.blobs.read(ref);
   }
 
@@ -234,7 +235,7 @@
     if (term < this.replication.term || !wantsSnapshot(this.replication, meta)) {
       return undefined;
     }
-    await this.cutUnfinishedBlobs(this.options.machine.blobEnd(this.machineState));
+    await this.blobs.cutTo(this.options.machine.blobEnd(this.machineState));
     return this.blobs.end;
   }
 
@@ -246,11 +247,7 @@
    * @returns where the bulk data goes on
    */
   async installBlobs(offset: number, bytes: Uint8Array): Promise<number> {
-    await this.onBlobs(async () => {
-      if (this.blobs.continuesAt(offset)) {
-        await this.blobs.appendRaw(offset, bytes);
-      }
-    });
+    await this.blobs.install(offset, bytes);
     return this.blobs.end;
   }
 
@@ -268,7 +265,7 @@
     // An own snapshot that is under way must not replace the newer one.
     await this.snapshotWork;
     await this.writer.runBetweenWrites(async () => {
-      await this.blobWork;
+      await this.blobs.settle();
       const complete = this.blobs.end === machine.blobEnd(state);
       if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
         return;
@@ -289,7 +286,6 @@
     this.stop();
     await this.snapshotWork;
     await this.writer.close();
-    await this.blobWork;
     await this.blobs.close();
   }
 
@@ -394,7 +390,6 @@
     const {applied, log} = this.replication;
     const meta = {index: applied, members: log.membersAt(applied), term: log.termAt(applied)!};
     const snapshot = {machine: this.options.machine.encode(this.machineState), meta};
-    await this.blobWork;
     await this.blobs.sync();
     await this.storage.saveSnapshot(snapshot);
     await this.writer.runBetweenWrites(async () => {
@@ -466,31 +461,11 @@
     );
     this.machineState = state;
     if (blobs.length > 0) {
-      this.writeBlobs(before, blobs);
+      this.blobs.add(before, blobs);
     }
     return result;
   }
 
-  private writeBlobs(end: number, blobs: readonly PlacedBlob[]): void {
-    void this.cutUnfinishedBlobs(end);
-    for (const {payload, ref} of blobs) {
-      void this.onBlobs(() => this.blobs.append(ref, payload));
-    }
-  }
-
-  private cutUnfinishedBlobs(end: number): Promise<void> {
-    return this.onBlobs(async () => {
-      if (this.blobs.end !== end) {
-        await this.blobs.cutTo(end);
-      }
-    });
-  }
-
-  private onBlobs(task: () => Promise<void>): Promise<void> {
-    this.blobWork = this.blobWork.then(task).catch((err: unknown) => this.fail(err));
-    return this.blobWork;
-  }
-
   private notify(): void {
     for (const listener of this.listeners) {
       listener(this.machineState);
