--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -44,6 +44,8 @@
 /** See the module's comment. */
 export class NodeDesk {
   private fleet = 0;
+  /** Whether a proposal of founders is under way. */
+  private founding = false;
   private heard = new NodeHeard(-1, -Infinity);
   private news: FleetNews | undefined;
   private newsText = '';
@@ -235,13 +237,19 @@
       return;
     }
     const founders = chooseFounders([...heard.stores.values()], lostDisks);
-    if (founders === null) {
+    if (founders === null || this.founding) {
       return;
     }
+    this.founding = true;
     this.propose({founders, kind: 'foundJobs'}).then(
-      () => log('The group for batch jobs is founded.', {founders: founders.join(',')}),
-      // The next look tries again.
-      () => {},
+      () => {
+        this.founding = false;
+        log('The group for batch jobs is founded.', {founders: founders.join(',')});
+      },
+      () => {
+        // The next look tries again.
+        this.founding = false;
+      },
     );
   }
 
