--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -1,14 +1,15 @@
-import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
-import type {BlobRef, Disk} from 'stallpaddle-storage';
-
-import {errorMessage, unreachable} from 'stallpaddle';
-import {StorageBlobs} from 'stallpaddle-storage';
-
 /**
  * Runs one replica: feeds events to the state machine and carries out its effects on the disk, the
  * network and the replicated state.
  */
-import type {ReplicaMachine} from './ReplicaMachine';
+
+import type {ReplicaId} from 'stallpaddle';
+import type {BlobRef} from 'stallpaddle-storage';
+
+import {errorMessage, unreachable} from 'stallpaddle';
+import {StorageBlobs} from 'stallpaddle-storage';
+
+import type {ReplicaCounters, ReplicaOptions, SnapshotSource} from './ReplicaOptions';
 import type {MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 import type {
   GroupMembers,
@@ -17,7 +18,6 @@
   Message,
   ReplicationEvent,
   ReplicationState,
-  ReplicationTiming,
   SnapshotMeta,
   Term,
 } from './ReplicationTypes';
@@ -32,48 +32,6 @@
 import {isCaughtUp, knownLeader, startReplica, stepReplica} from './ReplicationStep';
 import {ReplicaWriter} from './ReplicaWriter';
 
-/** How a replica reaches the others. */
-export interface ReplicaTransport {
-  /** Sends without waiting; loss is allowed. */
-  readonly send: (message: Message) => void;
-  /** Brings a snapshot to another replica; false when it did not take it. */
-  readonly sendSnapshot: (to: ReplicaId, source: SnapshotSource) => Promise<boolean>;
-}
-
-/** A snapshot to be brought to another replica. */
-export interface SnapshotSource {
-  readonly blobEnd: number;
-  readonly group: GroupId;
-  readonly readBlobs: (
-    offset: number,
-    most: number,
-  ) => Promise<{readonly bytes: Uint8Array; readonly offset: number}>;
-  readonly snapshot: MachineSnapshot;
-  readonly term: Term;
-}
-
-/** What a replica is made of. */
-export interface ReplicaOptions<State> {
-  readonly clock: Clock;
-  readonly disk: Disk;
-  readonly group: GroupId;
-  readonly logger: Logger;
-  readonly machine: ReplicaMachine<State>;
-  /** Called once when the replica ends after a failure. */
-  readonly onFailure: (err: unknown) => void;
-  readonly self: ReplicaId;
-  /** Size of the log file at which a snapshot replaces it, in bytes. */
-  readonly snapshotLogBytes?: number;
-  readonly timing: ReplicationTiming;
-  readonly transport: ReplicaTransport;
-}
-
-/** Counts since the start. */
-export interface ReplicaCounters {
-  readonly commits: number;
-  readonly syncs: number;
-}
-
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -1,15 +1,15 @@
 /** Replicated logs: pure state machine and the driver that runs it. */
 export {LOG_BYTES_BEFORE_SNAPSHOT, SNAPSHOT_CHUNK_BYTES} from './ReplicaConstants';
-export {
-  type ReplicaCounters,
-  ReplicaDriver,
-  type ReplicaOptions,
-  type ReplicaTransport,
-  type SnapshotSource,
-} from './ReplicaDriver';
+export {ReplicaDriver} from './ReplicaDriver';
 export {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
 export {loadIdentity} from './ReplicaIdentity';
 export type {MachineResult, PlacedBlob, ReplicaMachine} from './ReplicaMachine';
+export type {
+  ReplicaCounters,
+  ReplicaOptions,
+  ReplicaTransport,
+  SnapshotSource,
+} from './ReplicaOptions';
 export {type MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 export {DEFAULT_TIMING} from './ReplicationConstants';
 export {wantsSnapshot} from './ReplicationFollower';
