Name the parts of the platform build, drop unused exports of NodeProgram

The names of the program's files are no longer exported; the build's constants say what they are, and the comment of warm.ts that the build gives it its settings.

--- a/packages/stallpaddle-node/src/NodeProgram.ts
+++ b/packages/stallpaddle-node/src/NodeProgram.ts
@@ -7,11 +7,12 @@
 import path from 'node:path';
 import {Script} from 'node:vm';
 
-/** File of the program, beside the one that loads it. */
-export const PROGRAM_FILE = 'program.cjs';
+/** File of the program, beside the one that loads it; the build names it so. */
+const PROGRAM_FILE = 'program.cjs';
 /** File of the code cache. It is of use only to the same Node.js with the same flags, else it is passed over. */
-export const CODE_CACHE_FILE = 'program.cache';
+const CODE_CACHE_FILE = 'program.cache';
 
+/** The program as CommonJS wraps it. */
 type ProgramBody = (
   exports: unknown,
   require: NodeJS.Require,
@@ -20,11 +21,11 @@
   folder: string,
 ) => void;
 
+/** Content of a file, or nothing when it can't be read. */
 function readIfThere(file: string): Buffer | undefined {
   try {
     return readFileSync(file);
   } catch {
-    // Without a cache the program only starts later.
     return undefined;
   }
 }
@@ -38,6 +39,7 @@
 export function loadProgram(folder: string): Script {
   const file = path.join(folder, PROGRAM_FILE);
   const script = new Script(Module.wrap(readFileSync(file, 'utf8')), {
+    // Without a cache the program only starts later.
     cachedData: readIfThere(path.join(folder, CODE_CACHE_FILE)),
     filename: file,
   });
--- a/packages/stallpaddle-node/src/warm.ts
+++ b/packages/stallpaddle-node/src/warm.ts
@@ -1,6 +1,6 @@
 /**
- * Run by the build: starts the program for a moment on addresses of this machine, and writes the code cache of
- * what ran. The settings are those of a process alone, on ports that the system chooses.
+ * Run by the build: starts the program for a moment, and writes the code cache of what ran. The build gives it
+ * the settings of a process alone on this machine.
  */
 import {loadProgram, writeCodeCache} from './NodeProgram';
 
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -11,9 +11,13 @@
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
 const target = path.join(root, 'target');
 
-/** Loaded only when metrics are read: kept out of the file that every start has to parse. */
-const LATE = {'hdr-histogram-js': 'build', 'prom-client': 'Counter, Gauge, Registry'};
-const OPTIONS = {
+/**
+ * Packages with what is used of them. They are loaded only when metrics are read, so they are kept out of the
+ * file that every start has to parse.
+ */
+const LATE_PACKAGES = {'hdr-histogram-js': 'build', 'prom-client': 'Counter, Gauge, Registry'};
+/** What all bundles have in common. */
+const BUNDLE_OPTIONS = {
   bundle: true,
   format: 'cjs',
   keepNames: true,
@@ -25,9 +29,21 @@
   supported: {'dynamic-import': false},
   target: 'node20',
 };
-/** The flags that the processes are started with: a code cache is of use to the same flags only. */
+/**
+ * The flags that the processes are started with, as in `deploy/system.toml`: a code cache is of use to the same
+ * flags only.
+ */
 const FLAGS = ['--max-semi-space-size=2'];
 
+/** The file that writes the code cache, run once by this build. */
+const WARM_FILE = 'warm.cjs';
+/** Sources and their bundles; `NodeProgram.ts` knows the name of the program's bundle too. */
+const PROGRAMS = {
+  'packages/stallpaddle-node/src/boot.ts': 'stallpaddle.cjs',
+  'packages/stallpaddle-node/src/warm.ts': WARM_FILE,
+  'platform/src/main.ts': 'program.cjs',
+};
+
 /** Settings of a process alone on this machine, on ports that the system chooses. */
 function warmSettings(folder) {
   const anyPort = '127.0.0.1:0';
@@ -56,7 +72,7 @@
   const settings = path.join(folder, 'settings.json');
   writeFileSync(settings, JSON.stringify(warmSettings(folder)));
   try {
-    execFileSync(process.execPath, [...FLAGS, path.join(target, 'warm.cjs')], {
+    execFileSync(process.execPath, [...FLAGS, path.join(target, WARM_FILE)], {
       env: {...process.env, STALLPADDLE_SETTINGS: settings},
       stdio: ['ignore', 'ignore', 'inherit'],
     });
@@ -66,23 +82,18 @@
 }
 
 rmSync(target, {force: true, recursive: true});
-const programs = {
-  'packages/stallpaddle-node/src/boot.ts': 'stallpaddle.cjs',
-  'packages/stallpaddle-node/src/warm.ts': 'warm.cjs',
-  'platform/src/main.ts': 'program.cjs',
-};
 await Promise.all([
-  ...Object.entries(programs).map(([source, file]) =>
+  ...Object.entries(PROGRAMS).map(([source, file]) =>
     build({
-      ...OPTIONS,
+      ...BUNDLE_OPTIONS,
       entryPoints: [path.join(root, source)],
-      external: Object.keys(LATE),
+      external: Object.keys(LATE_PACKAGES),
       outfile: path.join(target, file),
     }),
   ),
-  ...Object.entries(LATE).map(([name, used]) =>
+  ...Object.entries(LATE_PACKAGES).map(([name, used]) =>
     build({
-      ...OPTIONS,
+      ...BUNDLE_OPTIONS,
       outfile: path.join(target, 'node_modules', name, 'index.js'),
       stdin: {contents: `export {${used}} from '${name}';`, resolveDir: root},
     }),
