Name the figures of the report tool, complete its doc comments

The comment of ReportRecord no longer says that only shown fields are read: not_owed is asked for and not shown. Behaviour did not change.

--- a/packages/stallpaddle-report/src/ReportRecord.ts
+++ b/packages/stallpaddle-report/src/ReportRecord.ts
@@ -1,9 +1,10 @@
 /**
- * Reads what the users' bench writes: an entry of its journal (several days) or the report of one day. Only the
- * fields that the tool shows are read; all others may come and go.
+ * Reads what the users' bench writes: an entry of its journal (several days) or the report of one day. Fields
+ * that are not named here may come and go.
  */
 import * as z from 'zod/mini';
 
+/** Part of a whole; 1 is all of it. */
 const share = z.number();
 
 /** Requests that were sent in one stretch of a day. */
--- a/packages/stallpaddle-report/src/ReportWindows.ts
+++ b/packages/stallpaddle-report/src/ReportWindows.ts
@@ -4,11 +4,24 @@
  */
 import type {WindowRecord} from './ReportRecord';
 
+/** Width of the picture, in pixels. */
 const WIDTH = 900;
+/** Height of the picture, in pixels. */
 const HEIGHT = 260;
+/** Space around the columns, in pixels. */
 const MARGIN = 40;
 /** Space between two columns, in pixels. */
 const GAP = 2;
+/** Size of all text, in pixels. */
+const FONT_SIZE = 10;
+/** Where the line of the title and the legend stands, from the top, in pixels. */
+const TITLE_Y = 20;
+/** How far below the columns their names stand, in pixels. */
+const NAME_DROP = 14;
+/** Space for one word of the legend, in pixels. */
+const LEGEND_STEP = 80;
+/** Digits after the point of a place or height: a tenth of a pixel. */
+const PIXEL_DIGITS = 1;
 
 /** What is drawn on top of each other, from the bottom up. */
 const LAYERS = [
@@ -18,17 +31,25 @@
   {color: '#b5493c', key: 'failed', label: 'failed'},
 ] as const;
 
+/**
+ * One column: a box for each layer, and the name of its stretch below.
+ *
+ * @param window the stretch
+ * @param x left edge, in pixels
+ * @param width width, in pixels
+ * @param perRequest height of one request, in pixels
+ */
 function columnOf(window: WindowRecord, x: number, width: number, perRequest: number): string {
   let bottom = HEIGHT - MARGIN;
   const boxes = LAYERS.map(({color, key, label}) => {
     const height = window[key] * perRequest;
     bottom -= height;
     const title = `${window[key]} ${label}, from ${window.name} s`;
-    return `<rect x="${x}" y="${bottom.toFixed(1)}" width="${width}" height="${height.toFixed(1)}" fill="${color}"><title>${title}</title></rect>`;
+    return `<rect x="${x}" y="${bottom.toFixed(PIXEL_DIGITS)}" width="${width}" height="${height.toFixed(PIXEL_DIGITS)}" fill="${color}"><title>${title}</title></rect>`;
   });
   const at = x + width / 2;
   boxes.push(
-    `<text x="${at}" y="${HEIGHT - MARGIN + 14}" text-anchor="middle">${window.name}</text>`,
+    `<text x="${at}" y="${HEIGHT - MARGIN + NAME_DROP}" text-anchor="middle">${window.name}</text>`,
   );
   return boxes.join('');
 }
@@ -49,11 +70,11 @@
   );
   const legend = LAYERS.map(
     ({color, label}, at) =>
-      `<text x="${WIDTH - MARGIN - 80 * (LAYERS.length - at)}" y="20" fill="${color}">${label}</text>`,
+      `<text x="${WIDTH - MARGIN - LEGEND_STEP * (LAYERS.length - at)}" y="${TITLE_Y}" fill="${color}">${label}</text>`,
   );
   return [
-    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif" font-size="10">`,
-    `<text x="${MARGIN}" y="20">${title}: requests by the second in which they were sent</text>`,
+    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif" font-size="${FONT_SIZE}">`,
+    `<text x="${MARGIN}" y="${TITLE_Y}">${title}: requests by the second in which they were sent</text>`,
     ...legend,
     ...columns,
     '</svg>',
--- a/packages/stallpaddle-report/src/main.ts
+++ b/packages/stallpaddle-report/src/main.ts
@@ -10,7 +10,9 @@
 import {type DayRecord, readDays} from './ReportRecord';
 import {drawWindows} from './ReportWindows';
 
+/** Digits after the point of a share. */
 const SHARE_DIGITS = 4;
+/** Width of the column of names and causes, in characters. */
 const NAME_WIDTH = 52;
 
 function printDay(day: DayRecord): void {
@@ -21,15 +23,20 @@
   }
 }
 
+/** Draws a day whose file holds its stretches of time. */
+function drawDay(day: DayRecord, file: string): void {
+  if (day.windows !== undefined) {
+    writeFileSync(file, drawWindows(lossesOf(day).name, day.windows));
+  }
+}
+
 function run(files: readonly string[], folder: string | undefined): void {
   for (const file of files) {
     const days = readDays(readFileSync(file, 'utf8'));
     days.forEach(printDay);
-    for (const [at, day] of days.entries()) {
-      if (folder !== undefined && day.windows !== undefined) {
-        const name = `${path.basename(file, '.json')}-${at + 1}.svg`;
-        writeFileSync(path.join(folder, name), drawWindows(lossesOf(day).name, day.windows));
-      }
+    if (folder !== undefined) {
+      const name = path.basename(file, '.json');
+      days.forEach((day, at) => drawDay(day, path.join(folder, `${name}-${at + 1}.svg`)));
     }
   }
 }
