Split the control calls off NodeControl, tidy the new files of the node package

NodeControlCalls brings calls of engines and the operator to the leader, as NodeJobCalls does with job calls; NodeControl keeps the listeners and the replica. Times that stood for two things have two names: PEEK_AGAIN_MS, INTRODUCE_TRY_MS; the silence of an unheard store process is UNHEARD_SILENT_MS. Hosts are VmId throughout; public members come before private ones; module comments stand at the top; doc comments are complete. Behaviour did not change.

--- a/packages/stallpaddle-node/src/Node.ts
+++ b/packages/stallpaddle-node/src/Node.ts
@@ -1,10 +1,11 @@
+/**
+ * Starts the process that the settings describe.
+ */
+
 import type {LoggerFactory} from 'stallpaddle';
 
 import {systemClock, unreachable} from 'stallpaddle';
 
-/**
- * Starts the process that the settings describe.
- */
 import type {NodeSettings} from './NodeSettings';
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWire} from './NodeWire';
--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -1,11 +1,12 @@
+/**
+ * Calls to the leader of a group: finds it, and tries again while that can do no harm.
+ */
+
 import type {Clock, GroupId, ReplicaId, VmId} from 'stallpaddle';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import {delay, encodeValue, RefusalError, vmOfReplica} from 'stallpaddle';
 
-/**
- * Calls to the leader of a group: finds it, and tries again while that can do no harm.
- */
 import type {NodePeers} from './NodePeers';
 
 import {CALL_AGAIN_MS, CALL_TRY_MS} from './NodeConstants';
@@ -16,7 +17,7 @@
   readonly clock: Clock;
   readonly group: GroupId;
   /** Hosts that may lead, best known first. */
-  readonly hosts: () => readonly string[];
+  readonly hosts: () => readonly VmId[];
   readonly peers: NodePeers;
 }
 
@@ -41,13 +42,13 @@
 export function hostsToAsk(
   seeds: readonly string[],
   replicas: readonly ReplicaId[],
-): readonly string[] {
+): readonly VmId[] {
   return [...new Set([...seeds.map(hostOf), ...replicas.map(vmOfReplica)])];
 }
 
 /** See the module's comment. */
 export class NodeCaller {
-  private leader: string | null = null;
+  private leader: null | VmId = null;
   private next = 0;
 
   /**
@@ -56,10 +57,15 @@
   constructor(private readonly options: NodeCallerOptions) {}
 
   /** The host that led when last heard. */
-  get leaderHost(): string | null {
+  get leaderHost(): null | VmId {
     return this.leader;
   }
 
+  /** Hosts that may lead, best known first. */
+  hosts(): readonly VmId[] {
+    return this.options.hosts();
+  }
+
   /**
    * Calls the leader.
    *
@@ -109,11 +115,6 @@
     return outcome;
   }
 
-  /** Hosts that may lead, best known first. */
-  hosts(): readonly VmId[] {
-    return this.options.hosts();
-  }
-
   /**
    * Makes one try at a certain host, whether it leads or not.
    *
@@ -125,8 +126,8 @@
     return this.options.peers.channel(host).call(request, tryMs);
   }
 
-  private nextHost(): string | undefined {
-    const hosts = this.options.hosts();
+  private nextHost(): undefined | VmId {
+    const hosts = this.hosts();
     return hosts[this.next++ % Math.max(1, hosts.length)];
   }
 }
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -44,9 +44,15 @@
  */
 export const PEEK_TRY_MS = 250;
 
+/** Pause before a process that holds nothing yet is asked again what it holds, in milliseconds: as long as one try. */
+export const PEEK_AGAIN_MS = PEEK_TRY_MS;
+
 /** Time between words of a replica to seeds that hold none, in milliseconds: half of an election timeout. */
 export const INTRODUCE_MS = 250;
 
+/** Longest wait for the answer to such a word, in milliseconds: until the next one is due. */
+export const INTRODUCE_TRY_MS = INTRODUCE_MS;
+
 /** Time for which such a word counts, in milliseconds: a VM that is gone for good is forgotten after it. */
 export const INTRODUCED_COUNTS_MS = 10_000;
 
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -1,39 +1,23 @@
+/**
+ * The part of a process that serves engines and the operator. Where the VM has a disk it holds a replica of
+ * the control group; elsewhere it hands every call on to the group's leader.
+ */
+
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ReplicaId} from 'stallpaddle';
 
 import path from 'node:path';
-import {
-  delay,
-  encodeValue,
-  errorMessage,
-  RefusalError,
-  registerLoop,
-  unreachable,
-  vmOfReplica,
-} from 'stallpaddle';
-import {
-  findConfigFault,
-  type FleetAnswer,
-  type FleetConfig,
-  fleetMachine,
-  type FleetRequest,
-  type FleetState,
-  type Hello,
-  type RetireAnswer,
-} from 'stallpaddle-fleet';
+import {delay, encodeValue, errorMessage, registerLoop, vmOfReplica} from 'stallpaddle';
+import {fleetMachine, type FleetRequest, type FleetState, type Hello} from 'stallpaddle-fleet';
 import {loadIdentity, NotLeaderError} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
-/**
- * The part of a process that serves engines and the operator. Where the VM has a disk it holds a replica of
- * the control group; elsewhere it hands every call on to the group's leader.
- */
 import type {NodeFleet} from './NodeFleet';
 import type {NodeOptions} from './NodeTypes';
-import type {ControlCall, ControlReply} from './NodeWire';
 
-import {CONTROL_CALL_MS, CONTROL_GROUP, HAND_OVER_MS, INTRODUCE_MS} from './NodeConstants';
+import {CONTROL_GROUP, HAND_OVER_MS, INTRODUCE_MS, INTRODUCE_TRY_MS} from './NodeConstants';
+import {NodeControlCalls} from './NodeControlCalls';
 import {NodeDesk} from './NodeDesk';
 import {NodeGroup} from './NodeGroup';
 import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
@@ -48,10 +32,6 @@
 /** Name of the first disk of a founder, known to all founders beforehand. */
 const FOUNDER = 'first';
 
-function isLostCall(err: unknown): boolean {
-  return err instanceof RefusalError || err instanceof NotLeaderError;
-}
-
 /** See the module's comment. */
 export class NodeControl {
   private desk: NodeDesk | undefined;
@@ -91,7 +71,9 @@
       }),
     );
     if (control !== null) {
-      const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
+      const calls = new NodeControlCalls(this.fleet.control, portOf(control), this.log);
+      const handler = (req: IncomingMessage, res: ServerResponse) =>
+        void this.handle(calls, req, res);
       this.server = await startServer(control, handler, IDLE_MS);
     }
     if (dataFolder !== '') {
@@ -165,7 +147,7 @@
     const request: FleetRequest = {kind: 'introduce', replicas};
     const call = {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
     const hosts = this.fleet.seedsWithout([...replicas, group.driver.status.self]);
-    await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_MS)));
+    await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)));
   }
 
   private exposeMetrics(group: NodeGroup<FleetState>): void {
@@ -193,79 +175,19 @@
     throw new NotLeaderError(watch.controls.find(leads) ?? null);
   }
 
-  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  private async handle(
+    calls: NodeControlCalls,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
     const {wire} = this.options;
     try {
       const body = await readBody(req, MAX_CALL_BYTES);
       const call = wire.readControl({...callOf(req), body});
-      sendAnswer(res, wire.encodeControl(await this.reply(call)));
+      sendAnswer(res, wire.encodeControl(await calls.reply(call)));
     } catch (err) {
       this.log.note('A control call broke off.', {error: errorMessage(err), url: req.url});
       res.destroy();
     }
   }
-
-  private async reply(call: ControlCall): Promise<ControlReply> {
-    try {
-      return await this.carryOut(call);
-    } catch (err) {
-      if (isLostCall(err)) {
-        this.log.decide('unavailable', call.kind, {error: errorMessage(err)});
-        return {kind: 'unavailable', message: errorMessage(err)};
-      }
-      throw err;
-    }
-  }
-
-  private async carryOut(call: ControlCall): Promise<ControlReply> {
-    switch (call.kind) {
-      case 'bad':
-        return {kind: 'refused', message: call.message};
-      case 'putConfig':
-        return this.putConfig(call.config);
-      case 'readConfig': {
-        const config = await this.ask<FleetConfig | null>({kind: 'readConfig'});
-        return config === null ? {kind: 'notFound'} : {config, kind: 'config'};
-      }
-      case 'removeEngine':
-        await this.order<FleetAnswer>(call);
-        this.log.decide('engineGone', call.id, {});
-        return {kind: 'done'};
-      case 'reportEngine': {
-        await this.order<FleetAnswer>(call);
-        const {leaderHost} = this.fleet.control;
-        const port = portOf(this.options.settings.control!);
-        return {beatsTo: leaderHost === null ? null : `${leaderHost}:${port}`, kind: 'reported'};
-      }
-      case 'retireState':
-      case 'retireStore': {
-        const state = await this.order<RetireAnswer>(call);
-        this.log.decide(call.kind, call.name, {state});
-        return {kind: 'retire', state};
-      }
-      case 'unknown':
-        return {kind: 'notFound'};
-      default:
-        return unreachable(call);
-    }
-  }
-
-  private async putConfig(config: FleetConfig): Promise<ControlReply> {
-    const fault = findConfigFault(config);
-    if (fault !== null) {
-      this.log.decide('configRefused', String(config.version), {...fault});
-      return {kind: 'refused', message: fault.message};
-    }
-    const {kind} = await this.order<FleetAnswer>({config, kind: 'putConfig'});
-    this.log.decide('configTaken', String(config.version), {outcome: kind});
-    return {kind: 'done'};
-  }
-
-  private ask<Answer>(value: FleetRequest): Promise<Answer> {
-    return this.fleet.control.call<Answer>({changes: false, totalMs: CONTROL_CALL_MS, value});
-  }
-
-  private order<Answer>(value: FleetRequest): Promise<Answer> {
-    return this.fleet.control.call<Answer>({changes: true, totalMs: CONTROL_CALL_MS, value});
-  }
 }
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeControlCalls.ts
@@ -0,0 +1,102 @@
+/**
+ * Calls of engines and the operator, brought to the control group's leader.
+ */
+import type {FleetAnswer, FleetConfig, FleetRequest, RetireAnswer} from 'stallpaddle-fleet';
+
+import {errorMessage, RefusalError, unreachable} from 'stallpaddle';
+import {findConfigFault} from 'stallpaddle-fleet';
+import {NotLeaderError} from 'stallpaddle-replication';
+
+import type {NodeCaller} from './NodeCaller';
+import type {NodeLog} from './NodeLog';
+import type {ControlCall, ControlReply} from './NodeWire';
+
+import {CONTROL_CALL_MS} from './NodeConstants';
+
+/** Whether a call found no leader in time. */
+function isLostCall(err: unknown): boolean {
+  return err instanceof RefusalError || err instanceof NotLeaderError;
+}
+
+/** See the module's comment. */
+export class NodeControlCalls {
+  /**
+   * @param caller calls the control group's leader
+   * @param port port on which every VM of the fleet serves control calls
+   * @param log the log of the part that serves them
+   */
+  constructor(
+    private readonly caller: NodeCaller,
+    private readonly port: number,
+    private readonly log: NodeLog,
+  ) {}
+
+  /**
+   * Carries out a call; a call that found no leader in time is answered too.
+   *
+   * @param call the call
+   */
+  async reply(call: ControlCall): Promise<ControlReply> {
+    try {
+      return await this.carryOut(call);
+    } catch (err) {
+      if (isLostCall(err)) {
+        this.log.decide('unavailable', call.kind, {error: errorMessage(err)});
+        return {kind: 'unavailable', message: errorMessage(err)};
+      }
+      throw err;
+    }
+  }
+
+  private async carryOut(call: ControlCall): Promise<ControlReply> {
+    switch (call.kind) {
+      case 'bad':
+        return {kind: 'refused', message: call.message};
+      case 'putConfig':
+        return this.putConfig(call.config);
+      case 'readConfig': {
+        const config = await this.ask<FleetConfig | null>({kind: 'readConfig'});
+        return config === null ? {kind: 'notFound'} : {config, kind: 'config'};
+      }
+      case 'removeEngine':
+        await this.order<FleetAnswer>(call);
+        this.log.decide('engineGone', call.id, {});
+        return {kind: 'done'};
+      case 'reportEngine': {
+        await this.order<FleetAnswer>(call);
+        const {leaderHost} = this.caller;
+        const beatsTo = leaderHost === null ? null : `${leaderHost}:${this.port}`;
+        return {beatsTo, kind: 'reported'};
+      }
+      case 'retireState':
+      case 'retireStore': {
+        const state = await this.order<RetireAnswer>(call);
+        this.log.decide(call.kind, call.name, {state});
+        return {kind: 'retire', state};
+      }
+      case 'unknown':
+        return {kind: 'notFound'};
+      default:
+        return unreachable(call);
+    }
+  }
+
+  private async putConfig(config: FleetConfig): Promise<ControlReply> {
+    const fault = findConfigFault(config);
+    if (fault !== null) {
+      this.log.decide('configRefused', String(config.version), {...fault});
+      return {kind: 'refused', message: fault.message};
+    }
+    const {kind} = await this.order<FleetAnswer>({config, kind: 'putConfig'});
+    this.log.decide('configTaken', String(config.version), {outcome: kind});
+    return {kind: 'done'};
+  }
+
+  private ask<Answer>(value: FleetRequest): Promise<Answer> {
+    return this.caller.call<Answer>({changes: false, totalMs: CONTROL_CALL_MS, value});
+  }
+
+  private order<Answer>(value: FleetRequest): Promise<Answer> {
+    return this.caller.call<Answer>({changes: true, totalMs: CONTROL_CALL_MS, value});
+  }
+}
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -1,3 +1,7 @@
+/**
+ * Answers all processes while this one leads the control group.
+ */
+
 import type {Clock, LogFields, ReplicaId, VmId} from 'stallpaddle';
 
 import {encodeValue, unreachable} from 'stallpaddle';
@@ -15,9 +19,6 @@
 } from 'stallpaddle-fleet';
 import {NotLeaderError} from 'stallpaddle-replication';
 
-/**
- * Answers all processes while this one leads the control group.
- */
 import type {Candidate, NodeGroup} from './NodeGroup';
 
 import {NodeHeard} from './NodeHeard';
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -1,3 +1,7 @@
+/**
+ * The part of a process that serves callers: it brings their requests to engines and their jobs to the store.
+ */
+
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {LogFields} from 'stallpaddle';
 
@@ -13,9 +17,6 @@
   sendRefusal,
 } from 'stallpaddle-relay';
 
-/**
- * The part of a process that serves callers: it brings their requests to engines and their jobs to the store.
- */
 import type {NodeFleet} from './NodeFleet';
 import type {NodeOptions} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
@@ -36,6 +37,7 @@
 const CONFIG_AGAIN_MS = 500;
 /** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
 const READY_AGE_MS = 3_000;
+
 /** See the module's comment. */
 export class NodeEntry {
   private readonly context: RelayContext;
@@ -96,6 +98,23 @@
     }
   }
 
+  /** Begins to listen. */
+  async open(): Promise<void> {
+    const {callers, directory, ready} = this.options.settings;
+    const servers: Promise<Server>[] = [];
+    if (callers !== null) {
+      const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
+      servers.push(startServer(callers, handler, FIRST_IDLE_MS + IDLE_MARGIN_MS));
+    }
+    for (const address of new Set([directory, ready].filter((other) => other !== null))) {
+      servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
+    }
+    const {intake, watch} = this;
+    exposeEntryMetrics(this.fleet.metrics, {intake, online: this.context.online, watch});
+    this.servers = await Promise.all(servers);
+    void this.tells.run();
+  }
+
   /**
    * Takes no new callers, serves those that still come for as long as a request may take before the end,
    * then refuses what comes; resolves once nothing is under way.
@@ -126,23 +145,6 @@
     }
   }
 
-  /** Begins to listen. */
-  async open(): Promise<void> {
-    const {callers, directory, ready} = this.options.settings;
-    const servers: Promise<Server>[] = [];
-    if (callers !== null) {
-      const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
-      servers.push(startServer(callers, handler, FIRST_IDLE_MS + IDLE_MARGIN_MS));
-    }
-    for (const address of new Set([directory, ready].filter((other) => other !== null))) {
-      servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
-    }
-    const {intake, watch} = this;
-    exposeEntryMetrics(this.fleet.metrics, {intake, online: this.context.online, watch});
-    this.servers = await Promise.all(servers);
-    void this.tells.run();
-  }
-
   private followLimits(): void {
     const limits = this.watch.view.config?.limits;
     const [callers] = this.servers;
--- a/packages/stallpaddle-node/src/NodeFleet.ts
+++ b/packages/stallpaddle-node/src/NodeFleet.ts
@@ -34,11 +34,16 @@
   readonly control: NodeCaller;
   /** Calls to the leader of the group that keeps batch jobs. */
   readonly jobs: NodeCaller;
+  /** Metrics of the whole process. */
   readonly metrics = new NodeMetrics();
-  private readonly ownHosts: readonly VmId[];
+  /** Connections to the other processes. */
   readonly peers: NodePeers;
-  private seeds: readonly string[];
+  /** What is known of the fleet. */
   readonly watch: NodeWatch;
+  /** This VM, where it holds a replica of the control group. */
+  private readonly ownHosts: readonly VmId[];
+  /** Addresses of VMs that serve control calls, to be asked first. */
+  private seeds: readonly string[];
 
   /**
    * @param options what it needs of its process
@@ -65,26 +70,31 @@
   }
 
   /**
-   * Takes in settings that have changed; only the seeds are followed.
+   * Takes in settings that have changed.
    *
-   * @param settings the settings as they are now
+   * @param settings the settings as they are now; only the seeds are followed
    */
   reload(settings: NodeSettings): void {
     this.seeds = settings.seeds;
   }
 
-  /** Ends all connections to other processes. */
-  close(): void {
-    this.watch.stop();
-    this.peers.close();
-  }
-
-  /** Hosts of the seeds that hold no replica, as far as known. */
+  /**
+   * Hosts of the seeds that hold none of some replicas.
+   *
+   * @param replicas the replicas
+   */
   seedsWithout(replicas: readonly ReplicaId[]): readonly VmId[] {
     const hosts = new Set(replicas.map(vmOfReplica));
     return this.seeds.map(hostOf).filter((host) => !hosts.has(host));
   }
 
+  /** Asks for no more news, and ends all connections to other processes. */
+  close(): void {
+    this.watch.stop();
+    this.peers.close();
+  }
+
+  /** Hosts that may lead the control group, best known first. */
   private controlHosts(): readonly VmId[] {
     const known = hostsToAsk(this.seeds, this.watch.controls);
     return [...new Set([...known, ...this.ownHosts])];
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -1,4 +1,8 @@
-import type {LogFields, Logger} from 'stallpaddle';
+/**
+ * The process that keeps batch jobs, and runs their items while it leads their group.
+ */
+
+import type {Logger, ReplicaId} from 'stallpaddle';
 import type {Hello} from 'stallpaddle-fleet';
 
 import path from 'node:path';
@@ -8,9 +12,6 @@
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
-/**
- * The process that keeps batch jobs, and runs their items while it leads their group.
- */
 import type {NodeSettings} from './NodeSettings';
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
@@ -32,6 +33,11 @@
 
 /** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
 const FOUND_AGAIN_MS = 20;
+/**
+ * Silence of a store process that the control group's leader doesn't hear, in milliseconds: the news gives no
+ * time, and twice the silence of an entry VM makes it no candidate but is not yet that of a lost voter.
+ */
+const UNHEARD_SILENT_MS = 2 * ENTRY_SILENT_MS;
 
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
@@ -42,7 +48,7 @@
   private readonly log: NodeLog;
   private readonly logger: Logger;
   private rpc!: RpcServer;
-  private self!: string;
+  private self!: ReplicaId;
   private stopped = false;
 
   private constructor(private readonly options: NodeOptions) {
@@ -158,7 +164,7 @@
     this.desk = desk;
     this.dispatcher = new JobsDispatcher({
       clock,
-      decide: (decision, id, fields: LogFields) => this.log.decide(decision, id, fields),
+      decide: (decision, id, fields) => this.log.decide(decision, id, fields),
       leads: () => group.driver.leads && !this.stopped,
       propose: (change) => desk.propose(change),
       readBlob: (ref) => group.driver.readBlob(ref),
@@ -173,7 +179,7 @@
   }
 
   /** Waits until the group was founded, with this disk or without it. */
-  private async findFounders(): Promise<readonly string[] | null> {
+  private async findFounders(): Promise<null | readonly ReplicaId[]> {
     while (!this.stopped) {
       const {jobsFounders} = this.watch.view.news;
       if (jobsFounders !== null) {
@@ -188,7 +194,7 @@
     return this.watch.view.news.stores.map(({heard, replica, retiring}) => ({
       id: replica,
       retiring,
-      silentMs: heard ? 0 : ENTRY_SILENT_MS * 2,
+      silentMs: heard ? 0 : UNHEARD_SILENT_MS,
     }));
   }
 
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -1,3 +1,7 @@
+/**
+ * Keeps what a process knows of the fleet, by asking the control group's leader again and again.
+ */
+
 import type {Clock, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
 
 import {delay, encodeValue} from 'stallpaddle';
@@ -10,15 +14,13 @@
   type WatchAnswer,
 } from 'stallpaddle-fleet';
 
-/**
- * Keeps what a process knows of the fleet, by asking the control group's leader again and again.
- */
 import type {NodeCaller} from './NodeCaller';
 
 import {
   CALL_AGAIN_MS,
   CONTROL_GROUP,
   INTRODUCED_COUNTS_MS,
+  PEEK_AGAIN_MS,
   PEEK_TRY_MS,
   WATCH_HOLD_MS,
   WATCH_TRY_MS,
@@ -36,10 +38,10 @@
 
 /** See the module's comment. */
 export class NodeWatch {
-  private stopped = false;
   private current: FleetView = EMPTY_VIEW;
-  /** When each replica last told of itself. */
+  /** When each replica was last named by a replica of its group. */
   private readonly introduced = new Map<ReplicaId, MonotonicMs>();
+  private stopped = false;
 
   /**
    * @param options what it needs of its process
@@ -56,6 +58,13 @@
     return this.options.clock.monotonicMs() - this.current.asOf;
   }
 
+  /** Replicas of the control group, as far as known: by a leader's news, or by the word of replicas. */
+  get controls(): readonly ReplicaId[] {
+    const oldest = this.options.clock.monotonicMs() - INTRODUCED_COUNTS_MS;
+    const introduced = [...this.introduced].filter(([, at]) => at > oldest).map(([id]) => id);
+    return [...new Set([...this.current.news.controls, ...introduced])];
+  }
+
   /** Asks until the process stops. */
   async run(): Promise<void> {
     this.options.caller.hosts().forEach((host) => void this.peekAt(host));
@@ -94,32 +103,7 @@
   }
 
   /**
-   * Until the first configuration is known or a leader has answered, what anyone holds is better than nothing. All are asked side by
-   * side: after a loss of power some are still dark, and a question to them takes its whole time.
-   */
-  private async peekAt(host: VmId): Promise<void> {
-    const {caller} = this.options;
-    const encoded = encodeValue({kind: 'peek'} satisfies FleetRequest);
-    while (!this.stopped && this.current.config === null && this.ageMs === Infinity) {
-      const request = {encoded, group: CONTROL_GROUP, query: true};
-      const outcome = await caller.tryAt(host, request, PEEK_TRY_MS);
-      if (outcome.kind === 'answered') {
-        this.offer(outcome.result as WatchAnswer);
-      }
-      // Whoever answers but holds nothing will hold something soon at the earliest.
-      await delay(outcome.kind === 'answered' ? PEEK_TRY_MS : CALL_AGAIN_MS);
-    }
-  }
-
-  /** Replicas of the control group, as far as known: by a leader's news, or by their own word since. */
-  get controls(): readonly ReplicaId[] {
-    const oldest = this.options.clock.monotonicMs() - INTRODUCED_COUNTS_MS;
-    const introduced = [...this.introduced].filter(([, at]) => at > oldest).map(([id]) => id);
-    return [...new Set([...this.current.news.controls, ...introduced])];
-  }
-
-  /**
-   * Notes replicas that have told of themselves.
+   * Notes replicas that a replica has named.
    *
    * @param replicas the replicas
    */
@@ -146,14 +130,33 @@
     }
   }
 
-  private take(answer: WatchAnswer, sentAt: number): void {
-    const before = this.current;
-    this.current = takeAnswer(before, answer, sentAt);
-    this.options.onView(this.current, before);
-  }
-
   /** Asks no more. */
   stop(): void {
     this.stopped = true;
   }
+
+  /**
+   * Asks one host what it holds, until the first configuration is known or a leader has answered. All hosts
+   * are asked side by side: after a loss of power some are still dark, and a question to them takes its whole
+   * time.
+   */
+  private async peekAt(host: VmId): Promise<void> {
+    const {caller} = this.options;
+    const encoded = encodeValue({kind: 'peek'} satisfies FleetRequest);
+    while (!this.stopped && this.current.config === null && this.ageMs === Infinity) {
+      const request = {encoded, group: CONTROL_GROUP, query: true};
+      const outcome = await caller.tryAt(host, request, PEEK_TRY_MS);
+      if (outcome.kind === 'answered') {
+        this.offer(outcome.result as WatchAnswer);
+      }
+      // Whoever answers but holds nothing will not hold anything at once.
+      await delay(outcome.kind === 'answered' ? PEEK_AGAIN_MS : CALL_AGAIN_MS);
+    }
+  }
+
+  private take(answer: WatchAnswer, sentAt: MonotonicMs): void {
+    const before = this.current;
+    this.current = takeAnswer(before, answer, sentAt);
+    this.options.onView(this.current, before);
+  }
 }
