Split the store's dispatcher and gauges off its start, one gauge for the age of what is known

NodeStore makes its dispatcher and adds its gauges in functions of their own; its report has its type. The gauge that NodeStore and NodeEntryMetrics both added is NodeWatch.exposeMetrics, at the same place among the others. Behaviour did not change.

--- a/packages/stallpaddle-node/src/NodeEntryMetrics.ts
+++ b/packages/stallpaddle-node/src/NodeEntryMetrics.ts
@@ -8,8 +8,6 @@
 import type {NodeMetrics} from './NodeMetrics';
 import type {NodeWatch} from './NodeWatch';
 
-import {SECOND_MS} from './NodeConstants';
-
 /** What the gauges read. */
 export interface EntryGauges {
   readonly intake: NodeIntake;
@@ -37,9 +35,7 @@
   metrics.exposeGauge('stallpaddle_config_version', 'Version in force here.', () => {
     return watch.view.config?.version ?? 0;
   });
-  metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
-    return watch.ageMs / SECOND_MS;
-  });
+  watch.exposeMetrics(metrics);
   metrics.exposeGauge('stallpaddle_requests_open', 'Requests under way.', () => {
     return intake.openRequests;
   });
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -3,7 +3,7 @@
  */
 
 import type {Logger, ReplicaId} from 'stallpaddle';
-import type {Hello} from 'stallpaddle-fleet';
+import type {Hello, JobsGroupReport} from 'stallpaddle-fleet';
 
 import path from 'node:path';
 import {delay} from 'stallpaddle';
@@ -16,13 +16,7 @@
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
 
-import {
-  ENTRY_SILENT_MS,
-  HAND_OVER_MS,
-  JOBS_GROUP,
-  JOBS_LOG_BYTES,
-  SECOND_MS,
-} from './NodeConstants';
+import {ENTRY_SILENT_MS, HAND_OVER_MS, JOBS_GROUP, JOBS_LOG_BYTES} from './NodeConstants';
 import {NodeFleet} from './NodeFleet';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
@@ -125,6 +119,11 @@
     );
     void this.watch.run();
     void this.openGroup(dataFolder);
+    this.exposeMetrics();
+    await startMetricsServer(settings.metrics, this.fleet.metrics);
+  }
+
+  private exposeMetrics(): void {
     const {metrics} = this.fleet;
     metrics.exposeGauge('stallpaddle_items_running', 'Batch items under way.', () => {
       return this.dispatcher?.counts().running ?? 0;
@@ -132,14 +131,11 @@
     metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
       return this.dispatcher?.counts().waiting ?? 0;
     });
-    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
-      return this.watch.ageMs / SECOND_MS;
-    });
-    await startMetricsServer(settings.metrics, metrics);
+    this.watch.exposeMetrics(metrics);
   }
 
   private async openGroup(dataFolder: string): Promise<void> {
-    const {clock, onFailure, settings, wire} = this.options;
+    const {clock, onFailure, settings} = this.options;
     const {logger} = this;
     const disk = await openDisk(path.join(dataFolder, JOBS_GROUP));
     // A disk that holds a replica opens at once; an empty one may be a founder's.
@@ -162,7 +158,16 @@
     const {group} = this;
     const desk = new NodeJobsDesk(clock, group);
     this.desk = desk;
-    this.dispatcher = new JobsDispatcher({
+    this.dispatcher = this.makeDispatcher(group, desk);
+    group.registerListener(() => {
+      this.dispatcher?.poke();
+      desk.wakeReads();
+    });
+  }
+
+  private makeDispatcher(group: NodeGroup<JobsState>, desk: NodeJobsDesk): JobsDispatcher {
+    const {clock, wire} = this.options;
+    return new JobsDispatcher({
       clock,
       decide: (decision, id, fields) => this.log.decide(decision, id, fields),
       leads: () => group.driver.leads && !this.stopped,
@@ -172,10 +177,6 @@
       view: () => this.watch.view,
       wire: wire.relay,
     });
-    group.registerListener(() => {
-      this.dispatcher?.poke();
-      desk.wakeReads();
-    });
   }
 
   /** Waits until the group was founded, with this disk or without it. */
@@ -190,6 +191,7 @@
     return null;
   }
 
+  /** Processes that may belong to the group, as the control group's leader names them. */
   private candidates(): readonly Candidate[] {
     return this.watch.view.news.stores.map(({heard, replica, retiring}) => ({
       id: replica,
@@ -198,7 +200,8 @@
     }));
   }
 
-  private report() {
+  /** What the group's leader says of the group; nothing from others. */
+  private report(): JobsGroupReport | null {
     const {group} = this;
     if (group === undefined || !group.driver.leads) {
       return null;
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -15,6 +15,7 @@
 } from 'stallpaddle-fleet';
 
 import type {NodeCaller} from './NodeCaller';
+import type {NodeMetrics} from './NodeMetrics';
 
 import {
   CALL_AGAIN_MS,
@@ -22,6 +23,7 @@
   INTRODUCED_COUNTS_MS,
   PEEK_AGAIN_MS,
   PEEK_TRY_MS,
+  SECOND_MS,
   WATCH_HOLD_MS,
   WATCH_TRY_MS,
 } from './NodeConstants';
@@ -130,6 +132,17 @@
     }
   }
 
+  /**
+   * Adds the gauge for the age of what is known.
+   *
+   * @param metrics the process's metrics
+   */
+  exposeMetrics(metrics: NodeMetrics): void {
+    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
+      return this.ageMs / SECOND_MS;
+    });
+  }
+
   /** Asks no more. */
   stop(): void {
     this.stopped = true;
