--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -1,5 +1,9 @@
-import type {LogFields, Logger} from 'stallpaddle';
-import type {Hello} from 'stallpaddle-fleet';
+/**
+ * The process that keeps batch jobs, and runs their items while it leads their group.
+ */
+
+import type {Logger, ReplicaId} from 'stallpaddle';
+import type {Hello, JobsGroupReport} from 'stallpaddle-fleet';
 
 import path from 'node:path';
 import {delay} from 'stallpaddle';
@@ -8,20 +12,11 @@
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
-/**
- * The process that keeps batch jobs, and runs their items while it leads their group.
- */
 import type {NodeSettings} from './NodeSettings';
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
 
-import {
-  ENTRY_SILENT_MS,
-  HAND_OVER_MS,
-  JOBS_GROUP,
-  JOBS_LOG_BYTES,
-  SECOND_MS,
-} from './NodeConstants';
+import {ENTRY_SILENT_MS, HAND_OVER_MS, JOBS_GROUP, JOBS_LOG_BYTES} from './NodeConstants';
 import {NodeFleet} from './NodeFleet';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
@@ -32,6 +27,11 @@
 
 /** Pause before a process that may be a founder looks again whether it is, in milliseconds. */
 const FOUND_AGAIN_MS = 20;
+/**
+ * Silence of a store process that the control group's leader doesn't hear, in milliseconds: the news gives no
+ * time, and twice the silence of an entry VM makes it no candidate but is not yet that of a lost voter.
+ */
+const UNHEARD_SILENT_MS = 2 * ENTRY_SILENT_MS;
 
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
@@ -42,7 +42,7 @@
   private readonly log: NodeLog;
   private readonly logger: Logger;
   private rpc!: RpcServer;
-  private self!: string;
+  private self!: ReplicaId;
   private stopped = false;
 
   private constructor(private readonly options: NodeOptions) {
@@ -119,6 +119,11 @@
     );
     void this.watch.run();
     void this.openGroup(dataFolder);
+    this.exposeMetrics();
+    await startMetricsServer(settings.metrics, this.fleet.metrics);
+  }
+
+  private exposeMetrics(): void {
     const {metrics} = this.fleet;
     metrics.exposeGauge('stallpaddle_items_running', 'Batch items under way.', () => {
       return this.dispatcher?.counts().running ?? 0;
@@ -126,14 +131,11 @@
     metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
       return this.dispatcher?.counts().waiting ?? 0;
     });
-    metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
-      return this.watch.ageMs / SECOND_MS;
-    });
-    await startMetricsServer(settings.metrics, metrics);
+    this.watch.exposeMetrics(metrics);
   }
 
   private async openGroup(dataFolder: string): Promise<void> {
-    const {clock, onFailure, settings, wire} = this.options;
+    const {clock, onFailure, settings} = this.options;
     const {logger} = this;
     const disk = await openDisk(path.join(dataFolder, JOBS_GROUP));
     // A disk that holds a replica opens at once; an empty one may be a founder's.
@@ -156,9 +158,18 @@
     const {group} = this;
     const desk = new NodeJobsDesk(clock, group);
     this.desk = desk;
-    this.dispatcher = new JobsDispatcher({
+    this.dispatcher = this.makeDispatcher(group, desk);
+    group.registerListener(() => {
+      this.dispatcher?.poke();
+      desk.wakeReads();
+    });
+  }
+
+  private makeDispatcher(group: NodeGroup<JobsState>, desk: NodeJobsDesk): JobsDispatcher {
+    const {clock, wire} = this.options;
+    return new JobsDispatcher({
       clock,
-      decide: (decision, id, fields: LogFields) => this.log.decide(decision, id, fields),
+      decide: (decision, id, fields) => this.log.decide(decision, id, fields),
       leads: () => group.driver.leads && !this.stopped,
       propose: (change) => desk.propose(change),
       readBlob: (ref) => group.driver.readBlob(ref),
@@ -166,14 +177,10 @@
       view: () => this.watch.view,
       wire: wire.relay,
     });
-    group.registerListener(() => {
-      this.dispatcher?.poke();
-      desk.wakeReads();
-    });
   }
 
   /** Waits until the group was founded, with this disk or without it. */
-  private async findFounders(): Promise<readonly string[] | null> {
+  private async findFounders(): Promise<null | readonly ReplicaId[]> {
     while (!this.stopped) {
       const {jobsFounders} = this.watch.view.news;
       if (jobsFounders !== null) {
@@ -184,15 +191,17 @@
     return null;
   }
 
+  /** Processes that may belong to the group, as the control group's leader names them. */
   private candidates(): readonly Candidate[] {
     return this.watch.view.news.stores.map(({heard, replica, retiring}) => ({
       id: replica,
       retiring,
-      silentMs: heard ? 0 : ENTRY_SILENT_MS * 2,
+      silentMs: heard ? 0 : UNHEARD_SILENT_MS,
     }));
   }
 
-  private report() {
+  /** What the group's leader says of the group; nothing from others. */
+  private report(): JobsGroupReport | null {
     const {group} = this;
     if (group === undefined || !group.driver.leads) {
       return null;
