--- a/packages/stallpaddle-node/src/NodeProgram.ts
+++ b/packages/stallpaddle-node/src/NodeProgram.ts
@@ -8,9 +8,9 @@
 import {Script} from 'node:vm';
 
 /** File of the program, beside the one that loads it; the build names it so. */
-const PROGRAM_FILE = 'program.cjs';
+export const PROGRAM_FILE = 'program.cjs';
 /** File of the code cache. It is of use only to the same Node.js with the same flags, else it is passed over. */
-const CODE_CACHE_FILE = 'program.cache';
+export const CODE_CACHE_FILE = 'program.cache';
 
 /** The program as CommonJS wraps it. */
 type ProgramBody = (
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -112,6 +112,11 @@
   noteReplicas(replicas: readonly ReplicaId[]): void {
     const now = this.options.clock.monotonicMs();
     replicas.forEach((replica) => this.introduced.set(replica, now));
+    for (const [replica, at] of this.introduced) {
+      if (at <= now - INTRODUCED_COUNTS_MS) {
+        this.introduced.delete(replica);
+      }
+    }
   }
 
   /** What this process was told, for others that know less; without proof that it is the latest. */
--- a/packages/stallpaddle-report/src/ReportWindows.ts
+++ b/packages/stallpaddle-report/src/ReportWindows.ts
@@ -31,6 +31,11 @@
   {color: '#b5493c', key: 'failed', label: 'failed'},
 ] as const;
 
+/** A day's name as it may stand in SVG. */
+function escapeText(text: string): string {
+  return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
+}
+
 /**
  * One column: a box for each layer, and the name of its stretch below.
  *
@@ -74,7 +79,7 @@
   );
   return [
     `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif" font-size="${FONT_SIZE}">`,
-    `<text x="${MARGIN}" y="${TITLE_Y}">${title}: requests by the second in which they were sent</text>`,
+    `<text x="${MARGIN}" y="${TITLE_Y}">${escapeText(title)}: requests by the second in which they were sent</text>`,
     ...legend,
     ...columns,
     '</svg>',
--- a/packages/stallpaddle-report/src/__tests__/unit/Report.test.ts
+++ b/packages/stallpaddle-report/src/__tests__/unit/Report.test.ts
@@ -46,7 +46,11 @@
 
   test('draws each stretch with heights in proportion to its requests', () => {
     const window = {failed: 0, in_aim: 30, late: 10, n: 40, name: '0', not_owed: 0, refused: 0};
-    const svg = drawWindows('t', [window, {...window, in_aim: 15, late: 5, n: 20, name: '2'}]);
+    const svg = drawWindows('t < & u', [
+      window,
+      {...window, in_aim: 15, late: 5, n: 20, name: '2'},
+    ]);
+    expect(svg).toContain('>t &lt; &amp; u: requests');
     const heights = [...svg.matchAll(/<rect[^>]* height="([\d.]+)"/g)].map(([, text]) =>
       Number(text),
     );
