An answer without a length is not whole when its reset waited behind its bytes

Cause: when bytes and a reset wait together on a socket, libuv reports the bytes and then an ordinary end, and Node's parser takes an answer without a length for whole. Ruled out: the stand-in's way to reset (13 of 400 resets seen as an end by a bare socket, 6 of 400 with another way). Change: at the end of a connection, before the parser hears of it, the relay looks whether the socket has a peer; one that was reset has none, one that the other side closed has.

--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -1,4 +1,5 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {request} from 'node:http';
 
@@ -70,6 +71,15 @@
   return {facts, kind: 'answer', res};
 }
 
+/**
+ * Whether a connection that ended was reset. When bytes and a reset wait together, libuv reports the bytes and
+ * then an ordinary end (13 of 400 resets beside a busy client). A socket that was reset has no peer any more; one
+ * that the other side closed still has.
+ */
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /**
  * Sends a request.
  *
@@ -94,6 +104,12 @@
     const timer = setTimeout(() => out?.destroy(new Error('no connection')), CONNECT_TIMEOUT_MS);
     out.on('socket', (socket) => {
       socket.setNoDelay(true);
+      // Before the parser hears of the end, which it takes for that of an answer without a length.
+      socket.prependListener('end', () => {
+        if (wasReset(socket)) {
+          answer?.destroy(new Error('the connection was reset'));
+        }
+      });
       socket.once('connect', () => {
         connected = true;
         clearTimeout(timer);
