--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -106,8 +106,8 @@
       socket.setNoDelay(true);
       // Before the parser hears of the end, which it takes for that of an answer without a length.
       socket.prependListener('end', () => {
-        if (wasReset(socket)) {
-          answer?.destroy(new Error('the connection was reset'));
+        if (answer?.complete === false && wasReset(socket)) {
+          answer.destroy(new Error('the connection was reset'));
         }
       });
       socket.once('connect', () => {
