--- a/packages/stallpaddle-report/src/ReportLosses.ts
+++ b/packages/stallpaddle-report/src/ReportLosses.ts
@@ -47,7 +47,7 @@
   const losses = [...short, ...priced]
     .filter(({share}) => share >= SHOWN_FROM)
     .sort((a, b) => b.share - a.share);
-  const seed = day.seed === undefined ? '' : ` --seed ${day.seed}`;
+  const seed = (day.seed ?? null) === null ? '' : ` --seed ${day.seed}`;
   const site = day.site === null ? '' : `${day.site} `;
   return {losses, name: `${site}${day.name ?? 'day'}${seed}`, worth: day.G};
 }
--- a/packages/stallpaddle-report/src/ReportWindows.ts
+++ b/packages/stallpaddle-report/src/ReportWindows.ts
@@ -4,6 +4,8 @@
  */
 import type {WindowRecord} from './ReportRecord';
 
+import {escapeText} from './ReportSvg';
+
 /** Width of the picture, in pixels. */
 const WIDTH = 900;
 /** Height of the picture, in pixels. */
@@ -31,11 +33,6 @@
   {color: '#b5493c', key: 'failed', label: 'failed'},
 ] as const;
 
-/** A day's name as it may stand in SVG. */
-function escapeText(text: string): string {
-  return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
-}
-
 /**
  * One column: a box for each layer, and the name of its stretch below.
  *
--- a/packages/stallpaddle-report/src/__tests__/unit/Report.test.ts
+++ b/packages/stallpaddle-report/src/__tests__/unit/Report.test.ts
@@ -3,7 +3,7 @@
  */
 import {describe, expect, test} from 'vitest';
 
-import {drawWindows, lossesOf, readDays, ReportError} from '../..';
+import {compareDays, drawPairs, drawWindows, lossesOf, readDays, ReportError} from '../..';
 
 function dayOf(changes: object = {}): object {
   return {
@@ -30,7 +30,50 @@
 
   test('refuses what is neither', () => {
     expect(() => readDays('{"days":3}')).toThrow(ReportError);
-    expect(() => readDays('{')).toThrow(SyntaxError);
+    expect(() => readDays('{')).toThrow(ReportError);
+  });
+
+  test('reads an entry whose last day was drawn just now, without a seed', () => {
+    const days = [dayOf({seed: 7}), dayOf({name: 'fresh', seed: null, windows: null})];
+    const read = readDays(JSON.stringify({days, site: 's'}));
+    expect(read.map((day) => lossesOf(day).name)).toEqual(['s d --seed 7', 's fresh']);
+  });
+
+  test('says which entry holds no day', () => {
+    const entry = JSON.stringify({cmd: 'hunt', days: null, id: 'be9c5ce7', site: null});
+    expect(() => readDays(entry)).toThrow(/be9c5ce7 of a hunt/);
+  });
+
+  test('compares days that were played on both sides, and leaves the others out', () => {
+    const before = [dayOf({name: 'a'}), dayOf({name: 'b'}), dayOf({name: 'c'})];
+    const after = [dayOf({G: 0.66, name: 'a'}), dayOf({G: 0.68, name: 'b'}), dayOf({name: 'd'})];
+    const daysOf = (days: readonly object[]) => readDays(JSON.stringify({days, site: 's'}));
+    const {causes, pairs, worth} = compareDays(daysOf(before), daysOf(after));
+    expect(pairs.map(({name}) => name)).toEqual(['s a', 's b']);
+    expect(worth.mean).toBeCloseTo(0.06);
+    expect(worth.spread).toBeCloseTo(Math.hypot(0.01, 0.01));
+    expect(causes.every(({change}) => change.mean === 0)).toBe(true);
+  });
+
+  test('takes the mean of days that were played more than once', () => {
+    const days = (...worths: readonly number[]) =>
+      readDays(JSON.stringify({days: worths.map((G) => dayOf({G})), site: 's'}));
+    const {pairs, worth} = compareDays(days(0.5, 0.7), days(0.8));
+    expect(pairs).toHaveLength(1);
+    expect(worth.mean).toBeCloseTo(0.2);
+    expect(worth.spread).toBe(0);
+  });
+
+  test('draws each pair to the side of its change', () => {
+    const pairs = [
+      {after: 0.8, before: 0.7, name: 'up'},
+      {after: 0.6, before: 0.7, name: 'down'},
+    ];
+    const svg = drawPairs(pairs);
+    const centre = 450;
+    const [up, down] = [...svg.matchAll(/<rect x="([\d.]+)"/g)].map(([, x]) => Number(x));
+    expect(up).toBe(centre);
+    expect(down).toBeLessThan(centre);
   });
 
   test('losses and worth add up to one, the largest first', () => {
--- a/packages/stallpaddle-report/src/index.ts
+++ b/packages/stallpaddle-report/src/index.ts
@@ -1,4 +1,12 @@
 /** Where the worth of a played day was lost, from a journal entry or a day's report. */
+export {
+  type CauseChange,
+  compareDays,
+  type Comparison,
+  type DayPair,
+  type Spread,
+} from './ReportCompare';
 export {type DayLosses, type Loss, lossesOf} from './ReportLosses';
+export {drawPairs} from './ReportPairs';
 export {type DayRecord, readDays, ReportError} from './ReportRecord';
 export {drawWindows} from './ReportWindows';
