--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -29,6 +29,14 @@
       readonly sender: string;
       /** Rises with each call, so that a late one can be known. */
       readonly sequence: number;
+    }
+  | {
+      readonly kind: 'watchOnline';
+      /** Version of the counts that the sender holds. */
+      readonly known: number;
+      readonly sender: string;
+      /** Longest time to hold the answer while nothing is new, in milliseconds. */
+      readonly waitMs: number;
     };
 
 /** A result with its text. */
@@ -52,12 +60,14 @@
 export type BodyAnswer =
   {readonly body: Uint8Array; readonly kind: 'body'} | {readonly kind: 'notFound'};
 
-/** Answer to `tellOnline`. */
-export interface TellAnswer {
+/** Answer to `tellOnline` and `watchOnline`. */
+export interface OnlineAnswer {
+  /** Online requests of all senders but the one that asks, by engine. */
+  readonly others: Readonly<Record<string, number>>;
   /** Engines all of whose items have fallen silent. */
   readonly suspects: readonly string[];
-  /** Online requests of all senders, by engine. */
-  readonly totals: Readonly<Record<string, number>>;
+  /** Version of the counts. */
+  readonly version: number;
 }
 
 /** A result whose text has yet to be read. */
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsOnline.test.ts
@@ -0,0 +1,76 @@
+/**
+ * Counts of online requests: any order of words ends with each sender's last one.
+ */
+import type {Clock} from 'stallpaddle';
+
+import fc from 'fast-check';
+import {systemClock} from 'stallpaddle';
+import {describe, expect, test} from 'vitest';
+
+import {TOLD_COUNTS_MS} from '../../JobsConstants';
+import {JobsOnline} from '../../JobsOnline';
+
+interface Word {
+  readonly own: Readonly<Record<string, number>>;
+  readonly sender: string;
+  readonly sequence: number;
+}
+
+const WORDS = fc.array(
+  fc.record({
+    own: fc.dictionary(fc.constantFrom('e0', 'e1', 'e2'), fc.integer({max: 9, min: 1})),
+    sender: fc.constantFrom('a', 'b', 'c'),
+    sequence: fc.nat(20),
+  }),
+);
+
+/** What the words come to, worked out the plain way. */
+function sumOf(words: readonly Word[], except: string): Record<string, number> {
+  const last = new Map<string, Word>();
+  for (const word of words) {
+    if (word.sequence > (last.get(word.sender)?.sequence ?? -1)) {
+      last.set(word.sender, word);
+    }
+  }
+  const sum: Record<string, number> = {};
+  for (const {own, sender} of last.values()) {
+    Object.entries(sender === except ? {} : own).forEach(([engine, count]) => {
+      sum[engine] = (sum[engine] ?? 0) + count;
+    });
+  }
+  return sum;
+}
+
+describe('JobsOnline', () => {
+  test('counts the last word of every sender but one', () => {
+    fc.assert(
+      fc.property(WORDS, fc.constantFrom('a', 'b', 'nobody'), (words, except) => {
+        const online = new JobsOnline(systemClock);
+        words.forEach(({own, sender, sequence}) => online.learn(sender, sequence, own));
+        expect(online.totals(except)).toEqual(sumOf(words, except));
+      }),
+    );
+  });
+
+  test('has another version exactly when a sender’s counts change', () => {
+    const online = new JobsOnline(systemClock);
+    const words: Word['own'][] = [{e0: 1}, {e0: 1}, {e0: 2}, {e0: 2, e1: 1}, {e0: 2}];
+    const versions = words.map((own, at) => {
+      online.learn('a', at, own);
+      return online.version;
+    });
+    expect(versions).toEqual([1, 1, 2, 3, 4]);
+  });
+
+  test('forgets a sender that has fallen silent', () => {
+    let now = 0;
+    const clock: Clock = {...systemClock, monotonicMs: () => now};
+    const online = new JobsOnline(clock);
+    online.learn('a', 1, {e0: 3});
+    now = TOLD_COUNTS_MS - 1;
+    expect(online.totals()).toEqual({e0: 3});
+    now = TOLD_COUNTS_MS + 1;
+    expect(online.totals()).toEqual({});
+    expect(online.version).toBe(2);
+  });
+});
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -3,15 +3,16 @@
 export type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 export {JobsDispatcher} from './JobsDispatcher';
 export {jobsMachine} from './JobsMachine';
+export {JobsOnline} from './JobsOnline';
 export {
   type BodyAnswer,
   findBody,
   findResults,
   type JobsRequest,
+  type OnlineAnswer,
   type ReadResult,
   type ResultRef,
   type ResultsAnswer,
-  type TellAnswer,
 } from './JobsQueries';
 export type {
   GroupMs,
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -61,7 +61,7 @@
     const {jobs, metrics, watch} = fleet;
     this.log = new NodeLog(loggers('entry'), clock, metrics);
     this.intake = new NodeIntake(clock, settings.bounds.grace);
-    const online = new RelayOnline();
+    const online = new RelayOnline(clock);
     this.tells = new NodeTells(jobs, online, drawId(settings.name));
     this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
     this.context = {
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -16,7 +16,6 @@
   RESULT_BYTES,
   type ResultRef,
   type ResultsAnswer,
-  type TellAnswer,
 } from 'stallpaddle-jobs';
 
 /**
@@ -24,6 +23,7 @@
  */
 import type {NodeGroup} from './NodeGroup';
 
+import {NodeOnlineDesk} from './NodeOnlineDesk';
 import {NodeWaiters} from './NodeWaiters';
 
 type Driver = NodeGroup<JobsState>['driver'];
@@ -40,6 +40,7 @@
 /** See the module's comment. */
 export class NodeJobsDesk {
   private lastCommandAt: MonotonicMs | undefined;
+  private readonly online: NodeOnlineDesk;
   private readonly waiters = new NodeWaiters();
 
   /**
@@ -49,7 +50,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly group: Pick<NodeGroup<JobsState>, 'driver'>,
-  ) {}
+  ) {
+    this.online = new NodeOnlineDesk(clock);
+  }
 
   /**
    * Records a change.
@@ -92,13 +95,10 @@
         }
         return this.proposeTo(driver, {kind: 'submit', maxWaitingTokens, submission});
       }
-      case 'tellOnline': {
-        const {online} = dispatcher;
-        online.learn(request.sender, request.sequence, request.own);
-        dispatcher.poke();
-        const suspects = dispatcher.silentEngines();
-        return {suspects, totals: online.totals()} satisfies TellAnswer;
-      }
+      case 'tellOnline':
+        return this.online.tell(request, dispatcher);
+      case 'watchOnline':
+        return this.online.watch(request, dispatcher);
       default:
         return unreachable(request);
     }
--- a/packages/stallpaddle-node/src/NodeTells.ts
+++ b/packages/stallpaddle-node/src/NodeTells.ts
@@ -1,20 +1,23 @@
 /**
- * Tells the dispatcher of batch items how many online requests this VM has at each engine, and learns
- * those of all VMs. One call at a time: what changes meanwhile goes with the next.
+ * Tells the dispatcher of batch items how many online requests this VM has at each engine, one call at a time:
+ * what changes meanwhile goes with the next. Beside that it asks for those of the other VMs all the time, since
+ * others begin and end requests while this VM has none to tell.
  */
-import type {JobsRequest, TellAnswer} from 'stallpaddle-jobs';
+import type {JobsRequest, OnlineAnswer} from 'stallpaddle-jobs';
 import type {OnlineCounts, RelayOnline} from 'stallpaddle-relay';
 
 import {delay, encodeValue} from 'stallpaddle';
 
 import type {NodeCaller} from './NodeCaller';
 
-import {CALL_AGAIN_MS, JOBS_GROUP, TELL_AGAIN_MS, TELL_TRY_MS} from './NodeConstants';
+import {CALL_AGAIN_MS, JOBS_GROUP, TELL_AGAIN_MS, TELL_TRY_MS, WATCH_TRY_MS} from './NodeConstants';
 import {NodeWaiters} from './NodeWaiters';
 
 /** See the module's comment. */
 export class NodeTells {
   private changed = false;
+  /** Version of the others' counts that was learned last. */
+  private known = -1;
   private sequence = 0;
   private stopped = false;
   private readonly waiters = new NodeWaiters();
@@ -35,8 +38,18 @@
     });
   }
 
-  /** Tells until the process stops. */
+  /** Tells and asks until the process stops. */
   async run(): Promise<void> {
+    await Promise.all([this.tellAlways(), this.watchAlways()]);
+  }
+
+  /** Tells no more. */
+  stop(): void {
+    this.stopped = true;
+    this.waiters.wakeAll();
+  }
+
+  private async tellAlways(): Promise<void> {
     while (!this.stopped) {
       this.changed = false;
       const own = this.online.ownCounts();
@@ -47,28 +60,31 @@
     }
   }
 
-  /** Tells no more. */
-  stop(): void {
-    this.stopped = true;
-    this.waiters.wakeAll();
+  private async watchAlways(): Promise<void> {
+    while (!this.stopped) {
+      const {known, sender} = this;
+      if (
+        !(await this.ask({kind: 'watchOnline', known, sender, waitMs: TELL_AGAIN_MS}, WATCH_TRY_MS))
+      ) {
+        await delay(CALL_AGAIN_MS);
+      }
+    }
+  }
+
+  private tell(own: OnlineCounts): Promise<boolean> {
+    const {sender} = this;
+    return this.ask({kind: 'tellOnline', own, sender, sequence: ++this.sequence}, TELL_TRY_MS);
   }
 
-  private async tell(own: OnlineCounts): Promise<boolean> {
-    const request: JobsRequest = {
-      kind: 'tellOnline',
-      own,
-      sender: this.sender,
-      sequence: ++this.sequence,
-    };
-    const outcome = await this.caller.tryOnce(
-      {encoded: encodeValue(request), group: JOBS_GROUP, query: true},
-      TELL_TRY_MS,
-    );
+  private async ask(request: JobsRequest, tryMs: number): Promise<boolean> {
+    const encoded = encodeValue(request);
+    const outcome = await this.caller.tryOnce({encoded, group: JOBS_GROUP, query: true}, tryMs);
     if (outcome.kind !== 'answered') {
       return false;
     }
-    const {suspects, totals} = outcome.result as TellAnswer;
-    this.online.learn(totals, own, suspects);
+    const {others, suspects, version} = outcome.result as OnlineAnswer;
+    this.known = version;
+    this.online.learn(others, suspects);
     return true;
   }
 
--- a/packages/stallpaddle-relay/src/RelayOnline.ts
+++ b/packages/stallpaddle-relay/src/RelayOnline.ts
@@ -1,19 +1,30 @@
 /**
- * How many online requests each engine has: exactly those of this VM, and those of all VMs as far as
+ * How many online requests each engine has: exactly those of this VM, and those of the others as far as
  * the dispatcher of batch items has told.
  */
-import type {EngineId} from 'stallpaddle';
+import type {Clock, EngineId, MonotonicMs} from 'stallpaddle';
 
 /** Online requests by engine; engines without one are left out. */
 export type OnlineCounts = Readonly<Record<EngineId, number>>;
 
+/**
+ * Age up to which the others' counts say anything, in milliseconds: online requests last about a second, and the
+ * dispatcher is asked anew after 0.4 s at most.
+ */
+const OTHERS_COUNT_MS = 1_500;
+
 /** See the module's comment. */
 export class RelayOnline {
   private readonly listeners = new Set<() => void>();
   private readonly own = new Map<EngineId, number>();
-  private ownWhenTold: OnlineCounts = {};
+  private others: OnlineCounts = {};
   private suspects: ReadonlySet<EngineId> = new Set();
-  private totals: OnlineCounts = {};
+  private toldAt: MonotonicMs = -Infinity;
+
+  /**
+   * @param clock this process's clock
+   */
+  constructor(private readonly clock: Clock) {}
 
   /**
    * Online requests of all VMs at an engine, as far as known.
@@ -21,9 +32,8 @@
    * @param id the engine
    */
   at(id: EngineId): number {
-    const own = this.own.get(id) ?? 0;
-    const others = (this.totals[id] ?? 0) - (this.ownWhenTold[id] ?? 0);
-    return own + Math.max(0, others);
+    const others = this.isTold ? (this.others[id] ?? 0) : 0;
+    return (this.own.get(id) ?? 0) + others;
   }
 
   /**
@@ -32,7 +42,7 @@
    * @param id the engine
    */
   isSuspect(id: EngineId): boolean {
-    return this.suspects.has(id);
+    return this.isTold && this.suspects.has(id);
   }
 
   /** This VM's own requests. */
@@ -58,16 +68,15 @@
   }
 
   /**
-   * Takes in the counts of all VMs.
+   * Takes in the others' counts.
    *
-   * @param totals online requests of all VMs
-   * @param own this VM's part of them
+   * @param others online requests of all other VMs
    * @param suspects engines that have fallen silent towards the dispatcher
    */
-  learn(totals: OnlineCounts, own: OnlineCounts, suspects: readonly EngineId[]): void {
+  learn(others: OnlineCounts, suspects: readonly EngineId[]): void {
+    this.others = others;
     this.suspects = new Set(suspects);
-    this.totals = totals;
-    this.ownWhenTold = own;
+    this.toldAt = this.clock.monotonicMs();
   }
 
   /**
@@ -81,6 +90,10 @@
     return () => this.listeners.delete(listener);
   }
 
+  private get isTold(): boolean {
+    return this.clock.monotonicMs() - this.toldAt < OTHERS_COUNT_MS;
+  }
+
   private change(id: EngineId, by: number): void {
     const count = (this.own.get(id) ?? 0) + by;
     if (count > 0) {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -72,7 +72,7 @@
     decide: () => {},
     engines: () => views,
     experience: new RelayExperience(systemClock),
-    online: new RelayOnline(),
+    online: new RelayOnline(systemClock),
     random: seededRandom(1),
     viewAgeMs: () => 0,
     wire: plainRelay,
