Connections and silences are given up by what is usual

What bound: lossy links. A lost opening packet took 250 ms, so the request came after 300; a stream whose engine fell silent stayed for 1.2 s (first event) or 0.7 s (pause), whatever was usual. Change: LearnedLimit (mean plus four deviations, RFC 6298, with bounds) of the time to connect, to the first event and between arrivals. What takes longer goes on elsewhere if the request may be repeated, has an attempt left and another engine has a free slot; otherwise the old limits hold. A request that left a queue says nothing against its engine.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -2,7 +2,7 @@
 
 import {errorMessage, unreachable} from 'stallpaddle';
 import {engineOf, type EngineView, type FleetView} from 'stallpaddle-fleet';
-import {isSound, RelayExperience, SERVER_ERROR} from 'stallpaddle-relay';
+import {isSound, RelayExperience, RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
 
 /**
  * Runs the open items of a group in the slots that online requests leave, while this process leads it.
@@ -35,6 +35,7 @@
   /** Online requests of all entry VMs. */
   readonly online: JobsOnline;
   private readonly ends: JobsEnds;
+  private readonly pace = new RelayPace();
   private planned = false;
   private readonly progress: JobsProgress;
   private readonly saver: NodeJS.Timeout;
@@ -216,7 +217,7 @@
   }
 
   private startRun(task: Task, engine: EngineView): ItemRun {
-    return startItemRun(this.options.wire, {
+    return startItemRun(this.options.wire, this.pace, {
       body: task.body!,
       engine,
       headers: task.item.headers,
--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -2,7 +2,13 @@
  * One run of an item at one engine, from its first event to its last or to its cut.
  */
 import type {EngineView} from 'stallpaddle-fleet';
-import type {EngineCall, EngineCallStart, NotRunReason, RelayWire} from 'stallpaddle-relay';
+import type {
+  EngineCall,
+  EngineCallStart,
+  NotRunReason,
+  RelayPace,
+  RelayWire,
+} from 'stallpaddle-relay';
 
 import {errorMessage} from 'stallpaddle';
 import {
@@ -99,9 +105,10 @@
  * Starts a run.
  *
  * @param wire the engines' words
+ * @param pace how fast engines are
  * @param req what it is made of
  */
-export function startItemRun(wire: RelayWire, req: ItemRunRequest): ItemRun {
+export function startItemRun(wire: RelayWire, pace: RelayPace, req: ItemRunRequest): ItemRun {
   const set = wire.engineHeaders({
     deadlineMs: null,
     engine: req.engine.id,
@@ -109,7 +116,7 @@
     resumeAfter: req.lastEvent,
   });
   const raw = req.headers.flat();
-  const call = startEngineCall(wire, {
+  const call = startEngineCall(wire, pace, {
     address: req.engine.address,
     body: req.body,
     headers: passedHeaders(raw, [['Host', req.host], ...set]),
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -20,9 +20,6 @@
 /** First of the statuses by which an engine says that it failed itself. */
 export const SERVER_ERROR = 500;
 
-/** Time from sending to the first event at an engine that is not full, in milliseconds, measured: 55 to 70. */
-export const FIRST_EVENT_MS = 70;
-
 /** Pause after which a refused caller should come back, in milliseconds: about one request's work. */
 export const RETRY_AFTER_MS = 250;
 
@@ -39,8 +36,8 @@
 export const WHOLE_ANSWER_BYTES = 262_144;
 
 /**
- * Silence after which a stream that may be resumed goes on at another engine, in milliseconds. Callers
- * give a stream up after two seconds; an engine's pauses are a tenth of a second at most.
+ * Silence after which a stream that may be resumed is given up though no other engine has room, in milliseconds.
+ * Callers give a stream up after two seconds; an engine's pauses are a tenth of a second at most.
  */
 export const SILENT_STREAM_MS = 700;
 
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -7,14 +7,9 @@
  * One request to one engine, on a connection of its own: an answer that comes late can't meet another
  * request, and no idle connection can be closed just as a request is sent.
  */
+import type {RelayPace} from './RelayPace';
 import type {AnswerFacts, RelayWire} from './RelayWire';
 
-/**
- * Time for a connection to come up, in milliseconds: well above the few milliseconds between
- * availability zones, and below an objective of 300 ms.
- */
-const CONNECT_TIMEOUT_MS = 250;
-
 /** A request as it is sent. */
 export interface EngineRequest {
   /** IP number and port. */
@@ -84,9 +79,10 @@
  * Sends a request.
  *
  * @param wire the engines' words
+ * @param pace how fast engines are
  * @param req the request
  */
-export function startEngineCall(wire: RelayWire, req: EngineRequest): EngineCall {
+export function startEngineCall(wire: RelayWire, pace: RelayPace, req: EngineRequest): EngineCall {
   const {host, port} = splitAddress(req.address);
   const headers = [...req.headers, 'Content-Length', String(req.body.length)];
   let answer: IncomingMessage | undefined;
@@ -101,7 +97,8 @@
       path: req.path,
       port,
     });
-    const timer = setTimeout(() => out?.destroy(new Error('no connection')), CONNECT_TIMEOUT_MS);
+    const openedAt = performance.now();
+    const timer = setTimeout(() => out?.destroy(new Error('no connection')), pace.connect.limitMs);
     out.on('socket', (socket) => {
       socket.setNoDelay(true);
       // Before the parser hears of the end, which it takes for that of an answer without a length.
@@ -113,6 +110,7 @@
       socket.once('connect', () => {
         connected = true;
         clearTimeout(timer);
+        pace.connect.note(performance.now() - openedAt);
       });
     });
     out.on('response', (res) => {
--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -4,7 +4,7 @@
  * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
  * for whole.
  */
-import {SILENT_FIRST_MS, SILENT_STREAM_MS, WHOLE_ANSWER_BYTES} from './RelayConstants';
+import {WHOLE_ANSWER_BYTES} from './RelayConstants';
 import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
 import {passedHeaders} from './RelayHeaders';
 
@@ -13,18 +13,16 @@
 
 /** What passing answers on needs of its request. */
 export interface RelayPassOptions {
-  /** Closes the connection to the engine, which ends the reading. */
-  readonly giveUp: () => void;
   /** Whether the request has ended, so that nothing more may be passed on. */
   readonly isOver: () => boolean;
   /** Last event that the caller already has. */
   readonly lastEvent: string | null;
   /** Called once, before the head of the answer is written. */
   readonly onHead: () => void;
+  /** Called with each arrival of a stream. */
+  readonly onHeard: () => void;
   /** The caller's response. */
   readonly res: ServerResponse;
-  /** Whether a stream may go on at another engine. */
-  readonly resumable: boolean;
 }
 
 /** See the module's comment. */
@@ -46,23 +44,15 @@
   }
 
   /**
-   * Passes events on as they come, each of them whole. Only a stream that can go on elsewhere is given up
-   * for silence.
+   * Passes events on as they come, each of them whole.
    *
    * @param answer the engine's answer
    */
   async passStream(answer: IncomingMessage): Promise<ReadEnd> {
     const splitter = new EventSplitter();
-    const giveUp = (): void => {
-      if (this.options.resumable) {
-        this.options.giveUp();
-      }
-    };
-    let timer = setTimeout(giveUp, SILENT_FIRST_MS);
     try {
       for await (const chunk of answer) {
-        clearTimeout(timer);
-        timer = setTimeout(giveUp, SILENT_STREAM_MS);
+        this.options.onHeard();
         for (const event of splitter.push(chunk as Buffer)) {
           if (!(await this.passEvent(answer, event))) {
             return 'broken';
@@ -71,8 +61,6 @@
       }
     } catch {
       return 'broken';
-    } finally {
-      clearTimeout(timer);
     }
     return answer.complete && splitter.pending === 0 && this.res.headersSent ? 'whole' : 'broken';
   }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {EngineId, Verdict} from 'stallpaddle';
+import type {EngineId, MonotonicMs, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
@@ -12,7 +12,6 @@
 
 import {sendRefusal} from './RelayAnswers';
 import {
-  FIRST_EVENT_MS,
   LATE_WAIT_MS,
   LOOK_AGAIN_MS,
   MAX_DECLINES,
@@ -21,11 +20,13 @@
   RETRY_AFTER_MS,
   SERVER_ERROR,
   SILENT_FIRST_MS,
+  SILENT_STREAM_MS,
 } from './RelayConstants';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
 import {passedHeaders} from './RelayHeaders';
 import {RelayPass} from './RelayPass';
-import {drawService, placeRequest} from './RelayPlacement';
+import {drawService, isSound, placeRequest} from './RelayPlacement';
+import {RelaySilence} from './RelaySilence';
 
 type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
 
@@ -40,9 +41,18 @@
   private declines = 0;
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
+  /** Whether the engine under way had a free slot when the request was sent. */
+  private hadRoom = false;
+  /** Whether the engine under way has sent anything. */
+  private heard = false;
+  /** Whether the engine under way was left only because another one had room. */
+  private leftQueue = false;
   private readonly pass: RelayPass;
   private reason: string | undefined;
+  /** When the request was sent, or its engine last heard. */
+  private lastAt: MonotonicMs = 0;
   private readonly sentTo = new Set<EngineId>();
+  private readonly silence: RelaySilence;
   private verdict: Verdict = 'notRun';
 
   /**
@@ -56,14 +66,17 @@
     private readonly res: ServerResponse,
   ) {
     this.pass = new RelayPass({
-      giveUp: () => this.call?.close(),
       isOver: () => this.end !== undefined,
       lastEvent: req.facts.resumeAfter,
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
       },
+      onHeard: () => this.onHeard(),
       res,
-      resumable: req.route.resumable,
+    });
+    this.silence = new RelaySilence({
+      giveUp: () => this.giveUp(),
+      mayMove: () => this.mayMove,
     });
   }
 
@@ -217,12 +230,13 @@
     if (this.waitedMs >= LATE_WAIT_MS) {
       return QUEUED_AT_LAST;
     }
-    const isInTime = this.req.spentMs + this.waitedMs + FIRST_EVENT_MS < objectiveMs;
+    const isInTime =
+      this.req.spentMs + this.waitedMs + this.context.pace.firstEvent.meanMs < objectiveMs;
     return isInTime || objectiveMs === 0 ? QUEUED_IN_TIME : 0;
   }
 
   private async send(engine: EngineView): Promise<void> {
-    const {decide, experience, online, viewAgeMs, wire} = this.context;
+    const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
     const {body, facts, method, path, rawHeaders} = this.req;
     const resumeAfter = this.pass.lastEvent;
     this.sentTo.add(engine.id);
@@ -235,6 +249,7 @@
       viewAgeMs: Math.round(viewAgeMs()),
       waitedMs: Math.round(this.waitedMs),
     });
+    this.hadRoom = online.at(engine.id) < engine.slots;
     const end = online.registerRequest(engine.id);
     try {
       const headers = wire.engineHeaders({
@@ -243,7 +258,7 @@
         requestId: facts.requestId,
         resumeAfter,
       });
-      this.call = startEngineCall(wire, {
+      this.call = startEngineCall(wire, pace, {
         address: engine.address,
         body,
         headers: passedHeaders(rawHeaders, headers),
@@ -251,11 +266,8 @@
         path,
         requestId: facts.requestId,
       });
-      const {call} = this;
-      const isResumable = this.req.route.resumable;
-      const timer = setTimeout(() => isResumable && call.close(), SILENT_FIRST_MS);
-      const start = await call.started;
-      clearTimeout(timer);
+      this.waitForFirst();
+      const start = await this.call.started;
       if (start.kind === 'notRun') {
         this.call = undefined;
       }
@@ -263,15 +275,67 @@
         await this.onStart(engine, start);
       }
     } finally {
+      this.silence.stop();
       this.call?.close();
       this.call = undefined;
       end();
-      if (this.end === undefined) {
+      if (this.end === undefined && !this.leftQueue) {
         experience.note(engine.id, false);
       }
     }
   }
 
+  /** Whether another engine that works well has a free slot, and the request may be sent there. */
+  private get mayMove(): boolean {
+    const {clock, experience, online} = this.context;
+    if (this.sentTo.size - this.declines >= this.req.route.maxAttempts) {
+      return false;
+    }
+    const engine = this.place();
+    return (
+      engine !== undefined &&
+      isSound(engine, experience.of(engine.id), clock.monotonicMs()) &&
+      !online.isSuspect(engine.id) &&
+      online.at(engine.id) < engine.slots
+    );
+  }
+
+  private giveUp(): void {
+    this.leftQueue = !this.heard && !this.hadRoom;
+    this.context.decide('silent', this.req.facts.requestId, {
+      hadRoom: this.hadRoom,
+      ms: Math.round(this.context.clock.monotonicMs() - this.lastAt),
+      resumeAfter: this.pass.lastEvent ?? undefined,
+    });
+    this.call?.close();
+  }
+
+  /** Only a stream that can go on elsewhere is given up for silence. */
+  private waitForFirst(): void {
+    this.heard = false;
+    this.leftQueue = false;
+    this.lastAt = this.context.clock.monotonicMs();
+    if (this.req.route.resumable) {
+      const usual = this.context.pace.firstEvent;
+      this.silence.wait({usual, worstMs: SILENT_FIRST_MS});
+    }
+  }
+
+  private onHeard(): void {
+    const {clock, pace} = this.context;
+    const now = clock.monotonicMs();
+    if (this.heard) {
+      pace.gap.note(now - this.lastAt);
+    } else if (this.hadRoom) {
+      pace.firstEvent.note(now - this.lastAt);
+    }
+    this.heard = true;
+    this.lastAt = now;
+    if (this.req.route.resumable) {
+      this.silence.wait({usual: pace.gap, worstMs: SILENT_STREAM_MS});
+    }
+  }
+
   private async onStart(engine: EngineView, start: EngineCallStart): Promise<void> {
     switch (start.kind) {
       case 'notRun':
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -6,6 +6,7 @@
 
 import type {RelayExperience} from './RelayExperience';
 import type {RelayOnline} from './RelayOnline';
+import type {RelayPace} from './RelayPace';
 import type {CallerFacts, RelayWire} from './RelayWire';
 
 /** A caller's request, read whole. */
@@ -36,7 +37,7 @@
   | 'timedOut';
 
 /** One decision on a request. */
-export type RelayDecision = 'declined' | 'ended' | 'placed' | 'resumed' | 'taken';
+export type RelayDecision = 'declined' | 'ended' | 'placed' | 'resumed' | 'silent' | 'taken';
 
 /** What the relay needs of its process. */
 export interface RelayContext {
@@ -46,6 +47,7 @@
   readonly engines: () => readonly EngineView[];
   readonly experience: RelayExperience;
   readonly online: RelayOnline;
+  readonly pace: RelayPace;
   readonly random: Random;
   /** Age of what is known of the fleet, in milliseconds. */
   readonly viewAgeMs: () => number;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
@@ -9,6 +9,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {startEngineCall} from '../../RelayEngineCall';
+import {RelayPace} from '../../RelayPace';
 
 /** Enough resets: without the look at the peer, 3 in 100 pass for whole. */
 const RESETS = 300;
@@ -35,7 +36,7 @@
 }
 
 async function isWhole(address: string, requestId: string): Promise<boolean> {
-  const call = startEngineCall(plainRelay, {
+  const call = startEngineCall(plainRelay, new RelayPace(), {
     address,
     body: Buffer.from('b'),
     headers: ['Host', 'h', PLAIN.request, requestId],
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -14,6 +14,7 @@
 
 import {RelayExperience} from '../../RelayExperience';
 import {RelayOnline} from '../../RelayOnline';
+import {RelayPace} from '../../RelayPace';
 import {RelayRun} from '../../RelayRun';
 
 interface CallerAnswer {
@@ -73,6 +74,7 @@
     engines: () => views,
     experience: new RelayExperience(systemClock),
     online: new RelayOnline(systemClock),
+    pace: new RelayPace(),
     random: seededRandom(1),
     viewAgeMs: () => 0,
     wire: plainRelay,
@@ -335,6 +337,67 @@
     expect(engine!.seen).toHaveLength(0);
   });
 
+  /** A context whose engines have been seen to begin within 20 ms and to pause for 5 ms. */
+  function learnedContext(engines: readonly StreamEngine[]): RelayContext {
+    const context = contextOf(engines);
+    Array.from({length: 20}, () => {
+      context.pace.firstEvent.note(20);
+      context.pace.gap.note(5);
+    });
+    return context;
+  }
+
+  test.each([[{kind: 'mute'}], [{after: 2, kind: 'pause'}]] as const)(
+    'goes on elsewhere soon after a silence that is longer than usual: %o',
+    async (manner) => {
+      const engines = await startEngines(2);
+      const context = learnedContext(engines);
+      // The second engine has less room, so the first one is asked first.
+      context.online.registerRequest('e1');
+      engines[0]!.manners = [manner];
+      const {port} = await startRelay(context, routeOf());
+      const startedAt = performance.now();
+      expect(await ask(port)).toMatchObject({body: engines[0]!.wholeText, isWhole: true});
+      expect(performance.now() - startedAt).toBeLessThan(500);
+      expect(engines[1]!.seen).toHaveLength(1);
+      expect(engines[0]!.seen[0]!.left).toBe(true);
+    },
+  );
+
+  test('stays with a silent engine while no other one has room', async () => {
+    const engines = await startEngines(2);
+    const context = learnedContext(engines);
+    const ends = Array.from({length: 4}, () => context.online.registerRequest('e1'));
+    engines[0]!.manners = [{kind: 'mute'}];
+    const {port} = await startRelay(context, routeOf());
+    const answer = ask(port);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    expect(engines[1]!.seen).toHaveLength(0);
+    ends[0]!();
+    expect((await answer).isWhole).toBe(true);
+  });
+
+  test('never sends elsewhere for silence what may not be repeated', async () => {
+    const engines = await startEngines(2);
+    const context = learnedContext(engines);
+    context.online.registerRequest('e1');
+    engines[0]!.manners = [{kind: 'mute'}];
+    const {port} = await startRelay(context, routeOf({resumable: false, timeoutMs: 400}));
+    expect((await ask(port)).status).toBe(504);
+    expect(engines[1]!.seen).toHaveLength(0);
+  });
+
+  test('learns how fast engines are', async () => {
+    const [engine] = await startEngines(1);
+    const context = contextOf([engine!]);
+    const {port} = await startRelay(context, routeOf());
+    await ask(port);
+    const {connect, firstEvent, gap} = context.pace;
+    expect(connect.limitMs).toBeLessThan(250);
+    expect(firstEvent.limitMs).toBeLessThan(1_200);
+    expect(gap.limitMs).toBeLessThan(700);
+  });
+
   test('lets a request that can be in time go before one that can’t', async () => {
     const [engine] = await startEngines(1);
     const context = contextOf([engine!]);
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -12,6 +12,7 @@
 export {RelayExperience} from './RelayExperience';
 export {passedHeaders} from './RelayHeaders';
 export {type OnlineCounts, RelayOnline} from './RelayOnline';
+export {RelayPace} from './RelayPace';
 export {type EngineExperience, isSound} from './RelayPlacement';
 export {RelayRun} from './RelayRun';
 export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -21,6 +21,8 @@
   | {readonly kind: 'mute'}
   /** Another engine has the address. */
   | {readonly kind: 'otherEngine'}
+  /** Falls silent after some whole events, and keeps the connection. */
+  | {readonly after: number; readonly kind: 'pause'}
   /** Sends some whole events of an answer without a length, and resets the connection. */
   | {readonly after: number; readonly kind: 'resetUnframed'}
   /** Takes the request and resets the connection. */
@@ -145,6 +147,7 @@
         return;
       case 'breakOff':
       case 'endWithin':
+      case 'pause':
       case 'serve':
       case 'skipEvent':
         res.writeHead(200, {...signed, 'content-type': EVENT_STREAM});
@@ -163,6 +166,9 @@
   ): Promise<void> {
     for (let number = resumeAfter + 1; number <= this.events && !res.destroyed; number++) {
       const isCut = 'after' in manner && number > resumeAfter + manner.after;
+      if (isCut && manner.kind === 'pause') {
+        return;
+      }
       if (isCut) {
         res.write(eventText(number).slice(0, 8));
         await new Promise((resolve) => setTimeout(resolve, this.gapMs));
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -21,6 +21,7 @@
   type ZoneId,
 } from './Ids';
 export {invariant, InvariantError, unreachable} from './Invariant';
+export {LearnedLimit, type LimitBounds} from './LearnedLimit';
 export {LineWriter} from './LineWriter';
 export {
   createLoggerFactory,
