A new dispatcher asks engines what they hold

What bound: a dispatcher that loses its power leaves its runs behind; nobody closes their connections, so engines go on with them for up to five seconds. Change: whoever begins to lead asks each engine how many requests it holds; what is more than entry VMs tell and it runs itself counts like online requests, for items and for the entry VMs, until it has ended. Test: a new dispatcher starts nothing in slots that are still held; without the survey it failed (3 requests seen, not 2).

--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -10,7 +10,13 @@
 
 /** Decisions on items. */
 export type ItemDecision =
-  'itemCut' | 'itemEnded' | 'itemPlaced' | 'itemReturned' | 'progressNotSaved' | 'tickFailed';
+  | 'engineSurveyed'
+  | 'itemCut'
+  | 'itemEnded'
+  | 'itemPlaced'
+  | 'itemReturned'
+  | 'progressNotSaved'
+  | 'tickFailed';
 
 /** See the module's comment. */
 export interface JobsDispatcherOptions {
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -23,6 +23,7 @@
 import {JobsOnline} from './JobsOnline';
 import {planItems, type PlannedEngine, type PlannedRun} from './JobsPlan';
 import {JobsProgress} from './JobsProgress';
+import {JobsSurvey} from './JobsSurvey';
 import {JobsTasks, type Task, type TaskRun} from './JobsTasks';
 import {JobsUrgency} from './JobsUrgency';
 
@@ -40,6 +41,7 @@
   private readonly progress: JobsProgress;
   private readonly saver: NodeJS.Timeout;
   private stopped = false;
+  private survey: JobsSurvey | undefined;
   private readonly tasks = new JobsTasks();
   private readonly timer: NodeJS.Timeout;
   private readonly urgency: JobsUrgency;
@@ -71,6 +73,7 @@
   /** Cuts all runs and does nothing more. */
   stop(): void {
     this.stopped = true;
+    this.survey?.stop();
     this.ends.stop();
     clearInterval(this.saver);
     clearInterval(this.timer);
@@ -113,8 +116,11 @@
   private look(): void {
     if (this.stopped || !this.options.leads()) {
       this.tasks.clear();
+      this.survey?.stop();
+      this.survey = undefined;
       return;
     }
+    this.surveyEngines();
     this.tasks.follow(this.options.state());
     const view = this.options.view();
     const now = this.options.clock.monotonicMs();
@@ -133,6 +139,26 @@
     }
   }
 
+  /** Whoever begins to lead asks the engines what they hold: its predecessor may have left runs there. */
+  private surveyEngines(): void {
+    const {engines} = this.options.view().news;
+    if (this.survey !== undefined || engines.length === 0) {
+      return;
+    }
+    this.survey = new JobsSurvey({
+      decide: (engine, fields) => this.options.decide('engineSurveyed', engine, fields),
+      engines,
+      onChange: () => this.poke(),
+      online: this.online,
+      runsAt: (engine) => this.runsAt(engine),
+      wire: this.options.wire,
+    });
+  }
+
+  private runsAt(engine: EngineId): number {
+    return [...this.tasks.all()].filter(({run}) => run?.engine === engine).length;
+  }
+
   private plannedEngines(view: FleetView): readonly PlannedEngine[] {
     const now = this.options.clock.monotonicMs();
     const totals = this.online.totals();
@@ -158,6 +184,7 @@
       usable:
         !engine.draining &&
         !silent.has(engine.id) &&
+        this.survey?.isPending(engine.id) !== true &&
         isSound(engine, this.experience.of(engine.id), now),
     }));
   }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -3,6 +3,7 @@
  */
 import type {FleetRoute, FleetView} from 'stallpaddle-fleet';
 
+import {request} from 'node:http';
 import {delay, type LogFields, seededRandom, systemClock} from 'stallpaddle';
 import {EMPTY_VIEW} from 'stallpaddle-fleet';
 import {PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
@@ -187,6 +188,40 @@
     expect(resumed).toHaveLength(1);
   });
 
+  /** Requests whose sender keeps the connections open and never reads: its VM has lost its power. */
+  function holdSlots(engine: StreamEngine, count: number): () => void {
+    const requests = Array.from({length: count}, (_, at) =>
+      request(`http://${engine.address}/left/${at}`, {agent: false, method: 'POST'}).end('left'),
+    );
+    requests.forEach((req) => req.on('error', () => {}));
+    return () => requests.forEach((req) => req.destroy());
+  }
+
+  test('starts nothing in slots that runs of a lost dispatcher still hold', async () => {
+    const [engine] = await startEngines(1, 400, 10);
+    const release = holdSlots(engine!, 2);
+    undo.push(release);
+    await until(() => engine!.seen.length === 2);
+    const group = new Group();
+    const dispatcher = lead(group, () => viewOf([engine!]));
+    group.submit(1);
+    await delay(500);
+    expect(engine!.seen).toHaveLength(2);
+    expect(dispatcher.online.totals()).toEqual({e0: 2});
+    release();
+    await until(() => engine!.seen.length === 3);
+    expect(dispatcher.online.totals()).toEqual({});
+  });
+
+  test('starts at engines that do not say what they hold', async () => {
+    const [engine] = await startEngines(1, 5, 2);
+    engine!.tellsOccupancy = false;
+    const group = new Group();
+    lead(group, () => viewOf([engine!]));
+    group.submit(1);
+    await until(() => group.results.length === 1);
+  });
+
   test('the next leader goes on from what was recorded', async () => {
     const engines = await startEngines(1, 60, 5);
     const group = new Group();
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -45,7 +45,11 @@
 export interface RelayWire {
   /** Header lines that the relay sets in place of any that the caller sent under these names. */
   readonly engineHeaders: (facts: EngineCallFacts) => readonly HeaderLine[];
+  /** Where an engine says how many requests it holds. */
+  readonly occupancyPath: string;
   readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
   /** Null when the request lacks what it must carry. */
   readonly readCaller: (headers: IncomingHttpHeaders) => CallerFacts | null;
+  /** Requests that an engine holds, by its own word; null when it can't be read. */
+  readonly readOccupancy: (text: string) => null | number;
 }
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -7,6 +7,8 @@
 export const PLAIN = {
   declined: 'x-declined',
   engine: 'x-engine',
+  /** Where an engine says how many requests it holds. */
+  occupancy: '/occupancy',
   request: 'x-request',
   resumeAfter: 'x-resume-after',
   signature: 'x-signature',
@@ -34,6 +36,7 @@
     }
     return lines;
   },
+  occupancyPath: PLAIN.occupancy,
   readAnswer: (status, headers) => ({
     notRun: headers[PLAIN.declined] !== undefined,
     otherEngine: status === 421,
@@ -51,4 +54,5 @@
           resumeAfter: text(headers[PLAIN.resumeAfter]),
         };
   },
+  readOccupancy: (body) => (body === '' ? null : Number(body)),
 };
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -57,6 +57,8 @@
   /** Treats the next requests, in order; then all are served. */
   manners: EngineManner[] = [];
   readonly seen: SeenRequest[] = [];
+  /** Whether it answers the question how many requests it holds. */
+  tellsOccupancy = true;
 
   private constructor(
     private readonly server: Server,
@@ -95,6 +97,12 @@
   }
 
   private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.url === PLAIN.occupancy) {
+      if (this.tellsOccupancy) {
+        res.end(String(this.seen.filter(({open}) => open).length));
+      }
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of req) {
       chunks.push(chunk as Buffer);
