A new dispatcher stops the runs that a lost one left

Engines name the requests they run and can be told to hand one over, which ends its stream. Change: the survey stops runs of open items that this dispatcher doesn't run there, by that order, and lets both engines forget what is left in memory; never any other request. What an engine refuses is asked again at the next look. Test: stops the item's run and not the online request beside it.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -148,6 +148,7 @@
     this.survey = new JobsSurvey({
       decide: (engine, fields) => this.options.decide('engineSurveyed', engine, fields),
       engines,
+      isLeft: (requestId, engine) => this.isLeft(requestId, engine),
       onChange: () => this.poke(),
       online: this.online,
       runsAt: (engine) => this.runsAt(engine),
@@ -155,6 +156,11 @@
     });
   }
 
+  private isLeft(requestId: string, engine: EngineId): boolean {
+    const tasks = [...this.tasks.all()].filter(({item}) => item.id === requestId);
+    return tasks.length > 0 && tasks.every(({run}) => run?.engine !== engine);
+  }
+
   private runsAt(engine: EngineId): number {
     return [...this.tasks.all()].filter(({run}) => run?.engine === engine).length;
   }
--- a/packages/stallpaddle-jobs/src/JobsSurvey.ts
+++ b/packages/stallpaddle-jobs/src/JobsSurvey.ts
@@ -2,13 +2,13 @@
  * What engines hold that nobody here knows of. A dispatcher that loses its power leaves its runs behind: their
  * connections are never closed, so engines go on with them until they end or the VM is back. A new dispatcher asks
  * every engine how many requests it holds; what is more than the entry VMs tell and it runs itself takes room like
- * online requests, until it has ended.
+ * online requests, until it has ended. Runs of open items among them are stopped: their output goes nowhere.
  */
 import type {EngineId} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
-import type {RelayWire} from 'stallpaddle-relay';
+import type {EngineOccupancy, EngineOrder, RelayWire} from 'stallpaddle-relay';
 
-import {get} from 'node:http';
+import {request} from 'node:http';
 import {delay, type LogFields} from 'stallpaddle';
 
 import type {JobsOnline} from './JobsOnline';
@@ -16,7 +16,7 @@
 /** Name under which unknown requests are counted beside those of the entry VMs. */
 const UNKNOWN = 'unknown';
 /** Longest wait for an engine's answer, in milliseconds: it says what it holds without any work. */
-const ASK_MS = 150;
+const CALL_MS = 150;
 /** Time between two questions to an engine that holds unknown requests, in milliseconds: five events. */
 const AGAIN_MS = 150;
 /** Most questions to one engine: ten seconds, twice as long as an item of the fleets measured. */
@@ -28,6 +28,8 @@
 export interface JobsSurveyOptions {
   readonly decide: (engine: EngineId, fields: LogFields) => void;
   readonly engines: readonly EngineView[];
+  /** Whether a request is an open item that this dispatcher doesn't run at the engine. */
+  readonly isLeft: (requestId: string, engine: EngineId) => boolean;
   readonly online: JobsOnline;
   /** Called when an engine's room is known, or has changed. */
   readonly onChange: () => void;
@@ -41,11 +43,12 @@
   return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
 
-/** What an engine holds; null when it doesn't say. */
-function askEngine({address}: EngineView, wire: RelayWire): Promise<null | number> {
+/** An engine's answer to a call of this module; null when none came in time. */
+function call(address: string, {body, method, path}: EngineOrder): Promise<null | string> {
   return new Promise((resolve) => {
-    const req = get({agent: false, path: wire.occupancyPath, timeout: ASK_MS, ...hostOf(address)});
-    const timer = setTimeout(() => req.destroy(), ASK_MS);
+    const headers = {'content-length': Buffer.byteLength(body), 'content-type': 'application/json'};
+    const req = request({agent: false, headers, method, path, ...hostOf(address)});
+    const timer = setTimeout(() => req.destroy(), CALL_MS);
     req.on('response', (res) => {
       let text = '';
       res.on('data', (chunk: Buffer) => {
@@ -54,7 +57,7 @@
           req.destroy();
         }
       });
-      res.on('end', () => resolve(wire.readOccupancy(text)));
+      res.on('end', () => resolve(text));
       res.on('error', () => resolve(null));
     });
     req.on('error', () => resolve(null));
@@ -62,6 +65,7 @@
       clearTimeout(timer);
       resolve(null);
     });
+    req.end(body);
   });
 }
 
@@ -100,21 +104,47 @@
   private async follow(engine: EngineView): Promise<void> {
     let unknown = Infinity;
     for (let asks = 0; asks < MOST_ASKS && !this.stopped; asks++) {
-      const held = await askEngine(engine, this.options.wire);
+      const held = await this.ask(engine);
       if (this.stopped) {
         return;
       }
-      const seen = held === null ? 0 : Math.max(0, held - this.knownAt(engine.id));
+      const seen = held === null ? 0 : Math.max(0, held.total - this.knownAt(engine.id));
       // Nobody adds to them, so what is seen later beyond that are requests whose sender has not told them yet.
       unknown = Math.min(unknown, seen);
       this.note(engine.id, unknown);
       if (unknown === 0) {
         return;
       }
+      await this.stopLeft(engine, held?.running ?? []);
       await delay(AGAIN_MS);
     }
   }
 
+  private async ask({address}: EngineView): Promise<EngineOccupancy | null> {
+    const {wire} = this.options;
+    const text = await call(address, {body: '', method: 'GET', path: wire.occupancyPath});
+    return text === null ? null : wire.readOccupancy(text);
+  }
+
+  private async stopLeft(engine: EngineView, running: readonly string[]): Promise<void> {
+    const {engines, isLeft} = this.options;
+    const other = engines.find(({id, service}) => id !== engine.id && service === engine.service);
+    const left = running.filter((id) => isLeft(id, engine.id));
+    if (other !== undefined) {
+      await Promise.all(left.map((id) => this.stopRun(engine, id, other.address)));
+    }
+  }
+
+  private async stopRun(engine: EngineView, id: string, other: string): Promise<void> {
+    const {decide, wire} = this.options;
+    const text = await call(engine.address, wire.stopRun(id, other));
+    const remains = text === null ? null : wire.readRemains(text);
+    decide(engine.id, {isStopped: remains !== null, left: id});
+    if (remains !== null) {
+      await call(engine.address, wire.releaseRemains(remains));
+    }
+  }
+
   private knownAt(id: EngineId): number {
     const {online, runsAt} = this.options;
     return (online.totals(UNKNOWN)[id] ?? 0) + runsAt(id);
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -193,7 +193,11 @@
   /** Requests whose sender keeps the connections open and never reads: its VM has lost its power. */
   function holdSlots(engine: StreamEngine, count: number): () => void {
     const requests = Array.from({length: count}, (_, at) =>
-      request(`http://${engine.address}/left/${at}`, {agent: false, method: 'POST'}).end('left'),
+      request(`http://${engine.address}/left`, {
+        agent: false,
+        headers: {[PLAIN.request]: `left ${at}`.replace(' ', '-')},
+        method: 'POST',
+      }).end('left'),
     );
     requests.forEach((req) => req.on('error', () => {}));
     return () => requests.forEach((req) => req.destroy());
@@ -215,6 +219,28 @@
     expect(dispatcher.online.totals()).toEqual({});
   });
 
+  test('stops runs of open items that a lost dispatcher has left, and no other', async () => {
+    const engines = await startEngines(2, 400, 10);
+    const leave = (id: string): void => {
+      const headers = {[PLAIN.request]: id};
+      const {address} = engines[0]!;
+      const req = request(`http://${address}/`, {agent: false, headers, method: 'POST'}).end();
+      req.on('error', () => {});
+      undo.push(() => void req.destroy());
+    };
+    leave('i0');
+    leave('an online request');
+    await until(() => engines[0]!.seen.length === 2);
+    const group = new Group();
+    group.submit(1);
+    lead(group, () => viewOf(engines));
+    await until(() => engines[0]!.seen[0]!.left);
+    await delay(300);
+    expect(engines[0]!.seen[1]!.open).toBe(true);
+    expect(engines[0]!.orders).toEqual(['POST i0', 'DELETE i0']);
+    expect(engines[1]!.seen.map(({headers}) => headers[PLAIN.request])).toEqual(['i0']);
+  });
+
   test('starts at engines that do not say what they hold', async () => {
     const [engine] = await startEngines(1, 5, 2);
     engine!.tellsOccupancy = false;
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -38,6 +38,21 @@
   readonly signed: boolean;
 }
 
+/** What an engine says of its load. */
+export interface EngineOccupancy {
+  /** Names of the requests that run there, where it names them. */
+  readonly running: readonly string[];
+  /** Requests that it holds, also those that wait. */
+  readonly total: number;
+}
+
+/** A call to an engine that is no request of a caller. */
+export interface EngineOrder {
+  readonly body: string;
+  readonly method: string;
+  readonly path: string;
+}
+
 /** One header line. */
 export type HeaderLine = readonly [name: string, value: string];
 
@@ -50,6 +65,17 @@
   readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
   /** Null when the request lacks what it must carry. */
   readonly readCaller: (headers: IncomingHttpHeaders) => CallerFacts | null;
-  /** Requests that an engine holds, by its own word; null when it can't be read. */
-  readonly readOccupancy: (text: string) => null | number;
+  /** What an engine holds, by its own word; null when it can't be read. */
+  readonly readOccupancy: (text: string) => EngineOccupancy | null;
+  /** What a stopped run has left at its engine, by the answer to the order that stopped it; null for nothing. */
+  readonly readRemains: (text: string) => null | string;
+  /** Lets an engine forget what a stopped run has left. */
+  readonly releaseRemains: (remains: string) => EngineOrder;
+  /**
+   * Stops a run whose connection nobody can close.
+   *
+   * @param requestId the run's request
+   * @param other address of another engine of the service, which is offered what the run has in memory
+   */
+  readonly stopRun: (requestId: string, other: string) => EngineOrder;
 }
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -17,4 +17,12 @@
 export {RelayRun} from './RelayRun';
 export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
 export {RelayUsual} from './RelayUsual';
-export type {AnswerFacts, CallerFacts, EngineCallFacts, HeaderLine, RelayWire} from './RelayWire';
+export type {
+  AnswerFacts,
+  CallerFacts,
+  EngineCallFacts,
+  EngineOccupancy,
+  EngineOrder,
+  HeaderLine,
+  RelayWire,
+} from './RelayWire';
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -12,6 +12,8 @@
   request: 'x-request',
   resumeAfter: 'x-resume-after',
   signature: 'x-signature',
+  /** Where an engine is told to stop a run. */
+  stop: '/stop',
   timeLeft: 'x-time-left',
   /** Content type that a stand-in engine gives an answer without a length. */
   wanted: 'x-wanted-type',
@@ -54,5 +56,11 @@
           resumeAfter: text(headers[PLAIN.resumeAfter]),
         };
   },
-  readOccupancy: (body) => (body === '' ? null : Number(body)),
+  readOccupancy: (body) => {
+    const running = body.split(' ').filter((id) => id !== '');
+    return {running, total: running.length};
+  },
+  readRemains: (body) => (body === '' ? null : body),
+  releaseRemains: (remains) => ({body: '', method: 'DELETE', path: `${PLAIN.stop}/${remains}`}),
+  stopRun: (requestId) => ({body: '', method: 'POST', path: `${PLAIN.stop}/${requestId}`}),
 };
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -56,10 +56,14 @@
 export class StreamEngine {
   /** Treats the next requests, in order; then all are served. */
   manners: EngineManner[] = [];
+  /** Orders on runs, method and name. */
+  readonly orders: string[] = [];
   readonly seen: SeenRequest[] = [];
   /** Whether it answers the question how many requests it holds. */
   tellsOccupancy = true;
 
+  private readonly running = new Map<string, ServerResponse>();
+
   private constructor(
     private readonly server: Server,
     private readonly events: number,
@@ -99,10 +103,17 @@
   private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (req.url === PLAIN.occupancy) {
       if (this.tellsOccupancy) {
-        res.end(String(this.seen.filter(({open}) => open).length));
+        res.end([...this.running.keys()].join(' '));
       }
       return;
     }
+    if (req.url?.startsWith(`${PLAIN.stop}/`)) {
+      const id = req.url.slice(PLAIN.stop.length + 1);
+      this.orders.push(`${req.method} ${id}`);
+      this.running.get(id)?.destroy();
+      res.end(id);
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of req) {
       chunks.push(chunk as Buffer);
@@ -116,7 +127,10 @@
       url: req.url ?? '',
     };
     this.seen.push(seen);
+    const id = String(req.headers[PLAIN.request]);
+    this.running.set(id, res);
     res.on('close', () => {
+      this.running.delete(id);
       seen.left = !res.writableFinished;
       seen.open = false;
     });
