--- /dev/null
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -0,0 +1,129 @@
+/**
+ * Which engine one request goes to next, and whether it may go anywhere yet.
+ */
+import type {EngineId} from 'stallpaddle';
+import type {EngineView} from 'stallpaddle-fleet';
+
+import type {RelayContext, RelayRequest} from './RelayTypes';
+
+import {LATE_WAIT_MS, MAX_DECLINES, QUEUED_AT_LAST, QUEUED_IN_TIME} from './RelayConstants';
+import {drawService, isSound, placeRequest} from './RelayPlacement';
+
+/** See the module's comment. */
+export class RelayChoice {
+  private declines = 0;
+  private readonly sentTo = new Set<EngineId>();
+
+  /**
+   * @param context what the relay needs of its process
+   * @param req the request
+   */
+  constructor(
+    private readonly context: RelayContext,
+    private readonly req: RelayRequest,
+  ) {}
+
+  /** Number of engines that the request was sent to, also of those that declined it. */
+  get attempts(): number {
+    return this.sentTo.size;
+  }
+
+  /** Whether the request may be sent to one more engine, those left out that have not run it. */
+  get hasAttemptLeft(): boolean {
+    return this.sentTo.size - this.declines < this.req.route.maxAttempts;
+  }
+
+  /** Whether so many engines have declined that no further one is asked. */
+  get isDeclined(): boolean {
+    return this.declines >= MAX_DECLINES;
+  }
+
+  /** Whether another engine that works well has a free slot, and the request may be sent there. */
+  get mayMove(): boolean {
+    const {clock, experience, online} = this.context;
+    const engine = this.hasAttemptLeft ? this.next() : undefined;
+    return (
+      engine !== undefined &&
+      isSound(engine, experience.of(engine.id), clock.monotonicMs()) &&
+      !online.isSuspect(engine.id) &&
+      this.hasRoom(engine)
+    );
+  }
+
+  /** Names of all engines that the request was sent to, for the log. */
+  get names(): string {
+    return [...this.sentTo].join(',');
+  }
+
+  /** Lets the request go again to engines that it was sent to. */
+  forget(): void {
+    this.sentTo.clear();
+  }
+
+  /**
+   * Whether an engine has a free slot, as far as known.
+   *
+   * @param engine the engine
+   */
+  hasRoom({id, slots}: EngineView): boolean {
+    return this.context.online.at(id) < slots;
+  }
+
+  /**
+   * Whether the request may be sent to an engine now, perhaps to queue there.
+   *
+   * @param engine the engine
+   * @param waitedMs time since the request came, in milliseconds
+   */
+  mayQueue({id, slots}: EngineView, waitedMs: number): boolean {
+    return this.context.online.at(id) < slots * (1 + this.queuedPart(waitedMs));
+  }
+
+  /** The best engine that the request was not sent to; undefined when there is none. */
+  next(): EngineView | undefined {
+    const {clock, engines, experience, online, random, zone} = this.context;
+    const service = drawService(this.req.route, random);
+    if (service === undefined) {
+      return undefined;
+    }
+    return placeRequest({
+      engines: engines(),
+      experienceOf: (id) => experience.of(id),
+      isSuspect: (id) => online.isSuspect(id),
+      now: clock.monotonicMs(),
+      onlineAt: (id) => online.at(id),
+      random,
+      service,
+      tried: this.sentTo,
+      zone,
+    });
+  }
+
+  /** Notes that the engine asked last has not run the request. */
+  noteDeclined(): void {
+    this.declines++;
+  }
+
+  /**
+   * Notes that the request is sent to an engine.
+   *
+   * @param id the engine
+   */
+  noteSent(id: EngineId): void {
+    this.sentTo.add(id);
+  }
+
+  /**
+   * How far beyond its slots an engine may be sent this request, as a part of its slots. A request that can
+   * be in time goes before those that can't: these wait for a free slot, and queue only at last.
+   */
+  private queuedPart(waitedMs: number): number {
+    const {objectiveMs} = this.req.route;
+    if (waitedMs >= LATE_WAIT_MS) {
+      return QUEUED_AT_LAST;
+    }
+    const firstMs = this.context.pace.firstEvent.meanMs;
+    const isInTime = this.req.spentMs + waitedMs + firstMs < objectiveMs;
+    return isInTime || objectiveMs === 0 ? QUEUED_IN_TIME : 0;
+  }
+}
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {EngineId, MonotonicMs, Verdict} from 'stallpaddle';
+import type {LogFields, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
@@ -11,21 +11,11 @@
 import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
 
 import {sendRefusal} from './RelayAnswers';
-import {
-  LATE_WAIT_MS,
-  LOOK_AGAIN_MS,
-  MAX_DECLINES,
-  QUEUED_AT_LAST,
-  QUEUED_IN_TIME,
-  RETRY_AFTER_MS,
-  SERVER_ERROR,
-  SILENT_FIRST_MS,
-  SILENT_STREAM_MS,
-} from './RelayConstants';
+import {RelayChoice} from './RelayChoice';
+import {LATE_WAIT_MS, LOOK_AGAIN_MS, RETRY_AFTER_MS, SERVER_ERROR} from './RelayConstants';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
 import {passedHeaders} from './RelayHeaders';
 import {RelayPass} from './RelayPass';
-import {drawService, isSound, placeRequest} from './RelayPlacement';
 import {RelaySilence} from './RelaySilence';
 
 type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
@@ -38,20 +28,11 @@
 /** See the module's comment. */
 export class RelayRun {
   private call: EngineCall | undefined;
-  private declines = 0;
+  private readonly choice: RelayChoice;
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
-  /** Whether the engine under way had a free slot when the request was sent. */
-  private hadRoom = false;
-  /** Whether the engine under way has sent anything. */
-  private heard = false;
-  /** Whether the engine under way was left only because another one had room. */
-  private leftQueue = false;
   private readonly pass: RelayPass;
   private reason: string | undefined;
-  /** When the request was sent, or its engine last heard. */
-  private lastAt: MonotonicMs = 0;
-  private readonly sentTo = new Set<EngineId>();
   private readonly silence: RelaySilence;
   private verdict: Verdict = 'notRun';
 
@@ -65,18 +46,22 @@
     private readonly req: RelayRequest,
     private readonly res: ServerResponse,
   ) {
+    this.choice = new RelayChoice(context, req);
     this.pass = new RelayPass({
       isOver: () => this.end !== undefined,
       lastEvent: req.facts.resumeAfter,
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
       },
-      onHeard: () => this.onHeard(),
+      onHeard: () => this.silence.hear(),
       res,
     });
     this.silence = new RelaySilence({
-      giveUp: () => this.giveUp(),
-      mayMove: () => this.mayMove,
+      clock: context.clock,
+      giveUp: (fields) => this.giveUp(fields),
+      isResumable: req.route.resumable,
+      mayMove: () => this.choice.mayMove,
+      pace: context.pace,
     });
   }
 
@@ -125,7 +110,7 @@
     const {facts, route} = this.req;
     this.context.decide('ended', facts.requestId, {
       end: this.end,
-      engines: [...this.sentTo].join(','),
+      engines: this.choice.names,
       firstMs: this.firstMs,
       kind: route.kind,
       ms: Math.round(this.waitedMs),
@@ -176,44 +161,23 @@
     sendRefusal(this.res, new RefusalError(code, this.verdict, 'The request’s time is over.'));
   }
 
-  private place(): EngineView | undefined {
-    const {clock, engines, experience, online, random, zone} = this.context;
-    const service = drawService(this.req.route, random);
-    if (service === undefined) {
-      return undefined;
-    }
-    return placeRequest({
-      engines: engines(),
-      experienceOf: (id) => experience.of(id),
-      isSuspect: (id) => online.isSuspect(id),
-      now: clock.monotonicMs(),
-      onlineAt: (id) => online.at(id),
-      random,
-      service,
-      tried: this.sentTo,
-      zone,
-    });
-  }
-
   private async attempt(): Promise<void> {
-    const {maxAttempts} = this.req.route;
-    if (this.verdict !== 'notRun' && this.sentTo.size - this.declines >= maxAttempts) {
+    if (this.verdict !== 'notRun' && !this.choice.hasAttemptLeft) {
       this.refuse('All engines that the request may be sent to have failed.');
       return;
     }
-    const engine = this.place();
+    const engine = this.choice.next();
     if (engine === undefined) {
       // A stream that has begun is worth a wait; a request that has not is better refused at once.
       if (this.res.headersSent) {
-        this.sentTo.clear();
+        this.choice.forget();
         await delay(LOOK_AGAIN_MS);
       } else {
         this.refuse('No engine of the service can take the request.');
       }
       return;
     }
-    const online = this.context.online.at(engine.id);
-    if (this.res.headersSent || online < engine.slots * (1 + this.queuedPart())) {
+    if (this.res.headersSent || this.choice.mayQueue(engine, this.waitedMs)) {
       await this.send(engine);
     } else if (this.waitedMs < LATE_WAIT_MS) {
       await delay(LOOK_AGAIN_MS);
@@ -222,27 +186,13 @@
     }
   }
 
-  /**
-   * How far beyond its slots an engine may be sent this request, as a part of its slots. A request that can
-   * be in time goes before those that can't: these wait for a free slot, and queue only at last.
-   */
-  private queuedPart(): number {
-    const {objectiveMs} = this.req.route;
-    if (this.waitedMs >= LATE_WAIT_MS) {
-      return QUEUED_AT_LAST;
-    }
-    const isInTime =
-      this.req.spentMs + this.waitedMs + this.context.pace.firstEvent.meanMs < objectiveMs;
-    return isInTime || objectiveMs === 0 ? QUEUED_IN_TIME : 0;
-  }
-
   private async send(engine: EngineView): Promise<void> {
     const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
     const {body, facts, method, path, rawHeaders} = this.req;
     const resumeAfter = this.pass.lastEvent;
-    this.sentTo.add(engine.id);
+    this.choice.noteSent(engine.id);
     decide(this.res.headersSent ? 'resumed' : 'placed', facts.requestId, {
-      attempt: this.sentTo.size,
+      attempt: this.choice.attempts,
       engine: engine.id,
       online: online.at(engine.id),
       resumeAfter: resumeAfter ?? undefined,
@@ -250,7 +200,7 @@
       viewAgeMs: Math.round(viewAgeMs()),
       waitedMs: Math.round(this.waitedMs),
     });
-    this.hadRoom = online.at(engine.id) < engine.slots;
+    const hadRoom = this.choice.hasRoom(engine);
     const end = online.registerRequest(engine.id);
     try {
       const headers = wire.engineHeaders({
@@ -267,7 +217,7 @@
         path,
         requestId: facts.requestId,
       });
-      this.waitForFirst();
+      this.silence.start(hadRoom);
       const start = await this.call.started;
       if (start.kind === 'notRun') {
         this.call = undefined;
@@ -280,72 +230,27 @@
       this.call?.close();
       this.call = undefined;
       end();
-      if (this.end === undefined && !this.leftQueue) {
+      if (this.end === undefined && !this.silence.leftQueue) {
         experience.note(engine.id, false);
       }
     }
   }
 
-  /** Whether another engine that works well has a free slot, and the request may be sent there. */
-  private get mayMove(): boolean {
-    const {clock, experience, online} = this.context;
-    if (this.sentTo.size - this.declines >= this.req.route.maxAttempts) {
-      return false;
-    }
-    const engine = this.place();
-    return (
-      engine !== undefined &&
-      isSound(engine, experience.of(engine.id), clock.monotonicMs()) &&
-      !online.isSuspect(engine.id) &&
-      online.at(engine.id) < engine.slots
-    );
-  }
-
-  private giveUp(): void {
-    this.leftQueue = !this.heard && !this.hadRoom;
-    this.context.decide('silent', this.req.facts.requestId, {
-      hadRoom: this.hadRoom,
-      ms: Math.round(this.context.clock.monotonicMs() - this.lastAt),
-      resumeAfter: this.pass.lastEvent ?? undefined,
-    });
+  private giveUp(fields: LogFields): void {
+    const resumeAfter = this.pass.lastEvent ?? undefined;
+    this.context.decide('silent', this.req.facts.requestId, {...fields, resumeAfter});
     this.call?.close();
   }
 
-  /** Only a stream that can go on elsewhere is given up for silence. */
-  private waitForFirst(): void {
-    this.heard = false;
-    this.leftQueue = false;
-    this.lastAt = this.context.clock.monotonicMs();
-    if (this.req.route.resumable) {
-      const usual = this.context.pace.firstEvent;
-      this.silence.wait({usual, worstMs: SILENT_FIRST_MS});
-    }
-  }
-
-  private onHeard(): void {
-    const {clock, pace} = this.context;
-    const now = clock.monotonicMs();
-    if (this.heard) {
-      pace.gap.note(now - this.lastAt);
-    } else if (this.hadRoom) {
-      pace.firstEvent.note(now - this.lastAt);
-    }
-    this.heard = true;
-    this.lastAt = now;
-    if (this.req.route.resumable) {
-      this.silence.wait({usual: pace.gap, worstMs: SILENT_STREAM_MS});
-    }
-  }
-
   private async onStart(engine: EngineView, start: EngineCallStart): Promise<void> {
     switch (start.kind) {
       case 'notRun':
-        this.declines++;
+        this.choice.noteDeclined();
         this.context.decide('declined', this.req.facts.requestId, {
           engine: engine.id,
           reason: start.reason,
         });
-        if (this.declines >= MAX_DECLINES) {
+        if (this.choice.isDeclined) {
           this.refuse('The engines are full or can’t be reached.');
         }
         return;
@@ -393,9 +298,8 @@
 
   /** The engine's own failure: another engine may do better, if the request may run again. */
   private async onServerFailure(status: number, res: IncomingMessage): Promise<void> {
-    const attemptsLeft = this.sentTo.size - this.declines < this.req.route.maxAttempts;
     this.verdict = 'ran';
-    if (this.res.headersSent || (this.repeatable && attemptsLeft)) {
+    if (this.res.headersSent || (this.repeatable && this.choice.hasAttemptLeft)) {
       return;
     }
     if (status === UNAVAILABLE) {
--- a/packages/stallpaddle-relay/src/RelaySilence.ts
+++ b/packages/stallpaddle-relay/src/RelaySilence.ts
@@ -1,70 +1,100 @@
 /**
- * Ends an attempt whose engine says nothing. Silence that is longer than usual ends it as soon as another engine
- * has room for the request; silence that no engine should keep ends it in any case.
+ * Listens to the engine of one attempt: learns how fast engines are, and ends an attempt whose engine says nothing.
+ * Silence that is longer than usual ends it as soon as another engine has room for the request; silence that no
+ * engine should keep ends it in any case.
  */
-import type {LearnedLimit} from 'stallpaddle';
+import type {Clock, LearnedLimit, LogFields, MonotonicMs} from 'stallpaddle';
 
-/** Time between looks for an engine with room, in milliseconds: about one event. */
-const LOOK_MS = 20;
+import type {RelayPace} from './RelayPace';
 
-/** How long an engine may be silent. */
-export interface SilenceBounds {
-  /** What is usual, as learned. */
-  readonly usual: LearnedLimit;
-  /** What ends the attempt in any case, in milliseconds. */
-  readonly worstMs: number;
-}
+import {LOOK_AGAIN_MS, SILENT_FIRST_MS, SILENT_STREAM_MS} from './RelayConstants';
 
-/** What it needs of its attempt. */
+/** What it needs of its request. */
 export interface RelaySilenceOptions {
-  /** Ends the attempt. */
-  readonly giveUp: () => void;
+  readonly clock: Clock;
+  /** Ends the attempt; the fields say why, for the log. */
+  readonly giveUp: (fields: LogFields) => void;
+  /** Whether the stream may go on at another engine at all. */
+  readonly isResumable: boolean;
   /** Whether another engine would begin at once. */
   readonly mayMove: () => boolean;
+  readonly pace: RelayPace;
 }
 
 /** See the module's comment. */
 export class RelaySilence {
-  private bounds: SilenceBounds | undefined;
-  private since = 0;
+  /** Whether the engine had a free slot when the request was sent. */
+  private hadRoom = false;
+  private isHeard = false;
+  /** When the request was sent, or its engine last heard. */
+  private lastAt: MonotonicMs = 0;
+  private left = false;
   private timer: NodeJS.Timeout | undefined;
 
   /**
-   * @param options what it needs of its attempt
+   * @param options what it needs of its request
    */
   constructor(private readonly options: RelaySilenceOptions) {}
 
+  /** Whether the engine was left only because it had yet to begin and another one had room. */
+  get leftQueue(): boolean {
+    return this.left && !this.isHeard && !this.hadRoom;
+  }
+
   /**
-   * Begins to wait, in place of any wait before.
+   * Begins to listen: a request was sent.
    *
-   * @param bounds how long the engine may be silent from now on
+   * @param hadRoom whether its engine has a free slot
    */
-  wait(bounds: SilenceBounds): void {
-    this.bounds = bounds;
-    this.since = performance.now();
-    this.lookAfter(Math.min(bounds.usual.limitMs, bounds.worstMs));
+  start(hadRoom: boolean): void {
+    this.hadRoom = hadRoom;
+    this.isHeard = false;
+    this.left = false;
+    this.lastAt = this.options.clock.monotonicMs();
+    this.wait(this.options.pace.firstEvent, SILENT_FIRST_MS);
+  }
+
+  /** Notes that a part of a stream has come. */
+  hear(): void {
+    const {clock, pace} = this.options;
+    const now = clock.monotonicMs();
+    if (this.isHeard) {
+      pace.gap.note(now - this.lastAt);
+    } else if (this.hadRoom) {
+      pace.firstEvent.note(now - this.lastAt);
+    }
+    this.isHeard = true;
+    this.lastAt = now;
+    this.wait(pace.gap, SILENT_STREAM_MS);
   }
 
-  /** Waits no more. */
+  /** Listens no more. */
   stop(): void {
     clearTimeout(this.timer);
-    this.bounds = undefined;
   }
 
-  private lookAfter(ms: number): void {
+  private get silentMs(): number {
+    return this.options.clock.monotonicMs() - this.lastAt;
+  }
+
+  private wait(usual: LearnedLimit, worstMs: number): void {
+    if (this.options.isResumable) {
+      this.lookAfter(Math.min(usual.limitMs, worstMs), worstMs);
+    }
+  }
+
+  private lookAfter(ms: number, worstMs: number): void {
     clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.look(), ms);
+    this.timer = setTimeout(() => this.look(worstMs), ms);
   }
 
-  private look(): void {
-    if (this.bounds === undefined) {
+  private look(worstMs: number): void {
+    const leftMs = worstMs - this.silentMs;
+    if (leftMs > 0 && !this.options.mayMove()) {
+      this.lookAfter(Math.min(LOOK_AGAIN_MS, leftMs), worstMs);
       return;
     }
-    const left = this.bounds.worstMs - (performance.now() - this.since);
-    if (left <= 0 || this.options.mayMove()) {
-      this.options.giveUp();
-    } else {
-      this.lookAfter(Math.min(LOOK_MS, left));
-    }
+    this.left = true;
+    this.options.giveUp({hadRoom: this.hadRoom, ms: Math.round(this.silentMs)});
   }
 }
