Late requests wait longer for a free slot and never lengthen a queue

Change: such a request waits up to 1.5 s for a free slot (callers give up after two) and then takes at most the place in a queue that a request in time may take; else it is refused at once with when to come back. Test: a late request is refused after its wait where a queue of one stands; before, it joined the queue.

--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -6,7 +6,7 @@
 
 import type {RelayContext, RelayRequest} from './RelayTypes';
 
-import {LATE_WAIT_MS, MAX_DECLINES, QUEUED_AT_LAST, QUEUED_IN_TIME} from './RelayConstants';
+import {LATE_WAIT_MS, MAX_DECLINES, QUEUED_IN_TIME} from './RelayConstants';
 import {drawService, isSound, placeRequest} from './RelayPlacement';
 
 /** See the module's comment. */
@@ -120,7 +120,8 @@
   private queuedPart(waitedMs: number): number {
     const {objectiveMs} = this.req.route;
     if (waitedMs >= LATE_WAIT_MS) {
-      return QUEUED_AT_LAST;
+      // A longer queue would make late what comes next, too.
+      return QUEUED_IN_TIME;
     }
     const firstMs = this.context.pace.firstEvent.meanMs;
     const isInTime = this.req.spentMs + waitedMs + firstMs < objectiveMs;
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -8,14 +8,11 @@
  */
 export const QUEUED_IN_TIME = 0.25;
 
-/** The same for a request that has waited here long enough: one round of waiting. */
-export const QUEUED_AT_LAST = 1;
-
 /**
- * Longest time that a request which can't be in time waits here for a free slot, behind those that can,
- * in milliseconds. Callers give up two seconds after they sent.
+ * Longest time that a request which can't be in time waits here for a free slot, behind those that can, in
+ * milliseconds. Callers give up two seconds after they sent; what is left then is the time of a short queue.
  */
-export const LATE_WAIT_MS = 900;
+export const LATE_WAIT_MS = 1_500;
 
 /** First of the statuses by which an engine says that it failed itself. */
 export const SERVER_ERROR = 500;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -399,6 +399,16 @@
     expect(gap.limitMs).toBeLessThan(700);
   });
 
+  test('never lengthens a queue for a request that is late already', async () => {
+    const [engine] = await startEngines(1);
+    const context = contextOf([engine!]);
+    // Four slots and a queue of one, which is as much as a request that can be in time may find.
+    Array.from({length: 5}, () => context.online.registerRequest('e0'));
+    const late = await startRelay(context, routeOf(), 2_000);
+    expect((await ask(late.port)).status).toBe(503);
+    expect(engine!.seen).toHaveLength(0);
+  });
+
   test('lets a request that can be in time go before one that can’t', async () => {
     const [engine] = await startEngines(1);
     const context = contextOf([engine!]);
