--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -6,7 +6,7 @@
 
 import type {RelayContext, RelayRequest} from './RelayTypes';
 
-import {LATE_WAIT_MS, MAX_DECLINES, QUEUED_IN_TIME} from './RelayConstants';
+import {LATE_WAIT_MS, LATE_WAIT_PART, MAX_DECLINES, QUEUED_IN_TIME} from './RelayConstants';
 import {drawService, isSound, placeRequest} from './RelayPlacement';
 
 /** See the module's comment. */
@@ -55,6 +55,17 @@
     return [...this.sentTo].join(',');
   }
 
+  /**
+   * Whether the request has waited here for a free slot as long as it may.
+   *
+   * @param waitedMs time since the request came, in milliseconds
+   */
+  hasWaited(waitedMs: number): boolean {
+    const {facts, route} = this.req;
+    const allowedMs = Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
+    return waitedMs >= Math.min(LATE_WAIT_MS, allowedMs * LATE_WAIT_PART);
+  }
+
   /** Lets the request go again to engines that it was sent to. */
   forget(): void {
     this.sentTo.clear();
@@ -119,7 +130,7 @@
    */
   private queuedPart(waitedMs: number): number {
     const {objectiveMs} = this.req.route;
-    if (waitedMs >= LATE_WAIT_MS) {
+    if (this.hasWaited(waitedMs)) {
       // A longer queue would make late what comes next, too.
       return QUEUED_IN_TIME;
     }
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -14,6 +14,12 @@
  */
 export const LATE_WAIT_MS = 1_500;
 
+/**
+ * The same as a part of the time that the caller still allows: a request is refused while its caller can still come
+ * back, and one that is sent has as long to run as it has waited.
+ */
+export const LATE_WAIT_PART = 0.5;
+
 /** First of the statuses by which an engine says that it failed itself. */
 export const SERVER_ERROR = 500;
 
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -12,7 +12,7 @@
 
 import {sendRefusal} from './RelayAnswers';
 import {RelayChoice} from './RelayChoice';
-import {LATE_WAIT_MS, LOOK_AGAIN_MS, RETRY_AFTER_MS, SERVER_ERROR} from './RelayConstants';
+import {LOOK_AGAIN_MS, RETRY_AFTER_MS, SERVER_ERROR} from './RelayConstants';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
 import {passedHeaders} from './RelayHeaders';
 import {RelayPass} from './RelayPass';
@@ -179,7 +179,7 @@
     }
     if (this.res.headersSent || this.choice.mayQueue(engine, this.waitedMs)) {
       await this.send(engine);
-    } else if (this.waitedMs < LATE_WAIT_MS) {
+    } else if (!this.choice.hasWaited(this.waitedMs)) {
       await delay(LOOK_AGAIN_MS);
     } else {
       this.refuse('All engines of the service are full.');
