--- a/packages/stallpaddle-jobs/src/JobsOnline.ts
+++ b/packages/stallpaddle-jobs/src/JobsOnline.ts
@@ -14,15 +14,16 @@
   readonly sequence: number;
 }
 
-function isSame(a: Counts, b: Counts): boolean {
-  const engines = Object.keys(a);
-  return (
-    engines.length === Object.keys(b).length && engines.every((engine) => a[engine] === b[engine])
-  );
+/** Engines at which two counts differ. */
+function differences(a: Counts, b: Counts): readonly EngineId[] {
+  const engines = new Set([...Object.keys(a), ...Object.keys(b)]);
+  return [...engines].filter((engine) => a[engine] !== b[engine]);
 }
 
 /** See the module's comment. */
 export class JobsOnline {
+  /** For each engine, the number of the last change of its counts. */
+  private readonly changedAt = new Map<EngineId, number>();
   private changes = 0;
   private readonly senders = new Map<string, Told>();
 
@@ -54,9 +55,16 @@
       return;
     }
     this.senders.set(sender, {at: this.clock.monotonicMs(), own, sequence});
-    if (!isSame(known?.own ?? {}, own)) {
-      this.changes++;
-    }
+    this.noteChange(differences(known?.own ?? {}, own));
+  }
+
+  /**
+   * Engines whose counts have changed.
+   *
+   * @param version version after which the changes count
+   */
+  changedSince(version: number): readonly EngineId[] {
+    return [...this.changedAt].filter(([, at]) => at > version).map(([engine]) => engine);
   }
 
   /**
@@ -77,11 +85,18 @@
 
   private forgetSilent(): void {
     const oldest = this.clock.monotonicMs() - TOLD_COUNTS_MS;
-    for (const [sender, {at}] of this.senders) {
+    for (const [sender, {at, own}] of this.senders) {
       if (at < oldest) {
         this.senders.delete(sender);
-        this.changes++;
+        this.noteChange(Object.keys(own));
       }
     }
   }
+
+  private noteChange(engines: readonly EngineId[]): void {
+    if (engines.length > 0) {
+      this.changes++;
+      engines.forEach((engine) => this.changedAt.set(engine, this.changes));
+    }
+  }
 }
--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -32,8 +32,8 @@
     }
   | {
       readonly kind: 'watchOnline';
-      /** Version of the counts that the sender holds. */
-      readonly known: number;
+      /** What the sender holds; null when it holds nothing. */
+      readonly known: OnlineVersion | null;
       readonly sender: string;
       /** Longest time to hold the answer while nothing is new, in milliseconds. */
       readonly waitMs: number;
@@ -60,14 +60,23 @@
 export type BodyAnswer =
   {readonly body: Uint8Array; readonly kind: 'body'} | {readonly kind: 'notFound'};
 
-/** Answer to `tellOnline` and `watchOnline`. */
+/** Names one state of the counts of online requests. */
+export interface OnlineVersion {
+  /** Changes that were counted before. */
+  readonly changes: number;
+  /** The process that counts. */
+  readonly epoch: string;
+}
+
+/** Answer to `watchOnline`. */
 export interface OnlineAnswer {
-  /** Online requests of all senders but the one that asks, by engine. */
+  /** Whether engines that are not named have no such requests; else they have as many as before. */
+  readonly isAll: boolean;
+  /** Online requests of all senders but the one that asks, by engine; 0 for none. */
   readonly others: Readonly<Record<string, number>>;
   /** Engines all of whose items have fallen silent. */
   readonly suspects: readonly string[];
-  /** Version of the counts. */
-  readonly version: number;
+  readonly version: OnlineVersion;
 }
 
 /** A result whose text has yet to be read. */
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -11,6 +11,7 @@
   type JobsRequest,
   joinOutput,
   type OnlineAnswer,
+  type OnlineVersion,
   type ReadResult,
   type ResultRef,
   type ResultsAnswer,
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -63,7 +63,7 @@
     this.log = new NodeLog(loggers('entry'), clock, metrics);
     this.intake = new NodeIntake(clock, settings.bounds.grace);
     const online = new RelayOnline(clock);
-    this.tells = new NodeTells(jobs, online, drawId(settings.name));
+    this.tells = new NodeTells(jobs, online, drawId('e'));
     this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
     this.context = {
       clock,
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -98,7 +98,8 @@
         return this.proposeTo(driver, {kind: 'submit', maxWaitingTokens, submission});
       }
       case 'tellOnline':
-        return this.online.tell(request, dispatcher);
+        this.online.tell(request, dispatcher);
+        return null;
       case 'watchOnline':
         return this.online.watch(request, dispatcher);
       default:
--- a/packages/stallpaddle-node/src/NodeOnlineDesk.ts
+++ b/packages/stallpaddle-node/src/NodeOnlineDesk.ts
@@ -1,11 +1,13 @@
 /**
  * Answers entry VMs that tell their online requests and ask for those of the others, while this process runs the
  * batch items. News of counts are gathered for a moment, so that a burst of requests doesn't cost one message to
- * every VM each.
+ * every VM each, and name only the engines whose counts have changed.
  */
-import type {Clock, MonotonicMs} from 'stallpaddle';
+import type {Clock, EngineId, MonotonicMs} from 'stallpaddle';
 import type {JobsDispatcher, JobsRequest, OnlineAnswer} from 'stallpaddle-jobs';
 
+import {drawId} from 'stallpaddle';
+
 import {NodeWaiters} from './NodeWaiters';
 
 /**
@@ -22,8 +24,17 @@
 type Tell = Extract<JobsRequest, {kind: 'tellOnline'}>;
 type Watch = Extract<JobsRequest, {kind: 'watchOnline'}>;
 
+/** Counts of some engines, 0 for those without any. */
+function countsOf(
+  engines: readonly EngineId[],
+  totals: Readonly<Record<EngineId, number>>,
+): Record<EngineId, number> {
+  return Object.fromEntries(engines.map((engine) => [engine, totals[engine] ?? 0]));
+}
+
 /** See the module's comment. */
 export class NodeOnlineDesk {
+  private readonly epoch = drawId('n');
   /** Version of the counts that watches have been told. */
   private published = 0;
   private publishedAt: MonotonicMs = -Infinity;
@@ -41,11 +52,10 @@
    * @param request its words
    * @param dispatcher runs the items
    */
-  tell({own, sender, sequence}: Tell, dispatcher: JobsDispatcher): OnlineAnswer {
+  tell({own, sender, sequence}: Tell, dispatcher: JobsDispatcher): void {
     dispatcher.online.learn(sender, sequence, own);
     dispatcher.poke();
     this.publishSoon(dispatcher);
-    return this.answerTo(sender, dispatcher);
   }
 
   /**
@@ -56,16 +66,24 @@
    */
   async watch({known, sender, waitMs}: Watch, dispatcher: JobsDispatcher): Promise<OnlineAnswer> {
     const end = this.clock.monotonicMs() + waitMs;
-    for (let left = waitMs; left > 0 && known === this.published;) {
+    const since = known?.epoch === this.epoch ? known.changes : null;
+    for (let left = waitMs; left > 0 && since === this.published;) {
       await this.waiters.wait(left);
       left = end - this.clock.monotonicMs();
     }
-    return this.answerTo(sender, dispatcher);
+    return this.answerTo(sender, since, dispatcher);
   }
 
-  private answerTo(sender: string, dispatcher: JobsDispatcher): OnlineAnswer {
-    const others = dispatcher.online.totals(sender);
-    return {others, suspects: dispatcher.silentEngines(), version: this.published};
+  private answerTo(sender: string, since: null | number, dispatcher: JobsDispatcher): OnlineAnswer {
+    const {online} = dispatcher;
+    const totals = online.totals(sender);
+    const changed = since === null ? [] : online.changedSince(since);
+    return {
+      isAll: since === null,
+      others: since === null ? totals : countsOf(changed, totals),
+      suspects: dispatcher.silentEngines(),
+      version: {changes: this.published, epoch: this.epoch},
+    };
   }
 
   private publishSoon(dispatcher: JobsDispatcher): void {
--- a/packages/stallpaddle-node/src/NodeTells.ts
+++ b/packages/stallpaddle-node/src/NodeTells.ts
@@ -3,8 +3,9 @@
  * what changes meanwhile goes with the next. Beside that it asks for those of the other VMs all the time, since
  * others begin and end requests while this VM has none to tell.
  */
-import type {JobsRequest, OnlineAnswer} from 'stallpaddle-jobs';
+import type {JobsRequest, OnlineAnswer, OnlineVersion} from 'stallpaddle-jobs';
 import type {OnlineCounts, RelayOnline} from 'stallpaddle-relay';
+import type {TryOutcome} from 'stallpaddle-rpc';
 
 import {delay, encodeValue} from 'stallpaddle';
 
@@ -17,7 +18,7 @@
 export class NodeTells {
   private changed = false;
   /** Version of the others' counts that was learned last. */
-  private known = -1;
+  private known: null | OnlineVersion = null;
   private sequence = 0;
   private stopped = false;
   private readonly waiters = new NodeWaiters();
@@ -62,32 +63,37 @@
 
   private async watchAlways(): Promise<void> {
     while (!this.stopped) {
-      const {known, sender} = this;
-      if (
-        !(await this.ask({kind: 'watchOnline', known, sender, waitMs: TELL_AGAIN_MS}, WATCH_TRY_MS))
-      ) {
+      if (!(await this.watch())) {
         await delay(CALL_AGAIN_MS);
       }
     }
   }
 
-  private tell(own: OnlineCounts): Promise<boolean> {
+  private async tell(own: OnlineCounts): Promise<boolean> {
     const {sender} = this;
-    return this.ask({kind: 'tellOnline', own, sender, sequence: ++this.sequence}, TELL_TRY_MS);
+    const sequence = ++this.sequence;
+    const outcome = await this.ask({kind: 'tellOnline', own, sender, sequence}, TELL_TRY_MS);
+    return outcome.kind === 'answered';
   }
 
-  private async ask(request: JobsRequest, tryMs: number): Promise<boolean> {
-    const encoded = encodeValue(request);
-    const outcome = await this.caller.tryOnce({encoded, group: JOBS_GROUP, query: true}, tryMs);
+  private async watch(): Promise<boolean> {
+    const {known, sender} = this;
+    const request = {kind: 'watchOnline', known, sender, waitMs: TELL_AGAIN_MS} as const;
+    const outcome = await this.ask(request, WATCH_TRY_MS);
     if (outcome.kind !== 'answered') {
       return false;
     }
-    const {others, suspects, version} = outcome.result as OnlineAnswer;
+    const {isAll, others, suspects, version} = outcome.result as OnlineAnswer;
     this.known = version;
-    this.online.learn(others, suspects);
+    this.online.learn(others, isAll, suspects);
     return true;
   }
 
+  private ask(request: JobsRequest, tryMs: number): Promise<TryOutcome> {
+    const encoded = encodeValue(request);
+    return this.caller.tryOnce({encoded, group: JOBS_GROUP, query: true}, tryMs);
+  }
+
   private waitForChange(): Promise<void> {
     if (this.changed || this.stopped) {
       return Promise.resolve();
--- a/packages/stallpaddle-relay/src/RelayOnline.ts
+++ b/packages/stallpaddle-relay/src/RelayOnline.ts
@@ -70,11 +70,12 @@
   /**
    * Takes in the others' counts.
    *
-   * @param others online requests of all other VMs
+   * @param others online requests of all other VMs, 0 for none
+   * @param isAll whether engines that are not named have none; else they have as many as before
    * @param suspects engines that have fallen silent towards the dispatcher
    */
-  learn(others: OnlineCounts, suspects: readonly EngineId[]): void {
-    this.others = others;
+  learn(others: OnlineCounts, isAll: boolean, suspects: readonly EngineId[]): void {
+    this.others = isAll ? others : {...this.others, ...others};
     this.suspects = new Set(suspects);
     this.toldAt = this.clock.monotonicMs();
   }
