--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -1,29 +1,22 @@
 import type {EngineId, LogFields} from 'stallpaddle';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {engineOf, type EngineView, type FleetView} from 'stallpaddle-fleet';
-import {isSound, RelayExperience, RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
+import {engineOf, type EngineView} from 'stallpaddle-fleet';
+import {RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
 
 /**
  * Runs the open items of a group in the slots that online requests leave, while this process leads it.
  */
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
+import type {JobsOnline} from './JobsOnline';
 import type {ItemOutcome} from './JobsTypes';
 
-import {
-  DECLINED_PAUSE_MS,
-  ENGINE_SILENT_MS,
-  SAVE_MS,
-  SPARE_SLOTS,
-  START_FRESH_MS,
-  TIDY_MS,
-} from './JobsConstants';
+import {DECLINED_PAUSE_MS, SAVE_MS, SPARE_SLOTS, START_FRESH_MS, TIDY_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
+import {JobsEngines} from './JobsEngines';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
-import {JobsOnline} from './JobsOnline';
-import {planItems, type PlannedEngine, type PlannedRun} from './JobsPlan';
+import {planItems} from './JobsPlan';
 import {JobsProgress} from './JobsProgress';
-import {JobsSurvey} from './JobsSurvey';
 import {JobsTasks, type Task, type TaskRun} from './JobsTasks';
 import {JobsUrgency} from './JobsUrgency';
 
@@ -32,16 +25,13 @@
 
 /** See the module's comment. */
 export class JobsDispatcher {
-  private readonly experience: RelayExperience;
-  /** Online requests of all entry VMs. */
-  readonly online: JobsOnline;
+  private readonly engines: JobsEngines;
   private readonly ends: JobsEnds;
   private readonly pace = new RelayPace();
   private planned = false;
   private readonly progress: JobsProgress;
   private readonly saver: NodeJS.Timeout;
   private stopped = false;
-  private survey: JobsSurvey | undefined;
   private readonly tasks = new JobsTasks();
   private readonly timer: NodeJS.Timeout;
   private readonly urgency: JobsUrgency;
@@ -50,11 +40,18 @@
    * @param options what the dispatcher needs of its process
    */
   constructor(private readonly options: JobsDispatcherOptions) {
-    this.experience = new RelayExperience(options.clock);
-    this.online = new JobsOnline(options.clock);
     this.ends = new JobsEnds(options);
     this.progress = new JobsProgress(options);
     this.urgency = new JobsUrgency(() => options.state().clockMs);
+    this.engines = new JobsEngines({
+      clock: options.clock,
+      decide: (engine, fields) => options.decide('engineSurveyed', engine, fields),
+      onChange: () => this.poke(),
+      tasks: this.tasks,
+      urgency: this.urgency,
+      view: options.view,
+      wire: options.wire,
+    });
     this.timer = setInterval(() => this.tidy(), TIDY_MS);
     this.saver = setInterval(() => void this.saveProgress(), SAVE_MS);
   }
@@ -73,7 +70,7 @@
   /** Cuts all runs and does nothing more. */
   stop(): void {
     this.stopped = true;
-    this.survey?.stop();
+    this.engines.stopSurvey();
     this.ends.stop();
     clearInterval(this.saver);
     clearInterval(this.timer);
@@ -94,16 +91,14 @@
     return {running, waiting};
   }
 
+  /** Online requests of all entry VMs. */
+  get online(): JobsOnline {
+    return this.engines.online;
+  }
+
   /** Engines all of whose items have fallen silent. */
   silentEngines(): readonly EngineId[] {
-    const oldest = this.options.clock.monotonicMs() - ENGINE_SILENT_MS;
-    const heard = new Map<EngineId, boolean>();
-    for (const {run} of this.tasks.all()) {
-      if (run !== undefined) {
-        heard.set(run.engine, (heard.get(run.engine) ?? false) || run.lastEventAt > oldest);
-      }
-    }
-    return [...heard].filter(([, isHeard]) => !isHeard).map(([engine]) => engine);
+    return this.engines.silent();
   }
 
   /** Records what runs have brought since the last record, so that the next leader can go on from there. */
@@ -116,16 +111,15 @@
   private look(): void {
     if (this.stopped || !this.options.leads()) {
       this.tasks.clear();
-      this.survey?.stop();
-      this.survey = undefined;
+      this.engines.stopSurvey();
       return;
     }
-    this.surveyEngines();
+    this.engines.startSurvey();
     this.tasks.follow(this.options.state());
     const view = this.options.view();
     const now = this.options.clock.monotonicMs();
     const waiting = this.urgency.waiting(view, this.tasks.all(), now);
-    const {cuts, starts} = planItems(this.plannedEngines(view), waiting, SPARE_SLOTS);
+    const {cuts, starts} = planItems(this.engines.planned(view), waiting, SPARE_SLOTS);
     for (const key of cuts) {
       const task = this.tasks.get(key);
       if (task?.run !== undefined) {
@@ -139,62 +133,6 @@
     }
   }
 
-  /** Whoever begins to lead asks the engines what they hold: its predecessor may have left runs there. */
-  private surveyEngines(): void {
-    const {engines} = this.options.view().news;
-    if (this.survey !== undefined || engines.length === 0) {
-      return;
-    }
-    this.survey = new JobsSurvey({
-      decide: (engine, fields) => this.options.decide('engineSurveyed', engine, fields),
-      engines,
-      isLeft: (requestId, engine) => this.isLeft(requestId, engine),
-      onChange: () => this.poke(),
-      online: this.online,
-      runsAt: (engine) => this.runsAt(engine),
-      wire: this.options.wire,
-    });
-  }
-
-  private isLeft(requestId: string, engine: EngineId): boolean {
-    const tasks = [...this.tasks.all()].filter(({item}) => item.id === requestId);
-    return tasks.length > 0 && tasks.every(({run}) => run?.engine !== engine);
-  }
-
-  private runsAt(engine: EngineId): number {
-    return [...this.tasks.all()].filter(({run}) => run?.engine === engine).length;
-  }
-
-  private plannedEngines(view: FleetView): readonly PlannedEngine[] {
-    const now = this.options.clock.monotonicMs();
-    const totals = this.online.totals();
-    const silent = new Set(this.silentEngines());
-    const runs = new Map<EngineId, PlannedRun[]>();
-    for (const task of this.tasks.all()) {
-      if (task.run !== undefined) {
-        const known = runs.get(task.run.engine) ?? [];
-        known.push({
-          events: task.run.events,
-          key: task.key,
-          late: this.urgency.slackMs(view, task) < 0,
-        });
-        runs.set(task.run.engine, known);
-      }
-    }
-    return view.news.engines.map((engine) => ({
-      id: engine.id,
-      online: totals[engine.id] ?? 0,
-      runs: runs.get(engine.id) ?? [],
-      service: engine.service,
-      slots: engine.slots,
-      usable:
-        !engine.draining &&
-        !silent.has(engine.id) &&
-        this.survey?.isPending(engine.id) !== true &&
-        isSound(engine, this.experience.of(engine.id), now),
-    }));
-  }
-
   /** Reads an item's body and what is recorded of its output, when it starts here for the first time. */
   private async readTask(task: Task): Promise<void> {
     if (task.body !== undefined) {
@@ -282,7 +220,7 @@
     });
     switch (end.kind) {
       case 'broken':
-        this.experience.note(engine, false);
+        this.engines.note(engine, false);
         return;
       case 'cut':
         return;
@@ -291,12 +229,12 @@
         return;
       case 'notRun':
         if (end.reason !== 'declined') {
-          this.experience.note(engine, false);
+          this.engines.note(engine, false);
         }
         task.notBefore = this.options.clock.monotonicMs() + DECLINED_PAUSE_MS;
         return;
       case 'whole':
-        this.experience.note(engine, true);
+        this.engines.note(engine, true);
         this.urgency.estimates.noteItem(task.job.route, task.events);
         this.endTask(task, 'completed');
         return;
--- /dev/null
+++ b/packages/stallpaddle-jobs/src/JobsEngines.ts
@@ -0,0 +1,135 @@
+/**
+ * What a dispatcher knows of the engines: who is silent or fails, what entry VMs and lost dispatchers have there, and
+ * what its own items take.
+ */
+import type {EngineId, LogFields} from 'stallpaddle';
+import type {FleetView} from 'stallpaddle-fleet';
+
+import {isSound, RelayExperience} from 'stallpaddle-relay';
+
+import type {JobsDispatcherOptions} from './JobsContext';
+import type {PlannedEngine, PlannedRun} from './JobsPlan';
+import type {JobsTasks} from './JobsTasks';
+import type {JobsUrgency} from './JobsUrgency';
+
+import {ENGINE_SILENT_MS} from './JobsConstants';
+import {JobsOnline} from './JobsOnline';
+import {JobsSurvey} from './JobsSurvey';
+
+/** What it needs of its dispatcher. */
+export interface JobsEnginesOptions extends Pick<JobsDispatcherOptions, 'clock' | 'view' | 'wire'> {
+  readonly decide: (engine: EngineId, fields: LogFields) => void;
+  /** Called when an engine's room is known, or has changed. */
+  readonly onChange: () => void;
+  readonly tasks: JobsTasks;
+  readonly urgency: JobsUrgency;
+}
+
+/** See the module's comment. */
+export class JobsEngines {
+  private readonly experience: RelayExperience;
+  /** Online requests of all entry VMs. */
+  readonly online: JobsOnline;
+  private survey: JobsSurvey | undefined;
+
+  /**
+   * @param options what it needs of its dispatcher
+   */
+  constructor(private readonly options: JobsEnginesOptions) {
+    this.experience = new RelayExperience(options.clock);
+    this.online = new JobsOnline(options.clock);
+  }
+
+  /** Whoever begins to lead asks the engines what they hold: its predecessor may have left runs there. */
+  startSurvey(): void {
+    const {decide, onChange, view, wire} = this.options;
+    const {engines} = view().news;
+    if (this.survey !== undefined || engines.length === 0) {
+      return;
+    }
+    this.survey = new JobsSurvey({
+      decide,
+      engines,
+      isLeft: (requestId, engine) => this.isLeft(requestId, engine),
+      onChange,
+      online: this.online,
+      runsAt: (engine) => this.runsAt(engine),
+      wire,
+    });
+  }
+
+  /** Ends the survey; the next start asks anew. */
+  stopSurvey(): void {
+    this.survey?.stop();
+    this.survey = undefined;
+  }
+
+  /**
+   * Notes how a run at an engine went.
+   *
+   * @param id the engine
+   * @param ok whether the engine did its part
+   */
+  note(id: EngineId, ok: boolean): void {
+    this.experience.note(id, ok);
+  }
+
+  /** Engines all of whose items have fallen silent. */
+  silent(): readonly EngineId[] {
+    const oldest = this.options.clock.monotonicMs() - ENGINE_SILENT_MS;
+    const heard = new Map<EngineId, boolean>();
+    for (const {run} of this.options.tasks.all()) {
+      if (run !== undefined) {
+        heard.set(run.engine, (heard.get(run.engine) ?? false) || run.lastEventAt > oldest);
+      }
+    }
+    return [...heard].filter(([, isHeard]) => !isHeard).map(([engine]) => engine);
+  }
+
+  /**
+   * All engines with what they have to do.
+   *
+   * @param view what is known of the fleet
+   */
+  planned(view: FleetView): readonly PlannedEngine[] {
+    const now = this.options.clock.monotonicMs();
+    const totals = this.online.totals();
+    const silent = new Set(this.silent());
+    const runs = this.runsByEngine(view);
+    return view.news.engines.map((engine) => ({
+      id: engine.id,
+      online: totals[engine.id] ?? 0,
+      runs: runs.get(engine.id) ?? [],
+      service: engine.service,
+      slots: engine.slots,
+      usable:
+        !engine.draining &&
+        !silent.has(engine.id) &&
+        this.survey?.isPending(engine.id) !== true &&
+        isSound(engine, this.experience.of(engine.id), now),
+    }));
+  }
+
+  private runsByEngine(view: FleetView): ReadonlyMap<EngineId, readonly PlannedRun[]> {
+    const {tasks, urgency} = this.options;
+    const runs = new Map<EngineId, PlannedRun[]>();
+    for (const task of tasks.all()) {
+      const {key, run} = task;
+      if (run !== undefined) {
+        const late = urgency.slackMs(view, task) < 0;
+        const known = runs.get(run.engine) ?? [];
+        runs.set(run.engine, [...known, {events: run.events, key, late}]);
+      }
+    }
+    return runs;
+  }
+
+  private isLeft(requestId: string, engine: EngineId): boolean {
+    const tasks = [...this.options.tasks.all()].filter(({item}) => item.id === requestId);
+    return tasks.length > 0 && tasks.every(({run}) => run?.engine !== engine);
+  }
+
+  private runsAt(engine: EngineId): number {
+    return [...this.options.tasks.all()].filter(({run}) => run?.engine === engine).length;
+  }
+}
