--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -113,7 +113,8 @@
       servers.push(startServer(address, (req, res) => this.handlePlain(req, res), FIRST_IDLE_MS));
     }
     const {intake, watch} = this;
-    exposeEntryMetrics(this.fleet.metrics, {intake, online: this.context.online, watch});
+    const {online, pace} = this.context;
+    exposeEntryMetrics(this.fleet.metrics, {intake, online, pace, watch});
     this.servers = await Promise.all(servers);
     void this.tells.run();
   }
--- a/packages/stallpaddle-node/src/NodeEntryMetrics.ts
+++ b/packages/stallpaddle-node/src/NodeEntryMetrics.ts
@@ -2,17 +2,21 @@
  * Metrics of a process that serves callers.
  */
 import type {LogFields} from 'stallpaddle';
-import type {RelayOnline} from 'stallpaddle-relay';
+import type {RelayOnline, RelayPace} from 'stallpaddle-relay';
 
 import type {NodeIntake} from './NodeIntake';
 import type {NodeMetrics} from './NodeMetrics';
 import type {NodeWatch} from './NodeWatch';
 
+import {SECOND_MS} from './NodeConstants';
+
 /** What the gauges read. */
 export interface EntryGauges {
   readonly intake: NodeIntake;
   /** Online requests of this VM at each engine. */
   readonly online: RelayOnline;
+  /** How fast engines are, as this VM has seen it. */
+  readonly pace: RelayPace;
   readonly watch: NodeWatch;
 }
 
@@ -31,7 +35,7 @@
  * @param gauges what they read
  */
 export function exposeEntryMetrics(metrics: NodeMetrics, gauges: EntryGauges): void {
-  const {intake, watch} = gauges;
+  const {intake, pace, watch} = gauges;
   metrics.exposeGauge('stallpaddle_config_version', 'Version in force here.', () => {
     return watch.view.config?.version ?? 0;
   });
@@ -42,6 +46,15 @@
   metrics.exposeGauge('stallpaddle_engines_silent', 'Engines that report no more.', () => {
     return watch.view.news.engines.filter(({silent}) => silent).length;
   });
+  const limits = [
+    ['connect', 'a connection', pace.connect],
+    ['first_event', 'a first event', pace.firstEvent],
+    ['pause', 'the next event', pace.gap],
+  ] as const;
+  for (const [name, what, limit] of limits) {
+    const help = `Learned limit of the wait for ${what}.`;
+    metrics.exposeGauge(`stallpaddle_${name}_limit_seconds`, help, () => limit.limitMs / SECOND_MS);
+  }
   metrics.exposeGauge('stallpaddle_engine_occupancy', 'Online requests for each slot.', () => {
     return occupancy(gauges);
   });
