Chance among the best engines where many requests are unseen

Cause: all VMs know the same counts for up to one answer's time, and each took the emptiest engine. Change: a VM learns from the answers how many requests others begin between two of them, and takes the best of so many engines, drawn by chance, as there are engines for each such request; two at least, all where it is one or less (the small deployments). Tests: an engine that is emptier than all others gets each request with one unseen, few of them with twenty.

--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -106,6 +106,7 @@
       random,
       service,
       tried: this.sentTo,
+      unseen: online.unseen,
       zone,
     });
   }
--- a/packages/stallpaddle-relay/src/RelayOnline.ts
+++ b/packages/stallpaddle-relay/src/RelayOnline.ts
@@ -13,11 +13,23 @@
  */
 const OTHERS_COUNT_MS = 1_500;
 
+/** Weight of the newest answer in the mean of what answers bring (RFC 6298 weighs round trips so). */
+const MEAN_GAIN = 1 / 8;
+
+/** Requests that have begun between two counts. */
+function begunBetween(before: OnlineCounts, after: OnlineCounts): number {
+  return Object.entries(after).reduce(
+    (sum, [id, count]) => sum + Math.max(0, count - (before[id] ?? 0)),
+    0,
+  );
+}
+
 /** See the module's comment. */
 export class RelayOnline {
   private readonly listeners = new Set<() => void>();
   private readonly own = new Map<EngineId, number>();
   private others: OnlineCounts = {};
+  private newOnes = 0;
   private suspects: ReadonlySet<EngineId> = new Set();
   private toldAt: MonotonicMs = -Infinity;
 
@@ -45,6 +57,11 @@
     return this.isTold && this.suspects.has(id);
   }
 
+  /** Requests that other VMs begin between two answers on average, so that nobody knows of them when it chooses. */
+  get unseen(): number {
+    return this.newOnes;
+  }
+
   /** This VM's own requests. */
   ownCounts(): OnlineCounts {
     return Object.fromEntries(this.own);
@@ -75,6 +92,9 @@
    * @param suspects engines that have fallen silent towards the dispatcher
    */
   learn(others: OnlineCounts, isAll: boolean, suspects: readonly EngineId[]): void {
+    if (!isAll) {
+      this.newOnes += MEAN_GAIN * (begunBetween(this.others, others) - this.newOnes);
+    }
     this.others = isAll ? others : {...this.others, ...others};
     this.suspects = new Set(suspects);
     this.toldAt = this.clock.monotonicMs();
--- a/packages/stallpaddle-relay/src/RelayPlacement.ts
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -93,6 +93,8 @@
   readonly service: string;
   /** Engines that this request was already sent to. */
   readonly tried: ReadonlySet<EngineId>;
+  /** Requests that others have likely placed since they told their counts. */
+  readonly unseen: number;
   /** Availability zone of this VM. */
   readonly zone: ZoneId;
 }
@@ -105,6 +107,28 @@
 /** Part of its slots from which on an engine's zone counts no more: then every free slot counts alike. */
 const NEAR_COUNTS_BELOW = 0.5;
 
+/** Fewest engines among which the best is taken: two random ones spread requests nearly as well as all. */
+const FEWEST_CHOICES = 2;
+
+/**
+ * Engines among which the best is taken. All VMs that know the same counts would choose the same engine, so with more
+ * unseen requests each chooses among fewer, drawn by chance.
+ */
+function drawChoices(
+  engines: readonly EngineView[],
+  {random, unseen}: PlacementInput,
+): readonly EngineView[] {
+  const count = Math.max(FEWEST_CHOICES, Math.ceil(engines.length / Math.max(1, unseen)));
+  if (count >= engines.length) {
+    return engines;
+  }
+  const drawn = engines.map((engine) => ({engine, lot: random()}));
+  return drawn
+    .sort((a, b) => a.lot - b.lot)
+    .slice(0, count)
+    .map(({engine}) => engine);
+}
+
 /** Online requests at an engine, less what its nearness is worth, for each of its slots. */
 function loadOf({id, slots, zone}: EngineView, input: PlacementInput): number {
   const online = input.onlineAt(id);
@@ -128,7 +152,7 @@
   );
   let best: EngineView | undefined;
   let bestLoad = Infinity;
-  for (const engine of sound.length > 0 ? sound : open) {
+  for (const engine of drawChoices(sound.length > 0 ? sound : open, input)) {
     const load = loadOf(engine, input);
     if (load < bestLoad) {
       best = engine;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -39,6 +39,7 @@
     random: seededRandom(7),
     service: 's',
     tried: new Set(),
+    unseen: 0,
     zone: 'elsewhere',
     ...changes,
   })?.id;
@@ -65,6 +66,31 @@
     expect(choose(4, 5)).toBe('near');
   });
 
+  test('many VMs that know the same counts do not all choose the same engine', () => {
+    const engines = Array.from({length: 40}, (_, at) => engineOf(`${at}`));
+    // One engine is emptier than all others.
+    const onlineAt = (id: string): number => (id === '0' ? 2 : 4);
+    const random = seededRandom(11);
+    const chosenBy = (unseen: number): number =>
+      Array.from({length: 200}, () => place(engines, {onlineAt, random, unseen})).filter(
+        (id) => id === '0',
+      ).length;
+    expect(chosenBy(1)).toBe(200);
+    expect(chosenBy(20)).toBeLessThan(25);
+  });
+
+  test('never takes more requests to an engine than a draw of two would, with many unseen', () => {
+    const engines = Array.from({length: 40}, (_, at) => engineOf(`${at}`));
+    const random = seededRandom(12);
+    const placed = new Map<string, number>();
+    // Forty requests are placed before any count is told.
+    for (let request = 0; request < 40; request++) {
+      const id = place(engines, {onlineAt: (at) => Number(at) % 5, random, unseen: 20})!;
+      placed.set(id, (placed.get(id) ?? 0) + 1);
+    }
+    expect(Math.max(...placed.values())).toBeLessThanOrEqual(6);
+  });
+
   test('keeps off a suspect, but takes it when there is no other', () => {
     const suspect = afterAttempt(NO_EXPERIENCE, false, 900);
     const experienceOf = (id: string) => (id === '1' ? suspect : NO_EXPERIENCE);
