--- a/packages/stallpaddle-batch/src/BatchDispatcher.ts
+++ b/packages/stallpaddle-batch/src/BatchDispatcher.ts
@@ -1,3 +1,6 @@
+/**
+ * Fills the engines that this VM owns with batch work, and makes room when online work comes.
+ */
 import type {Clock, EngineId, Logger, VmId} from 'stallpaddle';
 import type {FleetConfig} from 'stallpaddle-control';
 import type {EngineAdapter, EngineLanes} from 'stallpaddle-engine';
@@ -8,9 +11,6 @@
 import {resolveModel} from 'stallpaddle-control';
 import {batchAllowance, streamsToCancel} from 'stallpaddle-routing';
 
-/**
- * Fills the engines that this VM owns with batch work, and makes room when online work comes.
- */
 import type {HeldChunk, HeldItem} from './BatchHeld';
 
 import {FILL_INTERVAL_MS, IDLE_LEASE_MS, READY_FACTOR, REPORT_INTERVAL_MS} from './BatchConstants';
--- a/packages/stallpaddle-batch/src/BatchHeld.ts
+++ b/packages/stallpaddle-batch/src/BatchHeld.ts
@@ -1,3 +1,6 @@
+/**
+ * Chunks that this VM holds, and what became of their items.
+ */
 import type {CustomerId} from 'stallpaddle';
 import type {
   ChunkReport,
@@ -7,9 +10,6 @@
   LedgerPort,
 } from 'stallpaddle-ledger';
 
-/**
- * Chunks that this VM holds, and what became of their items.
- */
 import type {BatchItem} from './BatchItems';
 
 /** An item that waits here or runs at an engine. */
--- a/packages/stallpaddle-batch/src/BatchLedger.ts
+++ b/packages/stallpaddle-batch/src/BatchLedger.ts
@@ -1,11 +1,11 @@
+/**
+ * A VM's dealings with one ledger shard: leases, renewals and reports, grouped.
+ */
 import type {Clock, Logger, VmId} from 'stallpaddle';
 import type {LedgerPort} from 'stallpaddle-ledger';
 
 import {errorMessage} from 'stallpaddle';
 
-/**
- * A VM's dealings with one ledger shard: leases, renewals and reports, grouped.
- */
 import type {HeldItem} from './BatchHeld';
 
 import {BATCH_LEASE_MS} from './BatchConstants';
--- a/packages/stallpaddle-batch/src/BatchRunner.ts
+++ b/packages/stallpaddle-batch/src/BatchRunner.ts
@@ -1,3 +1,6 @@
+/**
+ * Runs one item at an engine and says what became of it.
+ */
 import type {EngineId} from 'stallpaddle';
 import type {EngineAdapter, EngineLanes} from 'stallpaddle-engine';
 import type {ItemReport} from 'stallpaddle-ledger';
@@ -5,9 +8,6 @@
 import {drawId, errorMessage, startDeadline} from 'stallpaddle';
 import {BackendError, readBody} from 'stallpaddle-engine';
 
-/**
- * Runs one item at an engine and says what became of it.
- */
 import type {HeldItem} from './BatchHeld';
 
 import {ITEM_TIMEOUT_MS, MAX_ANSWER_BYTES} from './BatchConstants';
--- a/packages/stallpaddle-cli/src/CliBatch.ts
+++ b/packages/stallpaddle-cli/src/CliBatch.ts
@@ -1,3 +1,6 @@
+/**
+ * Commands for batch jobs.
+ */
 import {SingleBar} from 'cli-progress';
 import {randomBytes} from 'node:crypto';
 import {readFile, writeFile} from 'node:fs/promises';
@@ -5,9 +8,6 @@
 import {delay, refuse} from 'stallpaddle';
 import {KEY_HEADER, REPEATABLE_HEADER} from 'stallpaddle-gateway';
 
-/**
- * Commands for batch jobs.
- */
 import type {CliTarget} from './CliClient';
 import type {BatchAnswer} from './CliSchemas';
 
--- a/packages/stallpaddle-cli/src/CliLoad.ts
+++ b/packages/stallpaddle-cli/src/CliLoad.ts
@@ -1,9 +1,9 @@
-import {refuse} from 'stallpaddle';
-import {runOpenLoop} from 'stallpaddle-load';
-
 /**
  * The command that sends a steady load.
  */
+import {refuse} from 'stallpaddle';
+import {runOpenLoop} from 'stallpaddle-load';
+
 import type {CliTarget} from './CliClient';
 
 import {print} from './CliPrint';
--- a/packages/stallpaddle-cli/src/CliOperator.ts
+++ b/packages/stallpaddle-cli/src/CliOperator.ts
@@ -1,9 +1,9 @@
-import {readFile} from 'node:fs/promises';
-import {delay, refuse} from 'stallpaddle';
-
 /**
  * Commands of operators: plan, confirm, status, audit, addresses.
  */
+import {readFile} from 'node:fs/promises';
+import {delay, refuse} from 'stallpaddle';
+
 import type {CliTarget} from './CliClient';
 import type {PlanAnswer} from './CliSchemas';
 
--- a/packages/stallpaddle-cli/src/CliPrint.ts
+++ b/packages/stallpaddle-cli/src/CliPrint.ts
@@ -1,9 +1,9 @@
-import Table from 'cli-table3';
-import {unreachable} from 'stallpaddle';
-
 /**
  * Answers as a person reads them.
  */
+import Table from 'cli-table3';
+import {unreachable} from 'stallpaddle';
+
 import type {BatchAnswer, PlanAnswer, StatusAnswer} from './CliSchemas';
 
 /**
--- a/packages/stallpaddle-control/src/ControlConfig.ts
+++ b/packages/stallpaddle-control/src/ControlConfig.ts
@@ -1,11 +1,11 @@
+/**
+ * Reading and changing a configuration.
+ */
 import type {EngineId} from 'stallpaddle';
 
 import {Map as ImmutableMap} from 'immutable';
 import {unreachable} from 'stallpaddle';
 
-/**
- * Reading and changing a configuration.
- */
 import type {
   ConfigChange,
   CustomerConfig,
--- a/packages/stallpaddle-control/src/ControlIntentSchema.ts
+++ b/packages/stallpaddle-control/src/ControlIntentSchema.ts
@@ -1,8 +1,8 @@
-import {z} from 'zod';
-
 /**
  * Checks intents that come from outside.
  */
+import {z} from 'zod';
+
 import type {Intent} from './ControlTypes';
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected a lower-case name');
--- a/packages/stallpaddle-control/src/ControlMachine.ts
+++ b/packages/stallpaddle-control/src/ControlMachine.ts
@@ -1,11 +1,11 @@
+/**
+ * The control group as a pure state machine: plans, confirms, revisions, audit trail.
+ */
 import type {MachineResult, ReplicaMachine} from 'stallpaddle-replication';
 
 import {Map as ImmutableMap, List} from 'immutable';
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
-/**
- * The control group as a pure state machine: plans, confirms, revisions, audit trail.
- */
 import type {
   AuditEntry,
   ConfigChange,
--- a/packages/stallpaddle-control/src/ControlOrders.ts
+++ b/packages/stallpaddle-control/src/ControlOrders.ts
@@ -1,9 +1,9 @@
-import type {EngineId} from 'stallpaddle';
-
 /**
  * Which orders bring the engines to what the configuration says. Pure; the issuer must hold the
  * control group's lease while it sends them.
  */
+import type {EngineId} from 'stallpaddle';
+
 import type {FleetConfig} from './ControlTypes';
 
 import {engineTarget} from './ControlConfig';
--- a/packages/stallpaddle-control/src/ControlPlanner.ts
+++ b/packages/stallpaddle-control/src/ControlPlanner.ts
@@ -1,8 +1,8 @@
-import {unreachable} from 'stallpaddle';
-
 /**
  * Works out what an intent would do to a configuration. Pure: it changes nothing.
  */
+import {unreachable} from 'stallpaddle';
+
 import type {
   CapacityChange,
   ConfigChange,
--- a/packages/stallpaddle-control/src/ControlQueries.ts
+++ b/packages/stallpaddle-control/src/ControlQueries.ts
@@ -1,8 +1,8 @@
-import {unreachable} from 'stallpaddle';
-
 /**
  * What may be asked of the control group, and how other parts reach it.
  */
+import {unreachable} from 'stallpaddle';
+
 import type {
   AuditEntry,
   ControlAnswer,
--- a/packages/stallpaddle-demo/src/DemoBatches.ts
+++ b/packages/stallpaddle-demo/src/DemoBatches.ts
@@ -1,11 +1,11 @@
+/**
+ * Batch jobs of a customer, and the check that every item ended exactly once.
+ */
 import type {ServerAnswer} from 'stallpaddle-load';
 
 import {delay} from 'stallpaddle';
 import {z} from 'zod';
 
-/**
- * Batch jobs of a customer, and the check that every item ended exactly once.
- */
 import type {DemoCallers} from './DemoCallers';
 import type {DemoBatch} from './DemoWorkload';
 
--- a/packages/stallpaddle-demo/src/DemoCallers.ts
+++ b/packages/stallpaddle-demo/src/DemoCallers.ts
@@ -1,3 +1,7 @@
+/**
+ * Callers as the users run them: they ask for addresses, keep them for a moment, and send again
+ * when a VM goes.
+ */
 import type {Histogram} from 'hdr-histogram-js';
 
 import {delay} from 'stallpaddle';
@@ -6,10 +10,6 @@
 import {answerWords} from 'stallpaddle-standin';
 import {z} from 'zod';
 
-/**
- * Callers as the users run them: they ask for addresses, keep them for a moment, and send again
- * when a VM goes.
- */
 import type {DemoPrompt} from './DemoWorkload';
 
 interface Address {
--- a/packages/stallpaddle-demo/src/Fleet.ts
+++ b/packages/stallpaddle-demo/src/Fleet.ts
@@ -1,3 +1,6 @@
+/**
+ * Starts a fleet's processes, and ends every one of them.
+ */
 import type {ChildProcess} from 'node:child_process';
 
 import {spawn} from 'node:child_process';
@@ -7,9 +10,6 @@
 import {delay} from 'stallpaddle';
 import {callServer} from 'stallpaddle-load';
 
-/**
- * Starts a fleet's processes, and ends every one of them.
- */
 import type {FleetLayout, LayoutProcess} from './FleetLayout';
 
 import {standInProcesses, vmAddress, vmProcesses} from './FleetLayout';
--- a/packages/stallpaddle-demo/src/main.ts
+++ b/packages/stallpaddle-demo/src/main.ts
@@ -1,12 +1,12 @@
+/**
+ * `npm run demo`: the whole system as processes, a seeded mix of both users' work, two failures.
+ */
 import Table from 'cli-table3';
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {delay, exponentialMs, seededRandom} from 'stallpaddle';
 
-/**
- * `npm run demo`: the whole system as processes, a seeded mix of both users' work, two failures.
- */
 import type {BatchCounts} from './DemoBatches';
 import type {FleetLayout} from './FleetLayout';
 
--- a/packages/stallpaddle-engine/src/EngineHttp.ts
+++ b/packages/stallpaddle-engine/src/EngineHttp.ts
@@ -1,12 +1,12 @@
+/**
+ * Backend servers that speak HTTP, with the OpenAI-compatible paths for model engines.
+ */
 import type {Verdict} from 'stallpaddle';
 
 import {Agent, type IncomingMessage, request} from 'node:http';
 import {errorMessage, startDeadline, VERDICT_HEADER} from 'stallpaddle';
 import {z} from 'zod';
 
-/**
- * Backend servers that speak HTTP, with the OpenAI-compatible paths for model engines.
- */
 import type {
   BackendAnswer,
   BackendRequest,
--- a/packages/stallpaddle-experiment/src/ExperimentCurrent.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentCurrent.ts
@@ -1,3 +1,7 @@
+/**
+ * The product's policy: its own placement, queue, reserve, ownership and cancelling, on the
+ * experiment's clock.
+ */
 import type {FairQueue, RetryBudget, RoutingEvent, RoutingState} from 'stallpaddle-routing';
 
 import {
@@ -16,10 +20,6 @@
   takeRetry,
 } from 'stallpaddle-routing';
 
-/**
- * The product's policy: its own placement, queue, reserve, ownership and cancelling, on the
- * experiment's clock.
- */
 import type {EngineStream, ExperimentEngine} from './ExperimentEngine';
 import type {ExperimentFleet, OnlineRequest} from './ExperimentFleet';
 
--- a/packages/stallpaddle-experiment/src/ExperimentEngine.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentEngine.ts
@@ -1,9 +1,9 @@
-import type {EngineLoad, WorkClass} from 'stallpaddle-routing';
-
 /**
  * A fake at the engine interface: continuous batching, priorities, bounded prefix cache, lagged
  * reports, and the faults of the experiment.
  */
+import type {EngineLoad, WorkClass} from 'stallpaddle-routing';
+
 import type {ExperimentClock} from './ExperimentClock';
 
 /** How fast an engine is. */
--- a/packages/stallpaddle-experiment/src/ExperimentFaults.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentFaults.ts
@@ -1,8 +1,8 @@
-import type {Random} from 'stallpaddle';
-
 /**
  * The failures that a run can have, and when.
  */
+import type {Random} from 'stallpaddle';
+
 import type {ExperimentClock} from './ExperimentClock';
 import type {ExperimentEngine} from './ExperimentEngine';
 
--- a/packages/stallpaddle-experiment/src/ExperimentFleet.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentFleet.ts
@@ -1,12 +1,12 @@
+/**
+ * What both policies share: engines, backlog of batch items, and the outcome of every request.
+ */
 import type {Histogram} from 'hdr-histogram-js';
 import type {Random} from 'stallpaddle';
 
 import {seededRandom} from 'stallpaddle';
 import {createLatencyHistogram, recordMs} from 'stallpaddle-gateway';
 
-/**
- * What both policies share: engines, backlog of batch items, and the outcome of every request.
- */
 import type {Fault} from './ExperimentFaults';
 import type {Workload} from './ExperimentWorkload';
 
--- a/packages/stallpaddle-experiment/src/ExperimentNaive.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentNaive.ts
@@ -1,8 +1,8 @@
-import type {WorkClass} from 'stallpaddle-routing';
-
 /**
  * The naive baseline: each VM on its own view, first come first served, retries at once.
  */
+import type {WorkClass} from 'stallpaddle-routing';
+
 import type {ExperimentFleet, OnlineRequest} from './ExperimentFleet';
 
 const RETRY_MS = 10;
--- a/packages/stallpaddle-experiment/src/ExperimentRun.ts
+++ b/packages/stallpaddle-experiment/src/ExperimentRun.ts
@@ -1,9 +1,9 @@
-import {exponentialMs, seededRandom} from 'stallpaddle';
-import {unreachable} from 'stallpaddle';
-
 /**
  * One run: a workload, a policy, a failure, a seed.
  */
+import {exponentialMs, seededRandom} from 'stallpaddle';
+import {unreachable} from 'stallpaddle';
+
 import type {Fault} from './ExperimentFaults';
 import type {Workload} from './ExperimentWorkload';
 
--- a/packages/stallpaddle-experiment/src/main.ts
+++ b/packages/stallpaddle-experiment/src/main.ts
@@ -1,9 +1,9 @@
-import Table from 'cli-table3';
-import {parseArgs} from 'node:util';
-
 /**
  * `npm run --silent experiment -- --seed N --format json|table|html [--fault NAME|all]`.
  */
+import Table from 'cli-table3';
+import {parseArgs} from 'node:util';
+
 import type {RunResult} from './ExperimentRun';
 
 import {type Fault, FAULTS} from './ExperimentFaults';
--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -1,11 +1,11 @@
+/**
+ * The control group's state as a replicated state machine. All commands may be repeated without harm.
+ */
 import type {EngineId} from 'stallpaddle';
 import type {MachineResult, ReplicaMachine} from 'stallpaddle-replication';
 
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
-/**
- * The control group's state as a replicated state machine. All commands may be repeated without harm.
- */
 import type {EngineReport, FleetAnswer, FleetCommand, FleetEngine, FleetState} from './FleetTypes';
 
 /** Ended engines that are remembered: at 290 restarts a day, more than a week of them. */
--- a/packages/stallpaddle-gateway/src/GatewayAdmin.ts
+++ b/packages/stallpaddle-gateway/src/GatewayAdmin.ts
@@ -1,3 +1,6 @@
+/**
+ * Operators' interface: intents, plans, audit trail, status.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ControlAnswer, PlanRecord} from 'stallpaddle-control';
 import type {LedgerPort} from 'stallpaddle-ledger';
@@ -6,9 +9,6 @@
 import {intentSchema} from 'stallpaddle-control';
 import {liveVms} from 'stallpaddle-membership';
 
-/**
- * Operators' interface: intents, plans, audit trail, status.
- */
 import type {GatewayBatches} from './GatewayBatches';
 import type {GatewayContext} from './GatewayContext';
 import type {GatewayFiles} from './GatewayFiles';
--- a/packages/stallpaddle-gateway/src/GatewayAuth.ts
+++ b/packages/stallpaddle-gateway/src/GatewayAuth.ts
@@ -1,3 +1,6 @@
+/**
+ * Who sends a request: keys are kept as SHA-256 hashes only.
+ */
 import type {IncomingMessage} from 'node:http';
 import type {CustomerId} from 'stallpaddle';
 import type {CustomerConfig} from 'stallpaddle-control';
@@ -5,9 +8,6 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {refuse} from 'stallpaddle';
 
-/**
- * Who sends a request: keys are kept as SHA-256 hashes only.
- */
 import type {GatewayContext} from './GatewayContext';
 
 /** A customer that sent a key. */
--- a/packages/stallpaddle-gateway/src/GatewayBatches.ts
+++ b/packages/stallpaddle-gateway/src/GatewayBatches.ts
@@ -1,12 +1,12 @@
+/**
+ * Batch jobs in the form that OpenAI's batch interface uses.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {JobView, LedgerAnswer, LedgerPort} from 'stallpaddle-ledger';
 
 import {drawId, refuse} from 'stallpaddle';
 import {z} from 'zod';
 
-/**
- * Batch jobs in the form that OpenAI's batch interface uses.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 
--- a/packages/stallpaddle-gateway/src/GatewayChat.ts
+++ b/packages/stallpaddle-gateway/src/GatewayChat.ts
@@ -1,12 +1,12 @@
+/**
+ * Chat completions, whole and streamed.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {refuse} from 'stallpaddle';
 import {resolveModel} from 'stallpaddle-control';
 import {z} from 'zod';
 
-/**
- * Chat completions, whole and streamed.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 import type {GatewayOnline, OnlineRequest} from './GatewayOnline';
--- a/packages/stallpaddle-gateway/src/GatewayContext.ts
+++ b/packages/stallpaddle-gateway/src/GatewayContext.ts
@@ -1,3 +1,6 @@
+/**
+ * What the gateway sees of the VM that it runs in.
+ */
 import type {Clock, EngineId, Logger, Random, RefusalError, VmId, ZoneId} from 'stallpaddle';
 import type {ControlPort, FleetConfig, PlainServer} from 'stallpaddle-control';
 import type {EngineAdapter, EngineLanes} from 'stallpaddle-engine';
@@ -6,9 +9,6 @@
 import type {RoutingEvent, RoutingState} from 'stallpaddle-routing';
 import type {LimitSettings} from 'stallpaddle-settings';
 
-/**
- * What the gateway sees of the VM that it runs in.
- */
 import type {GatewayMetrics} from './GatewayMetrics';
 
 /** Everything that request handlers use. */
--- a/packages/stallpaddle-gateway/src/GatewayFiles.ts
+++ b/packages/stallpaddle-gateway/src/GatewayFiles.ts
@@ -1,3 +1,6 @@
+/**
+ * Batch files: read in as a stream, checked line by line, accepted only as a whole.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {FileView, LedgerAnswer, LedgerCommand, LedgerPort} from 'stallpaddle-ledger';
@@ -8,9 +11,6 @@
 import {drawId, errorMessage, RefusalError, refuse} from 'stallpaddle';
 import {lostEndLine, parseItem} from 'stallpaddle-batch';
 
-/**
- * Batch files: read in as a stream, checked line by line, accepted only as a whole.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 
--- a/packages/stallpaddle-gateway/src/GatewayOnce.ts
+++ b/packages/stallpaddle-gateway/src/GatewayOnce.ts
@@ -1,12 +1,12 @@
+/**
+ * Requests that must run at most once: with a key, the start is on record before anything is sent,
+ * and a resend gets the first one's answer.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CallRecord, LedgerPort} from 'stallpaddle-ledger';
 
 import {drawId, RefusalError, refuse} from 'stallpaddle';
 
-/**
- * Requests that must run at most once: with a key, the start is on record before anything is sent,
- * and a resend gets the first one's answer.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 import type {WholeAnswer} from './GatewayOnline';
--- a/packages/stallpaddle-gateway/src/GatewayOnline.ts
+++ b/packages/stallpaddle-gateway/src/GatewayOnline.ts
@@ -1,3 +1,6 @@
+/**
+ * Carries online requests to engines: limits, queue, placement, retries.
+ */
 import type {EngineId, Verdict} from 'stallpaddle';
 import type {ResolvedModel} from 'stallpaddle-control';
 import type {BackendAnswer} from 'stallpaddle-engine';
@@ -14,9 +17,6 @@
   takeToken,
 } from 'stallpaddle-routing';
 
-/**
- * Carries online requests to engines: limits, queue, placement, retries.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 
--- a/packages/stallpaddle-gateway/src/GatewayQueue.ts
+++ b/packages/stallpaddle-gateway/src/GatewayQueue.ts
@@ -1,11 +1,11 @@
+/**
+ * Online requests that wait for room at an engine.
+ */
 import type {CustomerId, MonotonicMs, RefusalError} from 'stallpaddle';
 
 import {refuse} from 'stallpaddle';
 import {EMPTY_QUEUE, joinQueue, leaveQueue, takeNext} from 'stallpaddle-routing';
 
-/**
- * Online requests that wait for room at an engine.
- */
 import type {GatewayContext} from './GatewayContext';
 
 /** Time after which the head of the queue looks again even if nothing ended here. */
--- a/packages/stallpaddle-gateway/src/GatewayServer.ts
+++ b/packages/stallpaddle-gateway/src/GatewayServer.ts
@@ -1,3 +1,6 @@
+/**
+ * The HTTP server towards callers and operators.
+ */
 import type {Server} from 'node:http';
 import type {RefusalError} from 'stallpaddle';
 
@@ -6,9 +9,6 @@
 import {modelNames} from 'stallpaddle-control';
 import {ADDRESSES_LIFETIME_MS, addressesFor} from 'stallpaddle-membership';
 
-/**
- * The HTTP server towards callers and operators.
- */
 import type {GatewayContext} from './GatewayContext';
 
 import {GatewayAdmin} from './GatewayAdmin';
--- a/packages/stallpaddle-gateway/src/GatewayServices.ts
+++ b/packages/stallpaddle-gateway/src/GatewayServices.ts
@@ -1,3 +1,6 @@
+/**
+ * Calls to plain services, under `/services/NAME/`.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Verdict} from 'stallpaddle';
 import type {PlainServer} from 'stallpaddle-control';
@@ -6,9 +9,6 @@
 import {drawId, errorMessage, joinVerdicts, RefusalError, refuse, startDeadline} from 'stallpaddle';
 import {BackendError, readBody} from 'stallpaddle-engine';
 
-/**
- * Calls to plain services, under `/services/NAME/`.
- */
 import type {CustomerCaller} from './GatewayAuth';
 import type {GatewayContext} from './GatewayContext';
 import type {GatewayOnline, WholeAnswer} from './GatewayOnline';
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -1,12 +1,12 @@
+/**
+ * Runs the open items of a group in the slots that online requests leave, while this process leads it.
+ */
 import type {EngineId, LogFields} from 'stallpaddle';
 
 import {errorMessage, unreachable} from 'stallpaddle';
 import {engineOf, type EngineView} from 'stallpaddle-fleet';
 import {RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
 
-/**
- * Runs the open items of a group in the slots that online requests leave, while this process leads it.
- */
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsOnline} from './JobsOnline';
 import type {ItemOutcome} from './JobsTypes';
--- a/packages/stallpaddle-jobs/src/JobsMachine.ts
+++ b/packages/stallpaddle-jobs/src/JobsMachine.ts
@@ -1,13 +1,13 @@
+/**
+ * Batch jobs as a replicated state machine. Bodies and texts lie in the segment files, at places that
+ * depend only on the commands. All commands may be repeated without harm.
+ */
 import type {MachineResult, PlacedBlob, ReplicaMachine} from 'stallpaddle-replication';
 
 import {Map as ImmutableMap, List} from 'immutable';
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 import {type BlobRef, placeBlob} from 'stallpaddle-storage';
 
-/**
- * Batch jobs as a replicated state machine. Bodies and texts lie in the segment files, at places that
- * depend only on the commands. All commands may be repeated without harm.
- */
 import type {
   ItemEnd,
   Job,
--- a/packages/stallpaddle-ledger/src/LedgerDraft.ts
+++ b/packages/stallpaddle-ledger/src/LedgerDraft.ts
@@ -1,3 +1,7 @@
+/**
+ * The shard's next state while one command builds it. Functions whose names begin with `$` may be
+ * called only while a command is applied: they change the draft.
+ */
 import type {PlacedBlob} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
@@ -5,10 +9,6 @@
 import {invariant} from 'stallpaddle';
 import {placeBlob} from 'stallpaddle-storage';
 
-/**
- * The shard's next state while one command builds it. Functions whose names begin with `$` may be
- * called only while a command is applied: they change the draft.
- */
 import type {ChunkState, ItemCounts, LedgerJob, LedgerState} from './LedgerTypes';
 
 type Mutable<T> = {-readonly [Key in keyof T]: T[Key]};
--- a/packages/stallpaddle-ledger/src/LedgerFiles.ts
+++ b/packages/stallpaddle-ledger/src/LedgerFiles.ts
@@ -1,8 +1,8 @@
-import {List} from 'immutable';
-
 /**
  * Uploads: read in part by part, accepted only when sealed.
  */
+import {List} from 'immutable';
+
 import type {LedgerDraft} from './LedgerDraft';
 import type {FileChunk, LedgerAnswer, LedgerCommand, LedgerFile} from './LedgerTypes';
 
--- a/packages/stallpaddle-ledger/src/LedgerItems.ts
+++ b/packages/stallpaddle-ledger/src/LedgerItems.ts
@@ -1,8 +1,8 @@
-import {unreachable} from 'stallpaddle';
-
 /**
  * Packed state of the items in a chunk; see `ItemBytes`.
  */
+import {unreachable} from 'stallpaddle';
+
 import type {ItemBytes, ItemEnd} from './LedgerTypes';
 
 /** Status of one item. */
--- a/packages/stallpaddle-ledger/src/LedgerJobs.ts
+++ b/packages/stallpaddle-ledger/src/LedgerJobs.ts
@@ -1,10 +1,10 @@
+/**
+ * Jobs: accepted once by key, cancelled for good.
+ */
 import type {BlobRef} from 'stallpaddle-storage';
 
 import {List} from 'immutable';
 
-/**
- * Jobs: accepted once by key, cancelled for good.
- */
 import type {LedgerDraft} from './LedgerDraft';
 import type {ChunkState, LedgerAnswer, LedgerCommand, LedgerJob} from './LedgerTypes';
 
--- a/packages/stallpaddle-ledger/src/LedgerLeases.ts
+++ b/packages/stallpaddle-ledger/src/LedgerLeases.ts
@@ -1,8 +1,8 @@
-import {invariant} from 'stallpaddle';
-
 /**
  * Chunks in VMs' hands: grants, reports, expiry. An item's first end stands.
  */
+import {invariant} from 'stallpaddle';
+
 import type {LedgerDraft} from './LedgerDraft';
 import type {
   ChunkReport,
--- a/packages/stallpaddle-ledger/src/LedgerPort.ts
+++ b/packages/stallpaddle-ledger/src/LedgerPort.ts
@@ -1,9 +1,9 @@
-import type {CustomerId} from 'stallpaddle';
-import type {BlobRef} from 'stallpaddle-storage';
-
 /**
  * How other parts reach the ledger, wherever its leaders are.
  */
+import type {CustomerId} from 'stallpaddle';
+import type {BlobRef} from 'stallpaddle-storage';
+
 import type {LedgerQuery, LedgerReply} from './LedgerQueries';
 import type {LedgerAnswer, LedgerCommand} from './LedgerTypes';
 
--- a/packages/stallpaddle-ledger/src/LedgerQueries.ts
+++ b/packages/stallpaddle-ledger/src/LedgerQueries.ts
@@ -1,11 +1,11 @@
+/**
+ * What may be asked of a shard. Answers hold plain data only.
+ */
 import type {CustomerId} from 'stallpaddle';
 import type {BlobRef} from 'stallpaddle-storage';
 
 import {unreachable} from 'stallpaddle';
 
-/**
- * What may be asked of a shard. Answers hold plain data only.
- */
 import type {
   CallRecord,
   FileChunk,
--- a/packages/stallpaddle-ledger/src/LedgerShard.ts
+++ b/packages/stallpaddle-ledger/src/LedgerShard.ts
@@ -1,11 +1,11 @@
+/**
+ * A ledger shard as a pure state machine: one command in, the next state and an answer out.
+ */
 import type {MachineResult, ReplicaMachine} from 'stallpaddle-replication';
 
 import {Map as ImmutableMap, Set as ImmutableSet, List} from 'immutable';
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
-/**
- * A ledger shard as a pure state machine: one command in, the next state and an answer out.
- */
 import type {LedgerDraft} from './LedgerDraft';
 import type {
   CallRecord,
--- a/packages/stallpaddle-ledger/src/LedgerUtils.ts
+++ b/packages/stallpaddle-ledger/src/LedgerUtils.ts
@@ -1,10 +1,10 @@
+/**
+ * Small helpers of the ledger.
+ */
 import type {CustomerId} from 'stallpaddle';
 
 import {hash32} from 'stallpaddle';
 
-/**
- * Small helpers of the ledger.
- */
 import type {LedgerRefusal} from './LedgerTypes';
 
 import {LEDGER_BUCKETS} from './LedgerConstants';
--- a/packages/stallpaddle-membership/src/MembershipView.ts
+++ b/packages/stallpaddle-membership/src/MembershipView.ts
@@ -1,10 +1,10 @@
+/**
+ * The membership view as a pure state machine, and what is read from it.
+ */
 import type {MonotonicMs, VmId, ZoneId} from 'stallpaddle';
 
 import {rendezvousOrder, unreachable} from 'stallpaddle';
 
-/**
- * The membership view as a pure state machine, and what is read from it.
- */
 import type {
   Address,
   MembershipEvent,
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -1,3 +1,6 @@
+/**
+ * One replica of a group, and the care for the group's members while it leads.
+ */
 import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
 import type {Disk} from 'stallpaddle-storage';
 
@@ -10,9 +13,6 @@
 } from 'stallpaddle-replication';
 import {sendSnapshot} from 'stallpaddle-rpc';
 
-/**
- * One replica of a group, and the care for the group's members while it leads.
- */
 import type {NodeMetrics, ReadGauge} from './NodeMetrics';
 import type {NodePeers} from './NodePeers';
 
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -1,3 +1,6 @@
+/**
+ * Answers all processes while this one leads the group that keeps batch jobs.
+ */
 import type {Clock, MonotonicMs} from 'stallpaddle';
 
 import {encodeValue, unreachable} from 'stallpaddle';
@@ -19,9 +22,6 @@
   type ResultsAnswer,
 } from 'stallpaddle-jobs';
 
-/**
- * Answers all processes while this one leads the group that keeps batch jobs.
- */
 import type {NodeGroup} from './NodeGroup';
 
 import {NodeOnlineDesk} from './NodeOnlineDesk';
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -1,3 +1,6 @@
+/**
+ * What processes of the second kind of fleet answer to each other: calls, replication messages, snapshots.
+ */
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {GroupId} from 'stallpaddle';
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -1,12 +1,12 @@
+/**
+ * One request to one engine, on a connection of its own: an answer that comes late can't meet another
+ * request, and no idle connection can be closed just as a request is sent.
+ */
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
 import {request} from 'node:http';
 
-/**
- * One request to one engine, on a connection of its own: an answer that comes late can't meet another
- * request, and no idle connection can be closed just as a request is sent.
- */
 import type {RelayPace} from './RelayPace';
 import type {AnswerFacts, RelayWire} from './RelayWire';
 
--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -1,9 +1,9 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
-
 /**
  * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
  * for whole.
  */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
 import {WHOLE_ANSWER_BYTES} from './RelayConstants';
 import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
 import {passedHeaders} from './RelayHeaders';
--- a/packages/stallpaddle-relay/src/RelayPlacement.ts
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -1,9 +1,8 @@
-import type {EngineId, MonotonicMs, Random, ZoneId} from 'stallpaddle';
-import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
-
 /**
  * Which engine an online request goes to: pure, from what this VM knows.
  */
+import type {EngineId, MonotonicMs, Random, ZoneId} from 'stallpaddle';
+import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
 
 /** What a sender has seen of an engine itself. */
 export interface EngineExperience {
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -1,13 +1,13 @@
+/**
+ * Brings one online request to an engine and its answer back, with further attempts where nothing can
+ * run twice by them.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {LogFields, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
 
-/**
- * Brings one online request to an engine and its answer back, with further attempts where nothing can
- * run twice by them.
- */
 import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
 
 import {sendRefusal} from './RelayAnswers';
--- a/packages/stallpaddle-replication/src/ReplicaRequests.ts
+++ b/packages/stallpaddle-replication/src/ReplicaRequests.ts
@@ -1,8 +1,8 @@
-import type {ReplicaId} from 'stallpaddle';
-
 /**
  * Callers that wait for their command's place in the log, and then for its result.
  */
+import type {ReplicaId} from 'stallpaddle';
+
 import type {LogEntry, LogIndex, Term} from './ReplicationTypes';
 
 import {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
--- a/packages/stallpaddle-replication/src/ReplicaStorage.ts
+++ b/packages/stallpaddle-replication/src/ReplicaStorage.ts
@@ -1,3 +1,6 @@
+/**
+ * A replica's disk: log records and snapshots, decoded.
+ */
 import type {Disk} from 'stallpaddle-storage';
 
 import {decodeValue, encodeValue} from 'stallpaddle';
@@ -9,9 +12,6 @@
   writeSnapshot,
 } from 'stallpaddle-storage';
 
-/**
- * A replica's disk: log records and snapshots, decoded.
- */
 import type {GroupMembers, HardState, LogEntry, SnapshotMeta} from './ReplicationTypes';
 
 import {EMPTY_SNAPSHOT, ReplicationLog} from './ReplicationLog';
--- a/packages/stallpaddle-replication/src/ReplicationDraft.ts
+++ b/packages/stallpaddle-replication/src/ReplicationDraft.ts
@@ -1,11 +1,11 @@
-import type {MonotonicMs, ReplicaId} from 'stallpaddle';
-
-import {hash32} from 'stallpaddle';
-
 /**
  * The next state while a step builds it. Functions whose names begin with `$` may be called only
  * within a step: they change the draft.
  */
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
+
+import {hash32} from 'stallpaddle';
+
 import type {
   HardState,
   LogEntry,
--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -1,8 +1,8 @@
-import type {ReplicaId} from 'stallpaddle';
-
 /**
  * Elections: pre-vote, vote, and the refusal to vote while a leader may hold its lease.
  */
+import type {ReplicaId} from 'stallpaddle';
+
 import type {ReplicationDraft} from './ReplicationDraft';
 import type {Message, MessageBody, Progress} from './ReplicationTypes';
 
--- a/packages/stallpaddle-replication/src/ReplicationFollower.ts
+++ b/packages/stallpaddle-replication/src/ReplicationFollower.ts
@@ -1,8 +1,8 @@
-import {invariant} from 'stallpaddle';
-
 /**
  * The follower's side of log replication.
  */
+import {invariant} from 'stallpaddle';
+
 import type {ReplicationDraft} from './ReplicationDraft';
 import type {
   LogEntry,
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -1,8 +1,8 @@
-import type {ReplicaId} from 'stallpaddle';
-
 /**
  * The leader's side of log replication.
  */
+import type {ReplicaId} from 'stallpaddle';
+
 import type {ReplicationDraft} from './ReplicationDraft';
 import type {
   EntryPayload,
--- a/packages/stallpaddle-replication/src/ReplicationLease.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLease.ts
@@ -1,8 +1,8 @@
-import type {MonotonicMs, ReplicaId} from 'stallpaddle';
-
 /**
  * Majorities, and the leader lease that rests on them.
  */
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
+
 import type {GroupMembers, ReplicationState} from './ReplicationTypes';
 
 /**
--- a/packages/stallpaddle-replication/src/ReplicationLog.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLog.ts
@@ -1,11 +1,11 @@
-import {invariant} from 'stallpaddle';
-
 /**
  * The part of the log that a replica holds in memory, as an immutable view.
  *
  * Views share one backing array: appending to the newest view adds in place, and older views never
  * look past their own length. Appending is thus O(1) without changing what an older view shows.
  */
+import {invariant} from 'stallpaddle';
+
 import type {GroupMembers, LogEntry, LogIndex, SnapshotMeta, Term} from './ReplicationTypes';
 
 const NO_MEMBERS: GroupMembers = {learners: [], voters: []};
--- a/packages/stallpaddle-replication/src/ReplicationStep.ts
+++ b/packages/stallpaddle-replication/src/ReplicationStep.ts
@@ -1,10 +1,10 @@
+/**
+ * The replica as a pure state machine: one event in, the next state and typed effects out.
+ */
 import type {GroupId, MonotonicMs, ReplicaId} from 'stallpaddle';
 
 import {unreachable} from 'stallpaddle';
 
-/**
- * The replica as a pure state machine: one event in, the next state and typed effects out.
- */
 import type {ReplicationDraft} from './ReplicationDraft';
 import type {ReplicationLog} from './ReplicationLog';
 import type {
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -1,11 +1,11 @@
-import type {GroupId, MonotonicMs, ReplicaId} from 'stallpaddle';
-
 /**
  * Data that replicas of a group exchange and keep.
  *
  * The algorithm is Raft (Ongaro, "Consensus: Bridging Theory and Practice", 2014) with pre-vote,
  * check-quorum, a leader lease and membership changes of one replica at a time.
  */
+import type {GroupId, MonotonicMs, ReplicaId} from 'stallpaddle';
+
 import type {ReplicationLog} from './ReplicationLog';
 
 /** Election period; rises by one with each election. */
--- a/packages/stallpaddle-routing/src/RoutingBatch.ts
+++ b/packages/stallpaddle-routing/src/RoutingBatch.ts
@@ -1,10 +1,10 @@
+/**
+ * How much batch work an engine's owner may run on it, and what gives way in a burst.
+ */
 import type {EngineId, MonotonicMs, VmId} from 'stallpaddle';
 
 import {rendezvousOwner} from 'stallpaddle';
 
-/**
- * How much batch work an engine's owner may run on it, and what gives way in a burst.
- */
 import type {RoutingState} from './RoutingTypes';
 
 import {LOAD_STALE_MS} from './RoutingConstants';
--- a/packages/stallpaddle-routing/src/RoutingPlacement.ts
+++ b/packages/stallpaddle-routing/src/RoutingPlacement.ts
@@ -1,10 +1,10 @@
+/**
+ * Chooses the engine for an online request: affinity bounded by load, else the better of two.
+ */
 import type {MonotonicMs, Random} from 'stallpaddle';
 
 import {rendezvousOrder} from 'stallpaddle';
 
-/**
- * Chooses the engine for an online request: affinity bounded by load, else the better of two.
- */
 import type {EngineView, Placement, PlacementRequest, RoutingState} from './RoutingTypes';
 
 import {
--- a/packages/stallpaddle-routing/src/RoutingView.ts
+++ b/packages/stallpaddle-routing/src/RoutingView.ts
@@ -1,10 +1,10 @@
+/**
+ * A VM's view of the engines as a pure state machine.
+ */
 import type {MonotonicMs, VmId} from 'stallpaddle';
 
 import {unreachable} from 'stallpaddle';
 
-/**
- * A VM's view of the engines as a pure state machine.
- */
 import type {
   EngineLoad,
   EngineOutcome,
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -1,8 +1,3 @@
-import type {MessageInitShape} from '@bufbuild/protobuf';
-
-import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
-import type {PeerClient, PeerConnection} from './RpcClients';
-
 /**
  * Calls and messages to one process over a standing stream. A stream that breaks leaves the calls under
  * way unknown; the next call opens another.
@@ -11,6 +6,11 @@
  * connection: after a cut, the old connection would bring nothing for seconds. The library's own pings are
  * not used for this. They can wait forever: a stream that ends while a ping is out takes its time limit off.
  */
+import type {MessageInitShape} from '@bufbuild/protobuf';
+
+import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
+import type {PeerClient, PeerConnection} from './RpcClients';
+
 import {RpcQueue} from './RpcQueue';
 import {outcomeOf, type TryOutcome, type TryRequest} from './RpcTry';
 
--- a/packages/stallpaddle-rpc/src/RpcSnapshots.ts
+++ b/packages/stallpaddle-rpc/src/RpcSnapshots.ts
@@ -1,3 +1,6 @@
+/**
+ * Brings snapshots to other VMs and takes them in, piece by piece.
+ */
 import type {GroupId} from 'stallpaddle';
 import type {
   MachineSnapshot,
@@ -9,9 +12,6 @@
 import {decodeValue, encodeValue} from 'stallpaddle';
 import {SNAPSHOT_CHUNK_BYTES} from 'stallpaddle-replication';
 
-/**
- * Brings snapshots to other VMs and takes them in, piece by piece.
- */
 import type {PeerClient} from './RpcClients';
 
 /** Longest wait for the receipt of one piece, in milliseconds. */
--- a/packages/stallpaddle-rpc/src/RpcTry.ts
+++ b/packages/stallpaddle-rpc/src/RpcTry.ts
@@ -1,12 +1,12 @@
+/**
+ * One try of a call to a group's leader, as the caller and the answering process see it.
+ */
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {GroupId, VmId} from 'stallpaddle';
 
 import {decodeValue, encodeValue, vmOfReplica} from 'stallpaddle';
 import {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from 'stallpaddle-replication';
 
-/**
- * One try of a call to a group's leader, as the caller and the answering process see it.
- */
 import type {CallResponse, CallResponseSchema} from './gen/stallpaddle/v1/peer_pb';
 import type {PeerClient} from './RpcClients';
 
--- a/packages/stallpaddle-settings/src/SettingsFile.ts
+++ b/packages/stallpaddle-settings/src/SettingsFile.ts
@@ -1,10 +1,10 @@
+/**
+ * Reads and checks settings files.
+ */
 import type {core} from 'zod';
 
 import {errorMessage} from 'stallpaddle';
 
-/**
- * Reads and checks settings files.
- */
 import type {Settings} from './SettingsSchema';
 
 import {settingsSchema} from './SettingsSchema';
--- a/packages/stallpaddle-standin/src/StandInEngine.ts
+++ b/packages/stallpaddle-standin/src/StandInEngine.ts
@@ -1,3 +1,7 @@
+/**
+ * Stand-in for a model engine: continuous batching, priorities, prefix cache, load reports with a
+ * lag, orders with optional fencing, and faults on demand. For demos and tests only.
+ */
 import type {EngineStandInSettings} from 'stallpaddle-settings';
 
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
@@ -5,10 +9,6 @@
 import {ATTEMPT_HEADER, LOAD_PATH, ORDERS_PATH, PRIORITY_HEADER} from 'stallpaddle-engine';
 import {z} from 'zod';
 
-/**
- * Stand-in for a model engine: continuous batching, priorities, prefix cache, load reports with a
- * lag, orders with optional fencing, and faults on demand. For demos and tests only.
- */
 import type {StandInStream} from './StandInScheduler';
 
 import {
--- a/packages/stallpaddle-storage/src/StorageBlobs.ts
+++ b/packages/stallpaddle-storage/src/StorageBlobs.ts
@@ -1,5 +1,3 @@
-import {invariant} from 'stallpaddle';
-
 /**
  * Append-only segment files for bulk data that a state machine refers to.
  *
@@ -8,6 +6,8 @@
  * and a replica that lags needs just the bytes after its own end. Until a snapshot nothing is
  * synced: the log still holds the data, and a restart writes it again.
  */
+import {invariant} from 'stallpaddle';
+
 import type {Disk, DiskFile} from './StorageDisk';
 
 import {CorruptionError} from './StorageErrors';
--- a/packages/stallpaddle-storage/src/StorageRecord.ts
+++ b/packages/stallpaddle-storage/src/StorageRecord.ts
@@ -1,11 +1,11 @@
-import crc32c from 'crc-32/crc32c.js';
-
 /**
  * Framing of records in append-only files: sequence number, length and two CRC-32C checksums.
  *
  * Layout, little endian: magic u32, sequence u32, length u32, CRC of the payload u32, CRC of the
  * sixteen bytes before u32, payload.
  */
+import crc32c from 'crc-32/crc32c.js';
+
 import {CorruptionError} from './StorageErrors';
 
 /** Bytes before each payload. */
--- a/packages/stallpaddle-vm/src/VmBeats.ts
+++ b/packages/stallpaddle-vm/src/VmBeats.ts
@@ -1,3 +1,9 @@
+/**
+ * Beats: signs of life, configuration and engine loads between VMs.
+ *
+ * A VM without a disk keeps one long call to a VM with a disk, the nearest that answers. VMs with a
+ * disk call one another. So no VM talks to all, and a new revision travels at most two hops.
+ */
 import type {Clock, VmId} from 'stallpaddle';
 import type {
   EngineLoadTuple,
@@ -12,12 +18,6 @@
 import {changesAfter} from 'stallpaddle-control';
 import {BEAT_INTERVAL_MS, liveVms, lostVms, newsSince} from 'stallpaddle-membership';
 
-/**
- * Beats: signs of life, configuration and engine loads between VMs.
- *
- * A VM without a disk keeps one long call to a VM with a disk, the nearest that answers. VMs with a
- * disk call one another. So no VM talks to all, and a new revision travels at most two hops.
- */
 import type {ConfigNews, ConfigView} from './VmConfigView';
 import type {VmGroups} from './VmGroups';
 import type {VmPeers} from './VmPeers';
--- a/packages/stallpaddle-vm/src/VmGroupClient.ts
+++ b/packages/stallpaddle-vm/src/VmGroupClient.ts
@@ -1,3 +1,6 @@
+/**
+ * Calls to a group from any VM: finds the leader, and tries again while that can do no harm.
+ */
 import type {Clock, GroupId, VmId} from 'stallpaddle';
 import type {ControlAnswer, ControlPort} from 'stallpaddle-control';
 import type {LedgerAnswer, LedgerPort} from 'stallpaddle-ledger';
@@ -6,9 +9,6 @@
 import {delay, encodeValue, RefusalError} from 'stallpaddle';
 import {tryLocal, type TryOutcome, tryRemote} from 'stallpaddle-rpc';
 
-/**
- * Calls to a group from any VM: finds the leader, and tries again while that can do no harm.
- */
 import type {VmGroups} from './VmGroups';
 import type {VmPeers} from './VmPeers';
 
--- a/packages/stallpaddle-vm/src/VmGroups.ts
+++ b/packages/stallpaddle-vm/src/VmGroups.ts
@@ -1,3 +1,6 @@
+/**
+ * The replicas that this VM's disk holds: founding, running, installing.
+ */
 import type {Clock, GroupId, Logger, ReplicaId, VmId} from 'stallpaddle';
 import type {ControlState} from 'stallpaddle-control';
 import type {LedgerState} from 'stallpaddle-ledger';
@@ -13,9 +16,6 @@
 import {sendSnapshot} from 'stallpaddle-rpc';
 import {openDisk} from 'stallpaddle-storage';
 
-/**
- * The replicas that this VM's disk holds: founding, running, installing.
- */
 import type {VmPeers} from './VmPeers';
 
 import {CONTROL_GROUP, FORM_RETRY_MS, GROUP_TRY_MS} from './VmConstants';
--- a/packages/stallpaddle-vm/src/VmLeaderDuties.ts
+++ b/packages/stallpaddle-vm/src/VmLeaderDuties.ts
@@ -1,3 +1,6 @@
+/**
+ * What leaders do on their own: the first configuration, and expiry of leases in ledger shards.
+ */
 import type {Clock, Logger} from 'stallpaddle';
 import type {ConfigChange, ControlCommand} from 'stallpaddle-control';
 import type {LedgerCommand} from 'stallpaddle-ledger';
@@ -5,9 +8,6 @@
 import {encodeValue, errorMessage} from 'stallpaddle';
 import {hasExpiredLeases} from 'stallpaddle-ledger';
 
-/**
- * What leaders do on their own: the first configuration, and expiry of leases in ledger shards.
- */
 import type {VmGroups} from './VmGroups';
 
 import {TIDY_INTERVAL_MS} from './VmConstants';
--- a/packages/stallpaddle-vm/src/VmOrders.ts
+++ b/packages/stallpaddle-vm/src/VmOrders.ts
@@ -1,12 +1,12 @@
+/**
+ * Brings engines to what the configuration says, from the VM that leads the control group.
+ */
 import type {Clock, EngineId, Logger} from 'stallpaddle';
 import type {ControlPort, EngineOrder, EngineReport, FleetConfig} from 'stallpaddle-control';
 import type {EngineAdapter} from 'stallpaddle-engine';
 
 import {fencingNumber, nextOrders} from 'stallpaddle-control';
 
-/**
- * Brings engines to what the configuration says, from the VM that leads the control group.
- */
 import type {VmGroups} from './VmGroups';
 
 import {ENGINE_STATUS_MS, ORDER_TAKEOVER_MS} from './VmConstants';
--- a/packages/stallpaddle-vm/src/VmReplacements.ts
+++ b/packages/stallpaddle-vm/src/VmReplacements.ts
@@ -1,12 +1,12 @@
+/**
+ * Carries out confirmed replacements of replicas, one change of members at a time.
+ */
 import type {Clock, Logger} from 'stallpaddle';
 import type {ControlPort, ReplacementConfig} from 'stallpaddle-control';
 import type {GroupMembers} from 'stallpaddle-replication';
 
 import {errorMessage} from 'stallpaddle';
 
-/**
- * Carries out confirmed replacements of replicas, one change of members at a time.
- */
 import type {AnyReplica, VmGroups} from './VmGroups';
 
 /**
--- a/packages/stallpaddle-vm/src/VmService.ts
+++ b/packages/stallpaddle-vm/src/VmService.ts
@@ -1,3 +1,6 @@
+/**
+ * What this VM answers to other VMs.
+ */
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {EngineId, VmId} from 'stallpaddle';
 
@@ -5,9 +8,6 @@
 import {decodeValue} from 'stallpaddle';
 import {encodeOutcome, type InstallStep, PeerService, SnapshotReceiver} from 'stallpaddle-rpc';
 
-/**
- * What this VM answers to other VMs.
- */
 import type {VmBeats} from './VmBeats';
 import type {VmGroups} from './VmGroups';
 
--- a/packages/stallpaddle-vm/src/VmStatus.ts
+++ b/packages/stallpaddle-vm/src/VmStatus.ts
@@ -1,3 +1,6 @@
+/**
+ * The fleet's state as one VM sees it, for operators.
+ */
 import type {Clock, VmId} from 'stallpaddle';
 import type {LedgerCounters, LedgerPorts} from 'stallpaddle-ledger';
 import type {MembershipState} from 'stallpaddle-membership';
@@ -7,9 +10,6 @@
 import {knownLeader} from 'stallpaddle-replication';
 import {onlineStreams} from 'stallpaddle-routing';
 
-/**
- * The fleet's state as one VM sees it, for operators.
- */
 import type {ConfigView} from './VmConfigView';
 import type {VmGroups} from './VmGroups';
 
--- a/packages/stallpaddle-vm/src/VmTells.ts
+++ b/packages/stallpaddle-vm/src/VmTells.ts
@@ -1,9 +1,9 @@
-import type {Clock, EngineId, VmId} from 'stallpaddle';
-import type {RoutingEvent, RoutingState} from 'stallpaddle-routing';
-
 /**
  * Tells engines' owners of this VM's online streams, so that batch work gives way at once.
  */
+import type {Clock, EngineId, VmId} from 'stallpaddle';
+import type {RoutingEvent, RoutingState} from 'stallpaddle-routing';
+
 import type {VmPeers} from './VmPeers';
 
 import {TELL_AGAIN_MS, TELL_TIMEOUT_MS} from './VmConstants';
