--- a/packages/stallpaddle-jobs/src/JobsSurvey.ts
+++ b/packages/stallpaddle-jobs/src/JobsSurvey.ts
@@ -10,6 +10,7 @@
 
 import {request} from 'node:http';
 import {delay, type LogFields} from 'stallpaddle';
+import {splitAddress} from 'stallpaddle-relay';
 
 import type {JobsOnline} from './JobsOnline';
 
@@ -36,16 +37,11 @@
   readonly wire: RelayWire;
 }
 
-function hostOf(address: string): {readonly host: string; readonly port: number} {
-  const colon = address.lastIndexOf(':');
-  return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
-}
-
 /** An engine's answer to a call of this module; null when none came in time. */
 function call(address: string, {body, method, path}: EngineOrder): Promise<null | string> {
   return new Promise((resolve) => {
     const headers = {'content-length': Buffer.byteLength(body), 'content-type': 'application/json'};
-    const req = request({agent: false, headers, method, path, ...hostOf(address)});
+    const req = request({agent: false, headers, method, path, ...splitAddress(address)});
     const timer = setTimeout(() => req.destroy(), CALL_MS);
     req.on('response', (res) => {
       let text = '';
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -44,7 +44,12 @@
   readonly started: Promise<EngineCallStart>;
 }
 
-function splitAddress(address: string): {readonly host: string; readonly port: number} {
+/**
+ * Host and port of an address.
+ *
+ * @param address IP number and port
+ */
+export function splitAddress(address: string): {readonly host: string; readonly port: number} {
   const colon = address.lastIndexOf(':');
   return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -6,6 +6,7 @@
   type EngineCallStart,
   type EngineRequest,
   type NotRunReason,
+  splitAddress,
   startEngineCall,
 } from './RelayEngineCall';
 export {continues, EventSplitter, type StreamEvent} from './RelayEvents';
