--- a/packages/stallpaddle-jobs/src/JobsEngines.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngines.ts
@@ -118,7 +118,8 @@
       if (run !== undefined) {
         const late = urgency.slackMs(view, task) < 0;
         const known = runs.get(run.engine) ?? [];
-        runs.set(run.engine, [...known, {events: run.events, key, late}]);
+        known.push({events: run.events, key, late});
+        runs.set(run.engine, known);
       }
     }
     return runs;
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -1,14 +1,13 @@
 /**
  * One replica of a group, and the care for the group's members while it leads.
  */
-import type {Clock, GroupId, Logger, ReplicaId} from 'stallpaddle';
-import type {Disk} from 'stallpaddle-storage';
+import type {ReplicaId} from 'stallpaddle';
 
 import {delay, errorMessage, registerLoop} from 'stallpaddle';
 import {
   isCaughtUp,
   ReplicaDriver,
-  type ReplicaMachine,
+  type ReplicaOptions,
   ReplicaStorage,
 } from 'stallpaddle-replication';
 import {sendSnapshot} from 'stallpaddle-rpc';
@@ -28,23 +27,16 @@
 }
 
 /** What the replica needs of its process. */
-export interface NodeGroupOptions<State> {
+export interface NodeGroupOptions<State> extends Omit<
+  ReplicaOptions<State>,
+  'timing' | 'transport'
+> {
   /** Everyone who may belong to the group. */
   readonly candidates: () => readonly Candidate[];
-  readonly clock: Clock;
-  readonly disk: Disk;
   /** First members, when the group begins with this disk among them. */
   readonly founders: readonly ReplicaId[] | null;
-  readonly group: GroupId;
-  readonly logger: Logger;
   readonly lostDisks: number;
-  readonly machine: ReplicaMachine<State>;
-  /** Called once when the replica ends after a failure. */
-  readonly onFailure: (err: unknown) => void;
   readonly peers: NodePeers;
-  readonly self: ReplicaId;
-  /** Size of the log file at which a snapshot replaces it, in bytes. */
-  readonly snapshotLogBytes?: number;
 }
 
 /**
--- a/packages/stallpaddle-relay/src/RelayOnline.ts
+++ b/packages/stallpaddle-relay/src/RelayOnline.ts
@@ -24,6 +24,12 @@
   );
 }
 
+/** Counts with some of them replaced; engines without any are left out, so that those that are gone are forgotten. */
+function merged(before: OnlineCounts, changed: OnlineCounts): OnlineCounts {
+  const counts = Object.entries({...before, ...changed});
+  return Object.fromEntries(counts.filter(([, count]) => count > 0));
+}
+
 /** See the module's comment. */
 export class RelayOnline {
   private readonly listeners = new Set<() => void>();
@@ -95,7 +101,7 @@
     if (!isAll) {
       this.newOnes += MEAN_GAIN * (begunBetween(this.others, others) - this.newOnes);
     }
-    this.others = isAll ? others : {...this.others, ...others};
+    this.others = isAll ? others : merged(this.others, others);
     this.suspects = new Set(suspects);
     this.toldAt = this.clock.monotonicMs();
   }
