Sight: why an item was given up, why leadership ended, how late a replica's turns come

The logs could not tell three hypotheses apart: - the group's clock runs fast (items given up too early), or the item was given up for another reason: the line of a given-up item now names its reason, its age by the group's clock, the route's bound and the age of the view; - leaders change because their process is held up, or because the network or a disk is silent: a change of leaders now tells the quorum's silence and the delay of the replica's latest turn, a follower that hears no leader likewise, and a turn later than a heartbeat says so itself (gauge stallpaddle_replica_turn_late_seconds); - items stop because leadership moved, or because the lease only lapsed: the dispatcher says when it begins and ends, with what it had under way, and the group's clock is a gauge. No change of behaviour.

--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -10,6 +10,8 @@
 
 /** Decisions on items. */
 export type ItemDecision =
+  | 'dispatchBegan'
+  | 'dispatchEnded'
   | 'engineSurveyed'
   | 'itemCut'
   | 'itemEnded'
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -4,12 +4,12 @@
 import type {EngineId, LogFields} from 'stallpaddle';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {engineOf, type EngineView} from 'stallpaddle-fleet';
+import {engineOf, type EngineView, type FleetRoute} from 'stallpaddle-fleet';
 import {RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsOnline} from './JobsOnline';
-import type {ItemOutcome} from './JobsTypes';
+import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 
 import {DECLINED_PAUSE_MS, SAVE_MS, SPARE_SLOTS, START_FRESH_MS, TIDY_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
@@ -27,6 +27,8 @@
 export class JobsDispatcher {
   private readonly engines: JobsEngines;
   private readonly ends: JobsEnds;
+  /** Whether the last look found that this process leads. */
+  private led = false;
   private readonly pace = new RelayPace();
   private planned = false;
   private readonly progress: JobsProgress;
@@ -110,10 +112,12 @@
 
   private look(): void {
     if (this.stopped || !this.options.leads()) {
+      this.noteLeads(false);
       this.tasks.clear();
       this.engines.stopSurvey();
       return;
     }
+    this.noteLeads(true);
     this.engines.startSurvey();
     this.tasks.follow(this.options.state());
     const view = this.options.view();
@@ -133,6 +137,19 @@
     }
   }
 
+  private noteLeads(leads: boolean): void {
+    if (this.led === leads) {
+      return;
+    }
+    this.led = leads;
+    const {clockMs, open} = this.options.state();
+    this.options.decide(leads ? 'dispatchBegan' : 'dispatchEnded', '', {
+      clockMs: Math.round(clockMs),
+      jobs: open.size,
+      ...this.counts(),
+    });
+  }
+
   /** Reads an item's body and what is recorded of its output, when it starts here for the first time. */
   private async readTask(task: Task): Promise<void> {
     if (task.body !== undefined) {
@@ -246,7 +263,7 @@
   private onItemFailure(task: Task, status: number): void {
     const route = this.urgency.routeOf(this.options.view(), task);
     if (status === UNPROCESSABLE) {
-      this.endTask(task, 'givenUp');
+      this.giveUp(task, 'impossible', route);
       return;
     }
     task.notBefore = this.options.clock.monotonicMs() + DECLINED_PAUSE_MS;
@@ -254,7 +271,7 @@
       return;
     }
     if (route !== undefined && task.item.failures + 1 >= route.maxAttempts) {
-      this.endTask(task, 'givenUp');
+      this.giveUp(task, 'tooManyFailures', route);
       return;
     }
     const {index, job} = task;
@@ -263,7 +280,21 @@
       .catch((err: unknown) => this.decide('itemReturned', task, {reason: errorMessage(err)}));
   }
 
-  private endTask(task: Task, outcome: ItemOutcome): void {
+  /** Ends an item without an answer, and says what that rests on. */
+  private giveUp(task: Task, why: GiveUpReason, route: FleetRoute | undefined): void {
+    const {clockMs} = this.options.state();
+    this.endTask(task, 'givenUp', {
+      ageMs: Math.round(clockMs - task.acceptedAt),
+      clockMs: Math.round(clockMs),
+      failures: task.item.failures,
+      mostAgeMs: route?.giveUpAfterMs,
+      mostFailures: route?.maxAttempts,
+      viewAgeMs: Math.round(this.options.clock.monotonicMs() - this.options.view().asOf),
+      why,
+    });
+  }
+
+  private endTask(task: Task, outcome: ItemOutcome, fields: LogFields = {}): void {
     if (task.ending) {
       return;
     }
@@ -271,7 +302,7 @@
     const {index, job, savedData, savedEvents} = task;
     const data = outcome === 'completed' ? task.data.slice(savedData) : [];
     const end = {after: savedEvents, data, item: index, job: job.id, outcome};
-    this.decide('itemEnded', task, {events: task.events, outcome});
+    this.decide('itemEnded', task, {events: task.events, outcome, ...fields});
     this.ends.add(end);
   }
 
@@ -288,7 +319,7 @@
       const route = this.urgency.routeOf(view, task);
       if (route === undefined || clockMs - task.acceptedAt > route.giveUpAfterMs) {
         task.run?.run.cut();
-        this.endTask(task, 'givenUp');
+        this.giveUp(task, route === undefined ? 'noRoute' : 'tooOld', route);
       }
     }
     if (open.size > 0) {
--- a/packages/stallpaddle-jobs/src/JobsTypes.ts
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -13,6 +13,17 @@
 /** How an item ended. */
 export type ItemOutcome = 'completed' | 'givenUp';
 
+/** Why an item is given up. */
+export type GiveUpReason =
+  /** An engine says that none can do it. */
+  | 'impossible'
+  /** Its route was removed. */
+  | 'noRoute'
+  /** Engines failed at it as often as its route allows. */
+  | 'tooManyFailures'
+  /** Its job was accepted longer ago than its route allows. */
+  | 'tooOld';
+
 /** What the runs of an item have brought, as far as it was recorded. */
 export interface ItemProgress {
   readonly events: number;
--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -15,7 +15,7 @@
 import type {NodeMetrics, ReadGauge} from './NodeMetrics';
 import type {NodePeers} from './NodePeers';
 
-import {GROUP_TIMING, KEEP_MEMBERS_MS, REOPEN_MS} from './NodeConstants';
+import {GROUP_TIMING, KEEP_MEMBERS_MS, REOPEN_MS, SECOND_MS} from './NodeConstants';
 import {type KnownReplica, planMembers} from './NodeKeeper';
 
 /** A replica that may belong to the group, as the process has heard of it. */
@@ -162,6 +162,9 @@
     expose('term', 'Election period; rises with each election.', () => this.driver.status.term);
     expose('commits', 'Entries applied since the start.', () => this.driver.counters.commits);
     expose('syncs', 'Syncs of the log since the start.', () => this.driver.counters.syncs);
+    expose('turn_late_seconds', 'Delay of the latest turn of the last two seconds.', () => {
+      return this.driver.turnLateMs / SECOND_MS;
+    });
     expose('voters', 'Voters of the group.', () => this.driver.status.log.members.voters.length);
     expose('unapplied', 'Entries in the log that are not known to be committed.', () => {
       const {commit, log} = this.driver.status;
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -16,7 +16,13 @@
 import type {NodeOptions, RunningNode} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
 
-import {ENTRY_SILENT_MS, HAND_OVER_MS, JOBS_GROUP, JOBS_LOG_BYTES} from './NodeConstants';
+import {
+  ENTRY_SILENT_MS,
+  HAND_OVER_MS,
+  JOBS_GROUP,
+  JOBS_LOG_BYTES,
+  SECOND_MS,
+} from './NodeConstants';
 import {NodeFleet} from './NodeFleet';
 import {type Candidate, NodeGroup} from './NodeGroup';
 import {startMetricsServer} from './NodeHttp';
@@ -131,6 +137,9 @@
     metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
       return this.dispatcher?.counts().waiting ?? 0;
     });
+    metrics.exposeGauge('stallpaddle_group_clock_seconds', 'Time of the group’s own clock.', () => {
+      return (this.group?.driver.localState.clockMs ?? 0) / SECOND_MS;
+    });
     this.watch.exposeMetrics(metrics);
   }
 
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -18,6 +18,7 @@
   Message,
   ReplicationEvent,
   ReplicationState,
+  ReplicationTiming,
   SnapshotMeta,
   Term,
 } from './ReplicationTypes';
@@ -28,10 +29,16 @@
 import {ReplicaRequests} from './ReplicaRequests';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
 import {wantsSnapshot} from './ReplicationFollower';
-import {holdsLease} from './ReplicationLease';
+import {holdsLease, quorumHeardAt} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica} from './ReplicationStep';
+import {ReplicaTurns} from './ReplicaTurns';
 import {ReplicaWriter} from './ReplicaWriter';
 
+/** Time between a replica's looks at its clock, in milliseconds: four for each heartbeat. */
+function tickPeriodMs({heartbeatMs}: ReplicationTiming): number {
+  return Math.max(1, heartbeatMs / 4);
+}
+
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
@@ -43,6 +50,7 @@
   private stopped = false;
   private commitTimer: NodeJS.Timeout | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private readonly turns: ReplicaTurns;
   private readonly writer: ReplicaWriter;
 
   private constructor(
@@ -55,6 +63,7 @@
     readonly replayed: number,
   ) {
     this.blobs = new ReplicaBlobs(blobs, (err) => this.fail(err));
+    this.turns = new ReplicaTurns(options.clock, tickPeriodMs(options.timing));
     this.writer = new ReplicaWriter({
       onFailure: (err) => this.fail(err),
       onPersisted: (index, term) => this.dispatch({index, kind: 'persisted', term}),
@@ -76,10 +85,7 @@
     const start = startReplica({group, hardState, log, self, timing}, clock.monotonicMs());
     const driver = new ReplicaDriver(options, storage, blobs, start, state, replay);
     driver.dispatch({kind: 'applyKnown'});
-    driver.timer = setInterval(
-      () => driver.dispatch({kind: 'tick'}),
-      Math.max(1, timing.heartbeatMs / 4),
-    );
+    driver.timer = setInterval(() => driver.tick(), tickPeriodMs(timing));
     driver.commitTimer = setInterval(() => driver.recordCommit(), COMMIT_RECORD_MS);
     return driver;
   }
@@ -89,6 +95,11 @@
     return {commits: this.commits, syncs: this.writer.syncs};
   }
 
+  /** Delay of the latest of this replica's turns in the last two seconds, in milliseconds. */
+  get turnLateMs(): number {
+    return this.turns.latestMs;
+  }
+
   /** Replication state, for views and tests. */
   get status(): ReplicationState {
     return this.replication;
@@ -284,6 +295,20 @@
     this.startSnapshotWhenDue();
   }
 
+  /** Looks at the clock, and says so when it could only do so late: whatever else the process did held it up. */
+  private tick(): void {
+    const lateMs = this.turns.note();
+    if (lateMs > this.options.timing.heartbeatMs) {
+      const {group, role} = this.replication;
+      this.options.logger.warn('A turn of this replica came late.', {
+        group,
+        lateMs: Math.round(lateMs),
+        role: role.kind,
+      });
+    }
+    this.dispatch({kind: 'tick'});
+  }
+
   private carryOut(effect: ReturnType<typeof stepReplica>['effects'][number]): void {
     switch (effect.kind) {
       case 'apply':
@@ -431,11 +456,21 @@
   }
 
   private logRole(before: ReplicationState, after: ReplicationState): void {
+    const {logger} = this.options;
+    const now = this.options.clock.monotonicMs();
+    const {group, term} = after;
+    const turnLateMs = Math.round(this.turns.latestMs);
     if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
-      this.options.logger.info('This replica leads.', {group: after.group, term: after.term});
+      logger.info('This replica leads.', {group, term});
+    }
+    if (before.role.kind === 'follower' && after.role.kind === 'preCandidate') {
+      const silentMs = Math.round(now - before.heardLeaderAt);
+      logger.info('This replica hears no leader.', {group, silentMs, term, turnLateMs});
     }
     if (before.role.kind === 'leader' && after.role.kind !== 'leader') {
-      this.options.logger.info('This replica leads no more.', {group: after.group});
+      const quorumSilentMs = Math.round(now - quorumHeardAt(before, now));
+      const fields = {group, newTerm: term, quorumSilentMs, term: before.term, turnLateMs};
+      logger.info('This replica leads no more.', fields);
       this.requests.abandonPlaced();
     }
   }
