--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -358,6 +358,29 @@
     expect(lapsed).toBe(true);
   });
 
+  test('a lease that lapses for a moment cuts no run', async () => {
+    const engines = await startEngines(1, 80, 5);
+    const group = new Group();
+    let mayLead = true;
+    const dispatcher = lead(
+      group,
+      () => viewOf(engines),
+      undefined,
+      () => mayLead,
+    );
+    group.submit(1);
+    await until(() => engines[0]!.seen.length > 0);
+    await delay(50);
+    mayLead = false;
+    dispatcher.poke();
+    await delay(100);
+    mayLead = true;
+    dispatcher.poke();
+    await until(() => group.results.length === 1);
+    expect(engines[0]!.seen).toHaveLength(1);
+    expect(group.textOf(0)).toBe(whole(80));
+  });
+
   test('goes on recording after a record whose outcome was unknown', async () => {
     const engines = await startEngines(1, 100, 5);
     const group = new Group();
--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
@@ -0,0 +1,106 @@
+/**
+ * The group's own clock, by which items grow old, while its replicas lead by turns.
+ */
+import type {JobsState} from 'stallpaddle-jobs';
+
+import {delay, type ReplicaId, silentLogger, systemClock} from 'stallpaddle';
+import {jobsMachine} from 'stallpaddle-jobs';
+import {startRpcServer} from 'stallpaddle-rpc';
+import {FakeDisk} from 'stallpaddle-testing';
+import {afterEach, describe, expect, test} from 'vitest';
+
+import {NodeGroup} from '../../NodeGroup';
+import {NodeJobsDesk} from '../../NodeJobsDesk';
+import {NodePeers} from '../../NodePeers';
+import {addNodeService} from '../../NodeService';
+
+interface Replica {
+  readonly desk: NodeJobsDesk;
+  readonly group: NodeGroup<JobsState>;
+}
+
+const GROUP = 'jobs';
+const PORT = 18_450;
+const undo: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  for (const step of undo.splice(0).reverse()) {
+    await step();
+  }
+});
+
+async function startReplica(id: ReplicaId, founders: readonly ReplicaId[]): Promise<Replica> {
+  const peers = new NodePeers(PORT);
+  const opened: {group?: NodeGroup<JobsState>} = {};
+  const rpc = await startRpcServer(id.split('/')[0]!, PORT, peers.key, (router) =>
+    addNodeService(router, {
+      answer: () => null,
+      group: GROUP,
+      replica: () => opened.group?.driver,
+    }),
+  );
+  const group = await NodeGroup.open<JobsState>({
+    candidates: () => [],
+    clock: systemClock,
+    disk: new FakeDisk(),
+    founders,
+    group: GROUP,
+    logger: silentLogger,
+    lostDisks: 1,
+    machine: jobsMachine,
+    onFailure: () => {},
+    peers,
+    self: id,
+  });
+  opened.group = group;
+  undo.push(async () => {
+    await group.close();
+    peers.close();
+    await rpc.stop();
+  });
+  return {desk: new NodeJobsDesk(systemClock, group), group};
+}
+
+async function leaderOf(
+  replicas: readonly Replica[],
+  isWanted: (replica: Replica) => boolean = () => true,
+): Promise<Replica> {
+  for (let tries = 0; tries < 1_000; tries++) {
+    const leader = replicas.find(({group}) => group.driver.leads);
+    if (leader !== undefined && isWanted(leader)) {
+      return leader;
+    }
+    await delay(10);
+  }
+  throw new Error('nobody leads');
+}
+
+/** Leads for a time as a dispatcher does: with a tick of the group's clock again and again. */
+async function tickFor({desk}: Replica, ms: number): Promise<void> {
+  const end = systemClock.monotonicMs() + ms;
+  while (systemClock.monotonicMs() < end) {
+    await desk.propose({kind: 'tick'});
+    await delay(20);
+  }
+}
+
+describe('NodeJobsDesk', () => {
+  test('the group’s clock never runs ahead of time, whoever leads and how often', async () => {
+    const ids = [1, 2, 3].map((number) => `127.0.8.${number}/first`);
+    const replicas = await Promise.all(ids.map((id) => startReplica(id, ids)));
+    const startedAt = systemClock.monotonicMs();
+    let last = await leaderOf(replicas);
+    for (let turn = 0; turn < 6; turn++) {
+      await tickFor(last, 200);
+      const before = last;
+      before.group.driver.transferLeadership();
+      last = await leaderOf(replicas, (replica) => replica !== before);
+    }
+    await tickFor(last, 200);
+    const passedMs = systemClock.monotonicMs() - startedAt;
+    const {clockMs} = last.group.driver.localState;
+    expect(clockMs).toBeLessThanOrEqual(passedMs);
+    // It does run while somebody leads.
+    expect(clockMs).toBeGreaterThan(700);
+  });
+});
