--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -74,6 +74,9 @@
  */
 export const DELIVER_TRY_MS = 500;
 
+/** Time of a delivery from which the log tells of it, in milliseconds: a heartbeat waits behind it. */
+export const SLOW_DELIVERY_MS = 125;
+
 /** Reports of an engine that must be missed before it counts as silent. */
 export const MISSED_REPORTS = 3;
 
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -4,7 +4,7 @@
  */
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {ReplicaId} from 'stallpaddle';
+import type {LogFields, ReplicaId} from 'stallpaddle';
 
 import path from 'node:path';
 import {delay, encodeValue, errorMessage, registerLoop, vmOfReplica} from 'stallpaddle';
@@ -54,6 +54,16 @@
     this.log = new NodeLog(loggers('control'), clock, fleet.metrics);
   }
 
+  /**
+   * Writes a line of this part's log.
+   *
+   * @param message one sentence
+   * @param fields what goes with it
+   */
+  note(message: string, fields: LogFields): void {
+    this.log.note(message, fields);
+  }
+
   /** What this part says of itself to the control group's leader. */
   hellos(): readonly Hello[] {
     return this.self === undefined ? [] : [{kind: 'control', replica: this.self}];
--- a/packages/stallpaddle-node/src/NodeFleet.ts
+++ b/packages/stallpaddle-node/src/NodeFleet.ts
@@ -2,7 +2,7 @@
  * A process's place in its fleet: the other processes, the control group's leader, and what is known of the
  * whole. Every process has one, whatever else it does.
  */
-import type {Clock, ReplicaId, VmId} from 'stallpaddle';
+import type {Clock, LogFields, ReplicaId, VmId} from 'stallpaddle';
 import type {FleetView, Hello} from 'stallpaddle-fleet';
 
 import {vmOfReplica} from 'stallpaddle';
@@ -21,6 +21,8 @@
   readonly clock: Clock;
   /** What each part of the process says of itself now. */
   readonly hellos: () => readonly Hello[];
+  /** Writes a line of the process's log. */
+  readonly note: (message: string, fields: LogFields) => void;
   /** Called after each answer of the control group's leader. */
   readonly onView: (view: FleetView, before: FleetView) => void;
   /** Whether the process holds a replica of the control group, so that it may lead it itself. */
@@ -51,7 +53,7 @@
   constructor(options: NodeFleetOptions) {
     const {clock, hellos, onView, ownReplica, settings} = options;
     this.ownHosts = ownReplica ? [settings.host] : [];
-    this.peers = new NodePeers(settings.peerPort);
+    this.peers = new NodePeers(settings.peerPort, options.note);
     this.seeds = settings.seeds;
     const {peers} = this;
     this.control = new NodeCaller({
--- a/packages/stallpaddle-node/src/NodeFront.ts
+++ b/packages/stallpaddle-node/src/NodeFront.ts
@@ -23,6 +23,7 @@
     this.fleet = new NodeFleet({
       clock,
       hellos: () => this.hellos(),
+      note: (message, fields) => this.control.note(message, fields),
       onView: (view, before) => this.entry.onView(view, before),
       ownReplica: settings.dataFolder !== '',
       settings,
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -1,7 +1,7 @@
 /**
  * Other processes of the fleet. A replica's name holds its VM's IP number, and all VMs share the port.
  */
-import type {ReplicaId} from 'stallpaddle';
+import type {LogFields, ReplicaId} from 'stallpaddle';
 import type {Message} from 'stallpaddle-replication';
 
 import {vmOfReplica} from 'stallpaddle';
@@ -13,7 +13,7 @@
   RpcOutbox,
 } from 'stallpaddle-rpc';
 
-import {DELIVER_TRY_MS} from './NodeConstants';
+import {DELIVER_TRY_MS, SLOW_DELIVERY_MS} from './NodeConstants';
 
 /** The platform hands out no secret; its network lets only the fleet's own VMs in. */
 const FLEET_KEY = 'fleet';
@@ -26,8 +26,12 @@
 
   /**
    * @param port port on which all processes reach each other
+   * @param note writes a line of the log
    */
-  constructor(private readonly port: number) {}
+  constructor(
+    private readonly port: number,
+    private readonly note: (message: string, fields: LogFields) => void = () => {},
+  ) {}
 
   /** Key that every process shows the others. */
   get key(): string {
@@ -82,7 +86,14 @@
   /** One delivery at a time: what comes meanwhile goes with the next. */
   private async carry(to: ReplicaId, deliveries: AsyncIterable<Delivery>): Promise<void> {
     for await (const {encoded} of deliveries) {
-      await this.channel(vmOfReplica(to)).deliver(encoded, DELIVER_TRY_MS);
+      const startedAt = performance.now();
+      const arrived = await this.channel(vmOfReplica(to)).deliver(encoded, DELIVER_TRY_MS);
+      const tookMs = Math.round(performance.now() - startedAt);
+      if (tookMs > SLOW_DELIVERY_MS && !this.stopped) {
+        const bytes = encoded.reduce((sum, {length}) => sum + length, 0);
+        const fields = {arrived, bytes, messages: encoded.length, to, tookMs};
+        this.note('A delivery to a replica took long.', fields);
+      }
     }
   }
 }
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -57,6 +57,7 @@
     this.fleet = new NodeFleet({
       clock,
       hellos: () => [this.hello()],
+      note: (message, fields) => this.log.note(message, fields),
       onView: (view, before) => {
         if (view.news !== before.news || view.config !== before.config) {
           this.dispatcher?.poke();
