Time is counted with leadership: a leader's commands carry what passed since its last one, or since it was elected

NodeJobsDesk kept the time of its last command over a loss of leadership, so a replica that led again counted the time of the leaders between once more: the group's clock ran fast and items were given up too early (MIXED: given up 37 s after they were accepted, on a route that allows 60 s). Its class: a memory of an earlier term that is taken up in a later one. The mend is in the design: what a leader has counted is part of its role in the replication's pure step, which begins anew with each election; entries carry the time and each state machine is handed it. Leases keep two leaders from counting the same time. Ruled out as mends: forgetting the time when leadership ends (a loss and a return between two looks would be missed), time of day (machines disagree, it jumps). Entries of earlier releases carry no time and count none: given up late, never early.

--- a/packages/stallpaddle-control/src/__tests__/unit/ControlMachine.test.ts
+++ b/packages/stallpaddle-control/src/__tests__/unit/ControlMachine.test.ts
@@ -29,7 +29,7 @@
   state: ControlState = EMPTY_CONTROL;
 
   apply(command: ControlCommand): ControlAnswer {
-    const {result, state} = controlMachine.apply(this.state, encodeValue(command));
+    const {result, state} = controlMachine.apply(this.state, encodeValue(command), 0);
     this.state = state;
     return result as ControlAnswer;
   }
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -18,7 +18,7 @@
 
 function apply(state: FleetState, ...commands: readonly FleetCommand[]): FleetState {
   return commands.reduce(
-    (at, command) => fleetMachine.apply(at, encodeValue(command)).state,
+    (at, command) => fleetMachine.apply(at, encodeValue(command), 0).state,
     state,
   );
 }
@@ -110,6 +110,7 @@
     const again = fleetMachine.apply(
       first,
       encodeValue({config: configOf(7, 'other'), kind: 'putConfig'}),
+      0,
     );
     expect(again.result).toEqual({kind: 'held', version: 7} satisfies FleetAnswer);
     expect(again.state.config?.source).toBe('v7');
--- a/packages/stallpaddle-jobs/src/JobsMachine.ts
+++ b/packages/stallpaddle-jobs/src/JobsMachine.ts
@@ -206,10 +206,15 @@
  *
  * @param state state before
  * @param command the command
+ * @param elapsedMs time since the command before it, in milliseconds
  */
-export function updateJobs(state: JobsState, command: JobsCommand): MachineResult<JobsState> {
-  const draft: Draft = {blobs: [], state: {...state, clockMs: state.clockMs + command.elapsedMs}};
-  const result = $change(draft, command.change);
+export function updateJobs(
+  state: JobsState,
+  {change}: JobsCommand,
+  elapsedMs: number,
+): MachineResult<JobsState> {
+  const draft: Draft = {blobs: [], state: {...state, clockMs: state.clockMs + elapsedMs}};
+  const result = $change(draft, change);
   return {blobs: draft.blobs, result, state: draft.state};
 }
 
@@ -223,7 +228,8 @@
 
 /** See the module's comment. */
 export const jobsMachine: ReplicaMachine<JobsState> = {
-  apply: (state, command) => updateJobs(state, decodeValue<JobsCommand>(command)),
+  apply: (state, command, elapsedMs) =>
+    updateJobs(state, decodeValue<JobsCommand>(command), elapsedMs),
   blobEnd: ({blobEnd}) => blobEnd,
   decode: (bytes) => {
     const encoded = decodeValue<EncodedJobs>(bytes);
--- a/packages/stallpaddle-jobs/src/JobsTypes.ts
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -7,7 +7,7 @@
 /** Name of a job, given by whoever submits it. */
 export type JobId = string;
 
-/** Time of the group's own clock, in milliseconds: it counts only while a leader runs. */
+/** Time of the group's own clock, in milliseconds: the sum of what its leaders counted, never ahead of time. */
 export type GroupMs = number;
 
 /** How an item ended. */
@@ -124,8 +124,6 @@
 /** A command. Each may be repeated without harm. */
 export interface JobsCommand {
   readonly change: JobsChange;
-  /** Time since the leader's last command, by its steady clock, in milliseconds. */
-  readonly elapsedMs: number;
 }
 
 /** Answer to a command. */
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -46,7 +46,7 @@
   state: JobsState = jobsMachine.initial();
 
   propose(change: JobsChange): Promise<unknown> {
-    const {blobs, result, state} = updateJobs(this.state, {change, elapsedMs: 1});
+    const {blobs, result, state} = updateJobs(this.state, {change}, 1);
     blobs.forEach(({payload, ref}) => this.blobs.set(ref.offset, payload));
     this.state = state;
     this.leader?.poke();
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
@@ -44,7 +44,7 @@
 function run(state: JobsState, ...changes: readonly JobsChange[]) {
   const answers: unknown[] = [];
   for (const change of changes) {
-    const step = updateJobs(state, {change, elapsedMs: 1});
+    const step = updateJobs(state, {change}, 1);
     answers.push(step.result);
     ({state} = step);
   }
@@ -129,7 +129,7 @@
     const property = fc.property(events, fc.array(fc.nat(12)), fc.nat(12), (all, cuts, told) => {
       const blobs = new Map<number, Uint8Array>();
       const apply = (state: JobsState, change: JobsChange): JobsState => {
-        const step = updateJobs(state, {change, elapsedMs: 1});
+        const step = updateJobs(state, {change}, 1);
         step.blobs.forEach(({payload, ref}) => blobs.set(ref.offset, payload));
         return step.state;
       };
@@ -214,9 +214,9 @@
 
   test('replicas place bulk data alike', () => {
     const changes = [submit('a', 2), end('a', 0, 'text')];
-    const command = (change: JobsChange) => encodeValue({change, elapsedMs: 1});
+    const command = (change: JobsChange) => encodeValue({change});
     const replicas = [EMPTY, EMPTY].map((state) =>
-      changes.reduce((at, change) => jobsMachine.apply(at, command(change)).state, state),
+      changes.reduce((at, change) => jobsMachine.apply(at, command(change), 1).state, state),
     );
     expect(replicas[0]!.jobs.get('a')!.results.get(0)).toEqual(
       replicas[1]!.jobs.get('a')!.results.get(0),
--- a/packages/stallpaddle-ledger/src/__tests__/unit/LedgerShard.test.ts
+++ b/packages/stallpaddle-ledger/src/__tests__/unit/LedgerShard.test.ts
@@ -21,7 +21,7 @@
   state: LedgerState = EMPTY_LEDGER;
 
   apply(command: LedgerCommand): LedgerAnswer {
-    const {blobs, result, state} = ledgerMachine.apply(this.state, encodeValue(command));
+    const {blobs, result, state} = ledgerMachine.apply(this.state, encodeValue(command), 0);
     this.state = state;
     blobs.forEach(({payload, ref}) => this.blobs.set(ref.offset, payload));
     return result as LedgerAnswer;
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -1,7 +1,7 @@
 /**
  * Answers all processes while this one leads the group that keeps batch jobs.
  */
-import type {Clock, MonotonicMs} from 'stallpaddle';
+import type {Clock} from 'stallpaddle';
 
 import {encodeValue, unreachable} from 'stallpaddle';
 import {
@@ -41,7 +41,6 @@
 
 /** See the module's comment. */
 export class NodeJobsDesk {
-  private lastCommandAt: MonotonicMs | undefined;
   private readonly online: NodeOnlineDesk;
   private readonly waiters = new NodeWaiters();
 
@@ -108,12 +107,7 @@
   }
 
   private proposeTo(driver: Driver, change: JobsChange): Promise<unknown> {
-    const now = this.clock.monotonicMs();
-    // Time without a leader isn't counted: an item is rather given up late than early.
-    const elapsedMs = driver.leads ? now - (this.lastCommandAt ?? now) : 0;
-    this.lastCommandAt = driver.leads ? now : undefined;
-    const command: JobsCommand = {change, elapsedMs};
-    return driver.propose(encodeValue(command));
+    return driver.propose(encodeValue({change} satisfies JobsCommand));
   }
 
   private async readResults(
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -30,7 +30,7 @@
 import {ReplicaStorage as Storage} from './ReplicaStorage';
 import {wantsSnapshot} from './ReplicationFollower';
 import {holdsLease, quorumHeardAt} from './ReplicationLease';
-import {isCaughtUp, knownLeader, startReplica, stepReplica} from './ReplicationStep';
+import {isCaughtUp, knownLeader, startReplica, stepReplica, uncountedMs} from './ReplicationStep';
 import {ReplicaTurns} from './ReplicaTurns';
 import {ReplicaWriter} from './ReplicaWriter';
 
@@ -100,6 +100,11 @@
     return this.turns.latestMs;
   }
 
+  /** Time that this leader's next command will count, in milliseconds; 0 without leadership. */
+  get uncountedMs(): number {
+    return uncountedMs(this.replication, this.options.clock.monotonicMs());
+  }
+
   /** Replication state, for views and tests. */
   get status(): ReplicationState {
     return this.replication;
@@ -441,6 +446,7 @@
     const {blobs, result, state} = this.options.machine.apply(
       this.machineState,
       entry.payload.data,
+      entry.payload.elapsedMs ?? 0,
     );
     this.machineState = state;
     if (blobs.length > 0) {
--- a/packages/stallpaddle-replication/src/ReplicaMachine.ts
+++ b/packages/stallpaddle-replication/src/ReplicaMachine.ts
@@ -19,7 +19,8 @@
 
 /** Pure and deterministic: all replicas reach the same state from the same commands. */
 export interface ReplicaMachine<State> {
-  readonly apply: (state: State, command: Uint8Array) => MachineResult<State>;
+  /** Applies a command; `elapsedMs` is the time since the command before it, counted by the group's leaders. */
+  readonly apply: (state: State, command: Uint8Array, elapsedMs: number) => MachineResult<State>;
   /** End of the bulk data that the state refers to, in bytes. */
   readonly blobEnd: (state: State) => number;
   readonly decode: (bytes: Uint8Array) => State;
--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -51,7 +51,8 @@
       });
     }
   }
-  draft.role = {kind: 'leader', progress, since: draft.now, termStart: next};
+  const since = draft.now;
+  draft.role = {countedUntil: since, kind: 'leader', progress, since, termStart: next};
   $appendOwn(draft, [{kind: 'noop'}]);
   $broadcast(draft);
 }
--- a/packages/stallpaddle-replication/src/ReplicationStep.ts
+++ b/packages/stallpaddle-replication/src/ReplicationStep.ts
@@ -16,6 +16,7 @@
   ReplicationState,
   ReplicationStepResult,
   ReplicationTiming,
+  Role,
 } from './ReplicationTypes';
 
 import {$becomeFollower, $emit, $enterTerm, closeDraft, openDraft} from './ReplicationDraft';
@@ -40,6 +41,8 @@
 } from './ReplicationLeader';
 import {holdsLease} from './ReplicationLease';
 
+type LeaderRole = Extract<Role, {kind: 'leader'}>;
+
 /** What a replica starts from. */
 export interface ReplicaStart {
   readonly group: GroupId;
@@ -98,6 +101,12 @@
   }
 }
 
+/** Time that no command of this term has counted yet, in milliseconds; from now on it is counted. */
+function $countTime(draft: ReplicationDraft, role: LeaderRole): number {
+  draft.role = {...role, countedUntil: draft.now};
+  return draft.now - role.countedUntil;
+}
+
 function $propose(draft: ReplicationDraft, commands: readonly ProposedCommand[]): void {
   // Without its lease a leader takes nothing on: a majority may already follow another.
   if (draft.role.kind !== 'leader' || !holdsLease(draft, draft.now)) {
@@ -107,9 +116,11 @@
     }
     return;
   }
+  const elapsedMs = $countTime(draft, draft.role);
   const first = $appendOwn(
     draft,
-    commands.map(({data}) => ({data, kind: 'command'})),
+    // All were proposed at the same moment: the first of them tells the time.
+    commands.map(({data}, at) => ({data, elapsedMs: at === 0 ? elapsedMs : 0, kind: 'command'})),
   );
   commands.forEach(({requestId}, offset) => {
     $emit(draft, {index: first + offset, kind: 'proposed', requestId, term: draft.term});
@@ -242,6 +253,16 @@
   return closeDraft(draft);
 }
 
+/**
+ * Time that a leader's commands have not counted yet, in milliseconds: its next command will. 0 for others.
+ *
+ * @param state a replica's state
+ * @param now monotonic time
+ */
+export function uncountedMs({role}: ReplicationState, now: MonotonicMs): number {
+  return role.kind === 'leader' ? now - role.countedUntil : 0;
+}
+
 /**
  * Whether a learner holds all that the leader has committed.
  *
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -23,7 +23,16 @@
 
 /** What a log entry carries. */
 export type EntryPayload =
-  | {readonly data: Uint8Array; readonly kind: 'command'}
+  | {
+      readonly data: Uint8Array;
+      /**
+       * Time that the proposing leader counted since its last command, or since it was elected, by its steady clock,
+       * in milliseconds. Sums of it never run ahead of time: no two leaders count the same time. Entries of releases
+       * before it have none.
+       */
+      readonly elapsedMs?: number;
+      readonly kind: 'command';
+    }
   | {readonly kind: 'members'; readonly members: GroupMembers}
   | {readonly kind: 'noop'};
 
@@ -118,6 +127,8 @@
     }
   | {readonly kind: 'follower'; readonly leader: ReplicaId | null}
   | {
+      /** Up to when this leader's commands have counted the time. It ends with the role, so no other term's is in it. */
+      readonly countedUntil: MonotonicMs;
       readonly kind: 'leader';
       readonly progress: ReadonlyMap<ReplicaId, Progress>;
       readonly since: MonotonicMs;
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
@@ -198,3 +198,21 @@
     expect(world.replicas.get(leader)!.state!.role.kind).not.toBe('leader');
   });
 });
+
+describe('the time that commands count', () => {
+  test('is counted by no leader for another, also when one leads again', () => {
+    const world = new ReplicationWorld(IDS);
+    for (let turn = 0; turn < 8; turn++) {
+      world.settle(600);
+      const [leader] = world.leaseHolders();
+      world.propose(leader!, `a${turn}`);
+      world.settle(100);
+      world.propose(leader!, `b${turn}`);
+      world.settle(50);
+      world.freeze(leader!, 400);
+    }
+    world.settle(600);
+    // The world checks the sum with each command; all of it was counted but for the changes of leaders.
+    expect(world.countedMs).toBeGreaterThan(8 * 100);
+  });
+});
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
@@ -22,6 +22,8 @@
 import {isCaughtUp, startReplica, stepReplica} from '../../ReplicationStep';
 
 const TIMING = {electionTimeoutMs: 100, heartbeatMs: 20, leaseDriftFraction: 0.2};
+/** Sums of times that aren't whole, in milliseconds. */
+const ROUNDING_MS = 0.001;
 const NO_HARD_STATE: HardState = {term: 0, votedFor: null};
 
 interface Snapshot {
@@ -84,7 +86,10 @@
   readonly parcels: Parcel[] = [];
   readonly replicas = new Map<ReplicaId, Replica>();
   private readonly committed: string[] = [];
+  /** Time that each committed command counted, by index. */
+  private readonly counted: number[] = [];
   private nextRequest = 0;
+  private readonly startedAt = this.now;
 
   /**
    * @param ids first members
@@ -99,6 +104,11 @@
     return [...this.replicas.keys()];
   }
 
+  /** Time that all committed commands have counted, in milliseconds. */
+  get countedMs(): number {
+    return this.counted.reduce((total, ms) => total + ms, 0);
+  }
+
   /** Adds a replica; without members its disk is empty. */
   addReplica(id: ReplicaId, clockRate: number, members: GroupMembers | null): void {
     const meta = members === null ? EMPTY_SNAPSHOT : {index: 0, members, term: 0};
@@ -390,6 +400,7 @@
     this.committed[entry.index] = command;
     if (entry.payload.kind === 'command') {
       replica.applied.push(command);
+      this.checkTime(entry.index, entry.payload.elapsedMs ?? 0);
     }
     const waiter = replica.waiters.get(entry.index);
     replica.waiters.delete(entry.index);
@@ -398,6 +409,17 @@
     }
   }
 
+  /** The time that all committed commands count together never runs ahead, but for clocks that run fast. */
+  private checkTime(index: number, elapsedMs: number): void {
+    this.counted[index] = elapsedMs;
+    const sum = this.countedMs;
+    const fastest = Math.max(1, ...[...this.replicas.values()].map(({clockRate}) => clockRate));
+    const passed = (this.now - this.startedAt) * fastest;
+    if (elapsedMs < 0 || sum > passed + ROUNDING_MS) {
+      throw new SafetyError(`commands count ${sum} ms of ${passed} ms`);
+    }
+  }
+
   /** A lease holder answers from its own state: it must have all that was acknowledged. */
   private checkLease(): void {
     const holders = this.leaseHolders();
