What the dispatcher has under way belongs to a term, and outlasts a lease that lapses within it

Change: a replica tells follows, unsure or leads, with its term. While it is unsure runs go on, nothing starts, nothing is recorded; runs and ends are dropped when the term is another.

--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -4,6 +4,7 @@
 import type {Clock, LogFields} from 'stallpaddle';
 import type {FleetView} from 'stallpaddle-fleet';
 import type {RelayWire} from 'stallpaddle-relay';
+import type {Leadership} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
 import type {JobsChange, JobsState} from './JobsTypes';
@@ -25,8 +26,8 @@
   readonly clock: Clock;
   /** Writes one line for a decision; the name is empty for one on no single item. */
   readonly decide: (decision: ItemDecision, itemId: string, fields: LogFields) => void;
-  /** Whether this process leads the group, and may decide for it. */
-  readonly leads: () => boolean;
+  /** What this process may do for the group. */
+  readonly leadership: () => Leadership;
   /** Records a change; rejects when it may not have been recorded. */
   readonly propose: (change: JobsChange) => Promise<unknown>;
   /** Reads a body or a part of an output. */
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -2,6 +2,7 @@
  * Runs the open items of a group in the slots that online requests leave, while this process leads it.
  */
 import type {EngineId, LogFields} from 'stallpaddle';
+import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
 import {engineOf, type EngineView, type FleetRoute} from 'stallpaddle-fleet';
@@ -27,14 +28,14 @@
 export class JobsDispatcher {
   private readonly engines: JobsEngines;
   private readonly ends: JobsEnds;
-  /** Whether the last look found that this process leads. */
-  private led = false;
   private readonly pace = new RelayPace();
   private planned = false;
   private readonly progress: JobsProgress;
   private readonly saver: NodeJS.Timeout;
   private stopped = false;
   private readonly tasks = new JobsTasks();
+  /** Term to which the tasks belong; undefined while this process doesn't lead. */
+  private term: Term | undefined;
   private readonly timer: NodeJS.Timeout;
   private readonly urgency: JobsUrgency;
 
@@ -105,19 +106,17 @@
 
   /** Records what runs have brought since the last record, so that the next leader can go on from there. */
   async saveProgress(): Promise<void> {
-    if (!this.stopped) {
+    if (this.mayDecide()) {
       await this.progress.save(this.tasks.all());
     }
   }
 
   private look(): void {
-    if (this.stopped || !this.options.leads()) {
-      this.noteLeads(false);
-      this.tasks.clear();
-      this.engines.stopSurvey();
+    this.followTerm();
+    // While the lease doesn't run, runs go on: nobody else leads as far as is known, and a lapse is often short.
+    if (!this.mayDecide()) {
       return;
     }
-    this.noteLeads(true);
     this.engines.startSurvey();
     this.tasks.follow(this.options.state());
     const view = this.options.view();
@@ -137,17 +136,32 @@
     }
   }
 
-  private noteLeads(leads: boolean): void {
-    if (this.led === leads) {
+  /** Whether this process leads in the term to which the tasks here belong. */
+  private mayDecide(): boolean {
+    const leadership = this.options.leadership();
+    return !this.stopped && leadership.kind === 'leads' && leadership.term === this.term;
+  }
+
+  /** Runs and what they brought belong to one term: other leaders may have gone on with the same items since. */
+  private followTerm(): void {
+    const leadership = this.options.leadership();
+    const term = this.stopped || leadership.kind === 'follows' ? undefined : leadership.term;
+    if (term === this.term) {
       return;
     }
-    this.led = leads;
+    this.logTerm('dispatchEnded');
+    this.tasks.clear();
+    this.engines.stopSurvey();
+    this.term = term;
+    this.logTerm('dispatchBegan');
+  }
+
+  private logTerm(decision: 'dispatchBegan' | 'dispatchEnded'): void {
     const {clockMs, open} = this.options.state();
-    this.options.decide(leads ? 'dispatchBegan' : 'dispatchEnded', '', {
-      clockMs: Math.round(clockMs),
-      jobs: open.size,
-      ...this.counts(),
-    });
+    if (this.term !== undefined) {
+      const fields = {clockMs: Math.round(clockMs), jobs: open.size, term: this.term};
+      this.options.decide(decision, '', {...fields, ...this.counts()});
+    }
   }
 
   /** Reads an item's body and what is recorded of its output, when it starts here for the first time. */
@@ -178,7 +192,7 @@
     } finally {
       task.starting = false;
     }
-    if (this.tasks.get(key) !== task || !this.options.leads()) {
+    if (this.tasks.get(key) !== task || !this.mayDecide()) {
       return;
     }
     await this.run(task, engine);
@@ -295,7 +309,7 @@
   }
 
   private endTask(task: Task, outcome: ItemOutcome, fields: LogFields = {}): void {
-    if (task.ending) {
+    if (task.ending || this.term === undefined) {
       return;
     }
     task.ending = true;
@@ -303,12 +317,12 @@
     const data = outcome === 'completed' ? task.data.slice(savedData) : [];
     const end = {after: savedEvents, data, item: index, job: job.id, outcome};
     this.decide('itemEnded', task, {events: task.events, outcome, ...fields});
-    this.ends.add(end);
+    this.ends.add(end, this.term);
   }
 
   /** Gives up items whose time is over or whose route was removed, and lets the group's clock run. */
   private tidy(): void {
-    if (this.stopped || !this.options.leads()) {
+    if (!this.mayDecide()) {
       this.poke();
       return;
     }
--- a/packages/stallpaddle-jobs/src/JobsEnds.ts
+++ b/packages/stallpaddle-jobs/src/JobsEnds.ts
@@ -1,6 +1,8 @@
 /**
  * Records the ends of items in groups: those that come while one group is under way go with the next.
  */
+import type {Term} from 'stallpaddle-replication';
+
 import {delay} from 'stallpaddle';
 
 import type {JobsDispatcherOptions} from './JobsContext';
@@ -8,27 +10,31 @@
 
 import {PROPOSE_AGAIN_MS} from './JobsConstants';
 
-/** Pauses without leadership after which another process runs the items: five seconds in all. */
-const MOST_WAITS = 100;
+/** An end, and the term in which it was found. */
+interface FoundEnd {
+  readonly end: ItemEnd;
+  readonly term: Term;
+}
 
 /** See the module's comment. */
 export class JobsEnds {
-  private pending: ItemEnd[] = [];
+  private pending: readonly FoundEnd[] = [];
   private recording = false;
   private stopped = false;
 
   /**
    * @param options what it needs of its process
    */
-  constructor(private readonly options: Pick<JobsDispatcherOptions, 'leads' | 'propose'>) {}
+  constructor(private readonly options: Pick<JobsDispatcherOptions, 'leadership' | 'propose'>) {}
 
   /**
-   * Records an end soon, while this process leads.
+   * Records an end soon, while this process leads in the same term.
    *
    * @param end the end
+   * @param term term in which it was found
    */
-  add(end: ItemEnd): void {
-    this.pending.push(end);
+  add(end: ItemEnd, term: Term): void {
+    this.pending = [...this.pending, {end, term}];
     void this.record();
   }
 
@@ -43,26 +49,35 @@
       return;
     }
     this.recording = true;
-    for (let waits = 0; this.pending.length > 0 && !this.stopped && waits < MOST_WAITS; waits++) {
-      if (this.options.leads()) {
-        waits = 0;
+    while (!this.stopped) {
+      this.forgetOtherTerms();
+      if (this.pending.length === 0) {
+        break;
+      }
+      if (this.options.leadership().kind === 'leads') {
         await this.recordPending();
       } else {
         await delay(PROPOSE_AGAIN_MS);
       }
     }
-    this.pending = [];
     this.recording = false;
   }
 
+  /** What an earlier term found may not fit what other leaders have recorded since; whoever leads runs those items. */
+  private forgetOtherTerms(): void {
+    const leadership = this.options.leadership();
+    const current = leadership.kind === 'follows' ? undefined : leadership.term;
+    this.pending = this.pending.filter(({term}) => term === current);
+  }
+
   private async recordPending(): Promise<void> {
-    const ends = this.pending;
+    const found = this.pending;
     this.pending = [];
     try {
-      await this.options.propose({ends, kind: 'endItems'});
+      await this.options.propose({ends: found.map(({end}) => end), kind: 'endItems'});
     } catch {
       // An end may be recorded twice without harm: only the first counts.
-      this.pending = [...ends, ...this.pending];
+      this.pending = [...found, ...this.pending];
       await delay(PROPOSE_AGAIN_MS);
     }
   }
--- a/packages/stallpaddle-jobs/src/JobsProgress.ts
+++ b/packages/stallpaddle-jobs/src/JobsProgress.ts
@@ -36,9 +36,7 @@
   /**
    * @param options what it needs of its process
    */
-  constructor(
-    private readonly options: Pick<JobsDispatcherOptions, 'decide' | 'leads' | 'propose'>,
-  ) {}
+  constructor(private readonly options: Pick<JobsDispatcherOptions, 'decide' | 'propose'>) {}
 
   /**
    * Makes one record for all items; does nothing while another is under way.
@@ -46,7 +44,7 @@
    * @param all all open items
    */
   async save(all: Iterable<Task>): Promise<void> {
-    if (this.saving || !this.options.leads()) {
+    if (this.saving) {
       return;
     }
     this.saving = true;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -117,18 +117,31 @@
   };
 }
 
+/** What differs from a leader whose lease always runs and whose commands are all recorded. */
+interface LeadOptions {
+  readonly decide?: JobsDispatcherOptions['decide'];
+  /** Whether its lease runs. */
+  readonly mayLead?: () => boolean;
+  readonly propose?: (change: JobsChange) => Promise<unknown>;
+  readonly term?: () => number;
+}
+
 function lead(
   group: Group,
   view: () => FleetView,
-  propose: (change: JobsChange) => Promise<unknown> = (change) => group.propose(change),
-  mayLead: () => boolean = () => true,
-  decide: JobsDispatcherOptions['decide'] = () => {},
+  {
+    decide = () => {},
+    mayLead = () => true,
+    propose = (change) => group.propose(change),
+    term = () => 1,
+  }: LeadOptions = {},
 ): JobsDispatcher {
   let leads = true;
   const dispatcher = new JobsDispatcher({
     clock: systemClock,
     decide,
-    leads: () => leads && mayLead(),
+    leadership: () =>
+      leads ? {kind: mayLead() ? 'leads' : 'unsure', term: term()} : {kind: 'follows'},
     propose,
     readBlob: async (ref) => group.blobs.get(ref.offset)!,
     state: () => group.state,
@@ -347,12 +360,7 @@
       return group.propose(change);
     };
     let lapsed = false;
-    lead(
-      group,
-      () => viewOf(engines),
-      propose,
-      () => mayLead,
-    );
+    lead(group, () => viewOf(engines), {mayLead: () => mayLead, propose});
     group.submit(1);
     await until(() => group.results.length === 1);
     expect(lapsed).toBe(true);
@@ -362,12 +370,7 @@
     const engines = await startEngines(1, 80, 5);
     const group = new Group();
     let mayLead = true;
-    const dispatcher = lead(
-      group,
-      () => viewOf(engines),
-      undefined,
-      () => mayLead,
-    );
+    const dispatcher = lead(group, () => viewOf(engines), {mayLead: () => mayLead});
     group.submit(1);
     await until(() => engines[0]!.seen.length > 0);
     await delay(50);
@@ -381,6 +384,37 @@
     expect(group.textOf(0)).toBe(whole(80));
   });
 
+  test('takes nothing of an earlier term up again: runs are cut, ends found then are not recorded', async () => {
+    const engines = await startEngines(1, 30, 5);
+    const group = new Group();
+    let term = 1;
+    const recorded: number[] = [];
+    let held = true;
+    const propose = (change: JobsChange): Promise<unknown> => {
+      if (change.kind !== 'endItems') {
+        return group.propose(change);
+      }
+      if (held) {
+        return Promise.reject(new Error('the outcome is unknown'));
+      }
+      recorded.push(term);
+      return group.propose(change);
+    };
+    const dispatcher = lead(group, () => viewOf(engines), {propose, term: () => term});
+    group.submit(2);
+    // One item ends in the first term, but its end isn't recorded; the other is under way when the term changes.
+    engines[0]!.manners = [{kind: 'fail', status: 422}];
+    await until(() => engines[0]!.seen.length === 2);
+    await delay(60);
+    term = 3;
+    held = false;
+    dispatcher.poke();
+    await until(() => group.results.length === 2);
+    expect(engines[0]!.seen).toHaveLength(4);
+    expect(recorded.every((at) => at === 3)).toBe(true);
+    expect(group.results.map(({outcome}) => outcome)).toEqual(['completed', 'completed']);
+  });
+
   test('goes on recording after a record whose outcome was unknown', async () => {
     const engines = await startEngines(1, 100, 5);
     const group = new Group();
@@ -393,7 +427,7 @@
       }
       return answer;
     };
-    const dispatcher = lead(group, () => viewOf(engines), propose);
+    const dispatcher = lead(group, () => viewOf(engines), {propose});
     group.submit(1);
     const progress = (): number => group.state.jobs.get('job')!.items[0]!.progress?.events ?? 0;
     await until(() => engines[0]!.seen.length > 0);
@@ -423,13 +457,9 @@
       });
       const lines: {decision: string; fields: LogFields; id: string}[] = [];
       const group = new Group();
-      const dispatcher = lead(
-        group,
-        () => viewOf(engines),
-        undefined,
-        undefined,
-        (decision, id, fields) => lines.push({decision, fields, id}),
-      );
+      const dispatcher = lead(group, () => viewOf(engines), {
+        decide: (decision, id, fields) => lines.push({decision, fields, id}),
+      });
       group.submit(4);
       await until(() => group.results.length === 4, 20_000);
       dispatcher.stop();
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -180,7 +180,7 @@
     return new JobsDispatcher({
       clock,
       decide: (decision, id, fields) => this.log.decide(decision, id, fields),
-      leads: () => group.driver.leads && !this.stopped,
+      leadership: () => (this.stopped ? {kind: 'follows'} : group.driver.leadership),
       propose: (change) => desk.propose(change),
       readBlob: (ref) => group.driver.readBlob(ref),
       state: () => group.driver.localState,
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -14,6 +14,7 @@
 import type {
   GroupMembers,
   HardState,
+  Leadership,
   LogEntry,
   Message,
   ReplicationEvent,
@@ -29,7 +30,7 @@
 import {ReplicaRequests} from './ReplicaRequests';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
 import {wantsSnapshot} from './ReplicationFollower';
-import {holdsLease, quorumHeardAt} from './ReplicationLease';
+import {leadershipOf, quorumHeardAt} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica, uncountedMs} from './ReplicationStep';
 import {ReplicaTurns} from './ReplicaTurns';
 import {ReplicaWriter} from './ReplicaWriter';
@@ -115,9 +116,16 @@
     return this.machineState;
   }
 
+  /** What this replica may do for its group now. */
+  get leadership(): Leadership {
+    return this.stopped
+      ? {kind: 'follows'}
+      : leadershipOf(this.replication, this.options.clock.monotonicMs());
+  }
+
   /** Whether this replica leads and its lease runs. */
   get leads(): boolean {
-    return !this.stopped && holdsLease(this.replication, this.options.clock.monotonicMs());
+    return this.leadership.kind === 'leads';
   }
 
   /**
--- a/packages/stallpaddle-replication/src/ReplicationLease.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLease.ts
@@ -3,7 +3,7 @@
  */
 import type {MonotonicMs, ReplicaId} from 'stallpaddle';
 
-import type {GroupMembers, ReplicationState} from './ReplicationTypes';
+import type {GroupMembers, Leadership, ReplicationState} from './ReplicationTypes';
 
 /**
  * Whether a set of replicas holds a majority of the voters.
@@ -71,3 +71,17 @@
     now < leaseUntil(state, now)
   );
 }
+
+/**
+ * What a replica may do for its group.
+ *
+ * @param state a replica's state
+ * @param now monotonic time
+ */
+export function leadershipOf(state: ReplicationState, now: MonotonicMs): Leadership {
+  const {role, term} = state;
+  if (role.kind !== 'leader') {
+    return {kind: 'follows'};
+  }
+  return {kind: holdsLease(state, now) ? 'leads' : 'unsure', term};
+}
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -136,6 +136,18 @@
       readonly termStart: LogIndex;
     };
 
+/** What a replica may do for its group at a moment. */
+export type Leadership =
+  /** Another replica leads, or nobody. */
+  | {readonly kind: 'follows'}
+  /** It may answer from its own state and decide; in its term nobody else does. */
+  | {readonly kind: 'leads'; readonly term: Term}
+  /**
+   * It was elected in the term and knows of no later one, but its lease doesn't run: it decides nothing until the lease
+   * runs again, or it is known that another leads.
+   */
+  | {readonly kind: 'unsure'; readonly term: Term};
+
 /** What happens to a replica. */
 export type ReplicationEvent =
   /** A restart: what was known to be committed before goes to the state machine. */
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -13,7 +13,7 @@
 export {type MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 export {DEFAULT_TIMING} from './ReplicationConstants';
 export {wantsSnapshot} from './ReplicationFollower';
-export {holdsLease, isMajority, leaseUntil, majorityValue} from './ReplicationLease';
+export {holdsLease, isMajority, leadershipOf, leaseUntil, majorityValue} from './ReplicationLease';
 export {EMPTY_SNAPSHOT, ReplicationLog} from './ReplicationLog';
 export {
   isCaughtUp,
@@ -26,6 +26,7 @@
   EntryPayload,
   GroupMembers,
   HardState,
+  Leadership,
   LogEntry,
   LogIndex,
   Message,
