Heartbeats overtake bulk: a leader's word that it lives, large messages in parts, records in pieces

The lease rode on appends, and appends go in order: 800 KB of what 300 runs had brought in 1.5 s kept every heartbeat back for half a second, longer than the lease. A delivery that took 500 ms was taken for a silent connection, given up and begun anew, so a command of some megabytes could never be recorded. Change, where all groups have it: - alive/aliveReply, sent to replicas that have answered nothing for 1.25 heartbeats: they say nothing of the log, so they may overtake; the answer waits for no disk. The lease rests on them as on appends. - RpcOutbox lets them pass, and sends messages over 128 KB in parts, one a delivery: each part that arrives shows that the connection lives. A lost part drops the rest, as a lost message before. - the HTTP/2 window is 1 MB: the library's 64 KB cost a round trip and a turn of two busy processes each. - a probe (sent with each heartbeat until answered) carries at most 64 KB, always; before, up to 1 MB each time. - what runs have brought is recorded in pieces of 64 KB, one after the other: submissions and ends go between them. A planned stop now waits for a save that is under way. Ruled out: longer election timeouts (each restart pays them, and they only move the size at which it happens again); a process that is held up (no store's turn came later than 160 ms).

--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -33,6 +33,12 @@
  */
 export const SAVE_MS = 1_500;
 
+/**
+ * Size from which a record of what runs have brought is full, in bytes of output: half of what goes to a replica at
+ * once. One record of 300 runs had 800 KB and kept everything else waiting for half a second.
+ */
+export const RECORD_BYTES = 65_536;
+
 /** Pause before an item that an engine declined is tried again, in milliseconds. */
 export const DECLINED_PAUSE_MS = 100;
 
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -107,7 +107,7 @@
   /** Records what runs have brought since the last record, so that the next leader can go on from there. */
   async saveProgress(): Promise<void> {
     if (this.mayDecide()) {
-      await this.progress.save(this.tasks.all());
+      await this.progress.save(this.tasks.all(), () => this.mayDecide());
     }
   }
 
--- a/packages/stallpaddle-jobs/src/JobsProgress.ts
+++ b/packages/stallpaddle-jobs/src/JobsProgress.ts
@@ -7,6 +7,8 @@
 import type {Task} from './JobsTasks';
 import type {ProgressPart} from './JobsTypes';
 
+import {RECORD_BYTES} from './JobsConstants';
+
 function partOf(task: Task): ProgressPart {
   const {data, events, index, job, lastEvent, savedData, savedEvents} = task;
   return {
@@ -29,9 +31,36 @@
   }
 }
 
+function bytesOf({data, savedData}: Task): number {
+  let bytes = 0;
+  for (let at = savedData; at < data.length; at++) {
+    bytes += data[at]!.length;
+  }
+  return bytes;
+}
+
+/** The first items that have something to record, up to the size of one record; at least one. */
+function nextPiece(tasks: readonly Task[]): {
+  readonly piece: readonly Task[];
+  readonly rest: readonly Task[];
+} {
+  const piece: Task[] = [];
+  let bytes = 0;
+  let at = 0;
+  for (; at < tasks.length && bytes < RECORD_BYTES; at++) {
+    const task = tasks[at]!;
+    if (!task.ending && task.events > task.savedEvents) {
+      piece.push(task);
+      bytes += bytesOf(task);
+    }
+  }
+  return {piece, rest: tasks.slice(at)};
+}
+
 /** See the module's comment. */
 export class JobsProgress {
-  private saving = false;
+  /** The save under way. */
+  private saving: Promise<void> | undefined;
 
   /**
    * @param options what it needs of its process
@@ -39,26 +68,33 @@
   constructor(private readonly options: Pick<JobsDispatcherOptions, 'decide' | 'propose'>) {}
 
   /**
-   * Makes one record for all items; does nothing while another is under way.
+   * Records all items in pieces, one after the other, so that submissions and ends of items go between them. While
+   * another save is under way this waits for that one.
    *
    * @param all all open items
+   * @param maySave whether to go on with the next piece
    */
-  async save(all: Iterable<Task>): Promise<void> {
-    if (this.saving) {
-      return;
-    }
-    this.saving = true;
+  save(all: Iterable<Task>, maySave: () => boolean): Promise<void> {
+    this.saving ??= this.saveAll([...all], maySave).finally(() => {
+      this.saving = undefined;
+    });
+    return this.saving;
+  }
+
+  private async saveAll(open: readonly Task[], maySave: () => boolean): Promise<void> {
+    open.forEach(catchUp);
+    let left = open;
     try {
-      const open = [...all];
-      open.forEach(catchUp);
-      const tasks = open.filter(({ending, events, savedEvents}) => !ending && events > savedEvents);
-      if (tasks.length > 0) {
-        await this.record(tasks);
+      while (left.length > 0 && maySave()) {
+        // Runs go on meanwhile: each piece holds what they have brought until it is made.
+        const {piece, rest} = nextPiece(left);
+        left = rest;
+        if (piece.length > 0) {
+          await this.record(piece);
+        }
       }
     } catch (err) {
-      this.options.decide('progressNotSaved', '', {reason: errorMessage(err)});
-    } finally {
-      this.saving = false;
+      this.options.decide('progressNotSaved', '', {left: left.length, reason: errorMessage(err)});
     }
   }
 
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -6,6 +6,7 @@
 
 import {vmOfReplica} from 'stallpaddle';
 import {
+  type Deliveries,
   type Delivery,
   openConnection,
   type PeerClient,
@@ -18,6 +19,10 @@
 /** The platform hands out no secret; its network lets only the fleet's own VMs in. */
 const FLEET_KEY = 'fleet';
 
+function bytesOf({encoded = [], part}: Delivery): number {
+  return encoded.reduce((sum, {length}) => sum + length, part?.bytes?.length ?? 0);
+}
+
 /** See the module's comment. */
 export class NodePeers {
   private readonly channels = new Map<string, RpcChannel>();
@@ -84,14 +89,16 @@
   }
 
   /** One delivery at a time: what comes meanwhile goes with the next. */
-  private async carry(to: ReplicaId, deliveries: AsyncIterable<Delivery>): Promise<void> {
-    for await (const {encoded} of deliveries) {
+  private async carry(to: ReplicaId, {lost, next}: Deliveries): Promise<void> {
+    for (let delivery = await next(); delivery !== undefined; delivery = await next()) {
       const startedAt = performance.now();
-      const arrived = await this.channel(vmOfReplica(to)).deliver(encoded, DELIVER_TRY_MS);
+      const arrived = await this.channel(vmOfReplica(to)).deliver(delivery, DELIVER_TRY_MS);
+      if (!arrived) {
+        lost();
+      }
       const tookMs = Math.round(performance.now() - startedAt);
       if (tookMs > SLOW_DELIVERY_MS && !this.stopped) {
-        const bytes = encoded.reduce((sum, {length}) => sum + length, 0);
-        const fields = {arrived, bytes, messages: encoded.length, to, tookMs};
+        const fields = {arrived, bytes: bytesOf(delivery), to, tookMs};
         this.note('A delivery to a replica took long.', fields);
       }
     }
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -12,9 +12,12 @@
   type CallRequest,
   type ConverseRequest,
   type ConverseResponseSchema,
+  type DeliverRequest,
   encodeOutcome,
   type InstallStep,
+  messagesOf,
   PeerService,
+  RpcJoin,
   RpcQueue,
   SnapshotReceiver,
   type SnapshotTarget,
@@ -75,14 +78,16 @@
     expectGroup(group);
     return {outcome: encodeOutcome(await tryLocal(() => options.answer(decodeValue(encoded))))};
   };
-  const receive = (encoded: readonly Uint8Array[]): void =>
-    encoded.forEach((bytes) => options.replica()?.receive(decodeValue<Message>(bytes)));
-  const answerAny = async (content: ConverseRequest['content']) => {
+  const receive = (delivery: DeliverRequest, join: RpcJoin): void =>
+    messagesOf(delivery, join).forEach((bytes) =>
+      options.replica()?.receive(decodeValue<Message>(bytes)),
+    );
+  const answerAny = async (content: ConverseRequest['content'], join: RpcJoin) => {
     switch (content.case) {
       case 'call':
         return answer(content.value);
       case 'deliver':
-        receive(content.value.encoded);
+        receive(content.value, join);
         return {};
       case undefined:
         return NO_OUTCOME;
@@ -90,7 +95,10 @@
   };
   router.service(PeerService, {
     call: answer,
-    converse: (requests) => converse(requests, answerAny),
+    converse: (requests) => {
+      const join = new RpcJoin();
+      return converse(requests, (content) => answerAny(content, join));
+    },
     install: async ({group, step, term}) => {
       expectGroup(group);
       const replica = options.replica();
--- a/packages/stallpaddle-replication/src/ReplicationConstants.ts
+++ b/packages/stallpaddle-replication/src/ReplicationConstants.ts
@@ -7,11 +7,17 @@
 export const MAX_APPEND_BYTES = 1_048_576;
 
 /**
- * The same for a replica that has not answered for an election timeout, in bytes: it gets the same entries
- * with each heartbeat, and most of them wait on a connection that leads nowhere.
+ * The same while it is not known which entries a replica holds, in bytes: it gets them again with each heartbeat until
+ * it answers, and those to a replica that doesn't wait on a connection that leads nowhere.
  */
 export const MAX_PROBE_BYTES = 65_536;
 
+/**
+ * Heartbeats for which a replica may answer nothing before it is told apart from appends that the leader lives. A lease
+ * is 3.2 heartbeats long, so two such words fit into it; one heartbeat would send them all the time.
+ */
+export const ALIVE_HEARTBEATS = 1.25;
+
 /** Times for replicas a few milliseconds apart, in milliseconds. */
 export const DEFAULT_TIMING: ReplicationTiming = {
   electionTimeoutMs: 800,
--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -44,6 +44,7 @@
     if (replica !== draft.self) {
       progress.set(replica, {
         ackedSentAt: -Infinity,
+        aliveSentAt: -Infinity,
         lastSentAt: -Infinity,
         match: 0,
         mode: 'probe',
--- a/packages/stallpaddle-replication/src/ReplicationFollower.ts
+++ b/packages/stallpaddle-replication/src/ReplicationFollower.ts
@@ -1,6 +1,8 @@
 /**
  * The follower's side of log replication.
  */
+import type {MonotonicMs} from 'stallpaddle';
+
 import {invariant} from 'stallpaddle';
 
 import type {ReplicationDraft} from './ReplicationDraft';
@@ -47,6 +49,20 @@
   return added;
 }
 
+/**
+ * Takes in a leader's word that it lives. The answer speaks for nothing that was written, so it waits for no disk.
+ *
+ * @param draft draft of the running step
+ * @param message the word
+ * @param sentAt when it was sent
+ */
+export function $onAlive(draft: ReplicationDraft, message: Message, sentAt: MonotonicMs): void {
+  if (message.term >= draft.term) {
+    $heedLeader(draft, message);
+  }
+  $send(draft, message.from, {kind: 'aliveReply', sentAt}, false);
+}
+
 /**
  * Takes in entries or a heartbeat from the leader.
  *
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -1,9 +1,10 @@
 /**
  * The leader's side of log replication.
  */
-import type {ReplicaId} from 'stallpaddle';
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
 
 import type {ReplicationDraft} from './ReplicationDraft';
+import type {ReplicationLog} from './ReplicationLog';
 import type {
   EntryPayload,
   GroupMembers,
@@ -15,9 +16,10 @@
   Role,
 } from './ReplicationTypes';
 
-import {MAX_APPEND_BYTES, MAX_PROBE_BYTES} from './ReplicationConstants';
+import {ALIVE_HEARTBEATS, MAX_APPEND_BYTES, MAX_PROBE_BYTES} from './ReplicationConstants';
 import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
 import {majorityValue, quorumHeardAt} from './ReplicationLease';
+import {entryBytes} from './ReplicationLog';
 
 type AppendReply = Extract<MessageBody, {kind: 'appendReply'}>;
 type LeaderRole = Extract<Role, {kind: 'leader'}>;
@@ -79,15 +81,23 @@
     $emit(draft, {kind: 'sendSnapshot', to: replica});
     return;
   }
-  const isSilent = draft.now - progress.ackedSentAt > draft.timing.electionTimeoutMs;
-  const most = isSilent ? MAX_PROBE_BYTES : MAX_APPEND_BYTES;
-  const entries = log.entriesFrom(progress.next, most);
+  const entries =
+    progress.mode === 'replicate'
+      ? log.entriesFrom(progress.next, MAX_APPEND_BYTES)
+      : probeEntries(log, progress.next);
   const next = progress.mode === 'replicate' ? progress.next + entries.length : progress.next;
   $setProgress(draft, role, replica, {lastSentAt: draft.now, next});
   const {commit, now} = draft;
   $send(draft, replica, {commit, entries, kind: 'append', prevIndex, prevTerm, sentAt: now}, false);
 }
 
+/** A probe is repeated with each heartbeat until it is answered, so it carries only what is small. */
+function probeEntries(log: ReplicationLog, from: LogIndex): readonly LogEntry[] {
+  const entries = log.entriesFrom(from, MAX_PROBE_BYTES);
+  const bytes = entries.reduce((sum, entry) => sum + entryBytes(entry), 0);
+  return bytes > MAX_PROBE_BYTES ? [] : entries;
+}
+
 /** Keeps a replica that is receiving a snapshot from standing for election. */
 function $sendHeartbeat(
   draft: ReplicationDraft,
@@ -161,6 +171,37 @@
     if (now - progress.lastSentAt >= timing.heartbeatMs) {
       $sendAppend(draft, replica);
     }
+    $sendAliveWhenDue(draft, replica, progress);
+  }
+}
+
+/** A replica that has answered nothing for longer than a heartbeat takes may have much under way to it. */
+function $sendAliveWhenDue(draft: ReplicationDraft, replica: ReplicaId, progress: Progress): void {
+  const {now, role, timing} = draft;
+  const silentMs = now - Math.max(progress.ackedSentAt, progress.aliveSentAt);
+  if (role.kind === 'leader' && silentMs > timing.heartbeatMs * ALIVE_HEARTBEATS) {
+    $setProgress(draft, role, replica, {aliveSentAt: now});
+    $send(draft, replica, {kind: 'alive', sentAt: now}, false);
+  }
+}
+
+/**
+ * Takes in a replica's answer to the word that this leader lives.
+ *
+ * @param draft draft of the running step
+ * @param message the answer
+ * @param sentAt when that word was sent
+ */
+export function $onAliveReply(
+  draft: ReplicationDraft,
+  message: Message,
+  sentAt: MonotonicMs,
+): void {
+  const {role} = draft;
+  const progress = role.kind === 'leader' ? role.progress.get(message.from) : undefined;
+  if (role.kind === 'leader' && progress !== undefined && message.term === draft.term) {
+    const ackedSentAt = Math.max(progress.ackedSentAt, sentAt);
+    $setProgress(draft, role, message.from, {ackedSentAt});
   }
 }
 
@@ -299,7 +340,13 @@
       progress.set(replica, known);
     } else if (replica !== draft.self) {
       added.push(replica);
-      const start = {ackedSentAt: -Infinity, lastSentAt: draft.now, match: 0, next: 1};
+      const start = {
+        ackedSentAt: -Infinity,
+        aliveSentAt: -Infinity,
+        lastSentAt: draft.now,
+        match: 0,
+        next: 1,
+      };
       progress.set(replica, {...start, mode: 'snapshot'});
     }
   }
--- a/packages/stallpaddle-replication/src/ReplicationLog.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLog.ts
@@ -19,7 +19,12 @@
   readonly members: GroupMembers;
 }
 
-function entryBytes(entry: LogEntry): number {
+/**
+ * Size of an entry's command, in bytes; 0 for other entries.
+ *
+ * @param entry the entry
+ */
+export function entryBytes(entry: LogEntry): number {
   return entry.payload.kind === 'command' ? entry.payload.data.length : 0;
 }
 
--- a/packages/stallpaddle-replication/src/ReplicationStep.ts
+++ b/packages/stallpaddle-replication/src/ReplicationStep.ts
@@ -28,12 +28,13 @@
   $startTransferredElection,
   $transferLeadership,
 } from './ReplicationElection';
-import {$onAppend, $onSnapshotInstalled} from './ReplicationFollower';
+import {$onAlive, $onAppend, $onSnapshotInstalled} from './ReplicationFollower';
 import {
   $advanceCommit,
   $appendOwn,
   $applyCommitted,
   $leaderTick,
+  $onAliveReply,
   $onAppendReply,
   $onSnapshotSent,
   $sendNewEntries,
@@ -84,6 +85,15 @@
   return closeDraft(draft).state;
 }
 
+/**
+ * Whether a message is small and may overtake others on its way, so that no bulk can hold it up.
+ *
+ * @param message any message
+ */
+export function isUrgent({body}: Message): boolean {
+  return body.kind === 'alive' || body.kind === 'aliveReply';
+}
+
 /**
  * The leader this replica knows of.
  *
@@ -150,6 +160,16 @@
 function $onMessage(draft: ReplicationDraft, message: Message): void {
   const {body} = message;
   switch (body.kind) {
+    case 'alive':
+      $onAlive(draft, message, body.sentAt);
+      return;
+    case 'aliveReply':
+      if (message.term > draft.term) {
+        $enterTerm(draft, message.term, null);
+        return;
+      }
+      $onAliveReply(draft, message, body.sentAt);
+      return;
     case 'append':
       $onAppend(draft, message, body);
       return;
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -63,6 +63,11 @@
 
 /** Body of a message between replicas. */
 export type MessageBody =
+  /**
+   * A leader's word that it lives, and the answer. They say nothing of the log, so they may overtake other messages:
+   * what is under way to a replica may take longer than a lease.
+   */
+  | {readonly kind: 'alive' | 'aliveReply'; readonly sentAt: MonotonicMs}
   | {
       readonly commit: LogIndex;
       readonly entries: readonly LogEntry[];
@@ -112,6 +117,8 @@
 export interface Progress {
   /** `sentAt` of the newest heartbeat or append that the replica answered. */
   readonly ackedSentAt: MonotonicMs;
+  /** When it was last told that the leader lives, apart from appends. */
+  readonly aliveSentAt: MonotonicMs;
   readonly lastSentAt: MonotonicMs;
   readonly match: LogIndex;
   readonly mode: 'probe' | 'replicate' | 'snapshot';
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
@@ -7,8 +7,8 @@
  */
 import type {Message, MessageBody} from '../../ReplicationTypes';
 
-import {ReplicationLog} from '../../ReplicationLog';
-import {startReplica, stepReplica} from '../../ReplicationStep';
+import {entryBytes, ReplicationLog} from '../../ReplicationLog';
+import {isUrgent, startReplica, stepReplica} from '../../ReplicationStep';
 import {ReplicationWorld} from './ReplicationWorld';
 
 const IDS: readonly ReplicaId[] = ['a/1', 'b/1', 'c/1'];
@@ -216,3 +216,65 @@
     expect(world.countedMs).toBeGreaterThan(8 * 100);
   });
 });
+
+describe('a leader whose appends take long', () => {
+  /** Delivers all that overtakes, and the answers to it; appends stay under way. */
+  function deliverUrgent(world: ReplicationWorld): void {
+    for (let position = 0; position < world.parcels.length;) {
+      const parcel = world.parcels[position]!;
+      if (parcel.kind === 'message' && isUrgent(parcel.message)) {
+        world.deliver(position, false);
+      } else {
+        position++;
+      }
+    }
+  }
+
+  test('keeps its lease by words that overtake them, and the command is recorded in its term', () => {
+    const {leader, world} = settled();
+    const {term} = world.replicas.get(leader)!.state!;
+    world.propose(leader, 'large');
+    for (let ms = 0; ms < ELECTION_MS * 10; ms += 5) {
+      world.advance(5);
+      deliverUrgent(world);
+      expect(world.leaseHolders()).toEqual([leader]);
+    }
+    expect(world.acknowledged).toEqual([]);
+    world.settle(50);
+    expect(world.acknowledged).toEqual(['large']);
+    expect(world.replicas.get(leader)!.state!.term).toBe(term);
+  });
+
+  test('loses it when nothing at all arrives', () => {
+    const {leader, world} = settled();
+    for (let ms = 0; ms < ELECTION_MS * 2; ms += 5) {
+      world.advance(5);
+    }
+    expect(world.leaseHolders()).toEqual([]);
+    expect(world.replicas.get(leader)!.state!.role.kind).not.toBe('leader');
+  });
+
+  test('sends a replica of unknown log no large entry until it has answered', () => {
+    const {leader, others, world} = settled();
+    world.propose(leader, 'x'.repeat(100_000));
+    world.settle(100);
+    world.crash(leader);
+    world.crash(others[0]);
+    world.restart(leader);
+    world.parcels.length = 0;
+    for (let ms = 0; ms < ELECTION_MS * 6; ms += 5) {
+      world.advance(5);
+      // Votes pass; appends to the replica that is down are lost.
+      for (const id of [leader, others[1]]) {
+        world.sync(id);
+      }
+      world.deliverBetween(leader, others[1]);
+      world.deliverBetween(others[1], leader);
+    }
+    const bytes = [leader, others[1]]
+      .flatMap((id) => world.messagesFrom(id))
+      .flatMap(({body}) => (body.kind === 'append' ? body.entries : []))
+      .reduce((sum, entry) => sum + entryBytes(entry), 0);
+    expect(bytes).toBeLessThan(100_000);
+  });
+});
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -17,6 +17,7 @@
 export {EMPTY_SNAPSHOT, ReplicationLog} from './ReplicationLog';
 export {
   isCaughtUp,
+  isUrgent,
   knownLeader,
   type ReplicaStart,
   startReplica,
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -10,6 +10,7 @@
 
 import type {ConverseRequestSchema, ConverseResponse} from './gen/stallpaddle/v1/peer_pb';
 import type {PeerClient, PeerConnection} from './RpcClients';
+import type {Delivery} from './RpcOutbox';
 
 import {RpcQueue} from './RpcQueue';
 import {outcomeOf, type TryOutcome, type TryRequest} from './RpcTry';
@@ -63,12 +64,12 @@
   /**
    * Brings messages.
    *
-   * @param encoded the messages
+   * @param delivery the messages
    * @param timeoutMs longest wait, in milliseconds
    * @returns whether they have arrived for certain
    */
-  async deliver(encoded: Uint8Array[], timeoutMs: number): Promise<boolean> {
-    return (await this.send({case: 'deliver', value: {encoded}}, timeoutMs)) !== null;
+  async deliver(delivery: Delivery, timeoutMs: number): Promise<boolean> {
+    return (await this.send({case: 'deliver', value: delivery}, timeoutMs)) !== null;
   }
 
   /** Ends the stream and its connection; calls under way stay unknown. */
--- a/packages/stallpaddle-rpc/src/RpcOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -1,27 +1,41 @@
 /**
  * Replication messages on their way to one VM, over one standing stream: a call for each would cost
- * more than the message.
+ * more than the message. Urgent ones overtake the others; large ones go in parts.
  */
-import type {Message} from 'stallpaddle-replication';
+import type {MessageInitShape} from '@bufbuild/protobuf';
 
 import {delay, encodeValue} from 'stallpaddle';
+import {isUrgent, type Message} from 'stallpaddle-replication';
+
+import type {DeliverRequestSchema} from './gen/stallpaddle/v1/peer_pb';
+
+import {PART_BYTES, RpcSplit} from './RpcParts';
 
 /** Pause before a stream of replication messages that broke off is opened again, in milliseconds. */
 const OUTBOX_REOPEN_MS = 50;
 
 /**
- * Most bytes of messages that wait for one VM; the oldest are dropped, as a network would. A leader sends
- * a replica that doesn't answer the same megabyte with each heartbeat, so counting messages bounds nothing.
+ * Most bytes of messages that wait for one VM; the oldest are dropped, as a network would. Messages may have a
+ * megabyte each, so counting them bounds nothing.
  */
 export const OUTBOX_BYTES = 2_097_152;
 
-/** Messages that go together. */
-export interface Delivery {
-  readonly encoded: Uint8Array[];
+/** Most urgent messages that wait for one VM; the newest says all that the older ones did. */
+const URGENT_MESSAGES = 16;
+
+/** Messages that go together, and perhaps a part of a large one. */
+export type Delivery = MessageInitShape<typeof DeliverRequestSchema>;
+
+/** Messages for one VM, as a carrier takes them. */
+export interface Deliveries {
+  /** Tells that the delivery taken last was lost: the rest of a message of which it held a part is useless. */
+  readonly lost: () => void;
+  /** Waits for the next delivery; undefined once the outbox is closed. */
+  readonly next: () => Promise<Delivery | undefined>;
 }
 
 /** Carries deliveries until it fails or they end; takes the next one only when it can carry it. */
-export type Carrier = (deliveries: AsyncIterable<Delivery>) => Promise<unknown> | undefined;
+export type Carrier = (deliveries: Deliveries) => Promise<unknown> | undefined;
 
 /** See the module's comment. */
 export class RpcOutbox {
@@ -29,6 +43,9 @@
   private closed = false;
   private messages: Uint8Array[] = [];
   private open = false;
+  private split: RpcSplit | undefined;
+  private splits = 0;
+  private urgent: Uint8Array[] = [];
   private wake = (): void => {};
 
   /**
@@ -48,10 +65,10 @@
    */
   add(message: Message): void {
     const encoded = encodeValue(message);
-    this.messages.push(encoded);
-    this.bytes += encoded.length;
-    while (this.bytes > OUTBOX_BYTES && this.messages.length > 1) {
-      this.bytes -= this.messages.shift()!.length;
+    if (isUrgent(message)) {
+      this.urgent = [...this.urgent, encoded].slice(-URGENT_MESSAGES);
+    } else {
+      this.addOrdinary(encoded);
     }
     this.wake();
     if (!this.open) {
@@ -65,32 +82,78 @@
     this.wake();
   }
 
+  private addOrdinary(encoded: Uint8Array): void {
+    this.messages.push(encoded);
+    this.bytes += encoded.length;
+    while (this.bytes > OUTBOX_BYTES && this.messages.length > 1) {
+      this.bytes -= this.messages.shift()!.length;
+    }
+  }
+
   private async stream(): Promise<void> {
     this.open = true;
+    const lost = (): void => {
+      this.split = undefined;
+    };
     while (!this.closed) {
       try {
-        await this.carry(this.deliveries());
+        await this.carry({lost, next: () => this.next()});
       } catch {
         // What was lost is sent again by the next heartbeat.
       }
+      lost();
       await delay(OUTBOX_REOPEN_MS);
     }
     this.open = false;
   }
 
-  private async *deliveries(): AsyncGenerator<Delivery> {
-    while (!this.closed) {
-      if (this.messages.length === 0) {
-        await new Promise<void>((resolve) => {
-          this.wake = resolve;
-        });
-      }
-      const {messages} = this;
-      this.messages = [];
-      this.bytes = 0;
-      if (messages.length > 0) {
-        yield {encoded: messages};
-      }
+  private get isEmpty(): boolean {
+    const waiting = this.messages.length + this.urgent.length;
+    return waiting === 0 && this.split === undefined;
+  }
+
+  private async next(): Promise<Delivery | undefined> {
+    while (this.isEmpty && !this.closed) {
+      await new Promise<void>((resolve) => {
+        this.wake = resolve;
+      });
+    }
+    if (this.closed) {
+      return undefined;
     }
+    const {urgent} = this;
+    this.urgent = [];
+    const whole = this.split === undefined ? this.takeWhole() : [];
+    const encoded = [...urgent, ...whole];
+    if (whole.length === 0) {
+      this.beginSplit();
+    }
+    return this.split === undefined ? {encoded} : {encoded, part: this.takePart(this.split)};
+  }
+
+  /** Messages that go at once, in order, up to the size of one part. */
+  private takeWhole(): readonly Uint8Array[] {
+    let bytes = 0;
+    let count = 0;
+    while (count < this.messages.length && bytes + this.messages[count]!.length <= PART_BYTES) {
+      bytes += this.messages[count]!.length;
+      count++;
+    }
+    this.bytes -= bytes;
+    return this.messages.splice(0, count);
+  }
+
+  private beginSplit(): void {
+    const large = this.split === undefined ? this.messages.shift() : undefined;
+    if (large !== undefined) {
+      this.bytes -= large.length;
+      this.split = new RpcSplit(++this.splits, large);
+    }
+  }
+
+  private takePart(split: RpcSplit): Delivery['part'] {
+    const part = split.next();
+    this.split = split.ended ? undefined : split;
+    return part;
   }
 }
--- a/packages/stallpaddle-rpc/src/RpcServer.ts
+++ b/packages/stallpaddle-rpc/src/RpcServer.ts
@@ -12,6 +12,12 @@
 /** Time without a byte after which a connection is ended: VMs call each other several times a second. */
 const QUIET_SESSION_MS = 30_000;
 
+/**
+ * Bytes that a peer may send before this process has read them, in one call and in all calls of a connection. The
+ * library's 64 KB cost a round trip each, and a turn of a busy process at both ends: 800 KB took half a second.
+ */
+const WINDOW_BYTES = 1_048_576;
+
 /** A server that has started. */
 export interface RpcServer {
   readonly stop: () => Promise<void>;
@@ -52,7 +58,8 @@
     routes,
   });
   const sessions = new Set<ServerHttp2Session>();
-  const server: Http2Server = createServer((req, res) => {
+  const settings = {initialWindowSize: WINDOW_BYTES};
+  const server: Http2Server = createServer({settings}, (req, res) => {
     if (!isAllowed(req.headers.authorization, expected)) {
       res.writeHead(UNAUTHORIZED).end();
       return;
@@ -61,6 +68,7 @@
   });
   server.on('session', (session) => {
     sessions.add(session);
+    session.setLocalWindowSize(WINDOW_BYTES);
     session.on('close', () => sessions.delete(session));
     session.on('error', () => session.destroy());
     // The other side may have gone without a word; it opens another when it needs one.
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
@@ -1,27 +1,61 @@
 /**
- * Messages to a VM that does not take them.
+ * Messages to a VM: to one that does not take them, and large ones on their way to one that takes them slowly.
  */
-import type {Message} from 'stallpaddle-replication';
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {Message, MessageBody} from 'stallpaddle-replication';
 
+import {create} from '@bufbuild/protobuf';
+import fc from 'fast-check';
+import {decodeValue, delay} from 'stallpaddle';
+import {assertHistories} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
-import {OUTBOX_BYTES, RpcOutbox} from '../../RpcOutbox';
-
-function messageOf(bytes: number): Message {
-  return {
-    body: {
-      commit: 0,
-      entries: [{index: 1, payload: {data: new Uint8Array(bytes), kind: 'command'}, term: 1}],
-      kind: 'append',
-      prevIndex: 0,
-      prevTerm: 0,
-      sentAt: 0,
-    },
-    from: 'a/1',
-    group: 'g',
-    term: 1,
-    to: 'b/1',
-  };
+import {DeliverRequestSchema} from '../../gen/stallpaddle/v1/peer_pb';
+import {type Deliveries, OUTBOX_BYTES, RpcOutbox} from '../../RpcOutbox';
+import {messagesOf, PART_BYTES, RpcJoin} from '../../RpcParts';
+
+function messageWith(body: MessageBody): Message {
+  return {body, from: 'a/1', group: 'g', term: 1, to: 'b/1'};
+}
+
+function messageOf(bytes: number, sentAt = 0): Message {
+  return messageWith({
+    commit: 0,
+    entries: [{index: 1, payload: {data: new Uint8Array(bytes), kind: 'command'}, term: 1}],
+    kind: 'append',
+    prevIndex: 0,
+    prevTerm: 0,
+    sentAt,
+  });
+}
+
+function aliveOf(sentAt: number): Message {
+  return messageWith({kind: 'alive', sentAt});
+}
+
+/** An outbox whose deliveries the test takes itself. */
+async function openOutbox(): Promise<{deliveries: Deliveries; outbox: RpcOutbox}> {
+  const taken: {deliveries?: Deliveries} = {};
+  const outbox = new RpcOutbox((deliveries) => {
+    taken.deliveries = deliveries;
+    return new Promise(() => {});
+  });
+  outbox.add(aliveOf(0));
+  await delay(0);
+  await taken.deliveries!.next();
+  return {deliveries: taken.deliveries!, outbox};
+}
+
+function received(
+  delivery: MessageInitShape<typeof DeliverRequestSchema>,
+  join: RpcJoin,
+): readonly Message[] {
+  const request = create(DeliverRequestSchema, delivery);
+  return messagesOf(request, join).map((bytes) => decodeValue<Message>(bytes));
+}
+
+function sentAtOf({body}: Message): number {
+  return 'sentAt' in body ? body.sentAt : NaN;
 }
 
 describe('RpcOutbox', () => {
@@ -35,4 +69,82 @@
     expect(outbox.waitingBytes).toBeGreaterThan(5_000_000);
     outbox.close();
   });
+
+  test('lets an urgent message pass between two parts of a large one', async () => {
+    const {deliveries, outbox} = await openOutbox();
+    const join = new RpcJoin();
+    outbox.add(messageOf(3 * PART_BYTES, 1));
+    outbox.add(messageOf(10, 2));
+    const first = (await deliveries.next())!;
+    expect(received(first, join)).toEqual([]);
+    outbox.add(aliveOf(3));
+    expect(received((await deliveries.next())!, join).map(sentAtOf)).toEqual([3]);
+    const rest: number[] = [];
+    while (rest.length < 2) {
+      rest.push(...received((await deliveries.next())!, join).map(sentAtOf));
+    }
+    // Whatever speaks of the log stays in order.
+    expect(rest).toEqual([1, 2]);
+    outbox.close();
+  });
+
+  test('drops the rest of a large message of which a part was lost', async () => {
+    const {deliveries, outbox} = await openOutbox();
+    const join = new RpcJoin();
+    outbox.add(messageOf(3 * PART_BYTES, 1));
+    outbox.add(messageOf(3 * PART_BYTES, 2));
+    received((await deliveries.next())!, join);
+    await deliveries.next();
+    deliveries.lost();
+    const got: number[] = [];
+    while (got.length === 0) {
+      got.push(...received((await deliveries.next())!, join).map(sentAtOf));
+    }
+    expect(got).toEqual([2]);
+    outbox.close();
+  });
+
+  test('brings whole messages in order, or none of them, whatever is lost', async () => {
+    const step = fc.record({
+      bytes: fc.integer({max: 2 * PART_BYTES + 5, min: 0}),
+      isUrgent: fc.boolean(),
+      loses: fc.array(fc.boolean(), {maxLength: 3}),
+    });
+    const property = fc.asyncProperty(fc.array(step, {maxLength: 12}), async (steps) => {
+      const {deliveries, outbox} = await openOutbox();
+      const join = new RpcJoin();
+      const ordinary: number[] = [];
+      const take = async (isLost: boolean): Promise<void> => {
+        const delivery = (await deliveries.next())!;
+        if (isLost) {
+          deliveries.lost();
+          return;
+        }
+        for (const message of received(delivery, join)) {
+          if (message.body.kind === 'append') {
+            ordinary.push(sentAtOf(message));
+          }
+        }
+      };
+      for (const [at, {bytes, isUrgent, loses}] of steps.entries()) {
+        outbox.add(isUrgent ? aliveOf(at) : messageOf(bytes, at));
+        for (const isLost of loses) {
+          outbox.add(aliveOf(at));
+          await take(isLost);
+        }
+      }
+      for (let left = 4 * steps.length; left > 0; left--) {
+        outbox.add(aliveOf(-1));
+        await take(false);
+      }
+      outbox.close();
+      expect(ordinary).toEqual([...new Set(ordinary)].sort((a, b) => a - b));
+      const lossless = steps.every(({loses}) => !loses.includes(true));
+      const expected = steps.flatMap(({isUrgent}, at) => (isUrgent ? [] : [at]));
+      if (lossless) {
+        expect(ordinary).toEqual(expected);
+      }
+    });
+    await assertHistories('deliveries', property, 100);
+  });
 });
--- a/packages/stallpaddle-rpc/src/index.ts
+++ b/packages/stallpaddle-rpc/src/index.ts
@@ -3,12 +3,14 @@
   CallResponseSchema,
   type ConverseRequest,
   ConverseResponseSchema,
+  type DeliverRequest,
   PeerService,
 } from './gen/stallpaddle/v1/peer_pb';
 /** Calls between VMs: generated service, server and clients. */
 export {RpcChannel} from './RpcChannel';
 export {openConnection, type PeerClient, type PeerConnection, RpcClients} from './RpcClients';
-export {type Carrier, type Delivery, RpcOutbox} from './RpcOutbox';
+export {type Carrier, type Deliveries, type Delivery, RpcOutbox} from './RpcOutbox';
+export {messagesOf, RpcJoin} from './RpcParts';
 export {RpcQueue} from './RpcQueue';
 export {type RpcServer, startRpcServer} from './RpcServer';
 export {
--- a/packages/stallpaddle-vm/src/VmPeers.ts
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -7,7 +7,14 @@
 
 import {type VmId, vmOfReplica} from 'stallpaddle';
 import {type Address, type MembershipState} from 'stallpaddle-membership';
-import {RpcClients, RpcOutbox} from 'stallpaddle-rpc';
+import {type Deliveries, type Delivery, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
+
+/** The library takes the next delivery once it has room for it. */
+async function* streamOf({next}: Deliveries): AsyncGenerator<Delivery> {
+  for (let delivery = await next(); delivery !== undefined; delivery = await next()) {
+    yield delivery;
+  }
+}
 
 /** Other VMs as this one reaches them. */
 export class VmPeers {
@@ -58,7 +65,7 @@
     const vm = vmOfReplica(message.to);
     const outbox =
       this.outboxes.get(vm) ??
-      new RpcOutbox((deliveries) => this.clientOf(vm)?.deliver(deliveries));
+      new RpcOutbox((deliveries) => this.clientOf(vm)?.deliver(streamOf(deliveries)));
     this.outboxes.set(vm, outbox);
     outbox.add(message);
   }
--- a/packages/stallpaddle-vm/src/VmService.ts
+++ b/packages/stallpaddle-vm/src/VmService.ts
@@ -6,7 +6,14 @@
 
 import {Code, ConnectError} from '@connectrpc/connect';
 import {decodeValue} from 'stallpaddle';
-import {encodeOutcome, type InstallStep, PeerService, SnapshotReceiver} from 'stallpaddle-rpc';
+import {
+  encodeOutcome,
+  type InstallStep,
+  messagesOf,
+  PeerService,
+  RpcJoin,
+  SnapshotReceiver,
+} from 'stallpaddle-rpc';
 
 import type {VmBeats} from './VmBeats';
 import type {VmGroups} from './VmGroups';
@@ -41,8 +48,9 @@
       outcome: encodeOutcome(await callLocal(groups, group, encoded, query)),
     }),
     deliver: async (requests) => {
-      for await (const {encoded} of requests) {
-        encoded.forEach((bytes) => groups?.receive(decodeValue(bytes)));
+      const join = new RpcJoin();
+      for await (const request of requests) {
+        messagesOf(request, join).forEach((bytes) => groups?.receive(decodeValue(bytes)));
       }
       return {};
     },
