Leases of chunks run by the shard's own clock: no VM's time of day is in them

Cause: `lease` and `report` set a lease's end by the asking VM's time of day, and the leader took it back by its own. Uploads that never end, the VM's renewals and the leader's tidying had the same fault.

Change: LedgerState.clockMs sums the elapsedMs that entries carry; leases and open uploads (openUntil) run by it; hasExpiredLeases takes the driver's uncountedMs. BatchLedger.renewedAt and VmLeaderDuties.tidiedAt go by the steady clock. startItems loses `now`. `report` and `expire` keep it for endedAt and for the call records of 24 h.

Earlier releases: while no time was counted (clockMs 0) entries run by the `now` they carry, as they did; the first counted time gives leases (EARLIER_LEASE_MS) and open uploads their full time anew.

The log after it is replayed too: its `expire`s would do nothing, later tokens would stand for other chunks, and results taken in under them would be dropped as late.

--- a/packages/stallpaddle-batch/src/BatchLedger.ts
+++ b/packages/stallpaddle-batch/src/BatchLedger.ts
@@ -1,7 +1,7 @@
 /**
  * A VM's dealings with one ledger shard: leases, renewals and reports, grouped.
  */
-import type {Clock, Logger, VmId} from 'stallpaddle';
+import type {Clock, Logger, MonotonicMs, VmId} from 'stallpaddle';
 import type {LedgerPort} from 'stallpaddle-ledger';
 
 import {errorMessage} from 'stallpaddle';
@@ -17,7 +17,7 @@
   private readonly held = new Map<number, HeldChunk>();
   private leasing = false;
   private reporting = false;
-  private renewedAt = -Infinity;
+  private renewedAt: MonotonicMs = -Infinity;
   private reported = 0;
 
   /**
@@ -56,12 +56,11 @@
     }
     this.leasing = true;
     try {
-      const now = this.clock.wallMs();
       const answer = await this.port.command({
         leaseMs: BATCH_LEASE_MS,
         maxItems,
         models,
-        now,
+        now: this.clock.wallMs(),
         type: 'lease',
         vm: this.vm,
       });
@@ -99,7 +98,7 @@
     if (this.reporting) {
       return [];
     }
-    const now = this.clock.wallMs();
+    const now = this.clock.monotonicMs();
     const renew = now - this.renewedAt >= BATCH_LEASE_MS / 4;
     const chunks = [...this.held.values()].filter(
       (chunk) => release || chunk.hasReport || chunk.isIdle,
@@ -114,7 +113,7 @@
     try {
       const answer = await this.port.command({
         leaseMs: BATCH_LEASE_MS,
-        now,
+        now: this.clock.wallMs(),
         renew: tokens,
         reports,
         type: 'report',
--- a/packages/stallpaddle-batch/src/BatchRunner.ts
+++ b/packages/stallpaddle-batch/src/BatchRunner.ts
@@ -79,7 +79,6 @@
   }
   const answer = await held.chunk.port.command({
     items: [held.item],
-    now: Date.now(),
     token: held.chunk.token,
     type: 'startItems',
   });
--- a/packages/stallpaddle-ledger/src/LedgerConstants.ts
+++ b/packages/stallpaddle-ledger/src/LedgerConstants.ts
@@ -11,7 +11,13 @@
 /** Engine losses with an item in flight after which the item has failed. */
 export const MAX_ITEM_LOSSES = 3;
 
-/** How long an upload that doesn't end is kept, in milliseconds. */
+/**
+ * Time that leases of releases that counted no time get once time is counted, in milliseconds: the full time that
+ * those releases leased for.
+ */
+export const EARLIER_LEASE_MS = 4_000;
+
+/** How long an upload that doesn't end is kept, on the shard's clock, in milliseconds. */
 export const OPEN_FILE_MS = 600_000;
 
 /** How long the record of a call is kept for a resend, in milliseconds. */
--- a/packages/stallpaddle-ledger/src/LedgerFiles.ts
+++ b/packages/stallpaddle-ledger/src/LedgerFiles.ts
@@ -6,13 +6,14 @@
 import type {LedgerDraft} from './LedgerDraft';
 import type {FileChunk, LedgerAnswer, LedgerCommand, LedgerFile} from './LedgerTypes';
 
+import {expiryNow} from './LedgerClock';
 import {OPEN_FILE_MS} from './LedgerConstants';
 import {$place} from './LedgerDraft';
 import {refusal} from './LedgerUtils';
 
 type Command<Type> = Extract<LedgerCommand, {type: Type}>;
 
-function newFile(command: Command<'appendFile'>): LedgerFile {
+function newFile(draft: LedgerDraft, command: Command<'appendFile'>): LedgerFile {
   return {
     bytes: 0,
     chunks: List<FileChunk>(),
@@ -23,6 +24,7 @@
     id: command.fileId,
     items: 0,
     model: command.model,
+    openUntil: expiryNow(draft, command.now) + OPEN_FILE_MS,
     sealed: false,
   };
 }
@@ -38,7 +40,7 @@
   if (known !== undefined && known.customer !== command.customer) {
     return refusal('conflict', 'the file belongs to another customer');
   }
-  const file = known ?? newFile(command);
+  const file = known ?? newFile(draft, command);
   const {chunks, firstChunk} = command;
   if (firstChunk + chunks.length <= file.chunks.size) {
     return {kind: 'ok'};
@@ -87,5 +89,6 @@
  * @param now time of the command
  */
 export function $dropOpenFiles(draft: LedgerDraft, now: number): void {
-  draft.files = draft.files.filter((file) => file.sealed || file.createdAt + OPEN_FILE_MS > now);
+  const at = expiryNow(draft, now);
+  draft.files = draft.files.filter((file) => file.sealed || file.openUntil > at);
 }
--- a/packages/stallpaddle-ledger/src/LedgerLeases.ts
+++ b/packages/stallpaddle-ledger/src/LedgerLeases.ts
@@ -17,6 +17,7 @@
   LedgerState,
 } from './LedgerTypes';
 
+import {expiryNow} from './LedgerClock';
 import {MAX_ITEM_LOSSES} from './LedgerConstants';
 import {$place, $putJob, addCount, completeWhenDone} from './LedgerDraft';
 import {
@@ -64,7 +65,7 @@
     cursor: chunk + 1,
     queuedChunks: job.queuedChunks - 1,
   });
-  const until = command.now + command.leaseMs;
+  const until = expiryNow(draft, command.now) + command.leaseMs;
   draft.leases = draft.leases.set(token, {chunk, jobId: job.id, until, vm: command.vm});
   const open = Array.from({length: count}, (_, item) => item).filter(
     (item) => !isFinal(itemStatus(state.items, item)),
@@ -253,7 +254,7 @@
       revoked.push(token);
       continue;
     }
-    const until = Math.max(lease.until, command.now + command.leaseMs);
+    const until = Math.max(lease.until, expiryNow(draft, command.now) + command.leaseMs);
     draft.leases = draft.leases.set(token, {...lease, until});
   }
   return {kind: 'reported', revoked};
@@ -287,10 +288,11 @@
  * Whether any lease has run out; an `expire` command is worth its place in the log only then.
  *
  * @param state the shard
- * @param now time of the question
+ * @param aheadMs time that no command has counted yet, in milliseconds
  */
-export function hasExpiredLeases(state: LedgerState, now: number): boolean {
-  return state.leases.some((lease) => lease.until <= now);
+export function hasExpiredLeases(state: LedgerState, aheadMs: number): boolean {
+  const at = state.clockMs + aheadMs;
+  return state.leases.some((lease) => lease.until <= at);
 }
 
 /**
@@ -300,8 +302,9 @@
  * @param now time of the command
  */
 export function $expireLeases(draft: LedgerDraft, now: number): void {
+  const at = expiryNow(draft, now);
   for (const [token, lease] of draft.leases) {
-    if (lease.until > now) {
+    if (lease.until > at) {
       continue;
     }
     const held = leasedBy(draft, token);
--- a/packages/stallpaddle-ledger/src/LedgerQueries.ts
+++ b/packages/stallpaddle-ledger/src/LedgerQueries.ts
@@ -94,7 +94,7 @@
     };
 
 function fileView(file: LedgerFile): FileView {
-  const {chunks: _chunks, sealed: _sealed, ...view} = file;
+  const {chunks: _chunks, openUntil: _openUntil, sealed: _sealed, ...view} = file;
   return view;
 }
 
--- a/packages/stallpaddle-ledger/src/LedgerShard.ts
+++ b/packages/stallpaddle-ledger/src/LedgerShard.ts
@@ -17,6 +17,8 @@
 } from './LedgerTypes';
 
 import {$dropCall, $dropOldCalls, $endCall, $startCall} from './LedgerCalls';
+import {$countTime} from './LedgerClock';
+import {OPEN_FILE_MS} from './LedgerConstants';
 import {closeDraft, openDraft} from './LedgerDraft';
 import {$appendFile, $dropOpenFiles, $sealFile} from './LedgerFiles';
 import {$cancelJob, $createJob} from './LedgerJobs';
@@ -26,6 +28,7 @@
 export const EMPTY_LEDGER: LedgerState = {
   blobEnd: 0,
   calls: ImmutableMap<string, CallRecord>(),
+  clockMs: 0,
   counters: {doubledResults: 0, expiredLeases: 0, lateResults: 0},
   files: ImmutableMap(),
   jobs: ImmutableMap(),
@@ -77,12 +80,15 @@
  *
  * @param state current state
  * @param command what to change
+ * @param elapsedMs time since the command before it, in milliseconds
  */
 export function updateLedger(
   state: LedgerState,
   command: LedgerCommand,
+  elapsedMs: number,
 ): MachineResult<LedgerState> & {readonly result: LedgerAnswer} {
   const draft = openDraft(state);
+  $countTime(draft, elapsedMs);
   const result = $run(draft, command);
   return {blobs: draft.placed, result, state: closeDraft(draft)};
 }
@@ -90,6 +96,8 @@
 interface EncodedLedger {
   readonly blobEnd: number;
   readonly calls: readonly (readonly [string, CallRecord])[];
+  /** Missing in snapshots of releases that counted no time. */
+  readonly clockMs?: number;
   readonly counters: LedgerState['counters'];
   readonly files: readonly unknown[];
   readonly jobs: readonly unknown[];
@@ -103,6 +111,7 @@
   const encoded: EncodedLedger = {
     blobEnd: state.blobEnd,
     calls: [...state.calls],
+    clockMs: state.clockMs,
     counters: state.counters,
     files: [...state.files.values()].map((file) => ({...file, chunks: file.chunks.toArray()})),
     jobs: [...state.jobs.values()].map((job) => ({
@@ -124,6 +133,9 @@
   readonly [Key in keyof T]: T[Key] extends List<infer Item> ? readonly Item[] : T[Key];
 };
 
+/** Snapshots of releases that counted no time hold no `openUntil`: an upload ran out by its `createdAt`. */
+type EncodedFile = Omit<Plain<LedgerFile>, 'openUntil'> & Partial<Pick<LedgerFile, 'openUntil'>>;
+
 function decodeLedger(bytes: Uint8Array): LedgerState {
   const encoded = decodeValue<EncodedLedger>(bytes);
   const jobs = (encoded.jobs as readonly Plain<LedgerJob>[]).map((job): LedgerJob => ({
@@ -133,9 +145,10 @@
     lineless: List(job.lineless),
     outputs: List(job.outputs),
   }));
-  const files = (encoded.files as readonly Plain<LedgerFile>[]).map((file): LedgerFile => ({
+  const files = (encoded.files as readonly EncodedFile[]).map((file): LedgerFile => ({
     ...file,
     chunks: List(file.chunks),
+    openUntil: file.openUntil ?? file.createdAt + OPEN_FILE_MS,
   }));
   const runnable = jobs
     .filter((job) => job.status === 'running' && job.queuedChunks > 0)
@@ -146,6 +159,7 @@
   return {
     blobEnd: encoded.blobEnd,
     calls: ImmutableMap(encoded.calls as [string, CallRecord][]),
+    clockMs: encoded.clockMs ?? 0,
     counters: encoded.counters,
     files: ImmutableMap(files.map((file) => [file.id, file])),
     jobs: ImmutableMap(jobs.map((job) => [job.id, job])),
@@ -159,7 +173,8 @@
 
 /** The shard as a replicated state machine. */
 export const ledgerMachine: ReplicaMachine<LedgerState> = {
-  apply: (state, command) => updateLedger(state, decodeValue<LedgerCommand>(command)),
+  apply: (state, command, elapsedMs) =>
+    updateLedger(state, decodeValue<LedgerCommand>(command), elapsedMs),
   blobEnd: (state) => state.blobEnd,
   decode: decodeLedger,
   encode: encodeLedger,
--- a/packages/stallpaddle-ledger/src/LedgerTypes.ts
+++ b/packages/stallpaddle-ledger/src/LedgerTypes.ts
@@ -7,6 +7,8 @@
 
 /** Milliseconds since 1970, as the proposing VM saw them. */
 export type WallMs = number;
+/** Time of the shard's own clock, in milliseconds: the sum of what its leaders counted, never ahead of time. */
+export type GroupMs = number;
 /** Fencing number of a chunk's lease; rises with each grant. */
 export type LeaseToken = number;
 
@@ -30,6 +32,8 @@
   readonly items: number;
   /** Model that every item names. */
   readonly model: string;
+  /** When the upload is forgotten unless it was sealed before. */
+  readonly openUntil: GroupMs;
   readonly sealed: boolean;
 }
 
@@ -90,7 +94,8 @@
 export interface ChunkLease {
   readonly chunk: number;
   readonly jobId: string;
-  readonly until: WallMs;
+  /** When the chunk is taken back unless the lease was renewed before. */
+  readonly until: GroupMs;
   readonly vm: VmId;
 }
 
@@ -125,6 +130,8 @@
 export interface LedgerState {
   readonly blobEnd: number;
   readonly calls: ImmutableMap<string, CallRecord>;
+  /** 0 until a command has counted time. */
+  readonly clockMs: GroupMs;
   readonly counters: LedgerCounters;
   readonly files: ImmutableMap<string, LedgerFile>;
   readonly jobs: ImmutableMap<string, LedgerJob>;
@@ -214,12 +221,14 @@
       readonly leaseMs: number;
       readonly maxItems: number;
       readonly models: readonly string[];
+      /** Tells which jobs are nearly due; their due times are times of day. */
       readonly now: WallMs;
       readonly type: 'lease';
       readonly vm: VmId;
     }
   | {
       readonly leaseMs: number;
+      /** When jobs end that end by this report. */
       readonly now: WallMs;
       readonly renew: readonly LeaseToken[];
       readonly reports: readonly ChunkReport[];
@@ -228,10 +237,10 @@
     }
   | {
       readonly items: readonly number[];
-      readonly now: WallMs;
       readonly token: LeaseToken;
       readonly type: 'startItems';
     }
+  /** `now`: when jobs end that end by this, and by which old records are dropped; leases have the shard's clock. */
   | {readonly now: WallMs; readonly type: 'expire'}
   | {
       readonly attempt: string;
--- a/packages/stallpaddle-ledger/src/__tests__/unit/LedgerShard.test.ts
+++ b/packages/stallpaddle-ledger/src/__tests__/unit/LedgerShard.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import {encodeValue} from 'stallpaddle';
+import {decodeValue, encodeValue} from 'stallpaddle';
 import {assertHistories, fuzzTimeoutMs} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
@@ -7,21 +7,30 @@
  * The ledger beside its naive version, under resends, late and doubled reports, expiry, cancels and
  * restarts from a snapshot.
  */
-import type {LedgerAnswer, LedgerCommand, LedgerState} from '../../LedgerTypes';
+import type {LeasedChunk, LedgerAnswer, LedgerCommand, LedgerState} from '../../LedgerTypes';
 
+import {CALL_RECORD_MS, EARLIER_LEASE_MS, OPEN_FILE_MS} from '../../LedgerConstants';
+import {hasExpiredLeases} from '../../LedgerLeases';
 import {EMPTY_LEDGER, ledgerMachine} from '../../LedgerShard';
 import {NaiveLedger} from './NaiveLedger';
 
 const CUSTOMERS = ['ana', 'bea'] as const;
 const LEASE_MS = 100;
+/** How far VMs' times of day are from real time, in milliseconds: one after the other. */
+const SKEWS_MS = [0, 600_000, -600_000, 5_000] as const;
 
 /** The real ledger behind its replicated form, with the bulk data it wrote. */
 class LedgerUnderTest {
   readonly blobs = new Map<number, Uint8Array>();
+  /** Real time, in milliseconds. */
+  now = 0;
   state: LedgerState = EMPTY_LEDGER;
+  private countedUntil = 0;
 
   apply(command: LedgerCommand): LedgerAnswer {
-    const {blobs, result, state} = ledgerMachine.apply(this.state, encodeValue(command), 0);
+    const elapsedMs = this.now - this.countedUntil;
+    this.countedUntil = this.now;
+    const {blobs, result, state} = ledgerMachine.apply(this.state, encodeValue(command), elapsedMs);
     this.state = state;
     blobs.forEach(({payload, ref}) => this.blobs.set(ref.offset, payload));
     return result as LedgerAnswer;
@@ -31,6 +40,14 @@
     this.state = ledgerMachine.decode(ledgerMachine.encode(this.state));
   }
 
+  /** Leases one item to a VM. */
+  lease(vm: string, now: number): LeasedChunk | undefined {
+    const models = ['m'];
+    const command = {leaseMs: LEASE_MS, maxItems: 1, models, now, type: 'lease' as const, vm};
+    const answer = this.apply(command);
+    return answer.kind === 'leased' ? answer.chunks[0] : undefined;
+  }
+
   linesOf(jobId: string): readonly string[] {
     const job = this.state.jobs.get(jobId)!;
     return [...job.outputs, ...job.errors].flatMap(({offset}) =>
@@ -124,19 +141,33 @@
   readonly naive = new NaiveLedger();
   readonly real = new LedgerUnderTest();
   private created = 0;
-  private now = 0;
+  private said = 0;
   private readonly tokens: {
     readonly chunk: number;
     readonly jobId: string;
     readonly token: number;
   }[] = [];
 
+  constructor() {
+    // Without any time counted the ledger replays entries of earlier releases.
+    this.real.now = 1;
+  }
+
+  private get now(): number {
+    return this.real.now;
+  }
+
+  /** Time of day of the VM that sends the next command; the VMs disagree. */
+  private wallMs(): number {
+    return this.now + SKEWS_MS[this.said++ % SKEWS_MS.length]!;
+  }
+
   run(next: Step): void {
     switch (next.kind) {
       case 'cancel': {
         const jobId = [...this.naive.jobs.keys()][next.job];
         if (jobId !== undefined) {
-          this.real.apply({customer: null, jobId, now: this.now, type: 'cancelJob'});
+          this.real.apply({customer: null, jobId, now: this.wallMs(), type: 'cancelJob'});
           this.naive.cancel(jobId);
         }
         break;
@@ -145,8 +176,8 @@
         this.create(next);
         break;
       case 'expire':
-        this.now += next.ms;
-        this.real.apply({now: this.now, type: 'expire'});
+        this.real.now += next.ms;
+        this.real.apply({now: this.wallMs(), type: 'expire'});
         this.naive.expire(this.now);
         break;
       case 'lease':
@@ -162,12 +193,7 @@
         const held = this.tokens[next.token];
         if (held !== undefined) {
           const {token} = held;
-          const answer = this.real.apply({
-            items: next.items,
-            now: this.now,
-            token,
-            type: 'startItems',
-          });
+          const answer = this.real.apply({items: next.items, token, type: 'startItems'});
           expect(answer).toEqual({items: this.naive.start(token, next.items), kind: 'started'});
         }
         break;
@@ -179,8 +205,8 @@
   /** Leases and ends whatever is left. */
   finish(): void {
     for (let round = 0; round < 200; round++) {
-      this.now += LEASE_MS * 2;
-      this.real.apply({now: this.now, type: 'expire'});
+      this.real.now += LEASE_MS * 2;
+      this.real.apply({now: this.wallMs(), type: 'expire'});
       this.naive.expire(this.now);
       const before = this.tokens.length;
       this.lease('vm-last', 64);
@@ -207,14 +233,14 @@
     const number = this.created++;
     const owner = CUSTOMERS[customer]!;
     const fileId = `file-${number}`;
-    this.real.upload(fileId, owner, chunks, this.now);
+    this.real.upload(fileId, owner, chunks, this.wallMs());
     const command = createCommand({
       content: chunks.join(),
       customer: owner,
       fileId,
       jobId: `job-${number}`,
       key: key === null ? null : `key-${key}`,
-      now: this.now,
+      now: this.wallMs(),
       repeatable,
     });
     const answer = this.real.apply(command);
@@ -227,7 +253,7 @@
       leaseMs: LEASE_MS,
       maxItems: most,
       models: ['m'],
-      now: this.now,
+      now: this.wallMs(),
       type: 'lease',
       vm,
     });
@@ -269,7 +295,7 @@
     const vm = this.naive.leases.get(token)?.vm ?? 'vm-none';
     const answer = this.real.apply({
       leaseMs: LEASE_MS,
-      now: this.now,
+      now: this.wallMs(),
       renew: renew ? [token] : [],
       reports: [report],
       type: 'report',
@@ -287,6 +313,9 @@
 
   private compare(): void {
     expect(this.real.state.leases.size).toBe(this.naive.leases.size);
+    for (const [token, {until}] of this.naive.leases) {
+      expect(this.real.state.leases.get(token)?.until).toBe(until);
+    }
     for (const [jobId, job] of this.naive.jobs) {
       const real = this.real.state.jobs.get(jobId)!;
       const count = (end: string): number => job.items.filter((item) => item.end === end).length;
@@ -343,6 +372,7 @@
 
   test('does not accept an upload that broke off, and lets its key be used again', () => {
     const ledger = new LedgerUnderTest();
+    ledger.now = 1;
     const part = {customer: 'ana', fileId: 'file', model: 'm', now: 0, type: 'appendFile' as const};
     const chunk = {items: 1, lines: Buffer.from('a\n')};
     ledger.apply({...part, chunks: [chunk], firstChunk: 0});
@@ -352,6 +382,7 @@
       code: 'conflict',
     });
     expect(ledger.apply(createCommand({key: 'k'}))).toMatchObject({code: 'notFound'});
+    ledger.now = 700_000;
     ledger.apply({now: 700_000, type: 'expire'});
     expect(ledger.state.files.has('file')).toBe(false);
     ledger.upload('again', 'ana', [1], 0);
@@ -415,3 +446,135 @@
     expect(ledger.state.calls.size).toBe(1);
   });
 });
+
+/** Time of day of a VM, in milliseconds since 1970, and of one that is ten minutes ahead of it. */
+const SLOW_MS = 1_790_000_000_000;
+const FAST_MS = SLOW_MS + 600_000;
+
+/** A ledger with a job of three chunks that must not be repeated, time counted. */
+function ledgerWithJob(now = 1): LedgerUnderTest {
+  const ledger = new LedgerUnderTest();
+  ledger.now = now;
+  ledger.upload('file', 'ana', [1, 1, 1], SLOW_MS);
+  ledger.apply(createCommand({dueAt: 2 * SLOW_MS, now: SLOW_MS, repeatable: false}));
+  return ledger;
+}
+
+describe('leases', () => {
+  test('to a VM whose time of day is behind are not taken back early', () => {
+    const ledger = ledgerWithJob();
+    const {token} = ledger.lease('slow', SLOW_MS)!;
+    ledger.apply({items: [0], token, type: 'startItems'});
+    ledger.now += LEASE_MS - 1;
+    ledger.apply({now: FAST_MS, type: 'expire'});
+    expect(ledger.state.leases.has(token)).toBe(true);
+    expect(ledger.state.jobs.get('job')!.counts.mayHaveRun).toBe(0);
+    ledger.now += 1;
+    ledger.apply({now: FAST_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(0);
+    expect(ledger.state.jobs.get('job')!.counts.mayHaveRun).toBe(1);
+  });
+
+  test('to a VM whose time of day is ahead are not kept long', () => {
+    const ledger = ledgerWithJob();
+    ledger.lease('fast', FAST_MS);
+    ledger.now += LEASE_MS;
+    ledger.apply({now: SLOW_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(0);
+  });
+
+  test('are renewed for a full lease time, whatever the time of day says', () => {
+    const ledger = ledgerWithJob();
+    const {token} = ledger.lease('vm', SLOW_MS)!;
+    const renewal = {leaseMs: LEASE_MS, renew: [token], reports: [], type: 'report', vm: 'vm'};
+    for (const now of [FAST_MS, SLOW_MS, SLOW_MS - 600_000]) {
+      ledger.now += LEASE_MS - 1;
+      ledger.apply({...renewal, now} as LedgerCommand);
+      ledger.apply({now: FAST_MS, type: 'expire'});
+      expect(ledger.state.leases.has(token)).toBe(true);
+    }
+    ledger.now += LEASE_MS;
+    ledger.apply({now: SLOW_MS - 600_000, type: 'expire'});
+    expect(ledger.state.leases.has(token)).toBe(false);
+  });
+
+  test('that have run out are seen before a command counts the time', () => {
+    const ledger = ledgerWithJob();
+    ledger.lease('vm', SLOW_MS);
+    ledger.restart();
+    expect(hasExpiredLeases(ledger.state, LEASE_MS - 1)).toBe(false);
+    expect(hasExpiredLeases(ledger.state, LEASE_MS)).toBe(true);
+  });
+
+  test('of releases that counted no time replay as they ran, then run out by the clock', () => {
+    const ledger = ledgerWithJob(0);
+    ledger.lease('a', SLOW_MS);
+    ledger.apply({now: SLOW_MS + LEASE_MS - 1, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(1);
+    ledger.apply({now: SLOW_MS + LEASE_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(0);
+    expect(ledger.lease('b', SLOW_MS + LEASE_MS)).toMatchObject({chunk: 0, token: 2});
+    const {clockMs: _, ...snapshot} = decodeValue<{clockMs: number}>(
+      ledgerMachine.encode(ledger.state),
+    );
+    ledger.state = ledgerMachine.decode(encodeValue(snapshot));
+    expect(ledger.state.clockMs).toBe(0);
+    ledger.now = 5;
+    ledger.apply({now: FAST_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(1);
+    ledger.now += EARLIER_LEASE_MS - 1;
+    ledger.apply({now: FAST_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(1);
+    ledger.now += 1;
+    expect(hasExpiredLeases(ledger.state, 1)).toBe(true);
+    ledger.apply({now: SLOW_MS, type: 'expire'});
+    expect(ledger.state.leases.size).toBe(0);
+  });
+});
+
+describe('records', () => {
+  test('of an upload that goes on last their time, whatever the time of day says', () => {
+    const ledger = new LedgerUnderTest();
+    ledger.now = 1;
+    const chunks = [{items: 1, lines: Buffer.from('a\n')}];
+    const part = {chunks, customer: 'ana', fileId: 'file', firstChunk: 0, model: 'm'};
+    ledger.apply({...part, now: SLOW_MS, type: 'appendFile'});
+    ledger.now += OPEN_FILE_MS - 1;
+    ledger.restart();
+    ledger.apply({now: FAST_MS, type: 'expire'});
+    expect(ledger.state.files.has('file')).toBe(true);
+    ledger.now += 1;
+    ledger.apply({now: SLOW_MS - 600_000, type: 'expire'});
+    expect(ledger.state.files.has('file')).toBe(false);
+  });
+
+  test('of an upload that an earlier release took in get a fresh time', () => {
+    const ledger = new LedgerUnderTest();
+    const chunks = [{items: 1, lines: Buffer.from('a\n')}];
+    const part = {chunks, customer: 'ana', fileId: 'file', firstChunk: 0, model: 'm'};
+    ledger.apply({...part, now: SLOW_MS, type: 'appendFile'});
+    const snapshot = decodeValue<{files: {openUntil?: number}[]}>(
+      ledgerMachine.encode(ledger.state),
+    );
+    const files = snapshot.files.map(({openUntil: _, ...file}) => file);
+    const decoded = ledgerMachine.decode(encodeValue({...snapshot, files}));
+    expect(decoded.files.get('file')!.openUntil).toBe(SLOW_MS + OPEN_FILE_MS);
+    ledger.state = decoded;
+    ledger.now = 5;
+    ledger.apply({now: FAST_MS + OPEN_FILE_MS, type: 'expire'});
+    expect(ledger.state.files.has('file')).toBe(true);
+    ledger.now += OPEN_FILE_MS;
+    ledger.apply({now: SLOW_MS, type: 'expire'});
+    expect(ledger.state.files.has('file')).toBe(false);
+  });
+
+  test('of calls are dropped after a day', () => {
+    const ledger = new LedgerUnderTest();
+    const call = {attempt: '1', content: 'c', customer: 'ana', key: 'k', now: SLOW_MS};
+    ledger.apply({...call, type: 'startCall'});
+    ledger.apply({now: SLOW_MS + CALL_RECORD_MS - 1, type: 'expire'});
+    expect(ledger.state.calls.size).toBe(1);
+    ledger.apply({now: SLOW_MS + CALL_RECORD_MS, type: 'expire'});
+    expect(ledger.state.calls.size).toBe(0);
+  });
+});
--- a/packages/stallpaddle-vm/src/VmLeaderDuties.ts
+++ b/packages/stallpaddle-vm/src/VmLeaderDuties.ts
@@ -1,7 +1,7 @@
 /**
  * What leaders do on their own: the first configuration, and expiry of leases in ledger shards.
  */
-import type {Clock, Logger} from 'stallpaddle';
+import type {Clock, Logger, MonotonicMs} from 'stallpaddle';
 import type {ConfigChange, ControlCommand} from 'stallpaddle-control';
 import type {LedgerCommand} from 'stallpaddle-ledger';
 
@@ -24,7 +24,7 @@
 
 /** Duties of leaders on one VM. */
 export class VmLeaderDuties {
-  private readonly tidiedAt = new Map<string, number>();
+  private readonly tidiedAt = new Map<string, MonotonicMs>();
 
   /**
    * @param options what the duties need of their VM
@@ -61,13 +61,14 @@
     if (replica?.leads !== true) {
       return;
     }
-    const now = this.options.clock.wallMs();
-    const isDue = now - (this.tidiedAt.get(group) ?? 0) >= TIDY_INTERVAL_MS;
-    if (!isDue && !hasExpiredLeases(replica.localState, now)) {
+    const {clock} = this.options;
+    const now = clock.monotonicMs();
+    const isDue = now - (this.tidiedAt.get(group) ?? -Infinity) >= TIDY_INTERVAL_MS;
+    if (!isDue && !hasExpiredLeases(replica.localState, replica.uncountedMs)) {
       return;
     }
     this.tidiedAt.set(group, now);
-    const command: LedgerCommand = {now, type: 'expire'};
+    const command: LedgerCommand = {now: clock.wallMs(), type: 'expire'};
     await replica.propose(encodeValue(command));
   }
 }
