Merge: leases of chunks run by the shard's own clock; one type for a group's time

GroupMs stood twice (jobs, ledger) and stands with the state machines now. OPERATIONS: the upgrade from releases whose entries count no time needs a stop of all VMs, for both kinds of fleet.

--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -3,9 +3,10 @@
  * lost process had of them runs again.
  */
 import type {EngineId, MonotonicMs} from 'stallpaddle';
+import type {GroupMs} from 'stallpaddle-replication';
 
 import type {ItemRun} from './JobsItemRun';
-import type {GroupMs, Job, JobId, JobItem, JobsState} from './JobsTypes';
+import type {Job, JobId, JobItem, JobsState} from './JobsTypes';
 
 /** A run under way. */
 export interface TaskRun {
--- a/packages/stallpaddle-jobs/src/JobsTypes.ts
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -2,14 +2,12 @@
  * Batch jobs of opaque requests, as a group of replicas keeps them.
  */
 import type {Map as ImmutableMap, List} from 'immutable';
+import type {GroupMs} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
 /** Name of a job, given by whoever submits it. */
 export type JobId = string;
 
-/** Time of the group's own clock, in milliseconds: the sum of what its leaders counted, never ahead of time. */
-export type GroupMs = number;
-
 /** How an item ended. */
 export type ItemOutcome = 'completed' | 'givenUp';
 
--- a/packages/stallpaddle-jobs/src/JobsUrgency.ts
+++ b/packages/stallpaddle-jobs/src/JobsUrgency.ts
@@ -2,12 +2,12 @@
  * Which items that wait are most urgent: by their routes' targets, and by how long such items take.
  */
 import type {MonotonicMs} from 'stallpaddle';
+import type {GroupMs} from 'stallpaddle-replication';
 
 import {type FleetRoute, type FleetView, RouteTable} from 'stallpaddle-fleet';
 
 import type {PlannedItem} from './JobsPlan';
 import type {Task} from './JobsTasks';
-import type {GroupMs} from './JobsTypes';
 
 import {JobsEstimates} from './JobsEstimates';
 
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -17,7 +17,6 @@
   type ResultsAnswer,
 } from './JobsQueries';
 export type {
-  GroupMs,
   ItemEnd,
   ItemOutcome,
   ItemProgress,
--- a/packages/stallpaddle-ledger/src/LedgerTypes.ts
+++ b/packages/stallpaddle-ledger/src/LedgerTypes.ts
@@ -3,6 +3,7 @@
  */
 import type {Map as ImmutableMap, Set as ImmutableSet, List} from 'immutable';
 import type {CustomerId, VmId} from 'stallpaddle';
+import type {GroupMs} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
 /** Milliseconds since 1970, as the proposing VM saw them. */
@@ -30,6 +31,8 @@
   readonly items: number;
   /** Model that every item names. */
   readonly model: string;
+  /** When the upload is forgotten unless it was sealed before. */
+  readonly openUntil: GroupMs;
   readonly sealed: boolean;
 }
 
@@ -90,7 +93,8 @@
 export interface ChunkLease {
   readonly chunk: number;
   readonly jobId: string;
-  readonly until: WallMs;
+  /** When the chunk is taken back unless the lease was renewed before. */
+  readonly until: GroupMs;
   readonly vm: VmId;
 }
 
@@ -125,6 +129,8 @@
 export interface LedgerState {
   readonly blobEnd: number;
   readonly calls: ImmutableMap<string, CallRecord>;
+  /** 0 until a command has counted time. */
+  readonly clockMs: GroupMs;
   readonly counters: LedgerCounters;
   readonly files: ImmutableMap<string, LedgerFile>;
   readonly jobs: ImmutableMap<string, LedgerJob>;
@@ -214,12 +220,14 @@
       readonly leaseMs: number;
       readonly maxItems: number;
       readonly models: readonly string[];
+      /** Tells which jobs are nearly due; their due times are times of day. */
       readonly now: WallMs;
       readonly type: 'lease';
       readonly vm: VmId;
     }
   | {
       readonly leaseMs: number;
+      /** When jobs end that end by this report. */
       readonly now: WallMs;
       readonly renew: readonly LeaseToken[];
       readonly reports: readonly ChunkReport[];
@@ -228,10 +236,10 @@
     }
   | {
       readonly items: readonly number[];
-      readonly now: WallMs;
       readonly token: LeaseToken;
       readonly type: 'startItems';
     }
+  /** `now`: when jobs end that end by this, and by which old records are dropped; leases have the shard's clock. */
   | {readonly now: WallMs; readonly type: 'expire'}
   | {
       readonly attempt: string;
--- a/packages/stallpaddle-replication/src/ReplicaMachine.ts
+++ b/packages/stallpaddle-replication/src/ReplicaMachine.ts
@@ -3,6 +3,9 @@
  */
 import type {BlobRef} from 'stallpaddle-storage';
 
+/** Time of a group's own clock, in milliseconds: the sum of what its leaders counted, never ahead of time. */
+export type GroupMs = number;
+
 /** Bulk data that an applied command puts into the segment files. */
 export interface PlacedBlob {
   readonly payload: Uint8Array;
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -3,7 +3,7 @@
 export {ReplicaDriver} from './ReplicaDriver';
 export {NotLeaderError, OutcomeUnknownError, ReplicaStoppedError} from './ReplicaErrors';
 export {loadIdentity} from './ReplicaIdentity';
-export type {MachineResult, PlacedBlob, ReplicaMachine} from './ReplicaMachine';
+export type {GroupMs, MachineResult, PlacedBlob, ReplicaMachine} from './ReplicaMachine';
 export type {
   ReplicaCounters,
   ReplicaOptions,
