--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -56,6 +56,7 @@
     this.engines = new JobsEngines({
       clock: options.clock,
       decide: (engine, fields) => options.decide('engineSurveyed', engine, fields),
+      mayDecide: () => this.mayDecide(),
       onChange: () => this.poke(),
       tasks: this.tasks,
       urgency: this.urgency,
@@ -120,12 +121,15 @@
 
   private look(): void {
     this.followTerm();
+    if (this.term === undefined) {
+      return;
+    }
+    this.tasks.follow(this.options.state());
     // While the lease doesn't run, runs go on: nobody else leads as far as is known, and a lapse is often short.
     if (!this.mayDecide()) {
       return;
     }
     this.engines.startSurvey();
-    this.tasks.follow(this.options.state());
     const view = this.options.view();
     const now = this.options.clock.monotonicMs();
     const waiting = this.urgency.waiting(view, this.tasks.all(), now);
@@ -138,7 +142,7 @@
       }
     }
     // Knowledge that is too old may name an engine that has left.
-    if (this.options.clock.monotonicMs() - view.asOf < START_FRESH_MS) {
+    if (this.isFresh()) {
       starts.slice(0, STARTS_A_LOOK).forEach(({engine, key}) => void this.start(key, engine));
       if (starts.length > STARTS_A_LOOK) {
         this.poke();
@@ -146,6 +150,11 @@
     }
   }
 
+  /** Whether what is known of the fleet is new enough to decide on items. */
+  private isFresh(): boolean {
+    return this.options.clock.monotonicMs() - this.options.view().asOf < START_FRESH_MS;
+  }
+
   /** Whether this process leads in the term to which the tasks here belong. */
   private mayDecide(): boolean {
     const leadership = this.options.leadership();
@@ -188,8 +197,7 @@
 
   private async start(key: string, engineId: string): Promise<void> {
     const task = this.tasks.get(key);
-    const engine = engineOf(this.options.view(), engineId);
-    if (task === undefined || engine === undefined) {
+    if (task === undefined) {
       return;
     }
     task.startsAt = engineId;
@@ -202,10 +210,12 @@
     } finally {
       task.startsAt = undefined;
     }
-    if (this.tasks.get(key) !== task || !this.mayDecide()) {
-      return;
+    // The disk may have taken long: the engine may leave by now, or another process lead.
+    const engine = engineOf(this.options.view(), engineId);
+    const isOpen = this.isFresh() && engine?.draining === false;
+    if (isOpen && this.tasks.get(key) === task && this.mayDecide()) {
+      await this.run(task, engine);
     }
-    await this.run(task, engine);
     this.poke();
   }
 
@@ -337,9 +347,8 @@
       return;
     }
     const view = this.options.view();
-    const isFresh = this.options.clock.monotonicMs() - view.asOf < START_FRESH_MS;
     const {clockMs, open} = this.options.state();
-    for (const task of isFresh && view.config !== null ? [...this.tasks.all()] : []) {
+    for (const task of this.isFresh() && view.config !== null ? [...this.tasks.all()] : []) {
       const route = this.urgency.routeOf(view, task);
       if (route === undefined || clockMs - task.acceptedAt > route.giveUpAfterMs) {
         task.run?.run.cut();
--- a/packages/stallpaddle-jobs/src/JobsEnds.ts
+++ b/packages/stallpaddle-jobs/src/JobsEnds.ts
@@ -8,7 +8,7 @@
 import type {JobsDispatcherOptions} from './JobsContext';
 import type {ItemEnd} from './JobsTypes';
 
-import {PROPOSE_AGAIN_MS} from './JobsConstants';
+import {PROPOSE_AGAIN_MS, RECORD_BYTES} from './JobsConstants';
 
 /** An end, and the term in which it was found. */
 interface FoundEnd {
@@ -16,6 +16,16 @@
   readonly term: Term;
 }
 
+/** The first ends, up to the size of one record; at least one. */
+function firstOf(pending: readonly FoundEnd[]): readonly FoundEnd[] {
+  let bytes = 0;
+  const full = pending.findIndex(({end}) => {
+    bytes += end.data.reduce((sum, data) => sum + data.length, 0);
+    return bytes >= RECORD_BYTES;
+  });
+  return full < 0 ? pending : pending.slice(0, full + 1);
+}
+
 /** See the module's comment. */
 export class JobsEnds {
   private pending: readonly FoundEnd[] = [];
@@ -71,8 +81,8 @@
   }
 
   private async recordPending(): Promise<void> {
-    const found = this.pending;
-    this.pending = [];
+    const found = firstOf(this.pending);
+    this.pending = this.pending.slice(found.length);
     try {
       await this.options.propose({ends: found.map(({end}) => end), kind: 'endItems'});
     } catch {
--- a/packages/stallpaddle-jobs/src/JobsEngines.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngines.ts
@@ -19,6 +19,8 @@
 /** What it needs of its dispatcher. */
 export interface JobsEnginesOptions extends Pick<JobsDispatcherOptions, 'clock' | 'view' | 'wire'> {
   readonly decide: (engine: EngineId, fields: LogFields) => void;
+  /** Whether this dispatcher may decide. */
+  readonly mayDecide: () => boolean;
   /** Called when an engine's room is known, or has changed. */
   readonly onChange: () => void;
   readonly tasks: JobsTasks;
@@ -42,7 +44,7 @@
 
   /** Whoever begins to lead asks the engines what they hold: its predecessor may have left runs there. */
   startSurvey(): void {
-    const {decide, onChange, view, wire} = this.options;
+    const {decide, mayDecide, onChange, view, wire} = this.options;
     const {engines} = view().news;
     if (this.survey !== undefined || engines.length === 0) {
       return;
@@ -51,6 +53,7 @@
       decide,
       engines,
       isLeft: (requestId, engine) => this.isLeft(requestId, engine),
+      mayDecide,
       onChange,
       online: this.online,
       runsAt: (engine) => this.runsAt(engine),
--- a/packages/stallpaddle-jobs/src/JobsSurvey.ts
+++ b/packages/stallpaddle-jobs/src/JobsSurvey.ts
@@ -29,6 +29,8 @@
   readonly engines: readonly EngineView[];
   /** Whether a request is an open item that this dispatcher doesn't run at the engine. */
   readonly isLeft: (requestId: string, engine: EngineId) => boolean;
+  /** Whether this dispatcher may decide: a run that looks left may be the next leader's. */
+  readonly mayDecide: () => boolean;
   readonly online: JobsOnline;
   /** Called when an engine's room is known, or has changed. */
   readonly onChange: () => void;
@@ -121,7 +123,10 @@
   }
 
   private async stopLeft(engine: EngineView, running: readonly string[]): Promise<void> {
-    const {engines, isLeft} = this.options;
+    const {engines, isLeft, mayDecide} = this.options;
+    if (!mayDecide()) {
+      return;
+    }
     const other = engines.find(({id, service}) => id !== engine.id && service === engine.service);
     const left = running.filter((id) => isLeft(id, engine.id));
     if (other !== undefined) {
--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -9,7 +9,7 @@
 
 import type {NodePeers} from './NodePeers';
 
-import {CALL_AGAIN_MS, CALL_TRY_MS} from './NodeConstants';
+import {CALL_AGAIN_MS, CALL_TRY_MS, SLOW_BYTES_PER_MS} from './NodeConstants';
 import {hostOf} from './NodeSettings';
 
 /** What a caller needs of its process. */
@@ -72,9 +72,10 @@
    * @param call the call
    * @throws {RefusalError} when no leader answers in time; its verdict tells whether anything may have changed
    */
-  async call<Answer>({changes, totalMs, tryMs = CALL_TRY_MS, value}: GroupCall): Promise<Answer> {
+  async call<Answer>({changes, totalMs, value, ...given}: GroupCall): Promise<Answer> {
     const {clock, group} = this.options;
     const encoded = encodeValue(value);
+    const tryMs = given.tryMs ?? CALL_TRY_MS + encoded.length / SLOW_BYTES_PER_MS;
     const end = clock.monotonicMs() + totalMs;
     let mayHaveChanged = false;
     for (let left = totalMs; left > 0; left = end - clock.monotonicMs()) {
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -62,6 +62,12 @@
 /** Longest single try of any other call, in milliseconds. */
 export const CALL_TRY_MS = 700;
 
+/**
+ * What the slowest links that were seen carry, in bytes a millisecond (800 KB took half a second): a large call may take
+ * as much longer, or it would never arrive.
+ */
+export const SLOW_BYTES_PER_MS = 1_600;
+
 /** Longest time that a call of an engine or the operator is tried: they give up after a second. */
 export const CONTROL_CALL_MS = 850;
 
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -26,6 +26,11 @@
 /** See the module's comment. */
 export class NodePeers {
   private readonly channels = new Map<string, RpcChannel>();
+  /**
+   * Streams of replication messages: a large answer on the others must not keep heartbeats back. Snapshots go beside
+   * them, in small pieces: the library throws when a connection without any stream is ended by the other side.
+   */
+  private readonly messageChannels = new Map<string, RpcChannel>();
   private readonly outboxes = new Map<ReplicaId, RpcOutbox>();
   private stopped = false;
 
@@ -49,11 +54,7 @@
    * @param host IP number
    */
   channel(host: string): RpcChannel {
-    const known =
-      this.channels.get(host) ??
-      new RpcChannel(() => openConnection(FLEET_KEY, host, this.port, null));
-    this.channels.set(host, known);
-    return known;
+    return this.channelIn(this.channels, host);
   }
 
   /**
@@ -62,7 +63,7 @@
    * @param replica the replica
    */
   of(replica: ReplicaId): PeerClient {
-    return this.channel(vmOfReplica(replica)).client;
+    return this.channelIn(this.messageChannels, vmOfReplica(replica)).client;
   }
 
   /**
@@ -85,14 +86,27 @@
   close(): void {
     this.stopped = true;
     this.channels.forEach((channel) => channel.close());
+    this.messageChannels.forEach((channel) => channel.close());
     this.outboxes.forEach((outbox) => outbox.close());
   }
 
+  private channelIn(channels: Map<string, RpcChannel>, host: string): RpcChannel {
+    const known =
+      channels.get(host) ??
+      new RpcChannel(
+        () => openConnection(FLEET_KEY, host, this.port, null),
+        () => this.note('A connection to another VM brings nothing and is given up.', {host}),
+      );
+    channels.set(host, known);
+    return known;
+  }
+
   /** One delivery at a time: what comes meanwhile goes with the next. */
   private async carry(to: ReplicaId, {lost, next}: Deliveries): Promise<void> {
     for (let delivery = await next(); delivery !== undefined; delivery = await next()) {
       const startedAt = performance.now();
-      const arrived = await this.channel(vmOfReplica(to)).deliver(delivery, DELIVER_TRY_MS);
+      const channel = this.channelIn(this.messageChannels, vmOfReplica(to));
+      const arrived = await channel.deliver(delivery, DELIVER_TRY_MS);
       if (!arrived) {
         lost();
       }
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -39,6 +39,9 @@
  */
 const UNHEARD_SILENT_MS = 2 * ENTRY_SILENT_MS;
 
+/** Longest wait for what runs have brought to be recorded at a planned stop, in milliseconds: some records. */
+const SAVE_AT_STOP_MS = 1_000;
+
 /** See the module's comment. */
 export class NodeStore implements RunningNode {
   private desk: NodeJobsDesk | undefined;
@@ -91,7 +94,8 @@
 
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
-    await this.dispatcher?.saveProgress();
+    // Without a majority no record is ever made; the next leader then begins those runs a little earlier.
+    await Promise.race([this.dispatcher?.saveProgress(), delay(SAVE_AT_STOP_MS)]);
     this.stopped = true;
     this.group?.driver.transferLeadership();
     await delay(HAND_OVER_MS);
--- a/packages/stallpaddle-replication/src/ReplicaConstants.ts
+++ b/packages/stallpaddle-replication/src/ReplicaConstants.ts
@@ -9,7 +9,7 @@
 export const LOG_BYTES_KEPT = 4_194_304;
 
 /** Size of one piece of a snapshot on its way, in bytes. */
-export const SNAPSHOT_CHUNK_BYTES = 524_288;
+export const SNAPSHOT_CHUNK_BYTES = 131_072;
 
 /**
  * Time between looks whether the commit index has to be recorded by itself, in milliseconds: a quiet group
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -44,6 +44,8 @@
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
   private commits = 0;
+  /** As the latest turn found it. */
+  private lastLeadership: Leadership = {kind: 'follows'};
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
   private snapshotting = false;
@@ -320,6 +322,28 @@
       });
     }
     this.dispatch({kind: 'tick'});
+    this.logLease();
+  }
+
+  /** A lease that lapses and runs again within a term changes no role, but what others may ask of this replica. */
+  private logLease(): void {
+    const leadership = this.leadership;
+    const {group} = this.replication;
+    const now = this.options.clock.monotonicMs();
+    if (leadership.kind === 'unsure' && this.lastLeadership.kind === 'leads') {
+      const quorumSilentMs = Math.round(now - quorumHeardAt(this.replication, now));
+      const fields = {group, quorumSilentMs, term: leadership.term, turnLateMs: this.lateMs};
+      this.options.logger.info('The lease of this replica has lapsed.', fields);
+    }
+    if (leadership.kind === 'leads' && this.lastLeadership.kind === 'unsure') {
+      this.options.logger.info('The lease of this replica runs.', {group, term: leadership.term});
+    }
+    this.lastLeadership = leadership;
+  }
+
+  /** For the log: how late turns came lately, in milliseconds. */
+  private get lateMs(): number {
+    return Math.round(this.turns.latestMs);
   }
 
   private carryOut(effect: ReturnType<typeof stepReplica>['effects'][number]): void {
@@ -473,7 +497,7 @@
     const {logger} = this.options;
     const now = this.options.clock.monotonicMs();
     const {group, term} = after;
-    const turnLateMs = Math.round(this.turns.latestMs);
+    const turnLateMs = this.lateMs;
     if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
       logger.info('This replica leads.', {group, term});
     }
--- a/packages/stallpaddle-replication/src/ReplicationConstants.ts
+++ b/packages/stallpaddle-replication/src/ReplicationConstants.ts
@@ -18,6 +18,16 @@
  */
 export const ALIVE_HEARTBEATS = 1.25;
 
+/**
+ * Election timeouts for which commands may wait without any being recorded, though a majority answers that it lives. At
+ * the slowest links that were seen (1.6 KB a millisecond) 8 MB get through in ten timeouts of 0.5 s, twice the largest
+ * command of callers. A leader whose log reaches nobody for longer makes way for one that may reach them.
+ */
+export const STUCK_TIMEOUTS = 10;
+
+/** Election timeouts for which a leader that gave up so leaves the election to others; they stand within two. */
+export const YIELD_TIMEOUTS = 2;
+
 /** Times for replicas a few milliseconds apart, in milliseconds. */
 export const DEFAULT_TIMING: ReplicationTiming = {
   electionTimeoutMs: 800,
--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -45,6 +45,7 @@
       progress.set(replica, {
         ackedSentAt: -Infinity,
         aliveSentAt: -Infinity,
+        appendAckedSentAt: -Infinity,
         lastSentAt: -Infinity,
         match: 0,
         mode: 'probe',
@@ -53,7 +54,14 @@
     }
   }
   const since = draft.now;
-  draft.role = {countedUntil: since, kind: 'leader', progress, since, termStart: next};
+  draft.role = {
+    countedUntil: since,
+    kind: 'leader',
+    progress,
+    recordedAt: since,
+    since,
+    termStart: next,
+  };
   $appendOwn(draft, [{kind: 'noop'}]);
   $broadcast(draft);
 }
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -16,7 +16,13 @@
   Role,
 } from './ReplicationTypes';
 
-import {ALIVE_HEARTBEATS, MAX_APPEND_BYTES, MAX_PROBE_BYTES} from './ReplicationConstants';
+import {
+  ALIVE_HEARTBEATS,
+  MAX_APPEND_BYTES,
+  MAX_PROBE_BYTES,
+  STUCK_TIMEOUTS,
+  YIELD_TIMEOUTS,
+} from './ReplicationConstants';
 import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
 import {majorityValue, quorumHeardAt} from './ReplicationLease';
 import {entryBytes} from './ReplicationLog';
@@ -167,6 +173,15 @@
     $becomeFollower(draft, null);
     return;
   }
+  if (draft.commit >= draft.log.lastIndex) {
+    draft.role = {...role, recordedAt: now};
+  } else if (now - role.recordedAt > timing.electionTimeoutMs * STUCK_TIMEOUTS) {
+    // Commands wait though a majority answers that it lives.
+    $becomeFollower(draft, null);
+    // Whoever the log reaches may lead; this replica stands again only once the others have had their turns.
+    draft.electionAt += timing.electionTimeoutMs * YIELD_TIMEOUTS;
+    return;
+  }
   for (const [replica, progress] of role.progress) {
     if (now - progress.lastSentAt >= timing.heartbeatMs) {
       $sendAppend(draft, replica);
@@ -221,6 +236,7 @@
   );
   if (reached > draft.commit && log.termAt(reached) === draft.term) {
     draft.commit = reached;
+    draft.role = {...role, recordedAt: draft.now};
     $applyCommitted(draft);
     $stepDownWhenRemoved(draft);
   }
@@ -267,9 +283,12 @@
   if (role.kind !== 'leader' || progress === undefined || message.term !== draft.term) {
     return;
   }
-  const ackedSentAt = Math.max(progress.ackedSentAt, reply.sentAt);
+  const acked = {
+    ackedSentAt: Math.max(progress.ackedSentAt, reply.sentAt),
+    appendAckedSentAt: Math.max(progress.appendAckedSentAt, reply.sentAt),
+  };
   if (progress.mode === 'snapshot') {
-    $setProgress(draft, role, message.from, {ackedSentAt});
+    $setProgress(draft, role, message.from, acked);
     return;
   }
   if (!reply.ok) {
@@ -278,7 +297,7 @@
       progress.match + 1,
       Math.min(reply.lastIndex + 1, draft.log.lastIndex + 1),
     );
-    $setProgress(draft, role, message.from, {ackedSentAt, mode: 'probe', next});
+    $setProgress(draft, role, message.from, {...acked, mode: 'probe', next});
     if (next < progress.next || progress.mode === 'replicate') {
       $sendAppend(draft, message.from);
     }
@@ -286,7 +305,7 @@
   }
   const match = Math.max(progress.match, reply.lastIndex);
   const next = Math.max(progress.next, match + 1);
-  $setProgress(draft, role, message.from, {ackedSentAt, match, mode: 'replicate', next});
+  $setProgress(draft, role, message.from, {...acked, match, mode: 'replicate', next});
   $advanceCommit(draft);
   if (draft.role.kind === 'leader' && next <= draft.log.lastIndex) {
     $sendAppend(draft, message.from);
@@ -343,6 +362,7 @@
       const start = {
         ackedSentAt: -Infinity,
         aliveSentAt: -Infinity,
+        appendAckedSentAt: -Infinity,
         lastSentAt: draft.now,
         match: 0,
         next: 1,
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -115,8 +115,10 @@
 
 /** What the leader knows of another replica. */
 export interface Progress {
-  /** `sentAt` of the newest heartbeat or append that the replica answered. */
+  /** `sentAt` of the newest message of any kind that the replica answered: its process lives, and hears this leader. */
   readonly ackedSentAt: MonotonicMs;
+  /** `sentAt` of the newest append that the replica answered: its disk takes what comes, and the log gets through. */
+  readonly appendAckedSentAt: MonotonicMs;
   /** When it was last told that the leader lives, apart from appends. */
   readonly aliveSentAt: MonotonicMs;
   readonly lastSentAt: MonotonicMs;
@@ -137,6 +139,8 @@
       /** Up to when this leader's commands have counted the time. It ends with the role, so no other term's is in it. */
       readonly countedUntil: MonotonicMs;
       readonly kind: 'leader';
+      /** When a command was last recorded, or none waited for it. */
+      readonly recordedAt: MonotonicMs;
       readonly progress: ReadonlyMap<ReplicaId, Progress>;
       readonly since: MonotonicMs;
       /** Index of this term's first entry; until it is committed nothing may be read. */
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -42,8 +42,12 @@
 
   /**
    * @param connect makes a connection to the process
+   * @param onGivenUp called when a connection was given up because it brought nothing
    */
-  constructor(private readonly connect: () => PeerConnection) {}
+  constructor(
+    private readonly connect: () => PeerConnection,
+    private readonly onGivenUp: () => void = () => {},
+  ) {}
 
   /** Client for other calls over the same connection. */
   get client(): PeerClient {
@@ -150,6 +154,7 @@
   private giveUp(connection: PeerConnection): void {
     if (this.connection === connection) {
       this.connection = undefined;
+      this.onGivenUp();
     }
     connection.close();
   }
--- a/packages/stallpaddle-rpc/src/RpcOutbox.ts
+++ b/packages/stallpaddle-rpc/src/RpcOutbox.ts
@@ -20,9 +20,6 @@
  */
 export const OUTBOX_BYTES = 2_097_152;
 
-/** Most urgent messages that wait for one VM; the newest says all that the older ones did. */
-const URGENT_MESSAGES = 16;
-
 /** Messages that go together, and perhaps a part of a large one. */
 export type Delivery = MessageInitShape<typeof DeliverRequestSchema>;
 
@@ -44,8 +41,10 @@
   private messages: Uint8Array[] = [];
   private open = false;
   private split: RpcSplit | undefined;
-  private splits = 0;
-  private urgent: Uint8Array[] = [];
+  /** Number of the stream in use: what an earlier one still asks for is nothing to it. */
+  private streams = 0;
+  /** The newest of each group and kind: it says all that the older ones did. */
+  private urgent = new Map<string, Uint8Array>();
   private wake = (): void => {};
 
   /**
@@ -66,7 +65,8 @@
   add(message: Message): void {
     const encoded = encodeValue(message);
     if (isUrgent(message)) {
-      this.urgent = [...this.urgent, encoded].slice(-URGENT_MESSAGES);
+      const {body, from, group, to} = message;
+      this.urgent.set([group, body.kind, from, to].join(), encoded);
     } else {
       this.addOrdinary(encoded);
     }
@@ -92,37 +92,43 @@
 
   private async stream(): Promise<void> {
     this.open = true;
-    const lost = (): void => {
-      this.split = undefined;
-    };
     while (!this.closed) {
+      const number = ++this.streams;
       try {
-        await this.carry({lost, next: () => this.next()});
+        await this.carry({lost: () => this.lose(number), next: () => this.next(number)});
       } catch {
         // What was lost is sent again by the next heartbeat.
       }
-      lost();
+      this.lose(number);
+      this.streams++;
+      // A question of the old stream that still waits ends without an answer.
+      this.wake();
       await delay(OUTBOX_REOPEN_MS);
     }
     this.open = false;
   }
 
+  private lose(stream: number): void {
+    if (stream === this.streams) {
+      this.split = undefined;
+    }
+  }
+
   private get isEmpty(): boolean {
-    const waiting = this.messages.length + this.urgent.length;
-    return waiting === 0 && this.split === undefined;
+    return this.messages.length + this.urgent.size === 0 && this.split === undefined;
   }
 
-  private async next(): Promise<Delivery | undefined> {
-    while (this.isEmpty && !this.closed) {
+  private async next(stream: number): Promise<Delivery | undefined> {
+    while (this.isEmpty && !this.closed && stream === this.streams) {
       await new Promise<void>((resolve) => {
         this.wake = resolve;
       });
     }
-    if (this.closed) {
+    if (this.closed || stream !== this.streams) {
       return undefined;
     }
-    const {urgent} = this;
-    this.urgent = [];
+    const urgent = [...this.urgent.values()];
+    this.urgent.clear();
     const whole = this.split === undefined ? this.takeWhole() : [];
     const encoded = [...urgent, ...whole];
     if (whole.length === 0) {
@@ -147,7 +153,7 @@
     const large = this.split === undefined ? this.messages.shift() : undefined;
     if (large !== undefined) {
       this.bytes -= large.length;
-      this.split = new RpcSplit(++this.splits, large);
+      this.split = new RpcSplit(large);
     }
   }
 
--- a/packages/stallpaddle-rpc/src/RpcParts.ts
+++ b/packages/stallpaddle-rpc/src/RpcParts.ts
@@ -15,18 +15,21 @@
 /** Largest message that is put together from parts, in bytes: above any command that callers may send. */
 const MOST_BYTES = 67_108_864;
 
+/** Most messages of one stream that are put together at once: one for each replica on a VM, and its successor. */
+const MOST_MESSAGES = 4;
+
+/** Number of the latest message that went in parts: messages of several outboxes share a stream. */
+let latestMessage = 0;
+
 /** A message under way in parts. */
 export class RpcSplit {
+  private readonly message = ++latestMessage;
   private offset = 0;
 
   /**
-   * @param message tells it apart from others of the stream
    * @param bytes the message
    */
-  constructor(
-    private readonly message: number,
-    private readonly bytes: Uint8Array,
-  ) {}
+  constructor(private readonly bytes: Uint8Array) {}
 
   /** Whether all parts were taken. */
   get ended(): boolean {
@@ -42,11 +45,17 @@
   }
 }
 
+/** Bytes that have come of a message, in order. */
+interface Begun {
+  readonly bytes: number;
+  readonly parts: readonly Uint8Array[];
+}
+
+const NOTHING: Begun = {bytes: 0, parts: []};
+
 /** Puts the messages of one stream together again. */
 export class RpcJoin {
-  private bytes = 0;
-  private message: number | undefined;
-  private parts: Uint8Array[] = [];
+  private readonly begun = new Map<number, Begun>();
 
   /**
    * Takes in a part. A message of which a part is missing is dropped, as a network would.
@@ -55,28 +64,25 @@
    * @returns the whole message, with its last part
    */
   take({bytes, last, message, offset}: MessagePart): Uint8Array | undefined {
-    if (offset === 0) {
-      this.begin(message);
-    }
-    const follows = message === this.message && offset === this.bytes;
-    if (!follows || this.bytes + bytes.length > MOST_BYTES) {
-      this.begin(undefined);
+    const before = offset === 0 ? NOTHING : this.begun.get(message);
+    this.begun.delete(message);
+    if (before?.bytes !== offset || offset + bytes.length > MOST_BYTES) {
       return undefined;
     }
-    this.parts.push(bytes);
-    this.bytes += bytes.length;
-    if (!last) {
-      return undefined;
+    const parts = [...before.parts, bytes];
+    if (last) {
+      return Buffer.concat(parts);
     }
-    const whole = Buffer.concat(this.parts);
-    this.begin(undefined);
-    return whole;
+    this.begun.set(message, {bytes: offset + bytes.length, parts});
+    this.forgetOldest();
+    return undefined;
   }
 
-  private begin(message: number | undefined): void {
-    this.message = message;
-    this.parts = [];
-    this.bytes = 0;
+  private forgetOldest(): void {
+    const [oldest] = this.begun.keys();
+    if (oldest !== undefined && this.begun.size > MOST_MESSAGES) {
+      this.begun.delete(oldest);
+    }
   }
 }
 
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcOutbox.test.ts
@@ -104,6 +104,43 @@
     outbox.close();
   });
 
+  test('a question that a broken stream left open takes nothing from the next stream', async () => {
+    const opened: Deliveries[] = [];
+    const breaks: (() => void)[] = [];
+    const outbox = new RpcOutbox((deliveries) => {
+      opened.push(deliveries);
+      return new Promise((_resolve, reject) => {
+        breaks.push(() => reject(new Error('the stream broke')));
+      });
+    });
+    outbox.add(messageOf(2 * PART_BYTES, 1));
+    await opened[0]!.next();
+    // The stream has taken a part and waits for nothing; it breaks, and asks once more all the same.
+    breaks[0]!();
+    await delay(0);
+    const asked = opened[0]!.next();
+    outbox.add(messageOf(10, 2));
+    expect(await asked).toBeUndefined();
+    while (opened.length < 2) {
+      await delay(5);
+    }
+    const join = new RpcJoin();
+    expect(received((await opened[1]!.next())!, join).map(sentAtOf)).toEqual([2]);
+    outbox.close();
+  });
+
+  test('keeps the newest urgent message of each group and kind', async () => {
+    const {deliveries, outbox} = await openOutbox();
+    const groups = Array.from({length: 40}, (_, at) => `g${at}`);
+    for (const sentAt of [1, 2]) {
+      groups.forEach((group) => outbox.add({...aliveOf(sentAt), group}));
+    }
+    const got = received((await deliveries.next())!, new RpcJoin());
+    expect(got.map(({group}) => group)).toEqual(groups);
+    expect(new Set(got.map(sentAtOf))).toEqual(new Set([2]));
+    outbox.close();
+  });
+
   test('brings whole messages in order, or none of them, whatever is lost', async () => {
     const step = fc.record({
       bytes: fc.integer({max: 2 * PART_BYTES + 5, min: 0}),
--- a/packages/stallpaddle-vm/src/VmPeers.ts
+++ b/packages/stallpaddle-vm/src/VmPeers.ts
@@ -1,12 +1,12 @@
 /**
  * Where other VMs are, and messages to them.
  */
-import type {Message} from 'stallpaddle-replication';
 import type {PeerClient} from 'stallpaddle-rpc';
 import type {VmSettings} from 'stallpaddle-settings';
 
 import {type VmId, vmOfReplica} from 'stallpaddle';
 import {type Address, type MembershipState} from 'stallpaddle-membership';
+import {isUrgent, type Message} from 'stallpaddle-replication';
 import {type Deliveries, type Delivery, RpcClients, RpcOutbox} from 'stallpaddle-rpc';
 
 /** The library takes the next delivery once it has room for it. */
@@ -19,7 +19,9 @@
 /** Other VMs as this one reaches them. */
 export class VmPeers {
   private readonly clients: RpcClients;
-  private readonly outboxes = new Map<VmId, RpcOutbox>();
+  /** Connections of their own for urgent messages: what the library has taken of others goes first. */
+  private readonly urgentClients: RpcClients;
+  private readonly outboxes = new Map<string, RpcOutbox>();
   private stopped = false;
 
   /**
@@ -31,6 +33,7 @@
     private readonly membership: () => MembershipState,
   ) {
     this.clients = new RpcClients(settings.vmKey);
+    this.urgentClients = new RpcClients(settings.vmKey);
   }
 
   /**
@@ -63,10 +66,11 @@
       return;
     }
     const vm = vmOfReplica(message.to);
+    const clients = isUrgent(message) ? this.urgentClients : this.clients;
+    const name = `${isUrgent(message) ? 'urgent ' : ''}${vm}`;
     const outbox =
-      this.outboxes.get(vm) ??
-      new RpcOutbox((deliveries) => this.clientOf(vm)?.deliver(streamOf(deliveries)));
-    this.outboxes.set(vm, outbox);
+      this.outboxes.get(name) ?? new RpcOutbox((taken) => this.carry(clients, vm, taken));
+    this.outboxes.set(name, outbox);
     outbox.add(message);
   }
 
@@ -75,5 +79,17 @@
     this.stopped = true;
     this.outboxes.forEach((outbox) => outbox.close());
     this.clients.close();
+    this.urgentClients.close();
+  }
+
+  private carry(
+    clients: RpcClients,
+    vm: VmId,
+    deliveries: Deliveries,
+  ): Promise<unknown> | undefined {
+    const address = this.addressOf(vm);
+    return address === undefined
+      ? undefined
+      : clients.at(address.host, address.port).deliver(streamOf(deliveries));
   }
 }
