A call waits on while much of its answer comes: a large configuration arrives over a slow link

Change: the connection tells the bytes that came; a call whose time is over waits on, up to eight times, while 128 KB or more came in its time. A silent link is left as soon as before. Ruled out: longer tries (a dark leader would be noticed later). Test: RpcChannel, red with one wait.

--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -18,6 +18,14 @@
 type Request = MessageInitShape<typeof ConverseRequestSchema>;
 type Content = Request['content'];
 
+/**
+ * Bytes that must come during a call's time for it to wait on: more than the answers of a second to other calls of the
+ * same process, and far less than a link carries that is worth waiting for.
+ */
+const COMING_BYTES = 131_072;
+/** Most times that a call waits for its time, so that other large answers on the connection can't hold it up for ever. */
+const MOST_WAITS = 8;
+
 interface Waiting {
   /** Called with the answer, or with undefined when there is none. */
   readonly resolve: (answer: ConverseResponse['answer'] | null) => void;
@@ -93,12 +101,33 @@
     const id = ++this.lastId;
     const sentAt = performance.now();
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.onTimeout(stream, id, sentAt), timeoutMs);
-      stream.waiting.set(id, {resolve, timer});
+      stream.waiting.set(id, {resolve, timer: this.startTimer(stream, id, sentAt, timeoutMs)});
       stream.queue.add({content, id});
     });
   }
 
+  /** While much comes of an answer, its call waits on: begun anew, a large one would never arrive. */
+  private startTimer(
+    stream: OpenStream,
+    id: number,
+    sentAt: number,
+    timeoutMs: number,
+    waits = 1,
+  ): NodeJS.Timeout {
+    const {receivedBytes} = stream.connection;
+    const before = receivedBytes();
+    return setTimeout(() => {
+      const waiting = stream.waiting.get(id);
+      const isComing = receivedBytes() - before >= COMING_BYTES && waits < MOST_WAITS;
+      if (waiting !== undefined && isComing) {
+        const timer = this.startTimer(stream, id, sentAt, timeoutMs, waits + 1);
+        stream.waiting.set(id, {...waiting, timer});
+      } else {
+        this.onTimeout(stream, id, sentAt);
+      }
+    }, timeoutMs);
+  }
+
   private connected(): PeerConnection {
     this.connection ??= this.connect();
     return this.connection;
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -5,6 +5,7 @@
 
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {connect, type Socket} from 'node:net';
 
 import {PeerService} from './gen/stallpaddle/v1/peer_pb';
 import {authorizationOf} from './RpcServer';
@@ -21,6 +22,29 @@
   readonly client: PeerClient;
   /** Ends the connection and all calls on it. */
   readonly close: () => void;
+  /** Bytes that have come so far. */
+  readonly receivedBytes: () => number;
+}
+
+/** The sockets of a connection, one after the other. */
+class RpcSockets {
+  private earlierBytes = 0;
+  private socket: Socket | undefined;
+
+  constructor(
+    private readonly host: string,
+    private readonly port: number,
+  ) {}
+
+  get receivedBytes(): number {
+    return this.earlierBytes + (this.socket?.bytesRead ?? 0);
+  }
+
+  open(): Socket {
+    this.earlierBytes = this.receivedBytes;
+    this.socket = connect(this.port, this.host);
+    return this.socket;
+  }
 }
 
 /**
@@ -38,12 +62,15 @@
   pingMs: null | number,
 ): PeerConnection {
   const baseUrl = `http://${host.includes(':') ? `[${host}]` : host}:${port}`;
-  const sessions = new Http2SessionManager(baseUrl, {
+  const sockets = new RpcSockets(host, port);
+  const pings = {
     // Not at rest: the library would go on pinging a session that was destroyed in the meantime, and throw.
     pingIdleConnection: false,
     pingIntervalMs: pingMs ?? undefined,
     pingTimeoutMs: pingMs ?? undefined,
-  });
+  };
+  const createConnection = (): Socket => sockets.open();
+  const sessions = new Http2SessionManager(baseUrl, pings, {createConnection});
   const transport = createConnectTransport({
     // Messages are small and the network near: compressing costs more than it saves.
     acceptCompression: [],
@@ -58,7 +85,11 @@
     readMaxBytes: MAX_MESSAGE_BYTES,
     sessionManager: sessions,
   });
-  return {client: createClient(PeerService, transport), close: () => sessions.abort()};
+  return {
+    client: createClient(PeerService, transport),
+    close: () => sessions.abort(),
+    receivedBytes: () => sockets.receivedBytes,
+  };
 }
 
 /** Clients by address, made when first used. */
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
@@ -61,8 +61,14 @@
   return {encoded: encodeValue(wait), group: 'g', query: true};
 }
 
-/** Passes bytes on, until it falls silent without closing anything, as a cut link does. */
-async function startLink(port: number, target: number): Promise<{silent: boolean}> {
+/**
+ * Passes bytes on, so many a millisecond, until it falls silent without closing anything, as a cut link does.
+ */
+async function startLink(
+  port: number,
+  target: number,
+  bytesPerMs = Infinity,
+): Promise<{silent: boolean}> {
   const link = {silent: false};
   const sockets = new Set<Socket>();
   const server = createServer((near) => {
@@ -72,7 +78,13 @@
       [far, near],
     ] as const) {
       sockets.add(from);
-      from.on('data', (bytes) => link.silent || to.write(bytes));
+      from.on('data', (bytes) => {
+        from.pause();
+        setTimeout(() => {
+          void (link.silent || to.write(bytes));
+          from.resume();
+        }, bytes.length / bytesPerMs);
+      });
       from.on('error', () => {});
       from.on('close', () => to.destroy());
     }
@@ -116,6 +128,31 @@
     expect(outcomes.map(({kind}) => kind)).toEqual(['answered', 'answered', 'answered']);
   });
 
+  test('waits on for an answer of which much comes, and no longer than a few times its time', async () => {
+    const server = await startRpcServer(HOST, 18_306, KEY, (router) =>
+      router.service(PeerService, {
+        converse: async function* (requests) {
+          for await (const {content, id} of requests) {
+            const bytes = decodeValue<number>((content.value as CallRequest).encoded);
+            const result = new Uint8Array(bytes);
+            yield {answer: {outcome: encodeOutcome({kind: 'answered', result})}, id};
+          }
+        },
+      }),
+    );
+    undo.push(() => server.stop());
+    const link = await startLink(18_307, 18_306, 1_600);
+    const channel = channelTo(18_307);
+    // Two seconds on this link.
+    const outcome = await channel.call(requestOf(3_200_000), 700);
+    expect(outcome.kind).toBe('answered');
+    expect(await channel.call(requestOf(3_200_000), 100)).toEqual({kind: 'unknown'});
+    link.silent = true;
+    const startedAt = performance.now();
+    expect(await channel.call(requestOf(10), 100)).toEqual({kind: 'unknown'});
+    expect(performance.now() - startedAt).toBeLessThan(400);
+  });
+
   test('survives a link that falls silent with calls and streams on it, and reaches the process after', async () => {
     await start(18_304);
     const link = await startLink(18_305, 18_304);
