What a replica logs of its role, lease and turns stands in a module of its own, with the cause of each end of leadership

ReplicaDriver had grown to 535 lines and two jobs. ReplicaWatch (with what was ReplicaTurns) writes the lines; new is the cause: laterTerm, quorumSilent, nothingRecorded, handedOver. No change of behaviour otherwise; its tests are new (3).

--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -19,7 +19,6 @@
   Message,
   ReplicationEvent,
   ReplicationState,
-  ReplicationTiming,
   SnapshotMeta,
   Term,
 } from './ReplicationTypes';
@@ -30,22 +29,15 @@
 import {ReplicaRequests} from './ReplicaRequests';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
 import {wantsSnapshot} from './ReplicationFollower';
-import {leadershipOf, quorumHeardAt} from './ReplicationLease';
+import {leadershipOf} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica, uncountedMs} from './ReplicationStep';
-import {ReplicaTurns} from './ReplicaTurns';
+import {ReplicaWatch, turnPeriodMs} from './ReplicaWatch';
 import {ReplicaWriter} from './ReplicaWriter';
 
-/** Time between a replica's looks at its clock, in milliseconds: four for each heartbeat. */
-function tickPeriodMs({heartbeatMs}: ReplicationTiming): number {
-  return Math.max(1, heartbeatMs / 4);
-}
-
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
   private commits = 0;
-  /** As the latest turn found it. */
-  private lastLeadership: Leadership = {kind: 'follows'};
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
   private snapshotting = false;
@@ -53,7 +45,7 @@
   private stopped = false;
   private commitTimer: NodeJS.Timeout | undefined;
   private timer: NodeJS.Timeout | undefined;
-  private readonly turns: ReplicaTurns;
+  private readonly watch: ReplicaWatch;
   private readonly writer: ReplicaWriter;
 
   private constructor(
@@ -66,7 +58,7 @@
     readonly replayed: number,
   ) {
     this.blobs = new ReplicaBlobs(blobs, (err) => this.fail(err));
-    this.turns = new ReplicaTurns(options.clock, tickPeriodMs(options.timing));
+    this.watch = new ReplicaWatch(options.clock, options.logger, options.timing);
     this.writer = new ReplicaWriter({
       onFailure: (err) => this.fail(err),
       onPersisted: (index, term) => this.dispatch({index, kind: 'persisted', term}),
@@ -88,7 +80,7 @@
     const start = startReplica({group, hardState, log, self, timing}, clock.monotonicMs());
     const driver = new ReplicaDriver(options, storage, blobs, start, state, replay);
     driver.dispatch({kind: 'applyKnown'});
-    driver.timer = setInterval(() => driver.tick(), tickPeriodMs(timing));
+    driver.timer = setInterval(() => driver.tick(), turnPeriodMs(timing));
     driver.commitTimer = setInterval(() => driver.recordCommit(), COMMIT_RECORD_MS);
     return driver;
   }
@@ -98,9 +90,9 @@
     return {commits: this.commits, syncs: this.writer.syncs};
   }
 
-  /** Delay of the latest of this replica's turns in the last two seconds, in milliseconds. */
+  /** Delay of the latest late turn of the last two seconds, in milliseconds. */
   get turnLateMs(): number {
-    return this.turns.latestMs;
+    return this.watch.turnLateMs;
   }
 
   /** Time that this leader's next command will count, in milliseconds; 0 without leadership. */
@@ -301,7 +293,9 @@
       for (const effect of effects) {
         this.carryOut(effect);
       }
-      this.logRole(before, state);
+      if (this.watch.noteRole(before, state)) {
+        this.requests.abandonPlaced();
+      }
     } catch (err) {
       this.fail(err);
       return;
@@ -310,40 +304,10 @@
     this.startSnapshotWhenDue();
   }
 
-  /** Looks at the clock, and says so when it could only do so late: whatever else the process did held it up. */
   private tick(): void {
-    const lateMs = this.turns.note();
-    if (lateMs > this.options.timing.heartbeatMs) {
-      const {group, role} = this.replication;
-      this.options.logger.warn('A turn of this replica came late.', {
-        group,
-        lateMs: Math.round(lateMs),
-        role: role.kind,
-      });
-    }
+    this.watch.noteTurn(this.replication);
     this.dispatch({kind: 'tick'});
-    this.logLease();
-  }
-
-  /** A lease that lapses and runs again within a term changes no role, but what others may ask of this replica. */
-  private logLease(): void {
-    const leadership = this.leadership;
-    const {group} = this.replication;
-    const now = this.options.clock.monotonicMs();
-    if (leadership.kind === 'unsure' && this.lastLeadership.kind === 'leads') {
-      const quorumSilentMs = Math.round(now - quorumHeardAt(this.replication, now));
-      const fields = {group, quorumSilentMs, term: leadership.term, turnLateMs: this.lateMs};
-      this.options.logger.info('The lease of this replica has lapsed.', fields);
-    }
-    if (leadership.kind === 'leads' && this.lastLeadership.kind === 'unsure') {
-      this.options.logger.info('The lease of this replica runs.', {group, term: leadership.term});
-    }
-    this.lastLeadership = leadership;
-  }
-
-  /** For the log: how late turns came lately, in milliseconds. */
-  private get lateMs(): number {
-    return Math.round(this.turns.latestMs);
+    this.watch.noteLease(this.replication);
   }
 
   private carryOut(effect: ReturnType<typeof stepReplica>['effects'][number]): void {
@@ -493,26 +457,6 @@
     }
   }
 
-  private logRole(before: ReplicationState, after: ReplicationState): void {
-    const {logger} = this.options;
-    const now = this.options.clock.monotonicMs();
-    const {group, term} = after;
-    const turnLateMs = this.lateMs;
-    if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
-      logger.info('This replica leads.', {group, term});
-    }
-    if (before.role.kind === 'follower' && after.role.kind === 'preCandidate') {
-      const silentMs = Math.round(now - before.heardLeaderAt);
-      logger.info('This replica hears no leader.', {group, silentMs, term, turnLateMs});
-    }
-    if (before.role.kind === 'leader' && after.role.kind !== 'leader') {
-      const quorumSilentMs = Math.round(now - quorumHeardAt(before, now));
-      const fields = {group, newTerm: term, quorumSilentMs, term: before.term, turnLateMs};
-      logger.info('This replica leads no more.', fields);
-      this.requests.abandonPlaced();
-    }
-  }
-
   private fail(err: unknown): void {
     if (this.stopped) {
       return;
--- /dev/null
+++ b/packages/stallpaddle-replication/src/ReplicaWatch.ts
@@ -0,0 +1,140 @@
+/**
+ * What a replica's log says of its role, its lease and its turns. A process that is held up, by its own work or by a VM
+ * short of processor time, sends no heartbeats and hears none: whoever reads the log has to tell that from a silent
+ * network.
+ */
+import type {Clock, Logger, MonotonicMs} from 'stallpaddle';
+
+import type {Leadership, ReplicationState, ReplicationTiming} from './ReplicationTypes';
+
+import {STUCK_TIMEOUTS} from './ReplicationConstants';
+import {leadershipOf, quorumHeardAt} from './ReplicationLease';
+
+/** Time for which the latest late turn is told, in milliseconds: some election timeouts, so a change of leaders shows it. */
+const TOLD_MS = 2_000;
+
+/** Why a replica leads no more. */
+type EndOfLeadership = 'handedOver' | 'laterTerm' | 'nothingRecorded' | 'quorumSilent';
+
+/**
+ * Time between a replica's looks at its clock, in milliseconds: four for each heartbeat.
+ *
+ * @param timing times of the group
+ */
+export function turnPeriodMs({heartbeatMs}: ReplicationTiming): number {
+  return Math.max(1, heartbeatMs / 4);
+}
+
+/** See the module's comment. */
+export class ReplicaWatch {
+  private dueAt: MonotonicMs;
+  private latestLate: {readonly at: MonotonicMs; readonly ms: number} = {at: -Infinity, ms: 0};
+  /** As the latest turn found it. */
+  private leadership: Leadership = {kind: 'follows'};
+
+  /**
+   * @param clock this process's clock
+   * @param logger writes the lines
+   * @param timing times of the group
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly timing: ReplicationTiming,
+  ) {
+    this.dueAt = clock.monotonicMs() + turnPeriodMs(timing);
+  }
+
+  /** Delay of the latest late turn of the last two seconds, in milliseconds. */
+  get turnLateMs(): number {
+    return this.clock.monotonicMs() - this.latestLate.at < TOLD_MS ? this.latestLate.ms : 0;
+  }
+
+  /**
+   * Notes a turn, before it is taken.
+   *
+   * @param state the replica's state
+   */
+  noteTurn({group, role}: ReplicationState): void {
+    const now = this.clock.monotonicMs();
+    const lateMs = Math.max(0, now - this.dueAt);
+    this.dueAt = now + turnPeriodMs(this.timing);
+    if (lateMs >= this.turnLateMs) {
+      this.latestLate = {at: now, ms: lateMs};
+    }
+    if (lateMs > this.timing.heartbeatMs) {
+      const fields = {group, lateMs: Math.round(lateMs), role: role.kind};
+      this.logger.warn('A turn of this replica came late.', fields);
+    }
+  }
+
+  /**
+   * Notes the lease, after a turn: one that lapses and runs again within a term changes no role, but what others may
+   * ask of this replica.
+   *
+   * @param state the replica's state
+   */
+  noteLease(state: ReplicationState): void {
+    const before = this.leadership;
+    this.leadership = leadershipOf(state, this.clock.monotonicMs());
+    const {group, term} = state;
+    if (before.kind === 'leads' && this.leadership.kind === 'unsure') {
+      this.logger.info('The lease of this replica has lapsed.', {
+        group,
+        term,
+        ...this.silence(state),
+      });
+    }
+    if (before.kind === 'unsure' && this.leadership.kind === 'leads') {
+      this.logger.info('The lease of this replica runs.', {group, term});
+    }
+  }
+
+  /**
+   * Notes a change of role.
+   *
+   * @param before state before a step
+   * @param after state after it
+   * @returns whether leadership ended
+   */
+  noteRole(before: ReplicationState, after: ReplicationState): boolean {
+    const {group, term} = after;
+    if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
+      this.logger.info('This replica leads.', {group, term});
+    }
+    if (before.role.kind === 'follower' && after.role.kind === 'preCandidate') {
+      const silentMs = Math.round(this.clock.monotonicMs() - before.heardLeaderAt);
+      const turnLateMs = Math.round(this.turnLateMs);
+      this.logger.info('This replica hears no leader.', {group, silentMs, term, turnLateMs});
+    }
+    const isEnd = before.role.kind === 'leader' && after.role.kind !== 'leader';
+    if (isEnd) {
+      const fields = {cause: this.causeOf(before, after), newTerm: term, term: before.term};
+      this.logger.info('This replica leads no more.', {group, ...fields, ...this.silence(before)});
+    }
+    return isEnd;
+  }
+
+  private silence(state: ReplicationState): {
+    readonly quorumSilentMs: number;
+    readonly turnLateMs: number;
+  } {
+    const now = this.clock.monotonicMs();
+    const quorumSilentMs = Math.round(now - quorumHeardAt(state, now));
+    return {quorumSilentMs, turnLateMs: Math.round(this.turnLateMs)};
+  }
+
+  private causeOf(before: ReplicationState, after: ReplicationState): EndOfLeadership {
+    const {electionTimeoutMs} = this.timing;
+    const now = this.clock.monotonicMs();
+    if (after.term > before.term) {
+      return 'laterTerm';
+    }
+    if (now - quorumHeardAt(before, now) > electionTimeoutMs) {
+      return 'quorumSilent';
+    }
+    const waitsSince = before.role.kind === 'leader' ? before.role.recordedAt : now;
+    const isStuck = now - waitsSince > electionTimeoutMs * STUCK_TIMEOUTS;
+    return isStuck ? 'nothingRecorded' : 'handedOver';
+  }
+}
--- /dev/null
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
@@ -0,0 +1,112 @@
+/**
+ * What the log says of a leader: each line tells a held-up process from a silent network.
+ */
+import type {Clock, LogFields, Logger} from 'stallpaddle';
+
+import {describe, expect, test} from 'vitest';
+
+import type {ReplicationState} from '../../ReplicationTypes';
+
+import {EMPTY_SNAPSHOT, ReplicationLog} from '../../ReplicationLog';
+import {startReplica, stepReplica} from '../../ReplicationStep';
+import {ReplicaWatch, turnPeriodMs} from '../../ReplicaWatch';
+
+const TIMING = {electionTimeoutMs: 500, heartbeatMs: 125, leaseDriftFraction: 0.2};
+const SELF = 'a/1';
+const OTHER = 'b/1';
+
+/** A replica of two, its clock, and what its log says. */
+class Watched {
+  readonly lines: (LogFields & {readonly message: string})[] = [];
+  now = 0;
+  state: ReplicationState;
+  readonly watch: ReplicaWatch;
+
+  constructor() {
+    const write = (message: string, fields: LogFields = {}): void => {
+      this.lines.push({message, ...fields});
+    };
+    const logger: Logger = {error: write, info: write, warn: write};
+    const clock: Clock = {monotonicMs: () => this.now, wallMs: () => 0};
+    const members = {learners: [], voters: [SELF, OTHER]};
+    const log = ReplicationLog.restore({...EMPTY_SNAPSHOT, members}, []);
+    const hardState = {term: 0, votedFor: null};
+    this.state = startReplica({group: 'g', hardState, log, self: SELF, timing: TIMING}, 0);
+    this.watch = new ReplicaWatch(clock, logger, TIMING);
+  }
+
+  step(event: Parameters<typeof stepReplica>[1]): void {
+    const before = this.state;
+    this.state = stepReplica(before, event, this.now).state;
+    this.watch.noteRole(before, this.state);
+  }
+
+  turn(afterMs = turnPeriodMs(TIMING)): void {
+    this.now += afterMs;
+    this.watch.noteTurn(this.state);
+    this.step({kind: 'tick'});
+    this.watch.noteLease(this.state);
+  }
+
+  /** The other replica answers all that was sent so far. */
+  answer(): void {
+    const {log, role, term} = this.state;
+    const lastIndex = log.lastIndex;
+    const message = {from: OTHER, group: 'g', term, to: SELF};
+    if (role.kind === 'preCandidate' || role.kind === 'candidate') {
+      const kind = role.kind === 'candidate' ? 'voteReply' : 'preVoteReply';
+      this.step({kind: 'message', message: {...message, body: {granted: true, kind}}});
+      return;
+    }
+    const body = {kind: 'appendReply' as const, lastIndex, ok: true, sentAt: this.now};
+    this.step({index: lastIndex, kind: 'persisted', term});
+    this.step({kind: 'message', message: {...message, body}});
+  }
+
+  lead(): void {
+    for (let turns = 0; this.state.role.kind !== 'leader'; turns++) {
+      expect(turns).toBeLessThan(100);
+      this.turn();
+      this.answer();
+    }
+    this.answer();
+    this.turn();
+    this.lines.length = 0;
+  }
+}
+
+describe('ReplicaWatch', () => {
+  test('tells a lease that lapses and runs again, and how long a majority was silent', () => {
+    const watched = new Watched();
+    watched.lead();
+    for (let turns = 0; turns < 14; turns++) {
+      watched.turn();
+    }
+    expect(watched.lines).toMatchObject([
+      {message: 'The lease of this replica has lapsed.', term: 1},
+    ]);
+    expect(watched.lines[0]!.quorumSilentMs).toBeGreaterThanOrEqual(400);
+    expect(watched.lines[0]!.turnLateMs).toBe(0);
+    watched.answer();
+    watched.turn();
+    expect(watched.lines[1]).toMatchObject({message: 'The lease of this replica runs.', term: 1});
+  });
+
+  test('tells a turn that came late, and why leadership ended', () => {
+    const watched = new Watched();
+    watched.lead();
+    watched.turn(600);
+    const [late, end] = watched.lines;
+    expect(late).toMatchObject({message: 'A turn of this replica came late.', role: 'leader'});
+    expect(late!.lateMs).toBeGreaterThan(500);
+    expect(end).toMatchObject({cause: 'quorumSilent', message: 'This replica leads no more.'});
+    expect(end!.turnLateMs).toBeGreaterThan(500);
+  });
+
+  test('tells a leadership that was handed over from one that lost its majority', () => {
+    const watched = new Watched();
+    watched.lead();
+    watched.step({kind: 'transferLeadership'});
+    expect(watched.lines).toMatchObject([{cause: 'handedOver', newTerm: 1, term: 1}]);
+  });
+});
