--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -4,7 +4,6 @@
  */
 import type {ReplicaMachine} from 'stallpaddle-replication';
 
-import {connect, createServer, type Socket} from 'node:net';
 import {
   decodeValue,
   delay,
@@ -14,7 +13,7 @@
   systemClock,
 } from 'stallpaddle';
 import {startRpcServer} from 'stallpaddle-rpc';
-import {FakeDisk} from 'stallpaddle-testing';
+import {FakeDisk, SlowLink} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {type Candidate, NodeGroup} from '../../NodeGroup';
@@ -49,34 +48,6 @@
 /** Distance to the port of a server that stands behind a slow link. */
 const BEHIND = 100;
 
-/** Carries connections to a port of the same host, so many bytes a millisecond in each. */
-async function startSlowLink(host: string, port: number, behind: number, bytesPerMs: number) {
-  const sockets = new Set<Socket>();
-  const server = createServer((near) => {
-    const far = connect(behind, host);
-    for (const [from, to] of [
-      [near, far],
-      [far, near],
-    ] as const) {
-      sockets.add(from);
-      from.on('data', (chunk) => {
-        from.pause();
-        setTimeout(() => {
-          to.write(chunk);
-          from.resume();
-        }, chunk.length / bytesPerMs);
-      });
-      from.on('error', () => to.destroy());
-      from.on('close', () => to.destroy());
-    }
-  });
-  await new Promise<void>((resolve) => server.listen(port, host, resolve));
-  return () => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  };
-}
-
 /** Replicas on addresses of their own. */
 class Fleet {
   readonly groups = new Map<ReplicaId, NodeGroup<ListState>>();
@@ -95,7 +66,14 @@
     const [host] = id.split('/');
     const isSlow = this.bytesPerMs !== undefined;
     if (isSlow) {
-      undo.push(await startSlowLink(host!, this.port, this.port + BEHIND, this.bytesPerMs));
+      const {bytesPerMs, port: near} = this;
+      const link = await SlowLink.open({
+        bytesPerMs,
+        host: host!,
+        port: near,
+        target: near + BEHIND,
+      });
+      undo.push(() => link.close());
     }
     const listenPort = isSlow ? this.port + BEHIND : this.port;
     const rpc = await startRpcServer(host!, listenPort, peers.key, (router) =>
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
@@ -3,8 +3,8 @@
  */
 import type {ConnectRouter} from '@connectrpc/connect';
 
-import {connect, createServer, type Socket} from 'node:net';
 import {decodeValue, delay, encodeValue} from 'stallpaddle';
+import {SlowLink} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {type CallRequest, PeerService} from '../../gen/stallpaddle/v1/peer_pb';
@@ -61,39 +61,9 @@
   return {encoded: encodeValue(wait), group: 'g', query: true};
 }
 
-/**
- * Passes bytes on, so many a millisecond, until it falls silent without closing anything, as a cut link does.
- */
-async function startLink(
-  port: number,
-  target: number,
-  bytesPerMs = Infinity,
-): Promise<{silent: boolean}> {
-  const link = {silent: false};
-  const sockets = new Set<Socket>();
-  const server = createServer((near) => {
-    const far = connect(target, HOST);
-    for (const [from, to] of [
-      [near, far],
-      [far, near],
-    ] as const) {
-      sockets.add(from);
-      from.on('data', (bytes) => {
-        from.pause();
-        setTimeout(() => {
-          void (link.silent || to.write(bytes));
-          from.resume();
-        }, bytes.length / bytesPerMs);
-      });
-      from.on('error', () => {});
-      from.on('close', () => to.destroy());
-    }
-  });
-  await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
-  undo.push(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
+async function startLink(port: number, target: number, bytesPerMs?: number): Promise<SlowLink> {
+  const link = await SlowLink.open({bytesPerMs, host: HOST, port, target});
+  undo.push(() => link.close());
   return link;
 }
 
--- a/packages/stallpaddle-testing/src/index.ts
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -2,4 +2,5 @@
 export {FakeCrashError, FakeDisk, type TornKeep} from './FakeDisk';
 export {assertHistories, fuzzTimeoutMs} from './FuzzParameters';
 export {PLAIN, plainRelay} from './PlainWire';
+export {SlowLink, type SlowLinkOptions} from './SlowLink';
 export {type EngineManner, type SeenRequest, StreamEngine} from './StreamEngine';
