Two more failing tests, of what serve runs: an answer given twice goes to the next caller, a reset passes for an end

The relay opens a connection for each request and was mended for resets before; HttpEngine keeps connections for requests that may be repeated and has neither.

--- a/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
+++ b/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
@@ -81,6 +81,57 @@
     engine.close();
   });
 
+  /** An engine that answers twice: the second time late, when the next request may be under way. */
+  async function serveTwice(lateMs: number): Promise<HttpEngine> {
+    let number = 0;
+    const listener: RequestListener = (req, res) => {
+      const {socket} = req;
+      const answer = `answer to ${String(req.headers['x-request-id'])}`;
+      const isFirst = number++ === 0;
+      setTimeout(() => res.end(answer), isFirst ? 0 : 4 * lateMs);
+      if (isFirst) {
+        const late = `HTTP/1.1 200 OK\r\nContent-Length: ${answer.length}\r\n\r\n${answer}`;
+        setTimeout(() => socket.writable && socket.write(late), lateMs);
+      }
+    };
+    return serve(listener);
+  }
+
+  test('hands nobody an answer that an engine gives a second time', async () => {
+    for (const repeatable of [true, false]) {
+      const engine = await serveTwice(30);
+      const first = await send(engine, {attemptId: 'a1', repeatable});
+      expect((await readBody(first.body)).toString()).toBe('answer to a1');
+      const second = await send(engine, {attemptId: 'a2', repeatable});
+      expect((await readBody(second.body)).toString()).toBe('answer to a2');
+      engine.close();
+      server!.closeAllConnections();
+      await new Promise((resolve) => server!.close(resolve));
+    }
+  });
+
+  test('never takes an answer without a length for whole when its connection was reset', async () => {
+    const engine = await serve((req, res) => {
+      req.resume();
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+      res.write('x'.repeat(100));
+      // Bytes and the reset wait together when the caller reads.
+      setImmediate(() => req.socket.resetAndDestroy());
+    });
+    let whole = 0;
+    for (let number = 0; number < 300; number++) {
+      const outcome = await send(engine)
+        .then(({body}) => readBody(body))
+        .then(
+          () => 1,
+          () => 0,
+        );
+      whole += outcome;
+    }
+    expect(whole).toBe(0);
+  }, 30_000);
+
   test('never takes a part of an answer for the whole', async () => {
     const engine = await serve((_req, res) => {
       res.write('half');
