What serve runs hands nobody another answer: a connection for each request to an engine, and resets that break answers

HttpEngine kept connections for requests that may be repeated: an engine that answers twice, the second time while the next request is under way, handed that caller another one's answer. Class: an answer is taken for a request's because of where it arrives, not because of what it is. The relay had both mended; its watch on resets now stands in the shared package and serves both. Ruled out: comparing request ids (engines of this interface needn't echo them). Cost: a connection for each request; not measured. HttpEngine.close closed only idle connections and is gone, with its calls; tests lost those calls and no assertion.

--- a/packages/stallpaddle-engine/src/EngineHttp.ts
+++ b/packages/stallpaddle-engine/src/EngineHttp.ts
@@ -3,8 +3,8 @@
  */
 import type {Verdict} from 'stallpaddle';
 
-import {Agent, type IncomingMessage, request} from 'node:http';
-import {errorMessage, startDeadline, VERDICT_HEADER} from 'stallpaddle';
+import {type IncomingMessage, request} from 'node:http';
+import {errorMessage, registerResetWatch, startDeadline, VERDICT_HEADER} from 'stallpaddle';
 import {z} from 'zod';
 
 import type {
@@ -91,8 +91,6 @@
 
 /** One backend server, reached by IP number. */
 export class HttpEngine implements EngineAdapter {
-  private readonly agent = new Agent({keepAlive: true, maxSockets: Infinity});
-
   /**
    * @param host IP number
    * @param port TCP port
@@ -102,16 +100,12 @@
     private readonly port: number,
   ) {}
 
-  /** Closes idle connections. */
-  close(): void {
-    this.agent.destroy();
-  }
-
   generate(req: BackendRequest, signal: AbortSignal): Promise<BackendAnswer> {
     return new Promise((resolve, reject) => {
       const sent = request({
-        // A reused connection may be closing; a request that must not repeat gets its own.
-        agent: req.repeatable ? this.agent : false,
+        // Of its own: an engine may answer twice, and what comes late on a kept connection would be taken for the next
+        // request's answer; a kept one may also be closing.
+        agent: false,
         headers: {
           [ATTEMPT_HEADER]: req.attemptId,
           'content-length': req.body.length,
@@ -125,6 +119,7 @@
         port: this.port,
         signal,
       });
+      registerResetWatch(sent);
       sent.on('error', (err) => reject(new BackendError(verdictOf(err), errorMessage(err))));
       sent.on('response', (res) => {
         const refusal = refusalOf(res);
--- a/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
+++ b/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
@@ -53,7 +53,6 @@
       'x-request-id': 'a1',
       'x-timeout-ms': '1000',
     });
-    engine.close();
   });
 
   test('says notRun when nothing listens', async () => {
@@ -78,7 +77,6 @@
       verdict: 'notRun',
     });
     expect((await send(engine, {path: '/plain'})).status).toBe(503);
-    engine.close();
   });
 
   /** An engine that answers twice: the second time late, when the next request may be under way. */
@@ -104,7 +102,6 @@
       expect((await readBody(first.body)).toString()).toBe('answer to a1');
       const second = await send(engine, {attemptId: 'a2', repeatable});
       expect((await readBody(second.body)).toString()).toBe('answer to a2');
-      engine.close();
       server!.closeAllConnections();
       await new Promise((resolve) => server!.close(resolve));
     }
@@ -144,7 +141,6 @@
   test('tells an order that was refused for its number from one that got lost', async () => {
     const engine = await serve((_req, res) => res.writeHead(409).end());
     expect(await engine.order([], 1)).toEqual({kind: 'oldFencing'});
-    engine.close();
     const gone = await serve((_req, res) => res.destroy());
     expect((await gone.order([], 1)).kind).toBe('unknown');
   });
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -3,9 +3,9 @@
  * request, and no idle connection can be closed just as a request is sent.
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
-import type {Socket} from 'node:net';
 
 import {request} from 'node:http';
+import {registerResetWatch} from 'stallpaddle';
 
 import type {RelayPace} from './RelayPace';
 import type {AnswerFacts, RelayWire} from './RelayWire';
@@ -71,15 +71,6 @@
   return {facts, kind: 'answer', res};
 }
 
-/**
- * Whether a connection that ended was reset. When bytes and a reset wait together, libuv reports the bytes and
- * then an ordinary end (13 of 400 resets beside a busy client). A socket that was reset has no peer any more; one
- * that the other side closed still has.
- */
-function wasReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined;
-}
-
 /**
  * Sends a request.
  *
@@ -90,7 +81,6 @@
 export function startEngineCall(wire: RelayWire, pace: RelayPace, req: EngineRequest): EngineCall {
   const {host, port} = splitAddress(req.address);
   const headers = [...req.headers, 'Content-Length', String(req.body.length)];
-  let answer: IncomingMessage | undefined;
   let connected = false;
   let out: ClientRequest | undefined;
   const started = new Promise<EngineCallStart>((resolve) => {
@@ -102,16 +92,11 @@
       path: req.path,
       port,
     });
+    registerResetWatch(out);
     const openedAt = performance.now();
     const timer = setTimeout(() => out?.destroy(new Error('no connection')), pace.connect.limitMs);
     out.on('socket', (socket) => {
       socket.setNoDelay(true);
-      // Before the parser hears of the end, which it takes for that of an answer without a length.
-      socket.prependListener('end', () => {
-        if (answer?.complete === false && wasReset(socket)) {
-          answer.destroy(new Error('the connection was reset'));
-        }
-      });
       socket.once('connect', () => {
         connected = true;
         clearTimeout(timer);
@@ -119,7 +104,6 @@
       });
     });
     out.on('response', (res) => {
-      answer = res;
       // Errors of the body are seen by whoever reads it; before that they must not go unhandled.
       res.on('error', () => {});
       const start = startOf(wire, res, req.requestId);
@@ -130,8 +114,6 @@
     });
     out.on('error', (err) => {
       clearTimeout(timer);
-      // The parser takes an answer without a length for whole when its connection ends, also by a reset.
-      answer?.destroy(err);
       resolve(
         connected
           ? {kind: 'mayHaveRun', reason: err.message}
--- a/packages/stallpaddle-vm/src/VmEngines.ts
+++ b/packages/stallpaddle-vm/src/VmEngines.ts
@@ -56,11 +56,9 @@
     }, ENGINE_POLL_MS);
   }
 
-  /** Ends the asking and closes connections. */
+  /** Ends the asking. */
   stop(): void {
     clearInterval(this.timer);
-    this.engines.forEach(({adapter}) => adapter.close());
-    this.plain.forEach((adapter) => adapter.close());
   }
 
   /**
@@ -73,13 +71,11 @@
       const address = `${host} ${port}`;
       const known = this.engines.get(engine);
       if (known?.address !== address) {
-        known?.adapter.close();
         this.engines.set(engine, {adapter: new HttpEngine(host, port), address});
       }
     }
     for (const engine of this.engines.keys()) {
       if (!config.engines.has(engine)) {
-        this.engines.get(engine)?.adapter.close();
         this.engines.delete(engine);
       }
     }
--- a/packages/stallpaddle-vm/src/VmPlatform.ts
+++ b/packages/stallpaddle-vm/src/VmPlatform.ts
@@ -44,6 +44,5 @@
     return vms.filter(({state}) => state === 'leaving').map(({id}) => id);
   } finally {
     deadline.dispose();
-    server.close();
   }
 }
