Addresses for callers: each answer draws its own part of the entry VMs

Cause: an answer names 64 VMs at most, and every answer named the first 64 by name. Change: each answer draws its VMs by chance (drawEntries, pure). Fleets of up to 64 entry VMs are told all, as before.

--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -22,6 +22,7 @@
 import type {NodeOptions} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
 
+import {drawEntries} from './NodeAddresses';
 import {ADDRESSES_MOST, IDLE_MARGIN_MS, ROUTE_FRESH_MS} from './NodeConstants';
 import {countEnd, exposeEntryMetrics} from './NodeEntryMetrics';
 import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
@@ -176,7 +177,8 @@
       sendAnswer(res, {status: 503});
       return;
     }
-    sendAnswer(res, wire.encodeAddresses(entries.slice(0, ADDRESSES_MOST)));
+    const named = drawEntries(entries, ADDRESSES_MOST, Math.random);
+    sendAnswer(res, wire.encodeAddresses(named));
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
