--- a/packages/stallpaddle-storage/src/StorageBlobs.ts
+++ b/packages/stallpaddle-storage/src/StorageBlobs.ts
@@ -167,13 +167,18 @@
   }
 
   /**
-   * Drops everything after an offset: what an unfinished transfer left behind.
+   * Drops everything after an offset: what an unfinished transfer left behind. What stays is synced as before, by the
+   * next {@link sync}.
    *
    * @param end new end of the data, in bytes
    */
   async cutTo(end: number): Promise<void> {
     await this.close();
-    this.dirty.clear();
+    for (const start of this.dirty) {
+      if (start >= end) {
+        this.dirty.delete(start);
+      }
+    }
     await this.cut(end);
     this.endOffset = end;
   }
--- a/packages/stallpaddle-storage/src/__tests__/unit/StorageBlobs.test.ts
+++ b/packages/stallpaddle-storage/src/__tests__/unit/StorageBlobs.test.ts
@@ -55,6 +55,20 @@
     expect(Buffer.from(await again.read(rewritten!)).toString()).toBe('two');
   });
 
+  test('what was there before a transfer that broke off lasts with the next sync', async () => {
+    const disk = new FakeDisk();
+    const blobs = await StorageBlobs.open(disk, 0);
+    const [first] = await write(blobs, ['one']);
+    const {end} = blobs;
+    await blobs.appendRaw(end, Buffer.from('half of a transfer'));
+    await blobs.cutTo(end);
+    // A snapshot that refers to the first record may be saved now.
+    await blobs.sync();
+    disk.restart();
+    const again = await StorageBlobs.open(disk, end);
+    expect(Buffer.from(await again.read(first!)).toString()).toBe('one');
+  });
+
   test('finds a flipped byte and a segment that is too short', async () => {
     const disk = new FakeDisk();
     const blobs = await StorageBlobs.open(disk, 0);
