--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -6,12 +6,23 @@
 
 import type {RelayContext, RelayRequest} from './RelayTypes';
 
-import {LATE_WAIT_MS, LATE_WAIT_PART, MAX_DECLINES, QUEUED_IN_TIME} from './RelayConstants';
+import {
+  LATE_WAIT_MS,
+  LATE_WAIT_PART,
+  MAX_DECLINES,
+  MOST_SENDS,
+  QUEUED_IN_TIME,
+} from './RelayConstants';
 import {drawService, isSound, placeRequest} from './RelayPlacement';
 
+const NONE: ReadonlySet<EngineId> = new Set();
+
 /** See the module's comment. */
 export class RelayChoice {
   private declines = 0;
+  /** The engine that was sent the request last. */
+  private last: EngineId | undefined;
+  private sends = 0;
   private readonly sentTo = new Set<EngineId>();
 
   /**
@@ -33,6 +44,11 @@
     return this.sentTo.size - this.declines < this.req.route.maxAttempts;
   }
 
+  /** Whether the request may be sent again at all, to another engine or to one that was sent it before. */
+  get hasSendLeft(): boolean {
+    return this.hasAttemptLeft || this.sends < MOST_SENDS;
+  }
+
   /** Whether so many engines have declined that no further one is asked. */
   get isDeclined(): boolean {
     return this.declines >= MAX_DECLINES;
@@ -98,14 +114,14 @@
       return undefined;
     }
     return placeRequest({
-      engines: engines(),
+      engines: this.hasAttemptLeft ? engines() : this.knownEngines(),
       experienceOf: (id) => experience.of(id),
       isSuspect: (id) => online.isSuspect(id),
       now: clock.monotonicMs(),
       onlineAt: (id) => online.at(id),
       random,
       service,
-      tried: this.sentTo,
+      tried: this.hasAttemptLeft ? this.sentTo : NONE,
       unseen: online.unseen,
       zone,
     });
@@ -122,9 +138,20 @@
    * @param id the engine
    */
   noteSent(id: EngineId): void {
+    this.last = id;
+    this.sends++;
+    // The engine that was asked last stands last.
+    this.sentTo.delete(id);
     this.sentTo.add(id);
   }
 
+  /** Engines that were sent the request before; the last of them only when there is no other. */
+  private knownEngines(): readonly EngineView[] {
+    const known = this.context.engines().filter(({id}) => this.sentTo.has(id));
+    const others = known.filter(({id}) => id !== this.last);
+    return others.length > 0 ? others : known;
+  }
+
   /**
    * How far beyond its slots an engine may be sent this request, as a part of its slots. A request that can
    * be in time goes before those that can't: these wait for a free slot, and queue only at last.
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -35,6 +35,12 @@
  */
 export const MAX_DECLINES = 4;
 
+/**
+ * Most times that one request is sent in all, to whatever engines. Its route bounds the engines; one of them may be sent it
+ * again when the others have failed, since what made it late or lost an answer is often over by then.
+ */
+export const MOST_SENDS = 4;
+
 /** Answers up to this size are passed on whole, so that one that breaks off can be asked for again. */
 export const WHOLE_ANSWER_BYTES = 262_144;
 
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -161,8 +161,13 @@
     sendRefusal(this.res, new RefusalError(code, this.verdict, 'The request’s time is over.'));
   }
 
+  /** Whether what may have run may be sent once more. */
+  private get mayGoOn(): boolean {
+    return this.choice.hasAttemptLeft || (this.repeatable && this.choice.hasSendLeft);
+  }
+
   private async attempt(): Promise<void> {
-    if (this.verdict !== 'notRun' && !this.choice.hasAttemptLeft) {
+    if (this.verdict !== 'notRun' && !this.mayGoOn) {
       this.refuse('All engines that the request may be sent to have failed.');
       return;
     }
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -378,6 +378,44 @@
     expect((await answer).isWhole).toBe(true);
   });
 
+  test('goes back to an engine that was only slow when the last other one fails', async () => {
+    const engines = await startEngines(2);
+    const context = contextOf(engines);
+    const {ends, port} = await startRelay(context, routeOf());
+    // Whichever is asked first pauses for longer than usual; the other one takes the request and resets.
+    engines.forEach((engine) => {
+      engine.manners = [{after: 2, kind: 'pause'}];
+    });
+    const answered = ask(port);
+    while (engines.every(({seen}) => seen.length === 0)) {
+      await new Promise((resolve) => setTimeout(resolve, 2));
+    }
+    const [other] = engines.filter(({seen}) => seen.length === 0);
+    other!.manners = [{kind: 'reset'}];
+    const {body, isWhole, status} = await answered;
+    expect({body, isWhole, status}).toEqual({
+      body: engines[0]!.wholeText,
+      isWhole: true,
+      status: 200,
+    });
+    expect(ends).toEqual(['served']);
+    // No more engines than the route allows.
+    expect(engines.map(({seen}) => seen.length).sort()).toEqual([1, 2]);
+  });
+
+  test('sends a request that every engine resets a few times and no more', async () => {
+    const engines = await startEngines(3);
+    engines.forEach((engine) => {
+      engine.manners = Array.from({length: 20}, () => ({kind: 'reset'}) as const);
+    });
+    const {ends, port} = await startRelay(contextOf(engines), routeOf());
+    expect((await ask(port)).status).toBe(502);
+    expect(ends).toEqual(['refused']);
+    const sends = engines.map(({seen}) => seen.length);
+    expect(sends.filter((count) => count > 0)).toHaveLength(2);
+    expect(sends.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(4);
+  });
+
   test('never sends elsewhere for silence what may not be repeated', async () => {
     const engines = await startEngines(2);
     const context = learnedContext(engines);
