Replicas without a vote look at their clock once in an election timeout; a dispatcher's timers run only while it leads

Change: ReplicaTurns (voters four looks a heartbeat as before, others one an election timeout), timers of the dispatcher begin with its term.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -40,12 +40,12 @@
   private lookedAt: MonotonicMs = -Infinity;
   private planned = false;
   private readonly progress: JobsProgress;
-  private readonly saver: NodeJS.Timeout;
   private stopped = false;
   private readonly tasks = new JobsTasks();
   /** Term to which the tasks belong; undefined while this process doesn't lead. */
   private term: Term | undefined;
-  private readonly timer: NodeJS.Timeout;
+  /** Run only while this process leads: most stores never do. */
+  private timers: readonly NodeJS.Timeout[] = [];
   private readonly urgency: JobsUrgency;
 
   /**
@@ -65,8 +65,6 @@
       view: options.view,
       wire: options.wire,
     });
-    this.timer = setInterval(() => this.tidy(), TIDY_MS);
-    this.saver = setInterval(() => void this.saveProgress(), SAVE_MS);
   }
 
   /** Looks soon at what may start and what must give way; many calls make one look. */
@@ -109,8 +107,7 @@
     this.stopped = true;
     this.engines.stopSurvey();
     this.ends.stop();
-    clearInterval(this.saver);
-    clearInterval(this.timer);
+    this.stopTimers();
     this.tasks.clear();
   }
 
@@ -206,8 +203,20 @@
     this.logTerm('dispatchEnded');
     this.tasks.clear();
     this.engines.stopSurvey();
+    this.stopTimers();
     this.term = term;
     this.logTerm('dispatchBegan');
+    if (term !== undefined) {
+      this.timers = [
+        setInterval(() => this.tidy(), TIDY_MS),
+        setInterval(() => void this.saveProgress(), SAVE_MS),
+      ];
+    }
+  }
+
+  private stopTimers(): void {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.timers = [];
   }
 
   private logTerm(decision: 'dispatchBegan' | 'dispatchEnded'): void {
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -188,6 +188,8 @@
       this.dispatcher?.poke();
       desk.wakeReads();
     });
+    // The group may lead already.
+    this.dispatcher.poke();
   }
 
   private makeDispatcher(group: NodeGroup<JobsState>, desk: NodeJobsDesk): JobsDispatcher {
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -31,7 +31,8 @@
 import {wantsSnapshot} from './ReplicationFollower';
 import {leadershipOf} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica, uncountedMs} from './ReplicationStep';
-import {ReplicaWatch, turnPeriodMs} from './ReplicaWatch';
+import {isVoter, ReplicaTurns, turnPeriodMs} from './ReplicaTurns';
+import {ReplicaWatch} from './ReplicaWatch';
 import {ReplicaWriter} from './ReplicaWriter';
 
 /** One replica of one group; see the module's comment. */
@@ -44,7 +45,7 @@
   private snapshotWork: Promise<void> = Promise.resolve();
   private stopped = false;
   private commitTimer: NodeJS.Timeout | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly turns = new ReplicaTurns(() => this.tick());
   private readonly watch: ReplicaWatch;
   private readonly writer: ReplicaWriter;
 
@@ -80,7 +81,7 @@
     const start = startReplica({group, hardState, log, self, timing}, clock.monotonicMs());
     const driver = new ReplicaDriver(options, storage, blobs, start, state, replay);
     driver.dispatch({kind: 'applyKnown'});
-    driver.timer = setInterval(() => driver.tick(), turnPeriodMs(timing));
+    driver.followVote();
     driver.commitTimer = setInterval(() => driver.recordCommit(), COMMIT_RECORD_MS);
     return driver;
   }
@@ -300,10 +301,19 @@
       this.fail(err);
       return;
     }
+    this.followVote();
     this.writer.flush();
     this.startSnapshotWhenDue();
   }
 
+  /** Only a voter has to look at its clock often. */
+  private followVote(): void {
+    const periodMs = turnPeriodMs(this.options.timing, isVoter(this.replication));
+    if (!this.stopped && this.turns.follow(periodMs)) {
+      this.watch.expectTurn(periodMs);
+    }
+  }
+
   private tick(): void {
     this.watch.noteTurn(this.replication);
     this.dispatch({kind: 'tick'});
@@ -472,7 +482,7 @@
   private stop(): void {
     this.stopped = true;
     clearInterval(this.commitTimer);
-    clearInterval(this.timer);
+    this.turns.stop();
     this.requests.stop();
     this.writer.stop();
   }
--- a/packages/stallpaddle-replication/src/ReplicaWatch.ts
+++ b/packages/stallpaddle-replication/src/ReplicaWatch.ts
@@ -9,6 +9,7 @@
 
 import {STUCK_TIMEOUTS} from './ReplicationConstants';
 import {leadershipOf, quorumHeardAt} from './ReplicationLease';
+import {isVoter, turnPeriodMs} from './ReplicaTurns';
 
 /** Time for which the latest late turn is told, in milliseconds: some election timeouts, so a change of leaders shows it. */
 const TOLD_MS = 2_000;
@@ -16,15 +17,6 @@
 /** Why a replica leads no more. */
 type EndOfLeadership = 'handedOver' | 'laterTerm' | 'nothingRecorded' | 'quorumSilent';
 
-/**
- * Time between a replica's looks at its clock, in milliseconds: four for each heartbeat.
- *
- * @param timing times of the group
- */
-export function turnPeriodMs({heartbeatMs}: ReplicationTiming): number {
-  return Math.max(1, heartbeatMs / 4);
-}
-
 /** See the module's comment. */
 export class ReplicaWatch {
   private dueAt: MonotonicMs;
@@ -45,6 +37,15 @@
     this.dueAt = clock.monotonicMs() + turnPeriodMs(timing);
   }
 
+  /**
+   * Notes that the next turn is due after another time than before.
+   *
+   * @param periodMs the time, in milliseconds
+   */
+  expectTurn(periodMs: number): void {
+    this.dueAt = this.clock.monotonicMs() + periodMs;
+  }
+
   /** Delay of the latest late turn of the last two seconds, in milliseconds. */
   get turnLateMs(): number {
     return this.clock.monotonicMs() - this.latestLate.at < TOLD_MS ? this.latestLate.ms : 0;
@@ -55,10 +56,11 @@
    *
    * @param state the replica's state
    */
-  noteTurn({group, role}: ReplicationState): void {
+  noteTurn(state: ReplicationState): void {
+    const {group, role} = state;
     const now = this.clock.monotonicMs();
     const lateMs = Math.max(0, now - this.dueAt);
-    this.dueAt = now + turnPeriodMs(this.timing);
+    this.dueAt = now + turnPeriodMs(this.timing, isVoter(state));
     if (lateMs >= this.turnLateMs) {
       this.latestLate = {at: now, ms: lateMs};
     }
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
@@ -9,7 +9,8 @@
 
 import {EMPTY_SNAPSHOT, ReplicationLog} from '../../ReplicationLog';
 import {startReplica, stepReplica} from '../../ReplicationStep';
-import {ReplicaWatch, turnPeriodMs} from '../../ReplicaWatch';
+import {isVoter, ReplicaTurns, turnPeriodMs} from '../../ReplicaTurns';
+import {ReplicaWatch} from '../../ReplicaWatch';
 
 const TIMING = {electionTimeoutMs: 500, heartbeatMs: 125, leaseDriftFraction: 0.2};
 const SELF = 'a/1';
@@ -110,3 +111,31 @@
     expect(watched.lines).toMatchObject([{cause: 'handedOver', newTerm: 1, term: 1}]);
   });
 });
+
+describe('ReplicaTurns', () => {
+  test('only voters look often', () => {
+    const stateOf = (voters: readonly string[]): ReplicationState => {
+      const log = ReplicationLog.restore(
+        {...EMPTY_SNAPSHOT, members: {learners: [SELF], voters}},
+        [],
+      );
+      const hardState = {term: 0, votedFor: null};
+      return startReplica({group: 'g', hardState, log, self: SELF, timing: TIMING}, 0);
+    };
+    expect([isVoter(stateOf([SELF, OTHER])), isVoter(stateOf([OTHER]))]).toEqual([true, false]);
+    expect(turnPeriodMs(TIMING, true)).toBeLessThan(TIMING.heartbeatMs / 2);
+    expect(turnPeriodMs(TIMING, false)).toBe(TIMING.electionTimeoutMs);
+  });
+
+  test('looks as often as was set last', async () => {
+    let looks = 0;
+    const turns = new ReplicaTurns(() => looks++);
+    expect([turns.follow(5), turns.follow(5), turns.follow(1_000)]).toEqual([true, false, true]);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    expect(looks).toBe(0);
+    turns.follow(5);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    turns.stop();
+    expect(looks).toBeGreaterThan(3);
+  });
+});
