Members: a replica that has just joined is not sent away for having answered nothing yet

Change: silence of a replica counts from when this leader began to send to it (Progress.addedAt). Test: NodeGroup over links of 400 bytes/ms: failed before (never caught up in 15 s), passes after (one change).

--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -195,10 +195,10 @@
     for (const {id, retiring, silentMs} of this.options.candidates()) {
       known.set(id, {caughtUp: false, id, retiring, silentMs});
     }
-    for (const [id, {appendAckedSentAt}] of role.progress) {
-      // A new leader has heard nobody yet: its own time as leader bounds every silence. A process that lives while its
-      // disk takes nothing is silent too.
-      const silentMs = now - Math.max(appendAckedSentAt, role.since);
+    for (const [id, {addedAt, appendAckedSentAt}] of role.progress) {
+      // Whoever this leader has just begun to send to may have answered nothing yet: its first answer comes behind what
+      // is under way to it. A process that lives while its disk takes nothing is silent too.
+      const silentMs = now - Math.max(appendAckedSentAt, addedAt);
       const retiring = known.get(id)?.retiring ?? false;
       known.set(id, {caughtUp: isCaughtUp(status, id), id, retiring, silentMs});
     }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -52,6 +52,8 @@
 class Fleet {
   readonly groups = new Map<ReplicaId, NodeGroup<ListState>>();
   readonly lost = new Set<ReplicaId>();
+  /** Changes of the members, as the logs tell them. */
+  readonly memberChanges: string[] = [];
   private readonly port = port++;
   retiring: ReplicaId | undefined;
 
@@ -89,7 +91,14 @@
       disk,
       founders,
       group: GROUP,
-      logger: silentLogger,
+      logger: {
+        ...silentLogger,
+        info: (message, fields) => {
+          if (message === 'The members of the group change.') {
+            this.memberChanges.push(String(fields?.['reason']));
+          }
+        },
+      },
       lostDisks: 1,
       machine: listMachine,
       onFailure: () => {},
@@ -205,6 +214,30 @@
     expect([driver.leads, driver.status.term, lapses]).toEqual([true, term, 0]);
   });
 
+  test('a replica that joins a busy group late is waited for, not sent away and taken in by turns', async () => {
+    // Its first answer comes after the first look at the members: what it lacks is under way to it.
+    const fleet = new Fleet(400);
+    const ids = [1, 2, 3].map((number) => `127.0.7.${number}/first`);
+    await Promise.all(ids.map((id) => fleet.start(id, ids)));
+    const {driver} = await fleet.leader();
+    for (const letter of 'abcdefghijkl') {
+      await driver.propose(Buffer.from(letter.repeat(100_000)));
+    }
+    await delay(2_000);
+    const more = '127.0.7.5/more';
+    await fleet.start(more, null);
+    const {texts} = driver.localState;
+    for (let tries = 0; ; tries++) {
+      const held = fleet.groups.get(more)!.driver.localState.texts.length;
+      if (held === texts.length) {
+        break;
+      }
+      expect(tries).toBeLessThan(1_500);
+      await delay(10);
+    }
+    expect(fleet.memberChanges).toEqual([`${more} joins`]);
+  });
+
   test('a full disk costs one replica for as long as it is full, and nothing acknowledged', async () => {
     const fleet = new Fleet();
     const ids = [1, 2, 3].map((number) => `127.0.7.${number}/first`);
--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -44,6 +44,7 @@
     if (replica !== draft.self) {
       progress.set(replica, {
         ackedSentAt: -Infinity,
+        addedAt: draft.now,
         aliveSentAt: -Infinity,
         appendAckedSentAt: -Infinity,
         lastSentAt: -Infinity,
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -361,6 +361,7 @@
       added.push(replica);
       const start = {
         ackedSentAt: -Infinity,
+        addedAt: draft.now,
         aliveSentAt: -Infinity,
         appendAckedSentAt: -Infinity,
         lastSentAt: draft.now,
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -115,6 +115,8 @@
 
 /** What the leader knows of another replica. */
 export interface Progress {
+  /** When this leader began to send to the replica: it may have answered nothing yet. */
+  readonly addedAt: MonotonicMs;
   /** `sentAt` of the newest message of any kind that the replica answered: its process lives, and hears this leader. */
   readonly ackedSentAt: MonotonicMs;
   /** `sentAt` of the newest append that the replica answered: its disk takes what comes, and the log gets through. */
