--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -61,7 +61,7 @@
   private current: FleetView = EMPTY_VIEW;
   private freshening: Promise<boolean> | undefined;
   private readonly hops = new NodeHops();
-  /** Whoever answered last; null for the leader itself. */
+  /** Who gives the news; null for the leader itself. */
   private source: null | undefined | VmId;
   /** When each replica was last named by a replica of its group. */
   private readonly introduced = new Map<ReplicaId, MonotonicMs>();
@@ -111,7 +111,6 @@
   async ask(waitMs: number): Promise<boolean> {
     const {caller} = this.options;
     const outcome = await this.askBy((call, tryMs) => caller.tryOnce(call, tryMs), waitMs, false);
-    this.noteSource(outcome, null);
     return outcome.kind === 'answered';
   }
 
@@ -199,14 +198,19 @@
       }
       const askHop = (call: TryRequest, tryMs: number) => caller.tryAt(host, call, tryMs);
       const outcome = await this.askBy(askHop, RELAYED_HOLD_MS, true);
-      this.noteSource(outcome, host);
       if (outcome.kind === 'answered') {
+        this.noteSource(host);
         return true;
       }
+      this.noteSilence(host, outcome.kind);
       const why = outcome.kind === 'notLeader' ? 'refused' : 'silent';
       this.hops.noteFailure(host, why, clock.monotonicMs());
     }
-    return this.ask(WATCH_HOLD_MS);
+    const isAnswered = await this.ask(WATCH_HOLD_MS);
+    if (isAnswered) {
+      this.noteSource(null);
+    }
+    return isAnswered;
   }
 
   private async askBy(
@@ -238,14 +242,19 @@
   }
 
   /** Notes a change of whom the news come from. */
-  private noteSource(outcome: TryOutcome, host: null | VmId): void {
-    const {note} = this.options;
-    if (outcome.kind === 'answered' && this.source !== host) {
+  private noteSource(host: null | VmId): void {
+    if (this.source !== host) {
       this.source = host;
-      note('News come from another VM.', {from: host ?? 'leader', term: this.current.term});
-    } else if (outcome.kind !== 'answered' && this.source === host && host !== null) {
-      note('A VM gives no news.', {ageMs: Math.round(this.ageMs), from: host, how: outcome.kind});
+      const from = host ?? 'leader';
+      this.options.note('News come from another VM.', {from, term: this.current.term});
+    }
+  }
+
+  private noteSilence(host: VmId, how: string): void {
+    if (this.source === host) {
       this.source = undefined;
+      const ageMs = Math.round(this.ageMs);
+      this.options.note('A VM gives no news.', {ageMs, from: host, how});
     }
   }
 
