--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -119,6 +119,8 @@
       addNodeService(router, {
         answer: (value) => this.answer(value as FleetRequest),
         group: CONTROL_GROUP,
+        onFailure: (err) =>
+          this.log.note('A call of another process broke off.', {error: errorMessage(err)}),
         replica: () => this.group?.driver,
       });
     this.rpc = await startRpcServer(host, peerPort, key, addService, (from) =>
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -29,6 +29,8 @@
   /** Answers a command or question as the group's leader; throws a replica's errors otherwise. */
   readonly answer: (value: unknown) => unknown;
   readonly group: GroupId;
+  /** Told of each call that broke off here: its caller learns only that the outcome is unknown. */
+  readonly onFailure: (err: unknown) => void;
   /** The replica, once it has opened. */
   readonly replica: () => (SnapshotTarget & {receive: (message: Message) => void}) | undefined;
 }
@@ -42,6 +44,7 @@
 async function* converse(
   requests: AsyncIterable<ConverseRequest>,
   answer: (content: ConverseRequest['content']) => Promise<ConverseAnswer['answer']>,
+  onFailure: (err: unknown) => void,
 ): AsyncGenerator<ConverseAnswer> {
   const answers = new RpcQueue<ConverseAnswer>();
   const readAll = async (): Promise<void> => {
@@ -49,7 +52,10 @@
       for await (const {content, id} of requests) {
         answer(content).then(
           (answered) => answers.add({answer: answered, id}),
-          () => answers.add({answer: NO_OUTCOME, id}),
+          (err: unknown) => {
+            onFailure(err);
+            answers.add({answer: NO_OUTCOME, id});
+          },
         );
       }
     } catch {
@@ -97,7 +103,7 @@
     call: answer,
     converse: (requests) => {
       const join = new RpcJoin();
-      return converse(requests, (content) => answerAny(content, join));
+      return converse(requests, (content) => answerAny(content, join), options.onFailure);
     },
     install: async ({group, step, term}) => {
       expectGroup(group);
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -7,7 +7,7 @@
 import type {Hello, JobsGroupReport} from 'stallpaddle-fleet';
 
 import path from 'node:path';
-import {delay} from 'stallpaddle';
+import {delay, errorMessage} from 'stallpaddle';
 import {JobsDispatcher, jobsMachine, type JobsRequest, type JobsState} from 'stallpaddle-jobs';
 import {loadIdentity, NotLeaderError, ReplicaStorage} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer} from 'stallpaddle-rpc';
@@ -134,6 +134,8 @@
       addNodeService(router, {
         answer: (value) => this.answer(value as JobsRequest),
         group: JOBS_GROUP,
+        onFailure: (err) =>
+          this.log.note('A call of another process broke off.', {error: errorMessage(err)}),
         replica: () => this.group?.driver,
       });
     this.rpc = await startRpcServer(host, peerPort, peers.key, addService, (from) =>
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -82,6 +82,7 @@
       addNodeService(router, {
         answer: () => null,
         group: GROUP,
+        onFailure: () => {},
         replica: () => opened.group?.driver,
       }),
     );
