--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
@@ -36,6 +36,7 @@
     addNodeService(router, {
       answer: () => null,
       group: GROUP,
+      onFailure: () => {},
       replica: () => opened.group?.driver,
     }),
   );
