Words that only tell of ends of requests wait for no answer

Cause: each answered word costs the entry VM and the dispatcher a turn; half of them tell only that a request has ended, which nobody has to know at once at the VM that tells it. A word that is lost is made good within a second.

--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -147,6 +147,20 @@
       : peers.channel(host).call(request, tryMs);
   }
 
+  /**
+   * Tells the leader something whose loss does no harm, where a leader is known.
+   *
+   * @param request the call
+   * @returns whether it was sent
+   */
+  post(request: TryRequest): boolean {
+    if (this.leader === null) {
+      return false;
+    }
+    this.options.peers.channel(this.leader).post(request);
+    return true;
+  }
+
   private nextHost(): undefined | VmId {
     const hosts = this.hosts();
     return hosts[this.next++ % Math.max(1, hosts.length)];
--- a/packages/stallpaddle-node/src/NodeService.ts
+++ b/packages/stallpaddle-node/src/NodeService.ts
@@ -22,6 +22,7 @@
   SnapshotReceiver,
   type SnapshotTarget,
   tryLocal,
+  UNANSWERED,
 } from 'stallpaddle-rpc';
 
 /** What a process answers to the others. */
@@ -51,7 +52,11 @@
     try {
       for await (const {content, id} of requests) {
         answer(content).then(
-          (answered) => answers.add({answer: answered, id}),
+          (answered) => {
+            if (id !== UNANSWERED) {
+              answers.add({answer: answered, id});
+            }
+          },
           (err: unknown) => {
             onFailure(err);
             answers.add({answer: NO_OUTCOME, id});
--- a/packages/stallpaddle-node/src/NodeTells.ts
+++ b/packages/stallpaddle-node/src/NodeTells.ts
@@ -1,10 +1,11 @@
 /**
  * Tells the dispatcher of batch items how many online requests this VM has at each engine, one call at a time: what
- * changes meanwhile goes with the next. The answer brings those of the other VMs.
+ * changes meanwhile goes with the next. The answer brings those of the other VMs. Words that only tell of ends are not
+ * answered: one that is lost is made good by the next, after a second at most.
  */
 import type {MonotonicMs} from 'stallpaddle';
 import type {JobsRequest, OnlineAnswer, OnlineVersion} from 'stallpaddle-jobs';
-import type {RelayOnline} from 'stallpaddle-relay';
+import type {OnlineCounts, RelayOnline} from 'stallpaddle-relay';
 
 import {delay, encodeValue} from 'stallpaddle';
 
@@ -22,6 +23,8 @@
   private known: null | OnlineVersion = null;
   private sequence = 0;
   private stopped = false;
+  /** What was told last. */
+  private told: OnlineCounts = {};
   private toldAt: MonotonicMs = -Infinity;
   private readonly waiters = new NodeWaiters();
 
@@ -31,7 +34,7 @@
    * @param sender name of this process's life
    */
   constructor(
-    private readonly caller: Pick<NodeCaller, 'tryOnce'>,
+    private readonly caller: Pick<NodeCaller, 'post' | 'tryOnce'>,
     private readonly online: RelayOnline,
     private readonly sender: string,
   ) {
@@ -44,9 +47,10 @@
   /** Tells until the process stops. */
   async run(): Promise<void> {
     while (!this.stopped) {
+      const isChange = this.changed;
       this.changed = false;
       this.toldAt = performance.now();
-      if (await this.tell()) {
+      if (await this.tell(isChange)) {
         this.backoff.reset();
         await this.waitForChange();
       } else {
@@ -61,13 +65,18 @@
     this.waiters.wakeAll();
   }
 
-  private async tell(): Promise<boolean> {
-    const {known, online, sender} = this;
+  private async tell(isChange: boolean): Promise<boolean> {
+    const {known, online, sender, told} = this;
     const sequence = ++this.sequence;
     const own = online.ownCounts();
+    this.told = own;
+    const hasBegun = Object.entries(own).some(([engine, count]) => count > (told[engine] ?? 0));
     const request: JobsRequest = {kind: 'tellOnline', known, own, sender, sequence};
     const encoded = encodeValue(request);
     const call = {encoded, group: JOBS_GROUP, query: true};
+    if (isChange && !hasBegun && this.caller.post(call)) {
+      return true;
+    }
     const outcome = await this.caller.tryOnce(call, TELL_TRY_MS);
     if (outcome.kind !== 'answered') {
       return false;
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeTells.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeTells.test.ts
@@ -24,6 +24,8 @@
 
 interface Word {
   readonly at: number;
+  /** Whether its sender waits for an answer. */
+  readonly isCall: boolean;
   readonly own: Readonly<Record<string, number>>;
 }
 
@@ -34,15 +36,23 @@
   version: {changes: 1, epoch: 'n'},
 };
 
+function wordOf(encoded: Uint8Array, isCall: boolean): Word {
+  return {at: performance.now(), isCall, ...decodeValue<{own: Word['own']}>(encoded)};
+}
+
 function tellsOf(answers = true) {
   const words: Word[] = [];
   const tryOnce = async ({encoded}: {encoded: Uint8Array}): Promise<TryOutcome> => {
-    words.push({at: performance.now(), ...decodeValue<{own: Word['own']}>(encoded)});
+    words.push(wordOf(encoded, true));
     await delay(1);
     return answers ? {kind: 'answered', result: ANSWER} : {kind: 'unknown'};
   };
+  const post = ({encoded}: {encoded: Uint8Array}): boolean => {
+    words.push(wordOf(encoded, false));
+    return true;
+  };
   const online = new RelayOnline(systemClock);
-  const tells = new NodeTells({tryOnce}, online, 'e1');
+  const tells = new NodeTells({post, tryOnce}, online, 'e1');
   undo.push(() => tells.stop());
   return {online, tells, words};
 }
@@ -67,6 +77,22 @@
     expect(words.slice(before)).toMatchObject([{own: {e0: 1}}]);
   });
 
+  test('only words that tell of a begin, or of nothing new, wait for an answer', async () => {
+    const {online, tells, words} = tellsOf();
+    void tells.run();
+    await delay(100);
+    const before = words.length;
+    const end = online.registerRequest('e0');
+    await delay(50);
+    end();
+    await delay(TELL_AGAIN_MS + 200);
+    expect(words.slice(before).map(({isCall, own}) => [isCall, own])).toEqual([
+      [true, {e0: 1}],
+      [false, {}],
+      [true, {}],
+    ]);
+  });
+
   test('a burst of changes goes in few words, the last of which tells all', async () => {
     const {online, tells, words} = tellsOf();
     void tells.run();
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -26,6 +26,9 @@
 /** Most times that a call waits for its time, so that other large answers on the connection can't hold it up for ever. */
 const MOST_WAITS = 8;
 
+/** Number of a call that is not answered. */
+export const UNANSWERED = 0;
+
 interface Waiting {
   /** Called with the answer, or with undefined when there is none. */
   readonly resolve: (answer: ConverseResponse['answer'] | null) => void;
@@ -77,6 +80,18 @@
     return answer === null ? {kind: 'unknown'} : outcomeOf(answer?.outcome ?? {case: undefined});
   }
 
+  /**
+   * Makes a call whose answer nobody waits for; it may be lost. An answer would cost both processes a turn.
+   *
+   * @param call the call
+   */
+  post(call: TryRequest): void {
+    if (!this.closed) {
+      const stream = this.stream ?? this.open();
+      stream.queue.add({content: {case: 'call', value: {...call}}, id: UNANSWERED});
+    }
+  }
+
   /**
    * Brings messages.
    *
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
@@ -8,7 +8,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {type CallRequest, PeerService} from '../../gen/stallpaddle/v1/peer_pb';
-import {RpcChannel} from '../../RpcChannel';
+import {RpcChannel, UNANSWERED} from '../../RpcChannel';
 import {openConnection} from '../../RpcClients';
 import {type RpcServer, startRpcServer} from '../../RpcServer';
 import {encodeOutcome} from '../../RpcTry';
@@ -77,6 +77,29 @@
     expect(outcomes).toEqual([1, 2, 3].map((result) => ({kind: 'answered', result})));
   });
 
+  test('brings a call that waits for no answer, beside others that do', async () => {
+    const seen: number[] = [];
+    const server = await startRpcServer(HOST, 18_311, KEY, (router) =>
+      router.service(PeerService, {
+        converse: async function* (requests) {
+          for await (const {content, id} of requests) {
+            seen.push(decodeValue<number>((content.value as CallRequest).encoded));
+            if (id !== UNANSWERED) {
+              yield {answer: {outcome: encodeOutcome({kind: 'answered', result: id})}, id};
+            }
+          }
+        },
+      }),
+    );
+    undo.push(() => server.stop());
+    const channel = channelTo(18_311);
+    channel.post(requestOf(7));
+    expect((await channel.call(requestOf(8), 1_000)).kind).toBe('answered');
+    channel.post(requestOf(9));
+    expect((await channel.call(requestOf(10), 1_000)).kind).toBe('answered');
+    expect(seen).toEqual([7, 8, 9, 10]);
+  });
+
   test('leaves a call unknown that gets no answer in time', async () => {
     await start(18_302);
     expect(await channelTo(18_302).call(requestOf(-1), 50)).toEqual({kind: 'unknown'});
--- a/packages/stallpaddle-rpc/src/index.ts
+++ b/packages/stallpaddle-rpc/src/index.ts
@@ -7,7 +7,7 @@
   PeerService,
 } from './gen/stallpaddle/v1/peer_pb';
 /** Calls between VMs: generated service, server and clients. */
-export {RpcChannel} from './RpcChannel';
+export {RpcChannel, UNANSWERED} from './RpcChannel';
 export {openConnection, type PeerClient, type PeerConnection, RpcClients} from './RpcClients';
 export {type Carrier, type Deliveries, type Delivery, RpcOutbox} from './RpcOutbox';
 export {messagesOf, RpcJoin} from './RpcParts';
