Test of a planned stop begins once the VM serves

Traced with 16 busy loops beside: one of four plays failed with 'no engine answers for balcao-llm now', notRun: the VM had yet to hear from an engine, before the stop began. The refusal was true; the test is about a VM that serves. It waits for a first answer now; what it asks after that is unchanged.

--- a/packages/stallpaddle-demo/src/__tests__/e2e/Failures.test.ts
+++ b/packages/stallpaddle-demo/src/__tests__/e2e/Failures.test.ts
@@ -249,6 +249,8 @@
         method: 'POST',
         path: '/v1/chat/completions',
       });
+    // A VM that has yet to hear from an engine refuses truly; what follows is about one that serves.
+    await until('the VM serves', async () => (await ask('first', false)).status === 200);
     const open = [0, 1, 2, 3, 4, 5].map((number) => ask(`open ${number}`, number % 2 === 0));
     const batch = batchFile('drained', 100, 0, MODEL);
     const callers = callersOf(layout, 1);
