A connection that no VM has taken is begun anew as before; whoever may lead the jobs group asks the leader for news

Cause, found by reading: the 2 s that a new connection for calls has counted from its opening packet, also to a VM without power. After a loss of power that packet is sent again only after seconds, where the old 0.3 to 0.7 s reached the VM as soon as it was back. Now the time counts only once the VM has taken the connection. A store whose lease had lapsed asked a replica, and knew too little to start items for up to a second after it ran again.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -94,7 +94,7 @@
 export const DELIVER_TRY_MS = 500;
 
 /**
- * Time in which a new connection for calls may bring its first answer, in milliseconds. A VM that starts with 0.3 of a
+ * Time in which a new connection for calls may bring its first answer once a VM has taken it, in milliseconds. A VM that starts with 0.3 of a
  * core answers nothing for a second; every connection begun anew meanwhile costs it more. In the first seconds of a fleet
  * of 200 VMs its 30 stores alone had given up 645. Replication messages don't wait so long.
  */
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -64,7 +64,7 @@
     this.fleet = new NodeFleet({
       answer: null,
       // Whoever runs items must know soon which engines leave.
-      asksLeader: () => this.group?.driver.leads === true,
+      asksLeader: () => (this.group?.driver.leadership.kind ?? 'follows') !== 'follows',
       clock,
       hellos: () => [this.hello()],
       note: (message, fields) => this.log.note(message, fields),
--- a/packages/stallpaddle-rpc/src/RpcChannel.ts
+++ b/packages/stallpaddle-rpc/src/RpcChannel.ts
@@ -56,7 +56,7 @@
   /**
    * @param connect makes a connection to the process
    * @param onGivenUp called when a connection was given up because it brought nothing
-   * @param openingMs time in which a stream may bring its first answer, in milliseconds
+   * @param openingMs time in which a stream may bring its first answer once its connection was taken, in milliseconds
    */
   constructor(
     private readonly connect: () => PeerConnection,
@@ -194,14 +194,18 @@
   private onTimeout(stream: OpenStream, id: number, sentAt: number): void {
     stream.waiting.get(id)?.resolve(null);
     stream.waiting.delete(id);
-    const isOpening =
-      stream.heardAt === -Infinity && performance.now() - stream.openedAt < this.openingMs;
-    if (stream.heardAt < sentAt && !isOpening) {
+    if (stream.heardAt < sentAt && !this.isOpening(stream)) {
       this.drop(stream);
       this.giveUp(stream.connection);
     }
   }
 
+  /** Whether the other process may only be slow to start: its VM has taken the connection. */
+  private isOpening({connection, heardAt, openedAt}: OpenStream): boolean {
+    const isEarly = performance.now() - openedAt < this.openingMs;
+    return heardAt === -Infinity && isEarly && connection.isTaken();
+  }
+
   private giveUp(connection: PeerConnection): void {
     if (this.connection === connection) {
       this.connection = undefined;
--- a/packages/stallpaddle-rpc/src/RpcClients.ts
+++ b/packages/stallpaddle-rpc/src/RpcClients.ts
@@ -22,6 +22,8 @@
   readonly client: PeerClient;
   /** Ends the connection and all calls on it. */
   readonly close: () => void;
+  /** Whether the other VM has taken the connection; one without power takes none. */
+  readonly isTaken: () => boolean;
   /** Bytes that have come so far. */
   readonly receivedBytes: () => number;
 }
@@ -36,6 +38,10 @@
     private readonly port: number,
   ) {}
 
+  get isTaken(): boolean {
+    return this.socket?.connecting === false && !this.socket.destroyed;
+  }
+
   get receivedBytes(): number {
     return this.earlierBytes + (this.socket?.bytesRead ?? 0);
   }
@@ -88,6 +94,7 @@
   return {
     client: createClient(PeerService, transport),
     close: () => sessions.abort(),
+    isTaken: () => sockets.isTaken,
     receivedBytes: () => sockets.receivedBytes,
   };
 }
--- a/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
+++ b/packages/stallpaddle-rpc/src/__tests__/unit/RpcChannel.test.ts
@@ -161,6 +161,20 @@
       expect(await channel.call(requestOf(-1), 50)).toEqual({kind: 'unknown'});
     }
     expect(connections).toBe(1);
+    // One that no VM takes is begun anew: the VM may have come back since.
+    let untaken = 0;
+    const dark = new RpcChannel(
+      () => {
+        untaken++;
+        return {...openConnection(KEY, HOST, 18_309, null), isTaken: () => false};
+      },
+      () => {},
+      400,
+    );
+    undo.push(() => dark.close());
+    await dark.call(requestOf(-1), 30);
+    await dark.call(requestOf(-1), 30);
+    expect(untaken).toBe(2);
     await delay(200);
     expect(await channel.call(requestOf(-1), 50)).toEqual({kind: 'unknown'});
     await channel.call(requestOf(-1), 50);
