Words to the dispatcher follow each other after 5 ms in place of 20

A begin told at once while the end whose slot it takes waits 20 ms makes an engine look over its slots, and an item is cut for nothing. At 200 VMs words come 60 ms apart by themselves, so the pause bought nothing there. Test: NodeTells.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -140,10 +140,11 @@
 export const TELL_AGAIN_MS = 1_000;
 
 /**
- * Shortest time between two words to the dispatcher, in milliseconds: of a burst of 25 requests a second at one VM, two
- * changes go with one word, and a request that begins within it makes its room that much later (of 300 ms).
+ * Shortest time between two words to the dispatcher, in milliseconds: about a round trip. A begin that is told before the
+ * end of the request whose slot it takes cuts an item for nothing: with 20 ms between words, 523 runs were cut on a day
+ * that had 418 with one word after the other (single plays).
  */
-export const TELL_GATHER_MS = 20;
+export const TELL_GATHER_MS = 5;
 
 /** Longest wait for the dispatcher's answer, in milliseconds. */
 export const TELL_TRY_MS = 300;
--- a/packages/stallpaddle-node/src/NodeTells.ts
+++ b/packages/stallpaddle-node/src/NodeTells.ts
@@ -94,7 +94,8 @@
     }
     const earlyMs = this.toldAt + TELL_GATHER_MS - performance.now();
     if (earlyMs > 0 && !this.stopped) {
-      await delay(earlyMs);
+      // Timers drop fractions.
+      await delay(Math.ceil(earlyMs));
     }
   }
 }
