An engine may start again under its name; other writers' reports end none

The state machine kept every ended name for ever and ordered reports by their count alone, so a second start was refused or held to what the first had said (leaving, failures, runs under way).

Ruled out: ordering starts by arrival (a cut may hold a report back past the next start). Ordering by time of day across engines at one address was not made a rule of the log: engines disagree on the time, so the leader passes over an older holder's claim only while the later one lives.

Change: reports, farewells and ended names carry the start; the newest start counts, with leaving and counts of its own. What a sender saw of an earlier start is forgotten, and items that ran in one are cut and go on elsewhere. An unknown service neither takes an address nor takes an engine over. Calls between processes have a new form.

Before: the new tests don't hold on the old code by construction (no start in its types).

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -6,7 +6,16 @@
 
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
-import type {EngineReport, FleetAnswer, FleetCommand, FleetEngine, FleetState} from './FleetTypes';
+import type {
+  EngineReport,
+  FleetAnswer,
+  FleetCommand,
+  FleetEngine,
+  FleetState,
+  RemoveEngine,
+} from './FleetTypes';
+
+import {UNTOLD_START} from './FleetTypes';
 
 /** Ended engines that are remembered: at 290 restarts a day, more than a week of them. */
 const GONE_ENGINES_KEPT = 4_096;
@@ -15,7 +24,7 @@
   config: null,
   engines: new Map(),
   enginesRevision: 0,
-  goneEngines: [],
+  goneEngines: new Map(),
   jobsFounders: null,
   stores: new Map(),
 };
@@ -31,10 +40,16 @@
   return {answer: APPLIED, state};
 }
 
-function withoutEngines(state: FleetState, gone: readonly EngineId[]): FleetState {
+function withoutEngines(state: FleetState, ended: ReadonlyMap<EngineId, number>): FleetState {
   const engines = new Map(state.engines);
-  gone.forEach((id) => engines.delete(id));
-  const goneEngines = [...state.goneEngines, ...gone].slice(-GONE_ENGINES_KEPT);
+  const gone = new Map(state.goneEngines);
+  for (const [id, startedAtMs] of ended) {
+    engines.delete(id);
+    // Last again, also when an earlier start stood further ahead.
+    gone.delete(id);
+    gone.set(id, startedAtMs);
+  }
+  const goneEngines = new Map([...gone].slice(-GONE_ENGINES_KEPT));
   return {...state, engines, enginesRevision: state.enginesRevision + 1, goneEngines};
 }
 
@@ -47,6 +62,44 @@
   );
 }
 
+/** Other engines that have a report's address. */
+function othersAt(state: FleetState, {address, id}: EngineReport): readonly FleetEngine[] {
+  return [...state.engines.values()].filter(
+    (other) => other.address === address && other.id !== id,
+  );
+}
+
+/** Whether a service is configured; while nothing is, every service may be. */
+function isConfigured({config}: FleetState, service: string): boolean {
+  return config === null || config.services.some(({name}) => name === service);
+}
+
+/**
+ * Whether a report is of a start that has ended: its engine is gone, or has started again since. A link that was cut may
+ * bring such a report long after.
+ *
+ * @param state the group's state
+ * @param report the report
+ */
+export function isOutdated(state: FleetState, {id, startedAtMs}: EngineReport): boolean {
+  const endedAt = state.goneEngines.get(id);
+  const runsSince = state.engines.get(id)?.startedAtMs ?? startedAtMs;
+  return (endedAt !== undefined && startedAtMs <= endedAt) || startedAtMs < runsSince;
+}
+
+/**
+ * Engines that have a report's address and say that they started later. The report is late if one of them lives; but
+ * engines may disagree on the time of day, so an address whose holder is silent may go to one that seems to be older.
+ *
+ * @param state the group's state
+ * @param report the report
+ */
+export function laterHolders(state: FleetState, report: EngineReport): readonly EngineId[] {
+  return othersAt(state, report)
+    .filter(({startedAtMs}) => report.startedAtMs < startedAtMs)
+    .map(({id}) => id);
+}
+
 /**
  * Whether a report would change what is known of an engine, so that reports that tell nothing new need
  * not be recorded.
@@ -55,11 +108,16 @@
  * @param report the report
  */
 export function isNews(state: FleetState, report: EngineReport): boolean {
-  if (state.goneEngines.includes(report.id)) {
+  if (isOutdated(state, report)) {
     return false;
   }
   const known = state.engines.get(report.id);
-  return known === undefined || (report.sequence > known.sequence && !isSame(known, report));
+  if (known === undefined || report.startedAtMs > known.startedAtMs) {
+    return true;
+  }
+  // No engine goes over to a service that nobody configured: such a report comes from somebody else.
+  const isOwn = known.service === report.service || isConfigured(state, report.service);
+  return isOwn && report.sequence > known.sequence && !isSame(known, report);
 }
 
 function reportEngine(state: FleetState, report: EngineReport): FleetStep {
@@ -67,18 +125,25 @@
     return unchanged(state);
   }
   const known = state.engines.get(report.id);
-  // An engine that leaves never comes back: a report sent before may arrive after.
-  const draining = report.draining || known?.draining === true;
-  const reusedBy = [...state.engines.values()]
-    .filter(({address, id}) => address === report.address && id !== report.id)
-    .map(({id}) => id);
-  const cleared = reusedBy.length > 0 ? withoutEngines(state, reusedBy) : state;
+  // An engine that leaves never comes back but by a new start: a report sent before may arrive after.
+  const hasLeft = known?.startedAtMs === report.startedAtMs && known.draining;
+  // A report for a service that is not configured names no engine to use, so it ends none either.
+  const reused = isConfigured(state, report.service) ? othersAt(state, report) : [];
+  const ended = new Map(reused.map(({id, startedAtMs}) => [id, startedAtMs]));
+  const cleared = ended.size > 0 ? withoutEngines(state, ended) : state;
+  const draining = report.draining || hasLeft;
   const engines = new Map(cleared.engines).set(report.id, {...report, draining});
   return unchanged({...cleared, engines, enginesRevision: cleared.enginesRevision + 1});
 }
 
-function removeEngine(state: FleetState, id: EngineId): FleetStep {
-  return unchanged(state.goneEngines.includes(id) ? state : withoutEngines(state, [id]));
+function removeEngine(state: FleetState, {id, startedAtMs}: RemoveEngine): FleetStep {
+  const running = state.engines.get(id)?.startedAtMs;
+  const endedAt = state.goneEngines.get(id);
+  const ending = startedAtMs ?? running ?? endedAt ?? UNTOLD_START;
+  const isKnown = endedAt !== undefined && ending <= endedAt;
+  // The word of an earlier start may come after the next one has begun.
+  const isEarlier = running !== undefined && ending < running;
+  return unchanged(isKnown || isEarlier ? state : withoutEngines(state, new Map([[id, ending]])));
 }
 
 function step(state: FleetState, command: FleetCommand): FleetStep {
@@ -94,7 +159,7 @@
         : {answer: {kind: 'held', version: held}, state};
     }
     case 'removeEngine':
-      return removeEngine(state, command.id);
+      return removeEngine(state, command);
     case 'reportEngine':
       return reportEngine(state, command.report);
     case 'retireStore': {
@@ -118,17 +183,40 @@
   }
 }
 
-interface EncodedFleet extends Omit<FleetState, 'engines' | 'stores'> {
+interface EncodedFleet extends Omit<FleetState, 'engines' | 'goneEngines' | 'stores'> {
   readonly engines: readonly FleetEngine[];
+  /** With their last starts; releases before wrote the names alone. */
+  readonly goneEngines: readonly (EngineId | readonly [EngineId, number])[];
   readonly stores: readonly (FleetState['stores'] extends ReadonlyMap<string, infer S>
     ? S
     : never)[];
 }
 
+/** What releases before wrote: their engines didn't say when they started. */
+type ToldBefore<Report extends {readonly startedAtMs: number | null}> = Omit<
+  Report,
+  'startedAtMs'
+> &
+  Partial<Pick<Report, 'startedAtMs'>>;
+
+function withStart(engine: ToldBefore<FleetEngine>): FleetEngine {
+  return {...engine, startedAtMs: engine.startedAtMs ?? UNTOLD_START};
+}
+
+function decodeCommand(bytes: Uint8Array): FleetCommand {
+  const command = decodeValue<FleetCommand>(bytes);
+  if (command.kind === 'removeEngine') {
+    return {...command, startedAtMs: command.startedAtMs ?? null};
+  }
+  return command.kind === 'reportEngine'
+    ? {...command, report: withStart(command.report)}
+    : command;
+}
+
 /** See the module's comment. */
 export const fleetMachine: ReplicaMachine<FleetState> = {
   apply: (state, command): MachineResult<FleetState> => {
-    const {answer, state: next} = step(state, decodeValue<FleetCommand>(command));
+    const {answer, state: next} = step(state, decodeCommand(command));
     return {blobs: [], result: answer, state: next};
   },
   blobEnd: () => 0,
@@ -136,7 +224,10 @@
     const encoded = decodeValue<EncodedFleet>(bytes);
     return {
       ...encoded,
-      engines: new Map(encoded.engines.map((engine) => [engine.id, engine])),
+      engines: new Map(encoded.engines.map((engine) => [engine.id, withStart(engine)])),
+      goneEngines: new Map(
+        encoded.goneEngines.map((gone) => (typeof gone === 'string' ? [gone, UNTOLD_START] : gone)),
+      ),
       stores: new Map(encoded.stores.map((store) => [store.name, store])),
     };
   },
@@ -144,6 +235,7 @@
     const encoded: EncodedFleet = {
       ...state,
       engines: [...state.engines.values()],
+      goneEngines: [...state.goneEngines],
       stores: [...state.stores.values()],
     };
     return encodeValue(encoded);
--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -76,13 +76,19 @@
   readonly sequence: number;
   readonly service: string;
   readonly slots: number;
+  /**
+   * When it started, in Unix milliseconds of its own time of day; {@link UNTOLD_START} when it doesn't say. An engine that
+   * starts again under its name holds nothing of before, and counts its reports anew.
+   */
+  readonly startedAtMs: number;
   readonly zone: ZoneId;
 }
 
+/** Start of an engine that doesn't say when it started: before all that do. */
+export const UNTOLD_START = 0;
+
 /** An engine as the group knows it. */
-export interface FleetEngine extends Omit<EngineReport, 'sequence'> {
-  readonly sequence: number;
-}
+export type FleetEngine = EngineReport;
 
 /** A store process that has been seen, by its disk's name as a replica. */
 export interface FleetStore {
@@ -92,11 +98,19 @@
   readonly retiring: boolean;
 }
 
+/** An engine says that it ends. */
+export interface RemoveEngine {
+  readonly id: EngineId;
+  readonly kind: 'removeEngine';
+  /** Which of its starts ends; null when it doesn't say: then the one that is known. */
+  readonly startedAtMs: number | null;
+}
+
 /** What changes the state. */
 export type FleetCommand =
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
   | {readonly founders: readonly ReplicaId[]; readonly kind: 'foundJobs'}
-  | {readonly id: EngineId; readonly kind: 'removeEngine'}
+  | RemoveEngine
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireStore'; readonly name: VmId}
   | {readonly kind: 'seeStore'; readonly name: VmId; readonly replica: ReplicaId};
@@ -114,8 +128,8 @@
   readonly engines: ReadonlyMap<EngineId, FleetEngine>;
   /** Rises with each change of the engines. */
   readonly enginesRevision: number;
-  /** Engines that have ended, oldest first: none of them comes back under its name. */
-  readonly goneEngines: readonly EngineId[];
+  /** The last start that has ended of each engine that is gone, oldest first: only a later start comes back. */
+  readonly goneEngines: ReadonlyMap<EngineId, number>;
   /** First members of the group that keeps batch jobs; null until it was founded. */
   readonly jobsFounders: readonly ReplicaId[] | null;
   readonly stores: ReadonlyMap<VmId, FleetStore>;
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -5,7 +5,7 @@
 
 import {unreachable} from 'stallpaddle';
 
-import type {EngineReport, FleetConfig, FleetEngine, FleetStore} from './FleetTypes';
+import type {EngineReport, FleetConfig, FleetEngine, FleetStore, RemoveEngine} from './FleetTypes';
 
 import {applyNews, type NewsUpdate} from './FleetDelta';
 
@@ -104,7 +104,7 @@
       readonly waitMs: number;
     }
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
-  | {readonly id: EngineId; readonly kind: 'removeEngine'}
+  | RemoveEngine
   /** Tells a process without a replica where replicas are: it may know nobody, and be asked by others. */
   | {readonly kind: 'introduce'; readonly replicas: readonly ReplicaId[]}
   /** Asks any replica for what it holds, which may be old; for a process that knows nothing at all. */
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -14,7 +14,7 @@
   FleetState,
 } from '../../FleetTypes';
 
-import {fleetMachine, isNews} from '../../FleetMachine';
+import {fleetMachine, isNews, isOutdated, laterHolders} from '../../FleetMachine';
 
 function apply(state: FleetState, ...commands: readonly FleetCommand[]): FleetState {
   return commands.reduce(
@@ -31,6 +31,7 @@
     sequence: 1,
     service: 's',
     slots: 8,
+    startedAtMs: 0,
     zone: 'z',
     ...changes,
   };
@@ -59,7 +60,7 @@
     const state = apply(
       EMPTY,
       {kind: 'reportEngine', report: reportOf('e')},
-      {id: 'e', kind: 'removeEngine'},
+      {id: 'e', kind: 'removeEngine', startedAtMs: null},
       {kind: 'reportEngine', report: reportOf('e', {sequence: 9})},
     );
     expect(state.engines.size).toBe(0);
@@ -74,7 +75,7 @@
       {kind: 'reportEngine', report: reportOf('new', {address, service: 't'})},
     );
     expect([...state.engines.keys()]).toEqual(['new']);
-    expect(state.goneEngines).toEqual(['old']);
+    expect([...state.goneEngines.keys()]).toEqual(['old']);
   });
 
   test('in any order and number of reports, leaving and removal win', async () => {
@@ -82,7 +83,7 @@
       fc
         .record({draining: fc.boolean(), sequence: fc.nat(6)})
         .map((changes): FleetCommand => ({kind: 'reportEngine', report: reportOf('e', changes)})),
-      fc.constant<FleetCommand>({id: 'e', kind: 'removeEngine'}),
+      fc.constant<FleetCommand>({id: 'e', kind: 'removeEngine', startedAtMs: null}),
     );
     const property = fc.property(fc.array(command, {maxLength: 12}), (commands) => {
       let state = EMPTY;
@@ -104,6 +105,136 @@
   });
 });
 
+describe('engines that start again under their name', () => {
+  test('hold nothing of before: they leave no more, and count their reports anew', () => {
+    const state = apply(
+      EMPTY,
+      {kind: 'reportEngine', report: reportOf('e', {sequence: 50, startedAtMs: 1_000})},
+      {
+        kind: 'reportEngine',
+        report: reportOf('e', {draining: true, sequence: 60, startedAtMs: 1_000}),
+      },
+      {
+        kind: 'reportEngine',
+        report: reportOf('e', {address: '10.0.0.2:80', sequence: 1, startedAtMs: 2_000}),
+      },
+    );
+    expect(state.engines.get('e')).toMatchObject({
+      address: '10.0.0.2:80',
+      draining: false,
+      sequence: 1,
+    });
+  });
+
+  test('come back after their farewell, which the start before may repeat', () => {
+    const state = apply(
+      EMPTY,
+      {kind: 'reportEngine', report: reportOf('e', {startedAtMs: 1_000})},
+      {id: 'e', kind: 'removeEngine', startedAtMs: 1_000},
+      {kind: 'reportEngine', report: reportOf('e', {sequence: 2, startedAtMs: 1_000})},
+    );
+    expect(state.engines.size).toBe(0);
+    const again = apply(
+      state,
+      {kind: 'reportEngine', report: reportOf('e', {startedAtMs: 2_000})},
+      {id: 'e', kind: 'removeEngine', startedAtMs: 1_000},
+    );
+    expect(again.engines.get('e')?.startedAtMs).toBe(2_000);
+  });
+
+  test('a late report of the start before changes nothing', () => {
+    const state = apply(
+      EMPTY,
+      {kind: 'reportEngine', report: reportOf('e', {startedAtMs: 2_000})},
+      {
+        kind: 'reportEngine',
+        report: reportOf('e', {draining: true, sequence: 99, startedAtMs: 1_000}),
+      },
+    );
+    expect(state.engines.get('e')).toMatchObject({draining: false, startedAtMs: 2_000});
+    expect(isOutdated(state, reportOf('e', {sequence: 99, startedAtMs: 1_000}))).toBe(true);
+  });
+
+  test('tell who has an address that an older engine claims', () => {
+    const address = '10.0.0.9:80';
+    const state = apply(EMPTY, {
+      kind: 'reportEngine',
+      report: reportOf('new', {address, startedAtMs: 2_000}),
+    });
+    expect(laterHolders(state, reportOf('old', {address, startedAtMs: 1_000}))).toEqual(['new']);
+    expect(laterHolders(state, reportOf('next', {address, startedAtMs: 3_000}))).toEqual([]);
+  });
+
+  /** Naive: the newest start counts, and in it leaving and removal win. */
+  test('in any order of words of several starts, only the newest start counts', async () => {
+    const words = fc.oneof(
+      fc
+        .record({
+          draining: fc.boolean(),
+          sequence: fc.nat(6),
+          startedAtMs: fc.integer({max: 3, min: 1}),
+        })
+        .map((changes): FleetCommand => ({kind: 'reportEngine', report: reportOf('e', changes)})),
+      fc
+        .integer({max: 3, min: 1})
+        .map((startedAtMs): FleetCommand => ({id: 'e', kind: 'removeEngine', startedAtMs})),
+    );
+    const property = fc.property(fc.array(words, {maxLength: 14}), (commands) => {
+      let state = EMPTY;
+      let newest = 0;
+      let ended = 0;
+      let left = 0;
+      for (const next of commands) {
+        state = apply(state, next);
+        const known = state.engines.get('e');
+        if (next.kind === 'removeEngine') {
+          ended = Math.max(ended, next.startedAtMs ?? 0);
+        } else if (next.kind === 'reportEngine') {
+          newest = Math.max(newest, next.report.startedAtMs);
+        }
+        expect(known?.startedAtMs).toBe(newest > ended ? newest : undefined);
+        expect(known !== undefined && known.startedAtMs <= left && !known.draining).toBe(false);
+        left = known?.draining === true ? known.startedAtMs : left;
+      }
+    });
+    await assertHistories('reports of starts of an engine', property, 500);
+  });
+
+  test('what releases before wrote without starts is read', () => {
+    const report = {...reportOf('e'), startedAtMs: undefined};
+    const bytes = encodeValue({
+      config: null,
+      engines: [report],
+      enginesRevision: 3,
+      goneEngines: ['old'],
+      jobsFounders: null,
+      stores: [],
+    });
+    const state = fleetMachine.decode(bytes);
+    expect(state.engines.get('e')?.startedAtMs).toBe(0);
+    expect(isNews(state, reportOf('old', {sequence: 9}))).toBe(false);
+    const removal = encodeValue({id: 'e', kind: 'removeEngine'});
+    expect(fleetMachine.apply(state, removal, 0).state.engines.size).toBe(0);
+  });
+});
+
+describe('reports of other writers', () => {
+  const services = [{maxConnections: 9, name: 's', slots: 8}];
+  const configured = apply(EMPTY, {config: {...configOf(1), services}, kind: 'putConfig'});
+  const known = apply(configured, {kind: 'reportEngine', report: reportOf('e')});
+
+  test('an unknown service takes no engine its address', () => {
+    const {address} = reportOf('e');
+    const report = reportOf('other', {address, service: 'nobody’s'});
+    expect([...apply(known, {kind: 'reportEngine', report}).engines.keys()]).toContain('e');
+  });
+
+  test('an unknown service takes no engine over', () => {
+    const report = reportOf('e', {sequence: 9, service: 'nobody’s'});
+    expect(apply(known, {kind: 'reportEngine', report}).engines.get('e')?.service).toBe('s');
+  });
+});
+
 describe('configurations', () => {
   test('the highest version holds, and other content under it changes nothing', () => {
     const first = apply(EMPTY, {config: configOf(7), kind: 'putConfig'});
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -9,20 +9,22 @@
   sortLines,
 } from './FleetDelta';
 export {FleetHistory, type NumberedNews} from './FleetHistory';
-export {fleetMachine, isNews} from './FleetMachine';
-export type {
-  EngineReport,
-  FleetAnswer,
-  FleetCommand,
-  FleetConfig,
-  FleetEngine,
-  FleetLimits,
-  FleetRoute,
-  FleetService,
-  FleetState,
-  FleetStore,
-  RouteKind,
-  RouteShare,
+export {fleetMachine, isNews, isOutdated, laterHolders} from './FleetMachine';
+export {
+  type EngineReport,
+  type FleetAnswer,
+  type FleetCommand,
+  type FleetConfig,
+  type FleetEngine,
+  type FleetLimits,
+  type FleetRoute,
+  type FleetService,
+  type FleetState,
+  type FleetStore,
+  type RemoveEngine,
+  type RouteKind,
+  type RouteShare,
+  UNTOLD_START,
 } from './FleetTypes';
 export {
   EMPTY_VIEW,
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -158,6 +158,7 @@
     const now = this.options.clock.monotonicMs();
     const waiting = this.urgency.waiting(view, this.tasks.all(), now);
     const {cuts, starts} = planItems(this.engines.planned(view), waiting, SPARE_SLOTS);
+    this.engines.outlived(view).forEach((key) => this.runner.cut(key));
     cuts.forEach((key) => this.runner.cut(key));
     // Knowledge that is too old may name an engine that has left.
     if (this.isFresh()) {
--- a/packages/stallpaddle-jobs/src/JobsEngines.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngines.ts
@@ -5,7 +5,7 @@
 import type {EngineId, LogFields, MonotonicMs} from 'stallpaddle';
 import type {EngineView, FleetView} from 'stallpaddle-fleet';
 
-import {isSound, RelayExperience} from 'stallpaddle-relay';
+import {type EngineStart, isSound, RelayExperience} from 'stallpaddle-relay';
 
 import type {JobsDispatcherOptions} from './JobsContext';
 import type {PlannedEngine, PlannedRun} from './JobsPlan';
@@ -82,11 +82,23 @@
   /**
    * Notes how a run at an engine went.
    *
-   * @param id the engine
+   * @param start the engine, as it was when the run began
    * @param ok whether the engine did its part
    */
-  note(id: EngineId, ok: boolean): void {
-    this.experience.note(id, ok);
+  note(start: EngineStart, ok: boolean): void {
+    this.experience.note(start, ok);
+  }
+
+  /**
+   * Items whose engine has started again since their run began: it knows nothing of them, and may never say so.
+   *
+   * @param view what is known of the fleet
+   */
+  outlived(view: FleetView): readonly string[] {
+    const starts = new Map(view.news.engines.map(({id, startedAtMs}) => [id, startedAtMs]));
+    return [...this.options.tasks.all()]
+      .filter(({run}) => run !== undefined && run.engineStartMs < (starts.get(run.engine) ?? 0))
+      .map(({key}) => key);
   }
 
   /** Engines all of whose items have fallen silent; found anew after some milliseconds, not for each that asks. */
@@ -139,7 +151,7 @@
         !engine.draining &&
         !silent.has(engine.id) &&
         this.survey?.isPending(engine.id) !== true &&
-        isSound(engine, this.experience.of(engine.id), now),
+        isSound(engine, this.experience.of(engine), now),
     }));
   }
 
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -134,6 +134,7 @@
     const startedAt = clock.monotonicMs();
     const taskRun: TaskRun = {
       engine: engine.id,
+      engineStartMs: engine.startedAtMs,
       events: 0,
       isCut: false,
       lastEventAt: startedAt,
@@ -144,7 +145,7 @@
     task.run = undefined;
     this.options.urgency.estimates.noteRun(taskRun.events, taskRun.lastEventAt - startedAt);
     if (this.options.tasks.get(task.key) === task) {
-      this.onRunEnd(task, engine.id, end);
+      this.onRunEnd(task, engine, end);
     }
   }
 
@@ -171,9 +172,9 @@
     }
   }
 
-  private onRunEnd(task: Task, engine: string, end: ItemRunEnd): void {
+  private onRunEnd(task: Task, engine: EngineView, end: ItemRunEnd): void {
     this.decide('itemReturned', task, {
-      engine,
+      engine: engine.id,
       events: task.events,
       how: end.kind,
       reason: 'reason' in end ? end.reason : undefined,
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -11,6 +11,8 @@
 /** A run under way. */
 export interface TaskRun {
   readonly engine: EngineId;
+  /** Which of its engine's starts runs it: the time of day at which the engine says it started, in Unix milliseconds. */
+  readonly engineStartMs: number;
   /** Events that this run has brought. */
   events: number;
   /** It gives way, and its end is on its way. */
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -112,6 +112,7 @@
         service: 's',
         silent: false,
         slots: 2,
+        startedAtMs: 0,
         zone: 'z',
       })),
     },
@@ -275,6 +276,39 @@
     expect(cuts).toEqual(['e1']);
   });
 
+  test('runs items anew whose engine has started again and knows nothing of them', async () => {
+    // The connection of the run tells nothing: the engine lost its power, and its VM answers at the same address.
+    const engines = await startEngines(2, 40, 10);
+    const group = new Group();
+    const cuts: unknown[] = [];
+    let startedAtMs = 0;
+    const dispatcher = lead(
+      group,
+      () => {
+        const view = viewOf(engines);
+        const [first, ...others] = view.news.engines;
+        const news = {...view.news, engines: [{...first!, startedAtMs}, ...others]};
+        return {...view, news};
+      },
+      {
+        decide: (decision, _, {engine}) => {
+          if (decision === 'itemCut') {
+            cuts.push(engine);
+          }
+        },
+      },
+    );
+    group.submit(2);
+    await until(() => engines.every(({seen}) => seen.length > 0));
+    await delay(60);
+    startedAtMs = 1_000;
+    dispatcher.poke();
+    await until(() => cuts.length > 0);
+    await until(() => group.results.length === 2);
+    expect(cuts).toEqual(['e0']);
+    expect([group.textOf(0), group.textOf(1)]).toEqual([whole(40), whole(40)]);
+  });
+
   /** Requests whose sender keeps the connections open and never reads: its VM has lost its power. */
   function holdSlots(engine: StreamEngine, count: number): () => void {
     const requests = Array.from({length: count}, (_, at) =>
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -16,6 +16,8 @@
   type Hello,
   isEmptyDelta,
   isNews,
+  isOutdated,
+  laterHolders,
   type RetireAnswer,
   UNPROVEN_TERM,
   type WatchAnswer,
@@ -26,7 +28,7 @@
 
 import {NodeHeard} from './NodeHeard';
 import {votersFor} from './NodeKeeper';
-import {makeNews} from './NodeNews';
+import {isSilent, makeNews} from './NodeNews';
 import {NodeNewsBoard} from './NodeNewsBoard';
 import {chooseFounders, isEmptied, stayingReplicas} from './NodeStorePlan';
 
@@ -105,7 +107,7 @@
       case 'readConfig':
         return this.options.group.driver.read().config;
       case 'removeEngine':
-        return this.propose({id: request.id, kind: 'removeEngine'});
+        return this.propose(request);
       case 'reportEngine':
         return this.takeReport(request.report);
       case 'retireState':
@@ -133,10 +135,27 @@
 
   private async takeReport(report: EngineReport): Promise<FleetAnswer> {
     const state = this.options.group.driver.read();
+    if (isOutdated(state, report) || this.isLate(state, report)) {
+      const {address, id, startedAtMs} = report;
+      this.options.log('A report of an earlier start of an engine came late.', {
+        address,
+        engine: id,
+        startedAtMs,
+      });
+      return {kind: 'applied'};
+    }
     this.current().engines.set(report.id, this.options.clock.monotonicMs());
     return isNews(state, report) ? this.propose({kind: 'reportEngine', report}) : {kind: 'applied'};
   }
 
+  /** Whether an engine that started later has the report's address, and lives. */
+  private isLate(state: FleetState, report: EngineReport): boolean {
+    const {clock, reportMs} = this.options;
+    const now = clock.monotonicMs();
+    const heard = this.current();
+    return laterHolders(state, report).some((id) => !isSilent(heard, id, now, reportMs));
+  }
+
   private watch(request: Extract<FleetRequest, {kind: 'watch'}>): Promise<WatchAnswer> {
     const {clock, group} = this.options;
     const now = clock.monotonicMs();
--- a/packages/stallpaddle-node/src/NodeNews.ts
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -2,7 +2,7 @@
  * The news that a leader of the control group has for all processes: pure, from the group's state and what
  * the leader has heard.
  */
-import type {MonotonicMs} from 'stallpaddle';
+import type {EngineId, MonotonicMs} from 'stallpaddle';
 import type {EngineView, EntryView, FleetNews, FleetState, StoreView} from 'stallpaddle-fleet';
 import type {GroupMembers} from 'stallpaddle-replication';
 
@@ -24,13 +24,28 @@
   readonly state: FleetState;
 }
 
-/** An engine that a new leader hasn't heard yet counts as heard when it began to listen. */
+/**
+ * Whether an engine's reports fail to come. One that a new leader hasn't heard yet counts as heard when it began to listen.
+ *
+ * @param heard what the leader has heard
+ * @param id the engine
+ * @param now the present moment
+ * @param reportMs time between two reports, in milliseconds
+ */
+export function isSilent(
+  heard: NodeHeard,
+  id: EngineId,
+  now: MonotonicMs,
+  reportMs: number,
+): boolean {
+  return now - (heard.engines.get(id) ?? heard.since) >= MISSED_REPORTS * reportMs;
+}
+
 function engineViews({heard, now, reportMs, state}: NewsInput): readonly EngineView[] {
-  const silentAfter = MISSED_REPORTS * reportMs;
   const engines = [...state.engines.values()].map((engine) => ({
     ...engine,
     sequence: 0,
-    silent: now - (heard.engines.get(engine.id) ?? heard.since) >= silentAfter,
+    silent: isSilent(heard, engine.id, now, reportMs),
   }));
   return sortLines(engines, ({id}) => id);
 }
--- a/packages/stallpaddle-node/src/NodeWire.ts
+++ b/packages/stallpaddle-node/src/NodeWire.ts
@@ -3,8 +3,14 @@
  * into these and back; it decides nothing.
  */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {EngineId, VmId} from 'stallpaddle';
-import type {EngineReport, EntryView, FleetConfig, RetireAnswer} from 'stallpaddle-fleet';
+import type {VmId} from 'stallpaddle';
+import type {
+  EngineReport,
+  EntryView,
+  FleetConfig,
+  RemoveEngine,
+  RetireAnswer,
+} from 'stallpaddle-fleet';
 import type {ReadResult, SubmittedItem} from 'stallpaddle-jobs';
 import type {RelayWire} from 'stallpaddle-relay';
 
@@ -34,7 +40,7 @@
 export type ControlCall =
   | BadCall
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
-  | {readonly id: EngineId; readonly kind: 'removeEngine'}
+  | RemoveEngine
   | {readonly kind: 'readConfig'}
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireState'; readonly name: VmId}
--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -60,7 +60,7 @@
     const engine = this.hasAttemptLeft ? this.next() : undefined;
     return (
       engine !== undefined &&
-      isSound(engine, experience.of(engine.id), clock.monotonicMs()) &&
+      isSound(engine, experience.of(engine), clock.monotonicMs()) &&
       !online.isSuspect(engine.id) &&
       this.hasRoom(engine)
     );
@@ -115,7 +115,7 @@
     }
     return placeRequest({
       engines: this.hasAttemptLeft ? engines() : this.knownEngines(),
-      experienceOf: (id) => experience.of(id),
+      experienceOf: (engine) => experience.of(engine),
       isSuspect: (id) => online.isSuspect(id),
       now: clock.monotonicMs(),
       onlineAt: (id) => online.at(id),
--- a/packages/stallpaddle-relay/src/RelayExperience.ts
+++ b/packages/stallpaddle-relay/src/RelayExperience.ts
@@ -2,12 +2,22 @@
  * What one sender has seen of each engine, so that requests keep off those that fail.
  */
 import type {Clock, EngineId} from 'stallpaddle';
+import type {EngineView} from 'stallpaddle-fleet';
 
 import {afterAttempt, type EngineExperience, NO_EXPERIENCE} from './RelayPlacement';
 
+/** One start of an engine: what was seen of an earlier one says nothing of it. */
+export type EngineStart = Pick<EngineView, 'id' | 'startedAtMs'>;
+
+/** What was seen of one start. */
+interface SeenStart {
+  readonly experience: EngineExperience;
+  readonly startedAtMs: number;
+}
+
 /** See the module's comment. */
 export class RelayExperience {
-  private readonly seen = new Map<EngineId, EngineExperience>();
+  private readonly seen = new Map<EngineId, SeenStart>();
 
   /**
    * @param clock this process's clock
@@ -17,35 +27,24 @@
   /**
    * Experience with an engine.
    *
-   * @param id the engine
+   * @param start the engine, as it runs now
    */
-  of(id: EngineId): EngineExperience {
-    return this.seen.get(id) ?? NO_EXPERIENCE;
+  of({id, startedAtMs}: EngineStart): EngineExperience {
+    const seen = this.seen.get(id);
+    return seen?.startedAtMs === startedAtMs ? seen.experience : NO_EXPERIENCE;
   }
 
   /**
-   * Notes how an attempt went.
+   * Notes how an attempt went. What comes from an earlier start than the one seen last is passed over.
    *
-   * @param id the engine
+   * @param start the engine, as it was when it was sent the request
    * @param ok whether the engine answered
-   * @returns experience from now on
-   */
-  note(id: EngineId, ok: boolean): EngineExperience {
-    const next = afterAttempt(this.of(id), ok, this.clock.monotonicMs());
-    this.seen.set(id, next);
-    return next;
-  }
-
-  /**
-   * Forgets engines that are not in the list any more.
-   *
-   * @param known engines in the list
    */
-  keepOnly(known: ReadonlySet<EngineId>): void {
-    for (const id of this.seen.keys()) {
-      if (!known.has(id)) {
-        this.seen.delete(id);
-      }
+  note(start: EngineStart, ok: boolean): void {
+    const {id, startedAtMs} = start;
+    if (startedAtMs >= (this.seen.get(id)?.startedAtMs ?? startedAtMs)) {
+      const experience = afterAttempt(this.of(start), ok, this.clock.monotonicMs());
+      this.seen.set(id, {experience, startedAtMs});
     }
   }
 }
--- a/packages/stallpaddle-relay/src/RelayPlacement.ts
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -82,7 +82,7 @@
 /** What placement looks at. */
 export interface PlacementInput {
   readonly engines: readonly EngineView[];
-  readonly experienceOf: (id: EngineId) => EngineExperience;
+  readonly experienceOf: (engine: EngineView) => EngineExperience;
   /** Whether others have found an engine silent. */
   readonly isSuspect: (id: EngineId) => boolean;
   readonly now: MonotonicMs;
@@ -147,7 +147,7 @@
     (engine) => engine.service === service && !engine.draining && !tried.has(engine.id),
   );
   const sound = open.filter(
-    (engine) => isSound(engine, experienceOf(engine.id), now) && !isSuspect(engine.id),
+    (engine) => isSound(engine, experienceOf(engine), now) && !isSuspect(engine.id),
   );
   let best: EngineView | undefined;
   let bestLoad = Infinity;
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -236,7 +236,7 @@
       this.call = undefined;
       end();
       if (this.end === undefined && !this.silence.leftQueue) {
-        experience.note(engine.id, false);
+        experience.note(engine, false);
       }
     }
   }
@@ -291,7 +291,7 @@
       return;
     }
     if (end === 'whole') {
-      this.context.experience.note(engine.id, true);
+      this.context.experience.note(engine, true);
       this.res.end();
       this.finish('served');
       return;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -24,6 +24,7 @@
     service: 's',
     silent: false,
     slots: 8,
+    startedAtMs: 0,
     zone: 'z',
     ...changes,
   };
@@ -93,7 +94,7 @@
 
   test('keeps off a suspect, but takes it when there is no other', () => {
     const suspect = afterAttempt(NO_EXPERIENCE, false, 900);
-    const experienceOf = (id: string) => (id === '1' ? suspect : NO_EXPERIENCE);
+    const experienceOf = ({id}: EngineView) => (id === '1' ? suspect : NO_EXPERIENCE);
     expect(
       place([engineOf('1'), engineOf('2')], {experienceOf, onlineAt: (id) => (id === '2' ? 7 : 0)}),
     ).toBe('2');
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -66,6 +66,7 @@
     service: 's',
     silent: false,
     slots: 4,
+    startedAtMs: 0,
     zone: 'z',
   }));
   return {
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -10,7 +10,7 @@
   startEngineCall,
 } from './RelayEngineCall';
 export {continues, EventSplitter, type StreamEvent} from './RelayEvents';
-export {RelayExperience} from './RelayExperience';
+export {type EngineStart, RelayExperience} from './RelayExperience';
 export {passedHeaders} from './RelayHeaders';
 export {type OnlineCounts, RelayOnline} from './RelayOnline';
 export {RelayPace} from './RelayPace';
