Soak: the platform's program as processes under seeded, overlapping faults

What PROOFS lists as not proved (links between VMs cut, a VM frozen amid its work, engines that start again under their names, disks lost while all processes are killed) had no run of our own with real processes.

Change: packages/stallpaddle-soak draws faults from a seed, never more VMs with a disk out than the settings allow, runs the program through links of its own, and judges by one checker what callers, engines and the operator saw. It speaks no words of its own: platform/src/tools gives them. A process may take the calls of others behind a proxy (peerListenPort).

A fleet of `serve`: not built.

--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -113,7 +113,7 @@
 
   /** Begins to listen, and opens the replica where the VM has a disk. */
   async open(): Promise<void> {
-    const {control, dataFolder, host, peerPort} = this.options.settings;
+    const {control, dataFolder, host, peerListenPort, peerPort} = this.options.settings;
     const {key} = this.fleet.peers;
     const addService = (router: ConnectRouter) =>
       addNodeService(router, {
@@ -123,7 +123,7 @@
           this.log.note('A call of another process broke off.', {error: errorMessage(err)}),
         replica: () => this.group?.driver,
       });
-    this.rpc = await startRpcServer(host, peerPort, key, addService, (from) =>
+    this.rpc = await startRpcServer(host, peerListenPort ?? peerPort, key, addService, (from) =>
       this.fleet.peers.noteRefused(from),
     );
     if (control !== null) {
--- a/packages/stallpaddle-node/src/NodeSettings.ts
+++ b/packages/stallpaddle-node/src/NodeSettings.ts
@@ -53,6 +53,8 @@
   /** Where metrics are read, at the path `/metrics`. */
   metrics: address,
   name: z.string(),
+  /** Port on which this process takes calls of the others where a proxy stands before it; else the peer port. */
+  peerListenPort: z.optional(z.number()),
   /** Port on which processes of the fleet reach each other; the same on all VMs. */
   peerPort: z.number(),
   /** Where the platform asks whether this process takes callers. */
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -124,7 +124,7 @@
 
   private async open(): Promise<void> {
     const {settings} = this.options;
-    const {dataFolder, host, peerPort} = settings;
+    const {dataFolder, host, peerListenPort, peerPort} = settings;
     if (dataFolder === '') {
       throw new Error('a store process needs a data folder');
     }
@@ -138,8 +138,12 @@
           this.log.note('A call of another process broke off.', {error: errorMessage(err)}),
         replica: () => this.group?.driver,
       });
-    this.rpc = await startRpcServer(host, peerPort, peers.key, addService, (from) =>
-      peers.noteRefused(from),
+    this.rpc = await startRpcServer(
+      host,
+      peerListenPort ?? peerPort,
+      peers.key,
+      addService,
+      (from) => peers.noteRefused(from),
     );
     void this.watch.run();
     void this.openGroup(dataFolder);
--- /dev/null
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -0,0 +1,368 @@
+/**
+ * Judges a soak's history by the product's promises. Pure: it sees only what callers, engines and the operator saw.
+ */
+import type {
+  SoakBounds,
+  SoakBreak,
+  SoakEvent,
+  SoakFault,
+  SoakPromise,
+  SoakResult,
+} from './SoakTypes';
+
+import {IMPOSSIBLE, itemText, onceText, streamText} from './SoakOutput';
+
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** First status that is no success. */
+const FIRST_FAILURE = 300;
+/** Time after a fault during which bounds of time are not held against the fleet, in milliseconds. */
+const CALM_MS = 4_000;
+/** Least part of the requests after the recovery that must be served. */
+const SERVED_PART = 0.5;
+
+type EventOf<Kind extends SoakEvent['kind']> = Extract<SoakEvent, {kind: Kind}>;
+
+/** What is remembered of a job. */
+interface SeenJob {
+  acceptedAt: number | undefined;
+  endAcceptedAt: number | undefined;
+  readonly items: readonly string[];
+  readonly results: SoakResult[];
+}
+
+function isSameResult(a: SoakResult, b: SoakResult): boolean {
+  return a.id === b.id && a.outcome === b.outcome && a.text === b.text;
+}
+
+/** Faults of processes or links: while one lasts, and a while after, a bound of time says nothing. */
+function troublesFleet({kind}: SoakFault): boolean {
+  switch (kind) {
+    case 'cut':
+    case 'freeze':
+    case 'kill':
+    case 'killAll':
+    case 'reset':
+    case 'slow':
+    case 'wipe':
+      return true;
+    case 'configure':
+    case 'engineBreaks':
+    case 'engineCrash':
+    case 'engineLeaves':
+    case 'engineSilent':
+    case 'stop':
+      return false;
+  }
+}
+
+/** One pass over a history. */
+class Judge {
+  private acceptedConfig: {readonly at: number; readonly version: number}[] = [];
+  readonly breaks: SoakBreak[] = [];
+  private readonly asked = new Map<string, EventOf<'asked'>>();
+  private readonly finishedRuns = new Set<string>();
+  private readonly items = new Map<string, string>();
+  private readonly jobs = new Map<string, SeenJob>();
+  private readonly leftAt = new Map<string, number>();
+  private openTroubles = 0;
+  private recoveredAt = Infinity;
+  private readonly refused = new Set<string>();
+  private readonly refusedJobs = new Set<string>();
+  private readonly runs = new Map<string, number>();
+  private sentConfig = 0;
+  private servedSince = 0;
+  private stops = new Map<string, number>();
+  private troubledUntil = -Infinity;
+  private unservedSince = 0;
+
+  constructor(private readonly bounds: SoakBounds) {}
+
+  take(event: SoakEvent): void {
+    switch (event.kind) {
+      case 'answered':
+        this.onAnswer(event);
+        return;
+      case 'asked':
+        this.asked.set(event.id, event);
+        return;
+      case 'broken':
+        this.onBroken(event);
+        return;
+      case 'configAccepted':
+        this.acceptedConfig.push({at: event.at, version: event.version});
+        return;
+      case 'configRead':
+        this.onConfigRead(event);
+        return;
+      case 'configSent':
+        this.sentConfig = Math.max(this.sentConfig, event.version);
+        return;
+      case 'ended':
+        this.onEnd(event.at);
+        return;
+      case 'faultBegan':
+        this.onFault(event, 1);
+        return;
+      case 'faultEnded':
+        this.onFault(event, -1);
+        return;
+      case 'finished':
+        this.finishedRuns.add(event.id);
+        return;
+      case 'jobAccepted':
+        this.onJobAccepted(event);
+        return;
+      case 'jobEndAccepted': {
+        const job = this.jobs.get(event.job);
+        if (job !== undefined) {
+          job.endAcceptedAt ??= event.at;
+        }
+        return;
+      }
+      case 'jobNotFound':
+        this.onNotFound(event);
+        return;
+      case 'jobRead':
+        this.onJobRead(event);
+        return;
+      case 'jobRefused':
+        this.refusedJobs.add(event.job);
+        this.checkRefusedJob(event.at, event.job);
+        return;
+      case 'jobSent':
+        this.jobs.set(event.job, {
+          acceptedAt: undefined,
+          endAcceptedAt: undefined,
+          items: event.items,
+          results: [],
+        });
+        event.items.forEach((item) => this.items.set(item, event.job));
+        return;
+      case 'leaveAccepted':
+        this.leftAt.set(
+          event.engine,
+          Math.min(event.at, this.leftAt.get(event.engine) ?? event.at),
+        );
+        return;
+      case 'ran':
+        this.onRun(event);
+        return;
+      case 'recovered':
+        this.recoveredAt = event.at;
+        return;
+    }
+  }
+
+  private fail(at: number, promise: SoakPromise, detail: string): void {
+    this.breaks.push({at, detail, promise});
+  }
+
+  /** Whether processes and links have been left alone for a while. */
+  private isCalm(at: number): boolean {
+    return this.openTroubles === 0 && at - this.troubledUntil > CALM_MS;
+  }
+
+  private onFault({at, fault}: EventOf<'faultBegan' | 'faultEnded'>, by: 1 | -1): void {
+    if (fault.kind === 'stop') {
+      if (by > 0) {
+        this.stops.set(fault.vm, at);
+      } else {
+        this.stops.delete(fault.vm);
+      }
+    }
+    if (troublesFleet(fault)) {
+      this.openTroubles += by;
+      this.troubledUntil = at;
+    }
+  }
+
+  private onAnswer({at, id, status, text, whole}: EventOf<'answered'>): void {
+    const asked = this.asked.get(id);
+    this.countServed(at, status < FIRST_FAILURE && whole);
+    if (asked === undefined) {
+      this.fail(at, 'answerIsOwnAndWhole', `an answer to ${id}, which nobody asked`);
+      return;
+    }
+    const expected = asked.route === 'once' ? onceText(id) : streamText(id);
+    if (status < FIRST_FAILURE && whole && text !== expected) {
+      this.fail(at, 'answerIsOwnAndWhole', `${id} got ${JSON.stringify(text.slice(0, 200))}`);
+    }
+    // What came before an answer that broke off must be the beginning of the caller's own.
+    if (status < FIRST_FAILURE && !whole && !expected.startsWith(text)) {
+      this.fail(at, 'answerIsOwnAndWhole', `${id} got part ${JSON.stringify(text.slice(0, 200))}`);
+    }
+    if (NOT_RUN.has(status) && asked.route === 'once') {
+      this.refused.add(id);
+      if (this.runs.has(id)) {
+        this.fail(at, 'notRunIsTrue', `${id} got ${status} and had run`);
+      }
+    }
+  }
+
+  private onBroken({at, id}: EventOf<'broken'>): void {
+    this.countServed(at, false);
+    const asked = this.asked.get(id);
+    const stoppedAt = asked === undefined ? undefined : this.stops.get(asked.vm);
+    const isCut = stoppedAt !== undefined && asked!.at >= stoppedAt - CALM_MS;
+    if (isCut && this.isCalm(at) && this.runs.has(id)) {
+      this.fail(at, 'plannedStopCutsNothing', `${id} at ${asked!.vm}`);
+    }
+  }
+
+  private countServed(at: number, isServed: boolean): void {
+    if (at >= this.recoveredAt) {
+      if (isServed) {
+        this.servedSince++;
+      } else {
+        this.unservedSince++;
+      }
+    }
+  }
+
+  private onRun({at, engine, id}: EventOf<'ran'>): void {
+    const runs = (this.runs.get(id) ?? 0) + 1;
+    this.runs.set(id, runs);
+    const asked = this.asked.get(id);
+    const jobId = this.items.get(id);
+    if (asked === undefined && jobId === undefined) {
+      this.fail(at, 'runsWereAsked', `${id} ran at ${engine}`);
+    }
+    if (asked?.route === 'once' && runs > 1) {
+      this.fail(at, 'onceRunsOnce', `${id} ran ${runs} times, now at ${engine}`);
+    }
+    if (this.refused.has(id)) {
+      this.fail(at, 'notRunIsTrue', `${id} was refused and ran later at ${engine}`);
+    }
+    if (jobId !== undefined) {
+      this.checkRefusedJob(at, jobId);
+      this.checkCancelled(at, id, jobId);
+    }
+    const leftAt = this.leftAt.get(engine);
+    if (leftAt !== undefined && at - leftAt > this.bounds.drainMs && this.isCalm(at)) {
+      this.fail(at, 'leavingEngineGetsNothing', `${id} at ${engine}, which left at ${leftAt}`);
+    }
+  }
+
+  private checkRefusedJob(at: number, jobId: string): void {
+    const ran = this.jobs.get(jobId)?.items.find((item) => this.runs.has(item));
+    if (this.refusedJobs.has(jobId) && ran !== undefined) {
+      this.fail(at, 'notRunIsTrue', `job ${jobId} was refused, and item ${ran} ran`);
+    }
+  }
+
+  private checkCancelled(at: number, item: string, jobId: string): void {
+    const endedAt = this.jobs.get(jobId)?.endAcceptedAt;
+    if (endedAt !== undefined && at - endedAt > this.bounds.cancelMs && this.isCalm(at)) {
+      this.fail(at, 'cancelledJobStops', `item ${item} of ${jobId}, which ended at ${endedAt}`);
+    }
+  }
+
+  private onJobAccepted({at, job}: EventOf<'jobAccepted'>): void {
+    const seen = this.jobs.get(job);
+    if (seen !== undefined) {
+      seen.acceptedAt ??= at;
+    }
+  }
+
+  private onNotFound({at, job, sentAt, vm}: EventOf<'jobNotFound'>): void {
+    const acceptedAt = this.jobs.get(job)?.acceptedAt;
+    if (acceptedAt !== undefined && sentAt - acceptedAt > this.bounds.settleMs) {
+      this.fail(at, 'acceptedJobIsFound', `${vm} knows no job ${job}, accepted at ${acceptedAt}`);
+    }
+  }
+
+  private onJobRead({at, from, job, results, total, vm}: EventOf<'jobRead'>): void {
+    const seen = this.jobs.get(job);
+    if (seen === undefined) {
+      this.fail(at, 'acceptedJobIsFound', `${vm} has job ${job}, which nobody sent`);
+      return;
+    }
+    if (total !== seen.items.length) {
+      this.fail(at, 'resultsStay', `job ${job} has ${total} items at ${vm}`);
+    }
+    results.forEach((result, offset) => this.onResult(at, job, seen, from + offset, result));
+  }
+
+  private onResult(
+    at: number,
+    job: string,
+    seen: SeenJob,
+    position: number,
+    result: SoakResult,
+  ): void {
+    const before = seen.results[position];
+    if (before !== undefined) {
+      if (!isSameResult(before, result)) {
+        this.fail(at, 'resultsStay', `job ${job} position ${position}: ${before.id}, ${result.id}`);
+      }
+      return;
+    }
+    seen.results[position] = result;
+    if (!seen.items.includes(result.id)) {
+      this.fail(at, 'resultIsWhole', `job ${job} lists ${result.id}, which is not its own`);
+    }
+    const places = seen.results.filter((other) => other?.id === result.id);
+    if (places.length > 1) {
+      this.fail(at, 'itemEndsOnce', `item ${result.id} of ${job} stands at two positions`);
+    }
+    this.checkOutcome(at, job, seen, result);
+  }
+
+  private checkOutcome(at: number, job: string, seen: SeenJob, result: SoakResult): void {
+    const isImpossible = result.id.includes(IMPOSSIBLE);
+    if (result.outcome === 'completed' && (isImpossible || result.text !== itemText(result.id))) {
+      const text = JSON.stringify(result.text.slice(0, 200));
+      this.fail(at, 'resultIsWhole', `item ${result.id} of ${job}: ${text}`);
+    }
+    // An ended job may list what was given up.
+    if (result.outcome === 'givenUp' && !isImpossible && seen.endAcceptedAt === undefined) {
+      this.fail(at, 'itemEndsOnce', `item ${result.id} of ${job} was given up`);
+    }
+  }
+
+  private onConfigRead({at, sentAt, version, vm}: EventOf<'configRead'>): void {
+    const due = this.acceptedConfig
+      .filter((accepted) => sentAt - accepted.at > this.bounds.applyMs)
+      .reduce((most, accepted) => Math.max(most, accepted.version), 0);
+    if (version < due) {
+      this.fail(at, 'acceptedConfigStays', `${vm} gave version ${version} after ${due}`);
+    }
+    if (version > this.sentConfig) {
+      this.fail(at, 'acceptedConfigStays', `${vm} gave version ${version}, which nobody sent`);
+    }
+  }
+
+  private onEnd(at: number): void {
+    for (const [id, {acceptedAt, endAcceptedAt, items, results}] of this.jobs) {
+      const listed = results.filter((result) => result !== undefined).length;
+      if (acceptedAt !== undefined && endAcceptedAt === undefined && listed < items.length) {
+        const missing = `${listed} of ${items.length} items listed`;
+        this.fail(at, 'acceptedJobIsFound', `job ${id}, accepted at ${acceptedAt}: ${missing}`);
+      }
+    }
+    const asked = this.servedSince + this.unservedSince;
+    if (this.recoveredAt < Infinity && this.servedSince < asked * SERVED_PART) {
+      this.fail(at, 'fleetRecovers', `${this.servedSince} of ${asked} requests served`);
+    }
+    if (this.recoveredAt < Infinity && asked === 0) {
+      this.fail(at, 'fleetRecovers', 'nobody could ask anything');
+    }
+  }
+}
+
+/**
+ * Judges a history.
+ *
+ * @param events what happened, in order
+ * @param bounds bounds that the fleet's settings promise
+ * @returns broken promises, in order
+ */
+export function judgeHistory(
+  events: readonly SoakEvent[],
+  bounds: SoakBounds,
+): readonly SoakBreak[] {
+  const judge = new Judge(bounds);
+  events.forEach((event) => judge.take(event));
+  return judge.breaks;
+}
--- /dev/null
+++ b/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
@@ -0,0 +1,305 @@
+/**
+ * The checker sees each broken promise, and nothing in a history in which all are kept.
+ */
+import {describe, expect, test} from 'vitest';
+
+import type {SoakHappening} from '../../SoakHistory';
+import type {SoakEvent, SoakPromise} from '../../SoakTypes';
+
+import {judgeHistory} from '../../SoakChecker';
+import {itemText, onceText, streamText} from '../../SoakOutput';
+
+const BOUNDS = {applyMs: 2_000, cancelMs: 3_000, drainMs: 2_000, settleMs: 1_000};
+/** A moment after everything else. */
+const LATE = 60_000;
+
+type Timed = readonly [number, SoakHappening];
+
+function judge(...history: readonly Timed[]): readonly SoakPromise[] {
+  const events = history.map(([at, happening]) => ({...happening, at}) as SoakEvent);
+  return judgeHistory(events, BOUNDS).map(({promise}) => promise);
+}
+
+function asked(id: string, route: 'once' | 'stream' = 'stream', vm = 'v'): SoakHappening {
+  return {id, kind: 'asked', route, vm};
+}
+
+function answered(id: string, text: string, status = 200, whole = true): SoakHappening {
+  return {id, kind: 'answered', status, text, whole};
+}
+
+function ran(id: string, engine = 'e'): SoakHappening {
+  return {engine, id, kind: 'ran', resumeAfter: 0};
+}
+
+function completed(id: string, text = itemText(id)) {
+  return {id, outcome: 'completed', text} as const;
+}
+
+function read(job: string, ids: readonly string[], total: number, from = 0): SoakHappening {
+  const results = ids.map((id) => completed(id));
+  return {from, job, kind: 'jobRead', results, total, vm: 'v'};
+}
+
+const JOB: readonly Timed[] = [
+  [100, {items: ['j-0', 'j-1'], job: 'j', kind: 'jobSent'}],
+  [200, {job: 'j', kind: 'jobAccepted'}],
+];
+const WHOLE_JOB: readonly Timed[] = [
+  ...JOB,
+  [300, ran('j-0')],
+  [300, ran('j-1')],
+  [900, read('j', ['j-1', 'j-0'], 2)],
+];
+
+describe('a history in which all is kept', () => {
+  test('breaks nothing', () => {
+    expect(
+      judge(
+        ...WHOLE_JOB,
+        [1_000, asked('q1')],
+        [1_010, ran('q1')],
+        [1_020, ran('q1')],
+        [1_100, answered('q1', streamText('q1'))],
+        [1_200, asked('q2', 'once')],
+        [1_210, answered('q2', '', 503)],
+        [1_300, asked('q3', 'once')],
+        [1_310, ran('q3')],
+        [1_320, {id: 'q3', kind: 'broken'}],
+        [1_400, {kind: 'configSent', version: 2}],
+        [1_500, {kind: 'configAccepted', version: 2}],
+        [1_600, {kind: 'configRead', sentAt: 1_550, version: 1, vm: 'v'}],
+        [9_600, {kind: 'configRead', sentAt: 9_550, version: 2, vm: 'v'}],
+        [LATE, {kind: 'recovered'}],
+        [LATE + 1, asked('q9')],
+        [LATE + 2, answered('q9', streamText('q9'))],
+        [LATE + 3, {kind: 'ended'}],
+      ),
+    ).toEqual([]);
+  });
+});
+
+describe('a broken promise is seen', () => {
+  test.each<readonly [string, SoakPromise, readonly Timed[]]>([
+    [
+      'an answer of another request',
+      'answerIsOwnAndWhole',
+      [
+        [1, asked('q1')],
+        [2, answered('q1', streamText('q2'))],
+      ],
+    ],
+    [
+      'an answer that looks whole and lacks its end',
+      'answerIsOwnAndWhole',
+      [
+        [1, asked('q1')],
+        [2, answered('q1', streamText('q1').slice(0, -9))],
+      ],
+    ],
+    [
+      'a part that is not the caller’s own',
+      'answerIsOwnAndWhole',
+      [
+        [1, asked('q1')],
+        [2, answered('q1', streamText('q2').slice(0, 30), 200, false)],
+      ],
+    ],
+    ['an answer that nobody asked for', 'answerIsOwnAndWhole', [[2, answered('q7', '')]]],
+    [
+      'a refusal of what had run',
+      'notRunIsTrue',
+      [
+        [1, asked('q1', 'once')],
+        [2, ran('q1')],
+        [3, answered('q1', '', 503)],
+      ],
+    ],
+    [
+      'a refusal of what runs later',
+      'notRunIsTrue',
+      [
+        [1, asked('q1', 'once')],
+        [2, answered('q1', '', 429)],
+        [3, ran('q1')],
+      ],
+    ],
+    [
+      'a refused job whose item runs',
+      'notRunIsTrue',
+      [
+        [1, {items: ['j-0'], job: 'j', kind: 'jobSent'}],
+        [2, {job: 'j', kind: 'jobRefused'}],
+        [3, ran('j-0')],
+      ],
+    ],
+    [
+      'a second run of what runs once',
+      'onceRunsOnce',
+      [
+        [1, asked('q1', 'once')],
+        [2, ran('q1', 'e')],
+        [3, ran('q1', 'f')],
+        [4, answered('q1', onceText('q1'))],
+      ],
+    ],
+    ['a run that nobody asked for', 'runsWereAsked', [[3, ran('q8')]]],
+    [
+      'an accepted job that is not found',
+      'acceptedJobIsFound',
+      [...JOB, [5_000, {job: 'j', kind: 'jobNotFound', sentAt: 4_900, vm: 'v'}]],
+    ],
+    [
+      'an accepted job whose items never end',
+      'acceptedJobIsFound',
+      [...JOB, [5_000, read('j', ['j-0'], 2)], [LATE, {kind: 'ended'}]],
+    ],
+    [
+      'an accepted job that can’t be read at the end',
+      'acceptedJobIsFound',
+      [...JOB, [LATE, {kind: 'ended'}]],
+    ],
+    ['a job that nobody sent', 'acceptedJobIsFound', [[5_000, read('other', ['j-0'], 1)]]],
+    ['an item at two positions', 'itemEndsOnce', [...JOB, [5_000, read('j', ['j-0', 'j-0'], 2)]]],
+    [
+      'an item that was given up without reason',
+      'itemEndsOnce',
+      [
+        ...JOB,
+        [
+          5_000,
+          {
+            from: 0,
+            job: 'j',
+            kind: 'jobRead',
+            results: [{id: 'j-0', outcome: 'givenUp', text: ''}],
+            total: 2,
+            vm: 'v',
+          },
+        ],
+      ],
+    ],
+    [
+      'an output with an event left out',
+      'resultIsWhole',
+      [
+        ...JOB,
+        [
+          5_000,
+          {
+            from: 0,
+            job: 'j',
+            kind: 'jobRead',
+            results: [completed('j-0', itemText('j-0').replace('j-0 4\n', ''))],
+            total: 2,
+            vm: 'v',
+          },
+        ],
+      ],
+    ],
+    ['an item of another job', 'resultIsWhole', [...JOB, [5_000, read('j', ['k-0'], 2)]]],
+    [
+      'a position that holds another result than before',
+      'resultsStay',
+      [...JOB, [5_000, read('j', ['j-0'], 2)], [6_000, read('j', ['j-1'], 2)]],
+    ],
+    ['another number of items', 'resultsStay', [...JOB, [5_000, read('j', [], 3)]]],
+    [
+      'an item that starts after its job was ended',
+      'cancelledJobStops',
+      [...JOB, [5_000, {job: 'j', kind: 'jobEndAccepted'}], [9_000, ran('j-0')]],
+    ],
+    [
+      'a request at an engine that has left',
+      'leavingEngineGetsNothing',
+      [
+        [1_000, {engine: 'e', kind: 'leaveAccepted'}],
+        [5_000, asked('q1')],
+        [5_001, ran('q1', 'e')],
+      ],
+    ],
+    [
+      'an older configuration after a newer one was accepted',
+      'acceptedConfigStays',
+      [
+        [1, {kind: 'configSent', version: 7}],
+        [2, {kind: 'configAccepted', version: 7}],
+        [9_000, {kind: 'configRead', sentAt: 8_900, version: 3, vm: 'v'}],
+      ],
+    ],
+    [
+      'a configuration that nobody sent',
+      'acceptedConfigStays',
+      [[9_000, {kind: 'configRead', sentAt: 8_900, version: 3, vm: 'v'}]],
+    ],
+    [
+      'a request that a planned stop cut',
+      'plannedStopCutsNothing',
+      [
+        [10_000, {fault: {kind: 'stop', vm: 'v'}, kind: 'faultBegan'}],
+        [10_001, asked('q1')],
+        [10_010, ran('q1')],
+        [10_020, {id: 'q1', kind: 'broken'}],
+      ],
+    ],
+    [
+      'a fleet that serves nobody after its faults',
+      'fleetRecovers',
+      [
+        [LATE, {kind: 'recovered'}],
+        [LATE + 1, asked('q1')],
+        [LATE + 2, answered('q1', '', 503)],
+        [LATE + 3, {kind: 'ended'}],
+      ],
+    ],
+  ])('%s', (_, promise, history) => {
+    expect(judge(...history)).toContain(promise);
+  });
+});
+
+describe('what the promises allow is not held against the fleet', () => {
+  test.each<readonly [string, readonly Timed[]]>([
+    [
+      'a job that is not found before it settles',
+      [...JOB, [900, {job: 'j', kind: 'jobNotFound', sentAt: 800, vm: 'v'}]],
+    ],
+    [
+      'a late request at an engine that left while a process stood still',
+      [
+        [1_000, {engine: 'e', kind: 'leaveAccepted'}],
+        [1_100, {fault: {forMs: 3_000, kind: 'freeze', vm: 'v'}, kind: 'faultBegan'}],
+        [4_100, {fault: {forMs: 3_000, kind: 'freeze', vm: 'v'}, kind: 'faultEnded'}],
+        [4_200, asked('q1')],
+        [4_201, ran('q1', 'e')],
+      ],
+    ],
+    [
+      'an item of an ended job that was given up',
+      [
+        ...JOB,
+        [4_000, {job: 'j', kind: 'jobEndAccepted'}],
+        [
+          5_000,
+          {
+            from: 0,
+            job: 'j',
+            kind: 'jobRead',
+            results: [{id: 'j-0', outcome: 'givenUp', text: ''}],
+            total: 2,
+            vm: 'v',
+          },
+        ],
+        [LATE, {kind: 'ended'}],
+      ],
+    ],
+    [
+      'an answer that broke off',
+      [
+        [1, asked('q1')],
+        [2, answered('q1', streamText('q1').slice(0, 20), 200, false)],
+      ],
+    ],
+  ])('%s', (_, history) => {
+    expect(judge(...history)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-soak/src/index.ts
@@ -0,0 +1,19 @@
+/** Runs a fleet's real processes under seeded faults and judges by the product's promises what came of it. */
+export {readSoakArguments, shapeOf, type SoakArguments, SoakArgumentsError} from './SoakArguments';
+export {judgeHistory} from './SoakChecker';
+export type {SoakPorts, SoakProgram, SoakVm} from './SoakFleet';
+export {eventText, itemText, onceText, OUTPUT_EVENTS, streamText} from './SoakOutput';
+export {planFaults, type SoakPlanInput, type SoakShape} from './SoakPlan';
+export {describeFault, reportSoak} from './SoakReport';
+export {runSoak, type SoakOptions, type SoakOutcome} from './SoakRun';
+export type {
+  PlannedFault,
+  SoakBounds,
+  SoakBreak,
+  SoakEvent,
+  SoakFault,
+  SoakPromise,
+  SoakResult,
+  SoakRoute,
+} from './SoakTypes';
+export type {EngineRequest, EngineWord, SoakCall, SoakWords} from './SoakWords';
