Reads of jobs: any replica answers, and nobody works for callers that are gone

Cause (class: there, with a leader, but not answered): all reads went to the leader of the jobs group, which also runs all items; each got one try of 1.5 s; what a caller had given up was still read. Asked for more than it can read in that time, a leader reads for nobody: callers come again, and no read is answered. A read that failed left no line in the log.

Ruled out: a freshness bound for what a follower lists (results stay, so what it holds is true however old); FIFO (those served are those about to give up).

Change: a read goes to one replica by chance, then to the leader. A follower answers from what it holds; that there is nothing yet only if it holds all that was committed half a second ago, by its leader's appends and the distance of the two clocks; that there is no such job never. `jobNotRead` tells of a read that nobody answered.

--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -5,17 +5,25 @@
 
 import type {ItemOutcome, JobId, JobsState, Submission} from './JobsTypes';
 
+/** How a read may be answered. */
+export interface ReadTerms {
+  /** Whether a replica that doesn't lead may answer, from what it holds. */
+  readonly mayFollow: boolean;
+  /** Time after which nobody waits for the answer any more, beyond the time that it may be held, in milliseconds. */
+  readonly patienceMs: number;
+}
+
 /** What any process may ask of the group's leader. */
 export type JobsRequest =
-  | {readonly item: string; readonly job: JobId; readonly kind: 'readBody'}
+  | (ReadTerms & {readonly item: string; readonly job: JobId; readonly kind: 'readBody'})
   | {readonly job: JobId; readonly kind: 'endJob'}
-  | {
+  | (ReadTerms & {
       readonly from: number;
       readonly job: JobId;
       readonly kind: 'readResults';
       /** Longest time to hold the answer while there is none, in milliseconds. */
       readonly waitMs: number;
-    }
+    })
   | {
       readonly kind: 'submit';
       readonly maxWaitingTokens: number;
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -65,7 +65,7 @@
     this.intake = new NodeIntake(clock, settings.bounds.grace);
     const online = new RelayOnline(clock);
     this.tells = new NodeTells(jobs, online, drawId('e'), () => watch.view.news.entries.length);
-    this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
+    this.jobCalls = new NodeJobCalls(jobs, wire, this.log, clock);
     this.context = {
       clock,
       decide: (decision, id, fields) => this.decide(decision, id, fields),
--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -1,8 +1,9 @@
 /**
- * Callers' job calls, brought to the leader of the group that keeps the jobs.
+ * Callers' job calls, brought to the group that keeps the jobs: changes to its leader, reads to any replica.
  */
+import type {Clock} from 'stallpaddle';
 import type {FleetRoute} from 'stallpaddle-fleet';
-import type {BodyAnswer, JobsAnswer, JobsRequest, ResultsAnswer} from 'stallpaddle-jobs';
+import type {JobsAnswer, JobsRequest} from 'stallpaddle-jobs';
 
 import {RefusalError, refuse, unreachable} from 'stallpaddle';
 
@@ -11,22 +12,29 @@
 import type {JobCall, NodeWire, RawAnswer, RawCall} from './NodeWire';
 
 import {JOB_CALL_MS} from './NodeConstants';
+import {NodeJobReads} from './NodeJobReads';
 
 /** Pause after which a refused submission should come again, in milliseconds. */
 const SUBMIT_AGAIN_MS = 500;
 
 /** See the module's comment. */
 export class NodeJobCalls {
+  private readonly reads: NodeJobReads;
+
   /**
    * @param caller calls the jobs' leader
    * @param wire the callers' words
    * @param log the process's log
+   * @param clock this process's clock
    */
   constructor(
     private readonly caller: NodeCaller,
     private readonly wire: NodeWire,
     private readonly log: NodeLog,
-  ) {}
+    clock: Clock,
+  ) {
+    this.reads = new NodeJobReads(caller, clock, log);
+  }
 
   /**
    * Takes a job.
@@ -76,16 +84,21 @@
   async carryOut(call: JobCall): Promise<RawAnswer> {
     switch (call.kind) {
       case 'endJob': {
-        const answer = await this.call<JobsAnswer>(call, true, JOB_CALL_MS);
+        const answer = await this.caller.call<JobsAnswer>({
+          changes: true,
+          totalMs: JOB_CALL_MS,
+          tryMs: JOB_CALL_MS,
+          value: call,
+        });
         this.log.decide('jobEnd', call.job, {outcome: answer.kind});
         return {status: answer.kind === 'unknownJob' ? 404 : 200};
       }
       case 'readBody': {
-        const answer = await this.call<BodyAnswer>(call, false, JOB_CALL_MS);
+        const answer = await this.reads.read(call);
         return answer.kind === 'body' ? {body: answer.body, status: 200} : {status: 404};
       }
       case 'readResults': {
-        const answer = await this.call<ResultsAnswer>(call, false, JOB_CALL_MS + call.waitMs);
+        const answer = await this.reads.read(call);
         return answer.kind === 'results'
           ? this.wire.encodeResults(answer.total, answer.next, answer.results)
           : {status: 404};
@@ -95,10 +108,6 @@
     }
   }
 
-  private call<Answer>(value: JobsRequest, changes: boolean, totalMs: number): Promise<Answer> {
-    return this.caller.call<Answer>({changes, totalMs, tryMs: totalMs, value});
-  }
-
   private onAnswer(id: string, answer: JobsAnswer): RawAnswer {
     switch (answer.kind) {
       case 'accepted':
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -1,5 +1,5 @@
 /**
- * Answers all processes while this one leads the group that keeps batch jobs.
+ * Answers all processes while this one leads the group that keeps batch jobs; reads of jobs also while it follows.
  */
 import type {Clock} from 'stallpaddle';
 
@@ -8,7 +8,6 @@
   type BodyAnswer,
   findBody,
   findResults,
-  type JobId,
   type JobsAnswer,
   type JobsChange,
   type JobsCommand,
@@ -25,8 +24,15 @@
 import type {NodeGroup} from './NodeGroup';
 
 import {NodeOnlineDesk} from './NodeOnlineDesk';
+import {NodeReadQueue} from './NodeReadQueue';
 import {NodeWaiters} from './NodeWaiters';
 
+/**
+ * Age of what a replica that follows surely holds, up to which it may say that there is no result yet, in milliseconds:
+ * whoever has read a result must find it again after a second.
+ */
+const FOLLOWER_AGE_MS = 500;
+
 type Driver = NodeGroup<JobsState>['driver'];
 
 async function readResult(driver: Driver, {id, outcome, texts}: ResultRef): Promise<ReadResult> {
@@ -34,14 +40,13 @@
   return {id, outcome, text: joinOutput(parts)};
 }
 
-async function readBody(driver: Driver, job: JobId, item: string): Promise<BodyAnswer> {
-  const ref = findBody(driver.read(), job, item);
-  return ref === undefined ? {kind: 'notFound'} : {body: await driver.readBlob(ref), kind: 'body'};
-}
+type ReadBody = Extract<JobsRequest, {kind: 'readBody'}>;
+type ReadResults = Extract<JobsRequest, {kind: 'readResults'}>;
 
 /** See the module's comment. */
 export class NodeJobsDesk {
   private readonly online = new NodeOnlineDesk();
+  private readonly reads: NodeReadQueue;
   private readonly waiters = new NodeWaiters();
 
   /**
@@ -51,7 +56,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly group: Pick<NodeGroup<JobsState>, 'driver'>,
-  ) {}
+  ) {
+    this.reads = new NodeReadQueue(clock);
+  }
 
   /**
    * Records a change.
@@ -79,22 +86,23 @@
    */
   async answer(request: JobsRequest, dispatcher: JobsDispatcher): Promise<unknown> {
     const {driver} = this.group;
-    const state = driver.read();
     switch (request.kind) {
       case 'endJob':
+        driver.read();
         return this.proposeTo(driver, {job: request.job, kind: 'endJob'});
       case 'readBody':
-        return readBody(driver, request.job, request.item);
+        return this.readBody(driver, request);
       case 'readResults':
         return this.readResults(driver, request);
       case 'submit': {
         const {maxWaitingTokens, submission} = request;
-        if (state.jobs.has(submission.id)) {
+        if (driver.read().jobs.has(submission.id)) {
           return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
         }
         return this.proposeTo(driver, {kind: 'submit', maxWaitingTokens, submission});
       }
       case 'tellOnline':
+        driver.read();
         return this.online.tell(request, dispatcher);
       default:
         return unreachable(request);
@@ -105,22 +113,53 @@
     return driver.propose(encodeValue({change} satisfies JobsCommand));
   }
 
-  private async readResults(
+  private async readBody(
     driver: Driver,
-    {from, job, waitMs}: Extract<JobsRequest, {kind: 'readResults'}>,
-  ): Promise<ResultsAnswer> {
-    const end = this.clock.monotonicMs() + waitMs;
+    {item, job, mayFollow, patienceMs}: ReadBody,
+  ): Promise<BodyAnswer> {
+    const endAt = this.clock.monotonicMs() + patienceMs;
+    const ref = findBody(stateFor(driver, mayFollow), job, item);
+    if (ref === undefined) {
+      // Only the leader knows for certain what is not there.
+      driver.read();
+      return {kind: 'notFound'};
+    }
+    const body = await this.reads.add(() => driver.readBlob(ref), endAt);
+    return {body, kind: 'body'};
+  }
+
+  private async readResults(driver: Driver, request: ReadResults): Promise<ResultsAnswer> {
+    const {from, job, mayFollow, patienceMs, waitMs} = request;
+    const holdUntil = this.clock.monotonicMs() + waitMs;
     for (;;) {
-      const found = findResults(driver.read(), job, from, RESULT_BYTES);
+      const found = findResults(stateFor(driver, mayFollow), job, from, RESULT_BYTES);
       if (found === undefined) {
+        driver.read();
         return {kind: 'notFound'};
       }
-      const left = end - this.clock.monotonicMs();
-      if (found.results.length > 0 || left <= 0 || from >= found.total) {
-        const results = await Promise.all(found.results.map((ref) => readResult(driver, ref)));
-        return {kind: 'results', next: from + results.length, results, total: found.total};
+      const {results: refs, total} = found;
+      const left = holdUntil - this.clock.monotonicMs();
+      if (refs.length > 0 || left <= 0 || from >= total) {
+        expectSure(driver, refs.length > 0 || from === total);
+        const endAt = this.clock.monotonicMs() + Math.max(0, left) + patienceMs;
+        const read = (): Promise<readonly ReadResult[]> =>
+          Promise.all(refs.map((ref) => readResult(driver, ref)));
+        const results = refs.length === 0 ? [] : await this.reads.add(read, endAt);
+        return {kind: 'results', next: from + results.length, results, total};
       }
       await this.waiters.wait(left);
     }
   }
 }
+
+/** The state from which a read is answered: what is listed stays, so any replica's will do for what it holds. */
+function stateFor(driver: Driver, mayFollow: boolean): JobsState {
+  return mayFollow ? driver.localState : driver.read();
+}
+
+/** An answer that there is nothing yet may be given only by who knows what was committed a moment ago. */
+function expectSure(driver: Driver, isSure: boolean): void {
+  if (!isSure && driver.completeAgeMs > FOLLOWER_AGE_MS) {
+    driver.read();
+  }
+}
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
@@ -7,15 +7,18 @@
  * read was ever answered. A play of the same kind of day with all its logs, and the first test here, show it.
  */
 import type {JobsDispatcher, JobsRequest, JobsState, ResultsAnswer} from 'stallpaddle-jobs';
+import type {TryOutcome} from 'stallpaddle-rpc';
 import type {BlobRef} from 'stallpaddle-storage';
 
-import {delay, encodeValue, systemClock} from 'stallpaddle';
+import {delay, encodeValue, RefusalError, seededRandom, systemClock} from 'stallpaddle';
 import {jobsMachine} from 'stallpaddle-jobs';
 import {NotLeaderError} from 'stallpaddle-replication';
 import {describe, expect, test} from 'vitest';
 
+import type {GroupCall} from '../../NodeCaller';
 import type {NodeGroup} from '../../NodeGroup';
 
+import {NodeJobReads} from '../../NodeJobReads';
 import {NodeJobsDesk} from '../../NodeJobsDesk';
 
 const JOBS = 120;
@@ -146,3 +149,61 @@
     );
   });
 });
+
+/** A caller whose replicas answer as a test says. */
+function callerOf(
+  answers: Readonly<Record<string, TryOutcome>>,
+  leader: unknown = 'from the leader',
+) {
+  const asked: string[] = [];
+  const caller = {
+    call: <Answer>({totalMs}: GroupCall): Promise<Answer> => {
+      asked.push('leader');
+      return totalMs > 0
+        ? Promise.resolve(leader as Answer)
+        : Promise.reject(new RefusalError('unavailable', 'notRun', 'no time'));
+    },
+    hosts: () => Object.keys(answers),
+    tryAt: (host: string): Promise<TryOutcome> => {
+      asked.push(host);
+      return Promise.resolve(answers[host]!);
+    },
+  };
+  return {asked, caller};
+}
+
+describe('where jobs are read', () => {
+  const call = {from: 0, job: 'j', kind: 'readResults', waitMs: 0} as const;
+  const noLog = {decide: () => {}};
+  const answered = {kind: 'answered', result: 'from a replica'} as const;
+
+  test('any replica is asked, and the leader only for what it can’t tell', async () => {
+    const {asked, caller} = callerOf({a: answered, b: answered, c: answered});
+    const reads = new NodeJobReads(caller, systemClock, noLog, seededRandom(1));
+    for (let read = 0; read < 60; read++) {
+      expect(await reads.read(call)).toBe('from a replica');
+    }
+    expect(new Set(asked)).toEqual(new Set(['a', 'b', 'c']));
+  });
+
+  test('a replica that is dark is left out for a while, and its reads go to the leader', async () => {
+    const {asked, caller} = callerOf({a: {kind: 'unknown'}});
+    const reads = new NodeJobReads(caller, systemClock, noLog);
+    expect(await reads.read(call)).toBe('from the leader');
+    expect(await reads.read(call)).toBe('from the leader');
+    expect(asked).toEqual(['a', 'leader', 'leader']);
+  });
+
+  test('a read that nobody answers is told in the log', async () => {
+    const {caller} = callerOf({});
+    const told: string[] = [];
+    const log = {decide: (decision: string, id: string) => told.push(`${decision} ${id}`)};
+    const refusing = {
+      ...caller,
+      call: () => Promise.reject(new RefusalError('unavailable', 'notRun', 'no leader')),
+    };
+    const reads = new NodeJobReads(refusing, systemClock, log);
+    await expect(reads.read(call)).rejects.toThrow('no leader');
+    expect(told).toEqual(['jobNotRead j']);
+  });
+});
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -123,6 +123,12 @@
     return this.leadership.kind === 'leads';
   }
 
+  /** Age of what this replica surely holds of what is committed, in milliseconds; Infinity when it can't tell. */
+  get completeAgeMs(): number {
+    const now = this.options.clock.monotonicMs();
+    return this.leads ? 0 : now - this.replication.completeAt;
+  }
+
   /**
    * The state with all that was committed before this call.
    *
--- a/packages/stallpaddle-replication/src/ReplicationFollower.ts
+++ b/packages/stallpaddle-replication/src/ReplicationFollower.ts
@@ -21,6 +21,9 @@
 
 type Append = Extract<MessageBody, {kind: 'append'}>;
 
+/** Most by which two steady clocks part, as a fraction: ten times what quartz clocks do. */
+const CLOCK_DRIFT = 0.001;
+
 function $heedLeader(draft: ReplicationDraft, message: Message): void {
   if (message.term > draft.term) {
     $enterTerm(draft, message.term, message.from);
@@ -94,6 +97,24 @@
     draft.commit = commit;
     $applyCommitted(draft);
   }
+  $noteComplete(draft, message.term, append);
+}
+
+/**
+ * Notes as of when this replica holds all that its leader has committed: an append tells what was committed when it was
+ * sent. One that a cut or a freeze held up is told from others by the two clocks, whose distance hardly changes.
+ */
+function $noteComplete(draft: ReplicationDraft, term: Term, {commit, sentAt}: Append): void {
+  const {leaderClock, now} = draft;
+  const apartMs = now - sentAt;
+  const known = leaderClock?.term === term ? leaderClock : null;
+  const driftMs = known === null ? 0 : (now - known.seenAt) * CLOCK_DRIFT;
+  const leastMs = Math.min(apartMs, known === null ? Infinity : known.leastMs + driftMs);
+  draft.leaderClock = {leastMs, seenAt: now, term};
+  // To a replica that lacks a snapshot the leader names no commit at all.
+  if (known !== null && commit > 0 && commit <= draft.commit) {
+    draft.completeAt = Math.max(draft.completeAt, now - (apartMs - leastMs));
+  }
 }
 
 /**
--- a/packages/stallpaddle-replication/src/ReplicationStep.ts
+++ b/packages/stallpaddle-replication/src/ReplicationStep.ts
@@ -67,10 +67,12 @@
     {
       applied: index,
       commit,
+      completeAt: -Infinity,
       electionAt: now,
       electionCount: 0,
       group: start.group,
       heardLeaderAt: now,
+      leaderClock: null,
       log: start.log,
       persisted: start.log.lastIndex,
       role: {kind: 'follower', leader: null},
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -216,16 +216,28 @@
   readonly state: ReplicationState;
 }
 
+/** The clock of a term's leader, as a follower sees it. */
+export interface LeaderClock {
+  /** Least difference of the two clocks that an append showed: what others show beyond it is delay on their way. */
+  readonly leastMs: number;
+  readonly seenAt: MonotonicMs;
+  readonly term: Term;
+}
+
 /** Everything that a replica of a group knows. */
 export interface ReplicationState {
   readonly applied: LogIndex;
   readonly commit: LogIndex;
+  /** When this replica last held all that its leader had committed, as a follower; -Infinity before it ever did. */
+  readonly completeAt: MonotonicMs;
   readonly electionAt: MonotonicMs;
   /** Number of timeouts drawn so far; spreads elections of different replicas. */
   readonly electionCount: number;
   readonly group: GroupId;
   /** When a current leader was last heard, or the start: until the timeout no vote is given. */
   readonly heardLeaderAt: MonotonicMs;
+  /** How far this replica's clock is from its leader's; null before the leader's first append. */
+  readonly leaderClock: LeaderClock | null;
   readonly log: ReplicationLog;
   /** Last index known to be synced on this replica's disk. */
   readonly persisted: LogIndex;
