Bulk data: every write is covered by the next sync, and cuts run alone

Cause: a segment was noted as unsynced before its write, and the note was dropped when a sync began, though the sync might run before the write landed; syncs ran side by side, and the second found nothing to do; a sync that failed dropped the note too; files were opened beside a cut at the end they had before it; lengths were looked at after the cut had set them. Change: the note follows the write; syncs run one after another and fail for good once one has failed; a cut waits for all uses of files and they for it; lengths are looked at first.

--- a/packages/stallpaddle-storage/src/StorageBlobs.ts
+++ b/packages/stallpaddle-storage/src/StorageBlobs.ts
@@ -52,8 +52,14 @@
 
 /** The segments of one replica. Appends must come one after another. */
 export class StorageBlobs {
-  private readonly files = new Map<number, Promise<DiskFile>>();
+  /** The cut that runs; files are neither opened nor used beside it. */
+  private cutting: Promise<void> | undefined;
   private readonly dirty = new Set<number>();
+  private readonly files = new Map<number, Promise<DiskFile>>();
+  /** The latest sync; the next begins once it has ended. */
+  private syncing: Promise<void> = Promise.resolve();
+  /** Uses of files under way. */
+  private readonly uses = new Set<Promise<unknown>>();
 
   private constructor(
     private readonly disk: Disk,
@@ -73,8 +79,9 @@
    */
   static async open(disk: Disk, end: number): Promise<StorageBlobs> {
     const blobs = new StorageBlobs(disk, end);
-    await blobs.cut(end);
+    // Before the cut: on a file that is too short it would add zeros.
     await blobs.checkLength();
+    await blobs.cutTo(end);
     return blobs;
   }
 
@@ -104,8 +111,8 @@
    */
   async read(ref: BlobRef): Promise<Uint8Array> {
     const start = segmentStart(ref.offset);
-    const file = await this.segment(start);
-    const bytes = await file.read(ref.offset - start, RECORD_HEADER_BYTES + ref.length);
+    const length = RECORD_HEADER_BYTES + ref.length;
+    const bytes = await this.use(start, (file) => file.read(ref.offset - start, length));
     const record = decodeRecord(bytes, 0);
     if (record === undefined || record.payload.length !== ref.length) {
       throw new CorruptionError(segmentName(start), ref.offset - start, 'the checksum differs');
@@ -127,8 +134,7 @@
   ): Promise<{readonly bytes: Uint8Array; readonly offset: number}> {
     const start = segmentStart(offset);
     const until = Math.min(this.endOffset, start + BLOB_SEGMENT_BYTES, offset + most);
-    const file = await this.segment(start);
-    const bytes = await file.read(offset - start, until - offset);
+    const bytes = await this.use(start, (file) => file.read(offset - start, until - offset));
     const next = start + BLOB_SEGMENT_BYTES;
     return bytes.length === 0 && next < this.endOffset ? this.readRaw(next, most) : {bytes, offset};
   }
@@ -155,15 +161,14 @@
     this.endOffset = offset + bytes.length;
   }
 
-  /** Syncs all that was appended. */
-  async sync(): Promise<void> {
-    // What is appended while this runs is dirty again.
-    const starts = [...this.dirty];
-    this.dirty.clear();
-    for (const start of starts) {
-      await (await this.segment(start)).sync();
-    }
-    await this.disk.syncNames();
+  /**
+   * Syncs all that was appended. After a sync that failed this one fails too: what the disk didn't take then, it may
+   * have given up.
+   */
+  sync(): Promise<void> {
+    // One after another: a second caller must not go on while the first one's sync still runs.
+    this.syncing = this.syncing.then(() => this.syncDirty());
+    return this.syncing;
   }
 
   /**
@@ -173,14 +178,10 @@
    * @param end new end of the data, in bytes
    */
   async cutTo(end: number): Promise<void> {
-    await this.close();
-    for (const start of this.dirty) {
-      if (start >= end) {
-        this.dirty.delete(start);
-      }
-    }
-    await this.cut(end);
-    this.endOffset = end;
+    this.cutting = this.cutAlone(end).finally(() => {
+      this.cutting = undefined;
+    });
+    await this.cutting;
   }
 
   /** Closes all files. */
@@ -194,8 +195,48 @@
 
   private async write(offset: number, bytes: Uint8Array): Promise<void> {
     const start = segmentStart(offset);
+    await this.use(start, (file) => file.append(bytes));
+    // Only now: a sync that ran beside the write may have missed it, and the next one must not.
     this.dirty.add(start);
-    await (await this.segment(start)).append(bytes);
+  }
+
+  private async syncDirty(): Promise<void> {
+    // What is appended while this runs is dirty again.
+    const starts = [...this.dirty];
+    this.dirty.clear();
+    for (const start of starts) {
+      await this.use(start, (file) => file.sync());
+    }
+    await this.disk.syncNames();
+  }
+
+  /** Uses a segment's file. A file knows its end from when it was opened, so a cut waits for all uses, and they for it. */
+  private async use<Result>(
+    start: number,
+    task: (file: DiskFile) => Promise<Result>,
+  ): Promise<Result> {
+    while (this.cutting !== undefined) {
+      await this.cutting;
+    }
+    const use = this.segment(start).then(task);
+    this.uses.add(use);
+    try {
+      return await use;
+    } finally {
+      this.uses.delete(use);
+    }
+  }
+
+  private async cutAlone(end: number): Promise<void> {
+    await Promise.allSettled(this.uses);
+    await this.close();
+    for (const start of this.dirty) {
+      if (start >= end) {
+        this.dirty.delete(start);
+      }
+    }
+    await this.cut(end);
+    this.endOffset = end;
   }
 
   private segment(start: number): Promise<DiskFile> {
@@ -211,8 +252,8 @@
     if (last < 0) {
       return;
     }
-    const file = await this.segment(start);
-    if ((await file.read(last, 1)).length !== 1) {
+    const found = await this.use(start, (file) => file.read(last, 1));
+    if (found.length !== 1) {
       throw new CorruptionError(segmentName(start), last, 'the segment is too short');
     }
   }
