--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDiskFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDiskFaults.test.ts
@@ -5,6 +5,8 @@
  * What was seen: of many accepted jobs one couldn't be read after a loss of power. Each of these faults leaves just that:
  * a snapshot that names bytes which never reached the disk, or a state that lacks commands which others hold.
  */
+import type {ReplicaId} from 'stallpaddle';
+
 import {delay, silentLogger, systemClock} from 'stallpaddle';
 import {FakeDisk} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
@@ -20,7 +22,7 @@
 
 import {ReplicaDriver} from '../../ReplicaDriver';
 import {ReplicaStorage} from '../../ReplicaStorage';
-import {BARE, bulkOf, listMachine, type ListState} from './ReplicaList';
+import {bulkOf, listMachine, type ListState} from './ReplicaList';
 
 type Driver = ReplicaDriver<ListState>;
 
@@ -130,12 +132,11 @@
     }
   }
 
-  /** Commands without bulk data until a snapshot covers all that came before. */
-  async function snapshotNow(driver: Driver): Promise<void> {
-    const {applied} = driver.status;
-    while (driver.status.log.snapshot.index < applied) {
-      await fill(driver, `${BARE}bare `, 1);
-    }
+  /** Adds a learner: a snapshot is taken for it. */
+  async function join(driver: Driver, learners: readonly ReplicaId[]): Promise<void> {
+    const {length} = sources;
+    await driver.changeMembers({learners, voters: [SELF]});
+    await until(() => sources.length > length);
   }
 
   /** All unsynced content and names are gone, and the replica starts again. */
@@ -155,15 +156,15 @@
   test('a job accepted before a transfer broke off lasts with the next snapshot', async () => {
     // The note that the job's bytes had never been synced was dropped with the rest of the transfer.
     const disk = await formed(ALONE);
-    const driver = await lead(disk);
+    const driver = await lead(disk, Infinity);
     await fill(driver, 'early ', 20);
-    await snapshotNow(driver);
+    await join(driver, ['vm/8']);
     await driver.propose(Buffer.from('job'));
     const meta = {index: 9_999, members: ALONE, term: 99};
     const end = await driver.beginInstall(meta, 99);
     await driver.installBlobs(end!, Buffer.from('half of a transfer'));
     await driver.beginInstall(meta, 99);
-    await snapshotNow(driver);
+    await join(driver, ['vm/8', 'vm/9']);
     const again = await losePower(driver, disk);
     expect(texts(again)).toContain('job');
     expect(await unreadable(again)).toEqual([]);
