--- a/packages/stallpaddle-replication/src/ReplicaBlobs.ts
+++ b/packages/stallpaddle-replication/src/ReplicaBlobs.ts
@@ -4,10 +4,13 @@
  */
 import type {BlobRef, StorageBlobs} from 'stallpaddle-storage';
 
+import {errorMessage} from 'stallpaddle';
+
 import type {PlacedBlob} from './ReplicaMachine';
 
 /** See the module's comment. */
 export class ReplicaBlobs {
+  private failure: Error | undefined;
   private work: Promise<void> = Promise.resolve();
 
   /**
@@ -89,9 +92,13 @@
     return this.blobs.readRaw(offset, most);
   }
 
-  /** Makes all that was added so far last. */
+  /** Makes all that was added so far last; fails once any of it could not be written. */
   async sync(): Promise<void> {
     await this.work;
+    if (this.failure !== undefined) {
+      // A snapshot saved now would name bytes that aren't there.
+      throw this.failure;
+    }
     await this.blobs.sync();
   }
 
@@ -102,7 +109,10 @@
   }
 
   private run(task: () => Promise<void>): Promise<void> {
-    this.work = this.work.then(task).catch(this.onFailure);
+    this.work = this.work.then(task).catch((err: unknown) => {
+      this.failure ??= err instanceof Error ? err : new Error(errorMessage(err));
+      this.onFailure(err);
+    });
     return this.work;
   }
 }
--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -35,14 +35,23 @@
 import {ReplicaWatch} from './ReplicaWatch';
 import {ReplicaWriter} from './ReplicaWriter';
 
+/** An append that only tells that its leader lives. */
+function withoutEntries(message: Message): Message {
+  const {body} = message;
+  return body.kind === 'append' ? {...message, body: {...body, commit: 0, entries: []}} : message;
+}
+
 /** One replica of one group; see the module's comment. */
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
   private commits = 0;
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
+  /** A snapshot of another replica is being saved: no entry may be applied meanwhile. */
+  private installing = false;
   private snapshotting = false;
-  private snapshotWork: Promise<void> = Promise.resolve();
+  /** Snapshots taken, begun and taken over; one at a time. */
+  private snapshotWork: Promise<unknown> = Promise.resolve();
   private stopped = false;
   private commitTimer: NodeJS.Timeout | undefined;
   private readonly turns = new ReplicaTurns(() => this.tick());
@@ -177,7 +186,10 @@
    */
   receive(message: Message): void {
     if (message.to === this.options.self) {
-      this.dispatch({kind: 'message', message});
+      // Entries that are applied while a snapshot is saved would cut off the bulk data that it names, and be forgotten with
+      // the state that it replaces. The leader sends them again.
+      const taken = this.installing ? withoutEntries(message) : message;
+      this.dispatch({kind: 'message', message: taken});
     }
   }
 
@@ -208,12 +220,15 @@
    * @param term the leader's term
    * @returns where the bulk data goes on, or undefined when the snapshot isn't wanted
    */
-  async beginInstall(meta: SnapshotMeta, term: Term): Promise<number | undefined> {
-    if (term < this.replication.term || !wantsSnapshot(this.replication, meta)) {
-      return undefined;
-    }
-    await this.blobs.cutTo(this.options.machine.blobEnd(this.machineState));
-    return this.blobs.end;
+  beginInstall(meta: SnapshotMeta, term: Term): Promise<number | undefined> {
+    // Alone: a cut while another snapshot is saved would take the bulk data that it names.
+    return this.alone(async () => {
+      if (term < this.replication.term || !wantsSnapshot(this.replication, meta)) {
+        return undefined;
+      }
+      await this.blobs.cutTo(this.options.machine.blobEnd(this.machineState));
+      return this.blobs.end;
+    });
   }
 
   /**
@@ -224,6 +239,7 @@
    * @returns where the bulk data goes on
    */
   async installBlobs(offset: number, bytes: Uint8Array): Promise<number> {
+    this.checkRuns();
     await this.blobs.install(offset, bytes);
     return this.blobs.end;
   }
@@ -236,24 +252,9 @@
    * @returns whether it was taken over
    */
   async finishInstall(snapshot: MachineSnapshot, term: Term): Promise<boolean> {
-    const {machine} = this.options;
-    const state = machine.decode(snapshot.machine);
-    let installed = false;
-    // An own snapshot that is under way must not replace the newer one.
-    await this.snapshotWork;
-    await this.writer.runBetweenWrites(async () => {
-      await this.blobs.settle();
-      const complete = this.blobs.end === machine.blobEnd(state);
-      if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
-        return;
-      }
-      await this.blobs.sync();
-      await this.storage.saveSnapshot(snapshot);
-      this.machineState = state;
-      this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
-      await this.writer.restartLog(this.hardState(), []);
-      installed = true;
-    });
+    const state = this.options.machine.decode(snapshot.machine);
+    // Alone: an own snapshot must not replace the newer one.
+    const installed = await this.alone(() => this.install(snapshot, state, term));
     this.notify();
     return installed;
   }
@@ -266,6 +267,54 @@
     await this.blobs.close();
   }
 
+  private async install(snapshot: MachineSnapshot, state: State, term: Term): Promise<boolean> {
+    let installed = false;
+    await this.writer.runBetweenWrites(async () => {
+      this.installing = true;
+      try {
+        installed = await this.installBetweenWrites(snapshot, state, term);
+      } finally {
+        this.installing = false;
+      }
+    });
+    return installed;
+  }
+
+  private async installBetweenWrites(
+    snapshot: MachineSnapshot,
+    state: State,
+    term: Term,
+  ): Promise<boolean> {
+    await this.blobs.settle();
+    const complete = this.blobs.end === this.options.machine.blobEnd(state);
+    if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
+      return false;
+    }
+    await this.blobs.sync();
+    await this.storage.saveSnapshot(snapshot);
+    this.machineState = state;
+    this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
+    await this.writer.restartLog(this.hardState(), []);
+    return true;
+  }
+
+  /** Runs a task while no snapshot is taken, begun or taken over. */
+  private alone<Result>(task: () => Promise<Result>): Promise<Result> {
+    const run = this.snapshotWork.then(() => {
+      this.checkRuns();
+      return task();
+    });
+    this.snapshotWork = run.catch(() => {});
+    return run;
+  }
+
+  /** A replica that has ended writes nothing: its successor may have opened the same files. */
+  private checkRuns(): void {
+    if (this.stopped) {
+      throw new ReplicaStoppedError();
+    }
+  }
+
   private request(makeEvent: (requestId: number) => ReplicationEvent): Promise<unknown> {
     if (this.stopped) {
       return Promise.reject(new ReplicaStoppedError());
@@ -357,23 +406,22 @@
     const {snapshotLogBytes = LOG_BYTES_BEFORE_SNAPSHOT} = this.options;
     const grown = this.writer.logBytes > snapshotLogBytes;
     if (grown && applied > log.snapshot.index && !this.snapshotting && !this.stopped) {
-      this.takeSnapshot().catch((err: unknown) => this.fail(err));
+      this.snapshotting = true;
+      this.takeSnapshot()
+        .catch(() => {})
+        .finally(() => {
+          this.snapshotting = false;
+        });
     }
   }
 
-  /** Only one snapshot is under way at a time; a second call waits for the first. */
+  /** Whoever a snapshot is for, a disk that failed at it is in doubt, and the replica ends. */
   private takeSnapshot(): Promise<MachineSnapshot> {
-    const taken = this.snapshotWork.then(() => {
-      this.snapshotting = true;
-      return this.writeSnapshot().finally(() => {
-        this.snapshotting = false;
-      });
+    const taken = this.alone(() => this.writeSnapshot());
+    return taken.catch((err: unknown) => {
+      this.fail(err);
+      throw err;
     });
-    this.snapshotWork = taken.then(
-      () => {},
-      () => {},
-    );
-    return taken;
   }
 
   /**
@@ -385,8 +433,10 @@
     const meta = {index: applied, members: log.membersAt(applied), term: log.termAt(applied)!};
     const snapshot = {machine: this.options.machine.encode(this.machineState), meta};
     await this.blobs.sync();
+    this.checkRuns();
     await this.storage.saveSnapshot(snapshot);
     await this.writer.runBetweenWrites(async () => {
+      this.checkRuns();
       this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
       const kept = this.replication.log;
       await this.writer.restartLog(this.hardState(), kept.entriesFrom(kept.firstIndex, Infinity));
