--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeKeeperWorld.ts
@@ -0,0 +1,537 @@
+/**
+ * A group whose members the product's own `planMembers` and `isEmptied` decide, among VMs that fall silent, lose their
+ * disks, join, and are emptied and removed.
+ *
+ * Elections and replication are Raft's rules without messages: a leader copies its whole log to whom it reaches. After
+ * every step of them the world asks what the operator's settings promise: as many more disks as may be lost at once go,
+ * all other VMs lose power and come back; some replica must then be electable, and none that lacks a committed entry.
+ */
+import type {ReplicaId, VmId} from 'stallpaddle';
+import type {GroupMembers} from 'stallpaddle-replication';
+
+import {vmOfReplica} from 'stallpaddle';
+
+import {KEEP_MEMBERS_MS, VOTER_SILENT_MS} from '../../NodeConstants';
+import {type KnownReplica, planMembers, votersFor} from '../../NodeKeeper';
+import {isEmptied} from '../../NodeStorePlan';
+
+/** Time without a leader before another is elected, in milliseconds: two election timeouts. */
+const ELECTION_MS = 1_000;
+/** Silence of a majority after which a leader gives up, in milliseconds. */
+const QUORUM_MS = 500;
+/**
+ * Time after which a lost disk counts no longer, once its VM or a new one has been there for it, in milliseconds: the
+ * shortest that a deployment has promised.
+ */
+const CATCH_UP_MS = 4_800;
+
+interface Entry {
+  readonly members: GroupMembers | null;
+  readonly term: number;
+}
+
+interface Replica {
+  /** When a new replica has received its first copy; null before one was begun. */
+  copiedAt: null | number;
+  log: readonly Entry[];
+}
+
+interface Vm {
+  /** Name of the present disk; null while the VM is gone. */
+  current: null | ReplicaId;
+  disks: number;
+  heardAt: number;
+  /** Until when nobody reaches it. */
+  quietUntil: number;
+  retiring: boolean;
+  /** When it is back with its disk, or with an empty one. */
+  since: number;
+}
+
+/** A disk that is gone and still counts among those lost at once. */
+interface LostDisk {
+  /** From when its VM, or a new one in its place, has been there; infinite before. */
+  backAt: number;
+  readonly replica: ReplicaId;
+}
+
+interface Leader {
+  readonly acked: Map<ReplicaId, {at: number; length: number}>;
+  readonly addedAt: Map<ReplicaId, number>;
+  readonly id: ReplicaId;
+  quorumAt: number;
+  readonly term: number;
+  /** Length of its log with its term's first entry. */
+  readonly termLength: number;
+}
+
+/** A broken promise. */
+export class LossError extends Error {
+  override readonly name = 'LossError';
+}
+
+/** All ways to choose so many of a list. */
+function choose<T>(list: readonly T[], count: number): readonly (readonly T[])[] {
+  if (count === 0) {
+    return [[]];
+  }
+  return list.flatMap((first, at) =>
+    choose(list.slice(at + 1), count - 1).map((rest) => [first, ...rest]),
+  );
+}
+
+function isMajority(members: GroupMembers, has: (id: ReplicaId) => boolean): boolean {
+  return 2 * members.voters.filter(has).length > members.voters.length;
+}
+
+/** See the module's comment. */
+export class NodeKeeperWorld {
+  /** Changes of members so far, and steps that could not end. */
+  changes = 0;
+  now = 0;
+  readonly vms = new Map<VmId, Vm>();
+  private committed: readonly Entry[] = [];
+  private leader: Leader | null = null;
+  private leaderlessSince = 0;
+  private readonly lost: LostDisk[] = [];
+  private readonly replicas = new Map<ReplicaId, Replica>();
+  private term = 0;
+
+  /**
+   * @param lostDisks disks that may be lost at once
+   * @param spareVms VMs beyond those that found the group
+   */
+  constructor(
+    readonly lostDisks: number,
+    spareVms: number,
+  ) {
+    const wanted = votersFor(lostDisks);
+    for (let number = 0; number < wanted + spareVms; number++) {
+      this.join();
+    }
+    const voters = [...this.replicas.keys()].slice(0, wanted);
+    const founding: Entry = {members: {learners: [], voters}, term: 0};
+    voters.forEach((id) => Object.assign(this.replicas.get(id)!, {copiedAt: 0, log: [founding]}));
+    this.committed = [founding];
+  }
+
+  /** Names of the VMs that are there, in order. */
+  get vmNames(): readonly VmId[] {
+    return [...this.vms].filter(([, {current}]) => current !== null).map(([name]) => name);
+  }
+
+  /** Members in the leader's log, or what was last committed. */
+  get members(): GroupMembers {
+    return this.leader === null
+      ? this.membersOf(this.committed)
+      : this.membersOf(this.logOf(this.leader.id));
+  }
+
+  /** Disks that count as lost at present. */
+  get lostNow(): number {
+    return this.lost.length;
+  }
+
+  /** The VM whose replica leads. */
+  get leaderVm(): null | VmId {
+    return this.leader === null ? null : vmOfReplica(this.leader.id);
+  }
+
+  /** A new VM comes, in the place of one that is gone for good if there is such. */
+  join(): void {
+    const name = `vm${this.vms.size + 1}`;
+    const vm: Vm = {
+      current: null,
+      disks: 0,
+      heardAt: this.now,
+      quietUntil: 0,
+      retiring: false,
+      since: this.now,
+    };
+    this.vms.set(name, vm);
+    this.newDisk(name, vm);
+    const replaced = this.lost.find(({replica}) => this.vmOf(replica).current === null);
+    if (replaced !== undefined && replaced.backAt === Infinity) {
+      replaced.backAt = this.now;
+    }
+  }
+
+  /** Nobody reaches a VM for a time: it is cut off, frozen, or without power; its disk stays. */
+  silence(name: VmId, ms: number): void {
+    const vm = this.vms.get(name)!;
+    vm.quietUntil = Math.max(vm.quietUntil, this.now + ms);
+    this.loseLeader(name);
+  }
+
+  /** A VM loses its disk, if so many may be lost at once; it comes back with an empty one, or never. */
+  loseDisk(name: VmId, backMs: null | number): void {
+    const vm = this.vms.get(name)!;
+    if (vm.current === null || this.lost.length >= this.lostDisks) {
+      return;
+    }
+    this.replicas.delete(vm.current);
+    this.lost.push({backAt: backMs === null ? Infinity : this.now + backMs, replica: vm.current});
+    vm.retiring = false;
+    this.loseLeader(name);
+    if (backMs === null) {
+      vm.current = null;
+    } else {
+      vm.quietUntil = this.now + backMs;
+      this.newDisk(name, vm);
+    }
+    this.check();
+  }
+
+  /** The operator wants a VM emptied, which is refused if too few would stay. */
+  retire(name: VmId): void {
+    const staying = [...this.vms].filter(
+      ([other, {current, retiring}]) => other !== name && current !== null && !retiring,
+    );
+    if (staying.length >= votersFor(this.lostDisks)) {
+      this.vms.get(name)!.retiring = true;
+    }
+  }
+
+  /** VMs that were told to be empty go, with their disks; that is no loss. */
+  removeEmptied(): void {
+    for (const [name, vm] of this.vms) {
+      const {current, retiring} = vm;
+      if (current !== null && retiring && this.isEmptied(name, current)) {
+        this.replicas.delete(current);
+        vm.current = null;
+        this.loseLeader(name);
+        this.check();
+      }
+    }
+  }
+
+  /** Time passes while leaders do their work. */
+  advance(looks: number): void {
+    for (let look = 0; look < looks; look++) {
+      this.now += KEEP_MEMBERS_MS;
+      this.hearVms();
+      this.look();
+      this.forgetLost();
+      this.check();
+    }
+  }
+
+  /**
+   * The leader begins its next step, tells only some of the others, and falls silent.
+   *
+   * @param told tells of each VM whether it heard of the step
+   * @param ms how long it is silent
+   * @param withDisk whether it loses its disk besides, where one more may be lost
+   */
+  leaderDies(told: (name: VmId) => boolean, ms: number, withDisk: boolean): void {
+    const {leader} = this;
+    if (leader === null) {
+      return;
+    }
+    const step = this.mayChange(leader) ? this.plan(leader) : null;
+    this.append(leader.id, step?.kind === 'change' ? step.members : null);
+    this.check();
+    this.replicate(leader, told);
+    this.check();
+    const name = vmOfReplica(leader.id);
+    this.silence(name, ms);
+    if (withDisk) {
+      this.loseDisk(name, ms);
+    }
+    this.check();
+  }
+
+  /** The leader records a command that only some hear of at first. */
+  propose(told: (name: VmId) => boolean): void {
+    const {leader} = this;
+    if (leader !== null) {
+      this.append(leader.id, null);
+      this.replicate(leader, told);
+      this.check();
+    }
+  }
+
+  /** Ends all silence; VMs that are gone stay gone. */
+  heal(): void {
+    for (const vm of this.vms.values()) {
+      vm.quietUntil = Math.min(vm.quietUntil, this.now);
+    }
+  }
+
+  /** Why the group does not bear losses as it should when all has been calm, or null. */
+  findFault(): null | string {
+    const {leader, lostDisks} = this;
+    if (leader === null) {
+      return 'nobody leads';
+    }
+    const wanted = votersFor(lostDisks);
+    const able = [...this.vms.values()].filter(
+      ({current, retiring}) => current !== null && !retiring,
+    );
+    const {voters} = this.members;
+    if (able.length < wanted) {
+      return null;
+    }
+    if (voters.length !== wanted) {
+      return `${voters.length} voters in place of ${wanted}: ${voters.join(' ')}`;
+    }
+    const poor = voters.find(
+      (id) => !this.replicas.has(id) || this.logOf(id).length < this.committed.length,
+    );
+    return poor === undefined ? null : `voter ${poor} holds too little`;
+  }
+
+  private vmOf(id: ReplicaId): Vm {
+    return this.vms.get(vmOfReplica(id))!;
+  }
+
+  private logOf(id: ReplicaId): readonly Entry[] {
+    return this.replicas.get(id)!.log;
+  }
+
+  private membersOf(log: readonly Entry[]): GroupMembers {
+    return log.findLast(({members}) => members !== null)!.members!;
+  }
+
+  private newDisk(name: VmId, vm: Vm): void {
+    vm.disks++;
+    vm.current = `${name}/${vm.disks}`;
+    vm.since = this.now;
+    this.replicas.set(vm.current, {copiedAt: null, log: []});
+  }
+
+  private isReached(id: ReplicaId): boolean {
+    return this.replicas.has(id) && this.vmOf(id).quietUntil <= this.now;
+  }
+
+  private loseLeader(name: VmId): void {
+    if (this.leaderVm === name) {
+      this.leader = null;
+      this.leaderlessSince = this.now;
+    }
+  }
+
+  private hearVms(): void {
+    for (const vm of this.vms.values()) {
+      if (vm.current !== null && vm.quietUntil <= this.now) {
+        vm.heardAt = this.now;
+      }
+    }
+  }
+
+  private look(): void {
+    const {leader} = this;
+    if (leader === null) {
+      if (this.now - this.leaderlessSince >= ELECTION_MS) {
+        this.elect();
+      }
+      return;
+    }
+    this.replicate(leader, () => true);
+    if (this.now - leader.quorumAt > QUORUM_MS) {
+      this.loseLeader(vmOfReplica(leader.id));
+      return;
+    }
+    if (this.mayChange(leader)) {
+      this.change(leader);
+    }
+  }
+
+  private change(leader: Leader): void {
+    const step = this.plan(leader);
+    if (step === null) {
+      return;
+    }
+    this.changes++;
+    if (step.kind === 'handOver') {
+      this.loseLeader(vmOfReplica(leader.id));
+      this.elect(leader.id);
+      return;
+    }
+    this.append(leader.id, step.members);
+    this.check();
+    this.replicate(leader, () => true);
+  }
+
+  /** Only after an entry of its own term, and one change at a time. */
+  private mayChange({id, termLength}: Leader): boolean {
+    const log = this.logOf(id);
+    const changedAt = log.findLastIndex(({members}) => members !== null);
+    const {length} = this.committed;
+    return length >= termLength && changedAt < length;
+  }
+
+  private plan(leader: Leader): ReturnType<typeof planMembers> {
+    const {lostDisks, members} = this;
+    return planMembers({known: this.known(leader), lostDisks, members, self: leader.id});
+  }
+
+  private known({acked, addedAt, id: self}: Leader): readonly KnownReplica[] {
+    const known = new Map<ReplicaId, KnownReplica>();
+    for (const {current, heardAt, retiring} of this.vms.values()) {
+      if (current !== null) {
+        // The first look comes after a disk is new: until then nobody has heard of it.
+        const silentMs = this.isReached(current) ? this.now - heardAt : VOTER_SILENT_MS;
+        known.set(current, {caughtUp: false, id: current, retiring, silentMs});
+      }
+    }
+    for (const id of [...this.members.voters, ...this.members.learners]) {
+      const {at, length} = acked.get(id) ?? {at: -Infinity, length: -1};
+      const silentMs = this.now - Math.max(at, addedAt.get(id) ?? this.now);
+      const retiring = known.get(id)?.retiring ?? false;
+      known.set(id, {caughtUp: length >= this.committed.length, id, retiring, silentMs});
+    }
+    const retiring = known.get(self)?.retiring ?? false;
+    known.set(self, {caughtUp: true, id: self, retiring, silentMs: 0});
+    return [...known.values()];
+  }
+
+  private append(id: ReplicaId, members: GroupMembers | null): void {
+    const replica = this.replicas.get(id)!;
+    replica.log = [...replica.log, {members, term: this.term}];
+  }
+
+  private replicate(leader: Leader, told: (name: VmId) => boolean): void {
+    const {learners, voters} = this.membersOf(this.logOf(leader.id));
+    for (const id of [...voters, ...learners]) {
+      if (!leader.addedAt.has(id)) {
+        leader.addedAt.set(id, this.now);
+      }
+      if (id !== leader.id && this.isReached(id) && told(vmOfReplica(id))) {
+        this.copyTo(id, leader);
+      }
+    }
+    leader.acked.set(leader.id, {at: this.now, length: this.logOf(leader.id).length});
+    const heard = (voter: ReplicaId): boolean => leader.acked.get(voter)?.at === this.now;
+    if (isMajority({learners, voters}, heard)) {
+      leader.quorumAt = this.now;
+    }
+    this.commit(leader);
+  }
+
+  /** A new replica needs a look's time for its first copy. */
+  private copyTo(id: ReplicaId, leader: Leader): void {
+    const replica = this.replicas.get(id)!;
+    replica.copiedAt ??= this.now + KEEP_MEMBERS_MS;
+    if (this.now >= replica.copiedAt) {
+      replica.log = this.logOf(leader.id);
+    }
+    leader.acked.set(id, {at: this.now, length: replica.log.length});
+  }
+
+  private commit(leader: Leader): void {
+    const log = this.logOf(leader.id);
+    const members = this.membersOf(log);
+    for (let {length} = log; length > this.committed.length; length--) {
+      const isHeld = (id: ReplicaId): boolean => (leader.acked.get(id)?.length ?? 0) >= length;
+      if (log[length - 1]!.term === leader.term && isMajority(members, isHeld)) {
+        this.committed = log.slice(0, length);
+        break;
+      }
+    }
+    if (!members.voters.includes(leader.id) && this.committed.length === log.length) {
+      this.loseLeader(vmOfReplica(leader.id));
+    }
+  }
+
+  /** Whether a replica's log is no older than another's. */
+  private isUpToDate(id: ReplicaId, other: ReplicaId): boolean {
+    const own = this.logOf(id);
+    const its = this.logOf(other);
+    const ownTerm = own.at(-1)?.term ?? -1;
+    const itsTerm = its.at(-1)?.term ?? -1;
+    return ownTerm > itsTerm || (ownTerm === itsTerm && own.length >= its.length);
+  }
+
+  private isElectable(id: ReplicaId, isThere: (other: ReplicaId) => boolean): boolean {
+    const log = this.logOf(id);
+    if (log.length === 0) {
+      return false;
+    }
+    const members = this.membersOf(log);
+    const votes = (voter: ReplicaId): boolean => isThere(voter) && this.isUpToDate(id, voter);
+    return members.voters.includes(id) && isMajority(members, votes);
+  }
+
+  private elect(but?: ReplicaId): void {
+    const isThere = (id: ReplicaId): boolean => this.isReached(id);
+    const able = [...this.replicas.keys()].filter(
+      (id) => id !== but && isThere(id) && this.isElectable(id, isThere),
+    );
+    // Any of them may be the first to stand.
+    const id = able[this.term % Math.max(1, able.length)];
+    if (id === undefined) {
+      return;
+    }
+    this.term++;
+    this.append(id, null);
+    const {now, term} = this;
+    const addedAt = new Map<ReplicaId, number>();
+    const termLength = this.logOf(id).length;
+    this.leader = {acked: new Map(), addedAt, id, quorumAt: now, term, termLength};
+    this.replicate(this.leader, () => true);
+  }
+
+  private isEmptied(name: VmId, replica: ReplicaId): boolean {
+    const {leader, members} = this;
+    if (leader === null) {
+      return false;
+    }
+    const isCaughtUp = (id: ReplicaId): boolean =>
+      (leader.acked.get(id)?.length ?? -1) >= this.committed.length;
+    const settled = this.mayChange(leader) && members.voters.every(isCaughtUp);
+    const report = {...members, settled, term: leader.term};
+    return isEmptied({name, replica, retiring: true}, report, this.lostDisks);
+  }
+
+  /** VMs that count as lost: they lie dark, or have not been back for long. */
+  private troubledVms(): number {
+    const isTroubled = ({current, quietUntil, since}: Vm): boolean =>
+      current !== null &&
+      (quietUntil > this.now || this.now - Math.max(quietUntil, since) < CATCH_UP_MS);
+    const gone = this.lost.filter(({backAt}) => backAt === Infinity).length;
+    return [...this.vms.values()].filter(isTroubled).length + gone;
+  }
+
+  private forgetLost(): void {
+    const isOverwhelmed = this.troubledVms() > this.lostDisks;
+    for (const disk of [...this.lost]) {
+      if (isOverwhelmed) {
+        // Service may rest while more than the settings allow is away; the time begins anew.
+        disk.backAt = disk.backAt === Infinity ? Infinity : Math.max(disk.backAt, this.now);
+      }
+      if (this.now - disk.backAt >= CATCH_UP_MS || this.isMadeGood(disk.replica)) {
+        this.lost.splice(this.lost.indexOf(disk), 1);
+      }
+    }
+  }
+
+  /** Whether others vote in the lost one's place, and hold everything. */
+  private isMadeGood(replica: ReplicaId): boolean {
+    const {voters} = this.membersOf(this.committed);
+    const holds = (id: ReplicaId): boolean =>
+      this.replicas.has(id) && this.logOf(id).length >= this.committed.length;
+    return (
+      voters.length >= votersFor(this.lostDisks) && !voters.includes(replica) && voters.every(holds)
+    );
+  }
+
+  /** The promise, for every choice of the disks that may still be lost at this moment. */
+  private check(): void {
+    const ids = [...this.replicas.keys()];
+    for (const gone of choose(ids, Math.max(0, this.lostDisks - this.lost.length))) {
+      const isThere = (id: ReplicaId): boolean => this.replicas.has(id) && !gone.includes(id);
+      const able = ids.filter((id) => isThere(id) && this.isElectable(id, isThere));
+      const told = `without ${gone.join(' ')}, voters ${this.members.voters.join(' ')}`;
+      if (able.length === 0) {
+        throw new LossError(`no majority any more ${told}`);
+      }
+      const poor = able.find((id) =>
+        this.committed.some((entry, at) => this.logOf(id)[at] !== entry),
+      );
+      if (poor !== undefined) {
+        throw new LossError(`${poor} may lead and lacks a committed entry ${told}`);
+      }
+    }
+  }
+}
