A voter leaves only when more vote than are wanted: the successor of a silent one votes first

Cause: planMembers let a silent voter go before its successor voted. Silence is no loss: with the disks that may be lost at once gone besides, two of four (or one of two) voters were left and never a majority again, though copies lay there. Change: a voter known lost (its VM speaks with another disk) still leaves at once, for each look without it is better; any other leaves only while one more votes than must, the longest silent first. A leader that dies between the two steps leaves one voter too many, which bears as much; the next one demotes it to a learner once all have answered it. A VM's second disk joins only once its lost one has left, and a disk is known lost after 500 ms in place of 1,500, since each new leader counts its silence anew. The property found all but the first of these: a VM's two disks side by side let one to be emptied leave too early; two leaders in a row kept a lost disk voting beyond 4.8 s; of two silent ones the later was let go. Its model was corrected on the way, where it asked what nobody can keep: a lost VM that lies dark again isn't back; more away at once than may be lost (service may rest then); which of two silent VMs is gone for good; a new VM lost in its turn between its vote and the end of the lost voter (one voter at a time can't bear that; the steps follow each other at once).

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -127,6 +127,12 @@
 /** Silence of a process that makes it no candidate for membership, in milliseconds. */
 export const CANDIDATE_SILENT_MS = 1_500;
 
+/**
+ * Silence of a replica after which it is lost, once its VM has spoken with another disk, in milliseconds: four heartbeats. A
+ * new leader counts it anew, and the successor must vote before the next loss, five seconds after the first.
+ */
+export const REPLACED_SILENT_MS = 500;
+
 /**
  * Silence of a voter after which a caught-up replica takes its place, in milliseconds: longer than a
  * restart takes on a loaded VM, and short enough for a second loss five seconds after the first.
--- a/packages/stallpaddle-node/src/NodeKeeper.ts
+++ b/packages/stallpaddle-node/src/NodeKeeper.ts
@@ -6,7 +6,12 @@
 
 import {vmOfReplica} from 'stallpaddle';
 
-import {CANDIDATE_SILENT_MS, SPARE_LEARNERS, VOTER_SILENT_MS} from './NodeConstants';
+import {
+  CANDIDATE_SILENT_MS,
+  REPLACED_SILENT_MS,
+  SPARE_LEARNERS,
+  VOTER_SILENT_MS,
+} from './NodeConstants';
 
 /** A replica that exists or existed. */
 export interface KnownReplica {
@@ -45,63 +50,138 @@
   return 2 * lostDisks + 1;
 }
 
+/** What the decision looks at, by replica. */
+interface KeeperView extends KeeperInput {
+  readonly isCaughtUp: (id: ReplicaId) => boolean;
+  readonly isHeard: (id: ReplicaId) => boolean;
+  /** Whether its VM has come back with another disk: it is lost for certain. */
+  readonly isReplaced: (id: ReplicaId) => boolean;
+  readonly isRetiring: (id: ReplicaId) => boolean;
+  readonly isSilent: (id: ReplicaId) => boolean;
+  readonly silentMs: (id: ReplicaId) => number;
+  /** Voters that bear the losses once nobody is on the way out. */
+  readonly wanted: number;
+}
+
+function viewOf(input: KeeperInput): KeeperView {
+  const byId = new Map(input.known.map((replica) => [replica.id, replica]));
+  const silentMs = (id: ReplicaId): number => byId.get(id)?.silentMs ?? Infinity;
+  const isHeard = (id: ReplicaId): boolean => silentMs(id) < CANDIDATE_SILENT_MS;
+  // Of two disks of one VM the lost one has spoken least lately.
+  const isOutlived = (id: ReplicaId): boolean =>
+    input.known.some(
+      (other) =>
+        vmOfReplica(other.id) === vmOfReplica(id) &&
+        isHeard(other.id) &&
+        other.silentMs < silentMs(id),
+    );
+  return {
+    ...input,
+    isCaughtUp: (id) => byId.get(id)?.caughtUp === true,
+    isHeard,
+    isReplaced: (id) => silentMs(id) > REPLACED_SILENT_MS && isOutlived(id),
+    isRetiring: (id) => byId.get(id)?.retiring === true,
+    isSilent: (id) => id !== input.self && silentMs(id) > VOTER_SILENT_MS,
+    silentMs,
+    wanted: votersFor(input.lostDisks),
+  };
+}
+
+function change(members: GroupMembers, reason: string): MemberStep {
+  return {kind: 'change', members, reason};
+}
+
+/** A voter whose disk is lost is in the way of a majority and helps none: each look without it is better. */
+function dropLost({isReplaced, members, self}: KeeperView): MemberStep | null {
+  const {learners, voters} = members;
+  const lost = voters.find((id) => id !== self && isReplaced(id));
+  return lost === undefined
+    ? null
+    : change({learners, voters: without(voters, lost)}, `${lost} came back with another disk`);
+}
+
+function dropLearner({isHeard, isReplaced, isRetiring, members}: KeeperView): MemberStep | null {
+  const {learners, voters} = members;
+  const gone = learners.find((id) => isReplaced(id) || isRetiring(id) || !isHeard(id));
+  return gone === undefined
+    ? null
+    : change({learners: without(learners, gone), voters}, `learner ${gone} is gone`);
+}
+
+/** One more that holds everything never makes the loss of a majority likelier. */
+function addVoter(view: KeeperView): MemberStep | null {
+  const {isCaughtUp, isRetiring, isSilent, members, wanted} = view;
+  const {learners, voters} = members;
+  const isLeaving = voters.some((id) => isSilent(id) || isRetiring(id));
+  const ready = learners.find((id) => isCaughtUp(id));
+  return ready === undefined || voters.length >= wanted + (isLeaving ? 1 : 0)
+    ? null
+    : change(
+        {learners: without(learners, ready), voters: [...voters, ready]},
+        `${ready} has caught up`,
+      );
+}
+
 /**
- * The next step, or null when the members are as they should be.
- *
- * A replica whose VM has come back with another disk is lost for certain and leaves at once. One that is
- * only silent leaves when another has caught up and takes its place.
- *
- * @param input what the leader knows
+ * Lets one go of more voters than are wanted, so that those who stay bear all losses without it. Silence is no loss: the
+ * disk of a silent voter may be one of the majority that is left when others are lost, so its successor votes first.
  */
-export function planMembers(input: KeeperInput): MemberStep | null {
-  const {known, lostDisks, members, self} = input;
+function dropExcess(view: KeeperView): MemberStep | null {
+  const {isCaughtUp, isRetiring, isSilent, members, self, silentMs, wanted} = view;
   const {learners, voters} = members;
-  const byId = new Map(known.map((replica) => [replica.id, replica]));
-  const isHeard = (id: ReplicaId): boolean =>
-    (byId.get(id)?.silentMs ?? Infinity) < CANDIDATE_SILENT_MS;
-  const heard = known.filter(({id}) => isHeard(id)).map(({id}) => id);
-  const isReplaced = (id: ReplicaId): boolean =>
-    !isHeard(id) && heard.some((other) => vmOfReplica(other) === vmOfReplica(id));
-  const change = (next: GroupMembers, reason: string): MemberStep => ({
-    kind: 'change',
-    members: next,
-    reason,
-  });
-  const lost = voters.find((id) => id !== self && isReplaced(id));
-  if (lost !== undefined) {
-    return change({learners, voters: without(voters, lost)}, `${lost} came back with another disk`);
+  if (voters.length <= wanted) {
+    return null;
   }
-  const gone = learners.find(
-    (id) => isReplaced(id) || byId.get(id)?.retiring === true || !isHeard(id),
-  );
-  if (gone !== undefined) {
-    return change({learners: without(learners, gone), voters}, `learner ${gone} is gone`);
-  }
-  const ready = learners.find((id) => byId.get(id)?.caughtUp === true);
-  const silent = voters.find(
-    (id) => id !== self && (byId.get(id)?.silentMs ?? Infinity) > VOTER_SILENT_MS,
-  );
-  if (ready !== undefined && silent !== undefined && voters.length >= votersFor(lostDisks)) {
+  // The longest silent one is the likeliest to be gone for good.
+  const [silent] = voters.filter(isSilent).sort((a, b) => silentMs(b) - silentMs(a));
+  if (silent !== undefined) {
     return change({learners, voters: without(voters, silent)}, `${silent} is silent`);
   }
-  const retiring = voters.find((id) => byId.get(id)?.retiring === true);
-  const wanted = votersFor(lostDisks) + (retiring === undefined ? 0 : 1);
-  if (ready !== undefined && voters.length < wanted) {
-    const next = {learners: without(learners, ready), voters: [...voters, ready]};
-    return change(next, `${ready} has caught up`);
-  }
-  if (retiring !== undefined && voters.length >= wanted) {
+  const retiring = voters.find((id) => isRetiring(id));
+  if (retiring !== undefined) {
     return retiring === self
       ? {kind: 'handOver'}
       : change({learners, voters: without(voters, retiring)}, `${retiring} is to be emptied`);
   }
-  const missing = Math.max(0, wanted - voters.length) + SPARE_LEARNERS;
+  // Whoever was silent is back, or its leader went between two steps. It isn't known yet who of those that haven't
+  // answered this leader is about to go instead.
+  const spare = voters.every((id) => isCaughtUp(id))
+    ? voters.findLast((id) => id !== self)
+    : undefined;
+  const kept =
+    learners.length < SPARE_LEARNERS && spare !== undefined ? [...learners, spare] : learners;
+  return spare === undefined
+    ? null
+    : change({learners: kept, voters: without(voters, spare)}, `${spare} is one too many`);
+}
+
+/** Two disks of one VM are one lost and its successor: were both members, the lost one would count among those that stay. */
+function addLearner(view: KeeperView): MemberStep | null {
+  const {isHeard, isRetiring, known, members, wanted} = view;
+  const {learners, voters} = members;
+  const memberVms = new Set([...voters, ...learners].map(vmOfReplica));
+  const successors = voters.some((id) => isRetiring(id)) ? 1 : 0;
+  const missing = Math.max(0, wanted + successors - voters.length) + SPARE_LEARNERS;
   const candidate = known.find(
-    ({id, retiring: leaves}) =>
-      isHeard(id) && !leaves && !voters.includes(id) && !learners.includes(id),
+    ({id}) => isHeard(id) && !isRetiring(id) && !memberVms.has(vmOfReplica(id)),
+  );
+  return candidate === undefined || learners.length >= missing
+    ? null
+    : change({learners: [...learners, candidate.id], voters}, `${candidate.id} joins`);
+}
+
+/**
+ * The next step, or null when the members are as they should be.
+ *
+ * A replica whose VM has come back with another disk is lost for certain and leaves at once. Any other voter leaves only
+ * when more vote than are wanted, for the rest must bear the losses without it: its successor comes first. A leader that
+ * goes between the two leaves one voter too many, which bears as much.
+ *
+ * @param input what the leader knows
+ */
+export function planMembers(input: KeeperInput): MemberStep | null {
+  const view = viewOf(input);
+  return (
+    dropLost(view) ?? dropLearner(view) ?? addVoter(view) ?? dropExcess(view) ?? addLearner(view)
   );
-  if (candidate !== undefined && learners.length < missing) {
-    return change({learners: [...learners, candidate.id], voters}, `${candidate.id} joins`);
-  }
-  return null;
 }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeKeeper.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeKeeper.test.ts
@@ -70,6 +70,53 @@
     expect([...voters].sort()).toEqual(['a/1', 'b/1', 'd/1']);
   });
 
+  test('gives the successor of a silent voter its vote before the silent one leaves', () => {
+    const voters = ['a/1', 'b/1', 'c/1', 'd/1', 'e/1'];
+    const known = [...voters.slice(0, 4), 'f/1'].map((id) => heard(id));
+    const all = [...known, heard('e/1', {caughtUp: false, silentMs: 3_000})];
+    const before = {learners: ['f/1'], voters};
+    const six = {learners: [], voters: [...voters, 'f/1']};
+    expect(plan({known: all, lostDisks: 2, members: before})).toMatchObject({members: six});
+    const five = {learners: [], voters: ['a/1', 'b/1', 'c/1', 'd/1', 'f/1']};
+    expect(plan({known: all, lostDisks: 2, members: six})).toMatchObject({members: five});
+  });
+
+  test('keeps the copy of one voter too many when the silent one is back, or the next leader finds six', () => {
+    const voters = ['a/1', 'b/1', 'c/1', 'd/1', 'e/1', 'f/1'];
+    const known = voters.map((id) => heard(id));
+    const next = {learners: ['f/1'], voters: voters.slice(0, 5)};
+    const members = {learners: [], voters};
+    expect(plan({known, lostDisks: 2, members})).toMatchObject({members: next});
+    // Until all have answered the next leader, it can't know who of them is about to go.
+    const unsure = known.map((replica) => ({...replica, caughtUp: replica.id !== 'e/1'}));
+    expect(plan({known: unsure, lostDisks: 2, members})).toBeNull();
+  });
+
+  test('lets the one go first that has been silent longest', () => {
+    const voters = ['a/1', 'b/1', 'c/1', 'd/1', 'e/1', 'f/1'];
+    const silent = [heard('b/1', {silentMs: 3_000}), heard('c/1', {silentMs: 9_000})];
+    const known = ['a/1', 'd/1', 'e/1', 'f/1'].map((id) => heard(id));
+    const members = {learners: [], voters};
+    const next = {learners: [], voters: voters.filter((id) => id !== 'c/1')};
+    expect(plan({known: [...known, ...silent], lostDisks: 2, members})).toMatchObject({
+      members: next,
+    });
+  });
+
+  test('takes no second disk of a VM in before its lost one has left', () => {
+    const lost = heard('c/1', {silentMs: 400});
+    const known = [heard('a/1'), heard('b/1'), lost, heard('c/2', {caughtUp: false})];
+    expect(plan({known})).toBeNull();
+    const later = known.map((replica) =>
+      replica.id === 'c/1' ? {...replica, silentMs: 600} : replica,
+    );
+    const two = {learners: [], voters: ['a/1', 'b/1']};
+    expect(plan({known: later})).toMatchObject({members: two});
+    // Of two disks of one VM the one that speaks is the present one.
+    const stale = [heard('a/1'), heard('b/1'), heard('c/1'), heard('c/0', {silentMs: 800})];
+    expect(plan({known: stale})).toBeNull();
+  });
+
   test('takes the successor in before it lets go of one that is to be emptied', () => {
     const known = [heard('a/1'), heard('b/1', {retiring: true}), heard('c/1'), heard('d/1')];
     const members = {learners: ['d/1'], voters: ['a/1', 'b/1', 'c/1']};
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeKeeperWorld.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeKeeperWorld.ts
@@ -20,8 +20,8 @@
 /** Silence of a majority after which a leader gives up, in milliseconds. */
 const QUORUM_MS = 500;
 /**
- * Time after which a lost disk counts no longer, once its VM or a new one has been there for it, in milliseconds: the
- * shortest that a deployment has promised.
+ * Time for which a VM counts as lost once it is back, or a new one is there in its place, in milliseconds: the shortest
+ * that a deployment has promised.
  */
 const CATCH_UP_MS = 4_800;
 
@@ -44,15 +44,16 @@
   /** Until when nobody reaches it. */
   quietUntil: number;
   retiring: boolean;
-  /** When it is back with its disk, or with an empty one. */
-  since: number;
 }
 
 /** A disk that is gone and still counts among those lost at once. */
 interface LostDisk {
-  /** From when its VM, or a new one in its place, has been there; infinite before. */
-  backAt: number;
-  readonly replica: ReplicaId;
+  /** The disk, and further ones that the same VM has lost before it was made good. */
+  readonly replicas: readonly ReplicaId[];
+  /** Since when all that made it good has been there: its VM or a new one, and no more away than may be lost. */
+  since: number;
+  /** Its VM, or a new one in the place of one that is gone; null until such a one comes. */
+  successor: null | VmId;
 }
 
 interface Leader {
@@ -65,6 +66,15 @@
   readonly termLength: number;
 }
 
+/**
+ * Whether a disk that still counts as lost is one of a VM that is itself back. If it loses its new disk too, that is no
+ * further VM. The loss of a new VM that has come in another's place is one: between its vote and the end of the lost
+ * one's, changes of one voter at a time can't bear both.
+ */
+function isOwnLoss({replicas, successor}: LostDisk, name: VmId): boolean {
+  return successor === name && replicas.every((id) => vmOfReplica(id) === name);
+}
+
 /** A broken promise. */
 export class LossError extends Error {
   override readonly name = 'LossError';
@@ -144,15 +154,14 @@
       current: null,
       disks: 0,
       heardAt: this.now,
-      quietUntil: 0,
+      quietUntil: -Infinity,
       retiring: false,
-      since: this.now,
     };
     this.vms.set(name, vm);
     this.newDisk(name, vm);
-    const replaced = this.lost.find(({replica}) => this.vmOf(replica).current === null);
-    if (replaced !== undefined && replaced.backAt === Infinity) {
-      replaced.backAt = this.now;
+    const replaced = this.lost.find(({successor}) => successor === null);
+    if (replaced !== undefined) {
+      replaced.successor = name;
     }
   }
 
@@ -166,11 +175,20 @@
   /** A VM loses its disk, if so many may be lost at once; it comes back with an empty one, or never. */
   loseDisk(name: VmId, backMs: null | number): void {
     const vm = this.vms.get(name)!;
-    if (vm.current === null || this.lost.length >= this.lostDisks) {
+    const {current} = vm;
+    const known = this.lost.find((disk) => isOwnLoss(disk, name));
+    if (current === null || (known === undefined && this.lost.length >= this.lostDisks)) {
       return;
     }
-    this.replicas.delete(vm.current);
-    this.lost.push({backAt: backMs === null ? Infinity : this.now + backMs, replica: vm.current});
+    if (known !== undefined) {
+      this.lost.splice(this.lost.indexOf(known), 1);
+    }
+    const replicas = [...(known?.replicas ?? []), current];
+    // A new VM that is lost in its turn makes nothing good.
+    const forIt = this.lost.filter(({successor}) => successor === name);
+    forIt.forEach((disk) => Object.assign(disk, {successor: backMs === null ? null : name}));
+    this.lost.push({replicas, since: this.now, successor: backMs === null ? null : name});
+    this.replicas.delete(current);
     vm.retiring = false;
     this.loseLeader(name);
     if (backMs === null) {
@@ -296,7 +314,6 @@
   private newDisk(name: VmId, vm: Vm): void {
     vm.disks++;
     vm.current = `${name}/${vm.disks}`;
-    vm.since = this.now;
     this.replicas.set(vm.current, {copiedAt: null, log: []});
   }
 
@@ -484,54 +501,80 @@
     return isEmptied({name, replica, retiring: true}, report, this.lostDisks);
   }
 
-  /** VMs that count as lost: they lie dark, or have not been back for long. */
-  private troubledVms(): number {
-    const isTroubled = ({current, quietUntil, since}: Vm): boolean =>
-      current !== null &&
-      (quietUntil > this.now || this.now - Math.max(quietUntil, since) < CATCH_UP_MS);
-    const gone = this.lost.filter(({backAt}) => backAt === Infinity).length;
-    return [...this.vms.values()].filter(isTroubled).length + gone;
+  /** Whether a VM's loss, or that of the VM that it replaces, still counts. */
+  private isPoor(name: VmId): boolean {
+    return this.lost.some(({successor}) => successor === name);
+  }
+
+  /** VMs that nobody reaches, or not yet for long. */
+  private silentVms(): readonly VmId[] {
+    const isSilent = ([, {current, quietUntil}]: [VmId, Vm]): boolean =>
+      current !== null && this.now - quietUntil < CATCH_UP_MS;
+    return [...this.vms].filter(isSilent).map(([name]) => name);
+  }
+
+  /** Number of VMs that count as lost: they are silent, or their disk is not made good yet. */
+  private lostVms(): number {
+    return this.silentVms().filter((name) => !this.isPoor(name)).length + this.lost.length;
   }
 
   private forgetLost(): void {
-    const isOverwhelmed = this.troubledVms() > this.lostDisks;
+    const isOverwhelmed = this.lostVms() > this.lostDisks;
     for (const disk of [...this.lost]) {
-      if (isOverwhelmed) {
+      const {replicas, successor} = disk;
+      const isBack = successor !== null && this.vms.get(successor)!.quietUntil <= this.now;
+      // Nobody can tell a VM that is gone for good from one that is only silent.
+      const isUnclear =
+        successor !== null && !isOwnLoss(disk, successor) && this.silentVms().length > 0;
+      if (!isBack || isOverwhelmed || isUnclear) {
         // Service may rest while more than the settings allow is away; the time begins anew.
-        disk.backAt = disk.backAt === Infinity ? Infinity : Math.max(disk.backAt, this.now);
+        disk.since = this.now;
       }
-      if (this.now - disk.backAt >= CATCH_UP_MS || this.isMadeGood(disk.replica)) {
+      if (this.now - disk.since >= CATCH_UP_MS || replicas.every((id) => this.isMadeGood(id))) {
         this.lost.splice(this.lost.indexOf(disk), 1);
       }
     }
   }
 
-  /** Whether others vote in the lost one's place, and hold everything. */
+  /** Whether the lost one belongs to the group no longer, and others vote in its place and hold everything. */
   private isMadeGood(replica: ReplicaId): boolean {
     const {voters} = this.membersOf(this.committed);
+    const present = [...this.members.voters, ...this.members.learners];
     const holds = (id: ReplicaId): boolean =>
       this.replicas.has(id) && this.logOf(id).length >= this.committed.length;
     return (
-      voters.length >= votersFor(this.lostDisks) && !voters.includes(replica) && voters.every(holds)
+      voters.length >= votersFor(this.lostDisks) &&
+      ![...voters, ...present].includes(replica) &&
+      voters.every(holds)
     );
   }
 
   /** The promise, for every choice of the disks that may still be lost at this moment. */
   private check(): void {
     const ids = [...this.replicas.keys()];
-    for (const gone of choose(ids, Math.max(0, this.lostDisks - this.lost.length))) {
-      const isThere = (id: ReplicaId): boolean => this.replicas.has(id) && !gone.includes(id);
-      const able = ids.filter((id) => isThere(id) && this.isElectable(id, isThere));
-      const told = `without ${gone.join(' ')}, voters ${this.members.voters.join(' ')}`;
-      if (able.length === 0) {
-        throw new LossError(`no majority any more ${told}`);
-      }
-      const poor = able.find((id) =>
-        this.committed.some((entry, at) => this.logOf(id)[at] !== entry),
-      );
-      if (poor !== undefined) {
-        throw new LossError(`${poor} may lead and lacks a committed entry ${told}`);
-      }
+    const isPoor = (id: ReplicaId): boolean =>
+      this.lost.some((disk) => isOwnLoss(disk, vmOfReplica(id)));
+    const poor = ids.filter(isPoor);
+    const others = ids.filter((id) => !poor.includes(id));
+    for (const gone of choose(others, this.lostDisks - this.lost.length)) {
+      this.checkWithout(gone);
+      this.checkWithout([...gone, ...poor]);
+    }
+  }
+
+  private checkWithout(gone: readonly ReplicaId[]): void {
+    const there = [...this.replicas.keys()].filter((id) => !gone.includes(id));
+    const isThere = (id: ReplicaId): boolean => there.includes(id);
+    const able = there.filter((id) => this.isElectable(id, isThere));
+    const told = `without ${gone.join(' ')}, voters ${this.members.voters.join(' ')}`;
+    if (able.length === 0) {
+      throw new LossError(`no majority any more ${told}`);
+    }
+    // Logs that hold the same entry hold the same ones before it.
+    const last = this.committed.length - 1;
+    const poor = able.find((id) => this.logOf(id)[last] !== this.committed[last]);
+    if (poor !== undefined) {
+      throw new LossError(`${poor} may lead and lacks a committed entry ${told}`);
     }
   }
 }
