Three failing tests: what the control group acknowledges and founds while it can't bear the losses

And founders may be disks that are lost already: asked after a store fell silent and another came back with an empty disk, the leader founded the group by the silent one and by both disks of the other VM; a single further loss ends it.

--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
@@ -0,0 +1,118 @@
+/**
+ * The control group's leader: what it acknowledges, and whom it lets found the group that keeps batch jobs, while its own
+ * group can't bear the losses yet.
+ */
+import type {ReplicaId} from 'stallpaddle';
+import type {FleetCommand, FleetState, Hello} from 'stallpaddle-fleet';
+import type {ReplicaDriver} from 'stallpaddle-replication';
+
+import {decodeValue, delay, systemClock} from 'stallpaddle';
+import {fleetMachine} from 'stallpaddle-fleet';
+import {NotLeaderError} from 'stallpaddle-replication';
+import {afterEach, describe, expect, test} from 'vitest';
+
+import {NodeDesk} from '../../NodeDesk';
+
+const CONFIG = {routes: [], services: [], tenants: [], version: 7};
+const desks: NodeDesk[] = [];
+
+afterEach(() => desks.splice(0).forEach((desk) => desk.stop()));
+
+/** A leader whose group has so many voters, and records whatever it is given. */
+function lead(voterCount: number, lostDisks: number) {
+  const voters = Array.from({length: voterCount}, (_, at): ReplicaId => `10.0.0.${at + 1}/first`);
+  const proposed: FleetCommand[] = [];
+  const held = {state: fleetMachine.initial()};
+  const status = {log: {members: {learners: [] as readonly ReplicaId[], voters}}, term: 1};
+  const driver = {
+    get leads() {
+      return true;
+    },
+    get localState() {
+      return held.state;
+    },
+    propose: (data: Uint8Array) => {
+      proposed.push(decodeValue<FleetCommand>(data));
+      const {result, state} = fleetMachine.apply(held.state, data, 0);
+      held.state = state;
+      return Promise.resolve(result);
+    },
+    read: () => held.state,
+    status,
+  };
+  const desk = new NodeDesk({
+    clock: systemClock,
+    group: {
+      driver: driver as unknown as ReplicaDriver<FleetState>,
+      registerListener: () => () => true,
+    },
+    log: () => {},
+    lostDisks,
+    reportMs: 1_000,
+  });
+  desks.push(desk);
+  const kinds = (): readonly string[] => proposed.map(({kind}) => kind);
+  return {desk, held, kinds, proposed, status};
+}
+
+function watch(desk: NodeDesk, hellos: readonly Hello[], ageMs = 0): Promise<unknown> {
+  const relayed = hellos.map((hello) => ({ageMs, hello}));
+  return desk.answer({
+    hellos: [],
+    kind: 'watch',
+    known: {config: null, fleet: 0, term: 0},
+    mayRelay: false,
+    relayed,
+    waitMs: 0,
+  } as unknown as Parameters<NodeDesk['answer']>[0]);
+}
+
+function store(name: string, replica: ReplicaId): Hello {
+  return {kind: 'store', leads: null, name, replica, zone: 'a'};
+}
+
+const STORES = [1, 2, 3, 4, 5].map((number) => store(`s${number}`, `10.1.0.${number}/1`));
+
+/** Longer than the pause between two looks of the leader. */
+const LOOK_MS = 250;
+
+describe('NodeDesk', () => {
+  test('acknowledges no configuration before its group has the voters to bear the losses', async () => {
+    // Three seeds found the group; two of them may be lost right after the acknowledgement.
+    const {desk, kinds, status} = lead(3, 2);
+    const put = {config: CONFIG, kind: 'putConfig'} as unknown as Parameters<NodeDesk['answer']>[0];
+    await expect(desk.answer(put)).rejects.toThrow(NotLeaderError);
+    expect(kinds()).toEqual([]);
+    const more = ['10.0.0.4/1', '10.0.0.5/1'];
+    status.log.members = {learners: [], voters: [...status.log.members.voters, ...more]};
+    await expect(desk.answer(put)).resolves.toEqual({kind: 'applied'});
+    // From now on fewer voters mean that some were lost, and those count among the losses.
+    status.log.members = {learners: more, voters: status.log.members.voters.slice(0, 4)};
+    await expect(desk.answer(put)).resolves.toMatchObject({kind: 'held'});
+  });
+
+  test('has the group for batch jobs founded no earlier either', async () => {
+    const {desk, kinds, status} = lead(3, 2);
+    await watch(desk, STORES);
+    await delay(LOOK_MS);
+    expect(kinds()).not.toContain('foundJobs');
+    const more = ['10.0.0.4/1', '10.0.0.5/1'];
+    status.log.members = {learners: [], voters: [...status.log.members.voters, ...more]};
+    await watch(desk, STORES);
+    await delay(LOOK_MS);
+    expect(kinds()).toContain('foundJobs');
+  });
+
+  test('names no founder that is silent, or whose VM has come back with another disk', async () => {
+    const {desk, proposed} = lead(3, 1);
+    await watch(desk, [store('s1', '10.1.0.1/1')], 5_000);
+    await watch(desk, [store('s2', '10.1.0.2/1')], 1_000);
+    await watch(desk, [store('s2', '10.1.0.2/2'), store('s3', '10.1.0.3/1')]);
+    await delay(LOOK_MS);
+    expect(proposed.filter(({kind}) => kind === 'foundJobs')).toEqual([]);
+    await watch(desk, [store('s4', '10.1.0.4/1')]);
+    await delay(LOOK_MS);
+    const founders = ['10.1.0.2/2', '10.1.0.3/1', '10.1.0.4/1'];
+    expect(proposed).toContainEqual({founders, kind: 'foundJobs'});
+  });
+});
