The control group acknowledges nothing before it bears the losses; founders are the present disks of VMs that speak

Cause: the founding of the control group by three seeds was taken for a group that bears any number of lost disks; and the leader remembers every disk that ever spoke in its term. Change: putConfig and the founding of the group for batch jobs wait until so many voters are there as bear the losses, once (later, fewer voters mean lost disks, which count). The members' entry stands before the configuration in the log, so an acknowledgement speaks for both. A late word of a lost disk no longer takes its successor's name in the list of stores (and with it the order to empty it).

--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -10,6 +10,7 @@
   type EngineReport,
   type FleetAnswer,
   type FleetCommand,
+  type FleetConfig,
   type FleetNews,
   type FleetRequest,
   type FleetState,
@@ -101,7 +102,7 @@
       case 'peek':
         return this.peek();
       case 'putConfig':
-        return this.propose({config: request.config, kind: 'putConfig'});
+        return this.putConfig(request.config);
       case 'readConfig':
         return this.options.group.driver.read().config;
       case 'removeEngine':
@@ -131,6 +132,29 @@
     return this.options.group.driver.propose(encodeValue(command)) as Promise<FleetAnswer>;
   }
 
+  /**
+   * Whether the control group bears the losses. Its founders are fewer; once something was recorded that needs it, fewer
+   * voters are there only because disks were lost, and those count among the losses.
+   */
+  private bearsLosses(): boolean {
+    const {group, lostDisks} = this.options;
+    const {localState, status} = group.driver;
+    return (
+      localState.config !== null ||
+      localState.jobsFounders !== null ||
+      status.log.members.voters.length >= votersFor(lostDisks)
+    );
+  }
+
+  /** The members are recorded before the configuration: when it is acknowledged, as many have both as must. */
+  private async putConfig(config: FleetConfig): Promise<FleetAnswer> {
+    if (!this.bearsLosses()) {
+      // Whoever asks tries again: the other replicas join within a second.
+      throw new NotLeaderError(null);
+    }
+    return this.propose({config, kind: 'putConfig'});
+  }
+
   private async takeReport(report: EngineReport): Promise<FleetAnswer> {
     const state = this.options.group.driver.read();
     this.current().engines.set(report.id, this.options.clock.monotonicMs());
@@ -161,22 +185,26 @@
   }
 
   private hear(hello: Hello, at: MonotonicMs): void {
-    this.current().hear(hello, at);
+    const {group} = this.options;
+    const heard = this.current();
+    heard.hear(hello, at);
     if (hello.kind === 'store') {
-      this.recordStore(hello.name, hello.replica);
+      const known = group.driver.localState.stores.get(hello.name)?.replica;
+      // A lost disk's last words may be passed on after its successor's first.
+      const isLate = known !== undefined && (heard.stores.get(known)?.at ?? -Infinity) > at;
+      if (known !== hello.replica && !isLate) {
+        this.recordStore(hello.name, hello.replica);
+      }
     }
   }
 
   private recordStore(name: VmId, replica: ReplicaId): void {
-    const {group, log} = this.options;
-    const {driver} = group;
-    if (driver.localState.stores.get(name)?.replica !== replica) {
-      this.propose({kind: 'seeStore', name, replica}).then(
-        () => log('A store process joins.', {name, replica}),
-        // It says so again with its next question.
-        () => {},
-      );
-    }
+    const {log} = this.options;
+    this.propose({kind: 'seeStore', name, replica}).then(
+      () => log('A store process joins.', {name, replica}),
+      // It says so again with its next question.
+      () => {},
+    );
   }
 
   /** The first change after a pause is told at once, what comes soon after it with the next look. */
@@ -233,10 +261,11 @@
     const {group, log, lostDisks} = this.options;
     const {driver} = group;
     const heard = this.current();
-    if (driver.localState.jobsFounders !== null) {
+    if (driver.localState.jobsFounders !== null || !this.bearsLosses()) {
       return;
     }
-    const founders = chooseFounders([...heard.stores.values()], lostDisks);
+    const now = this.options.clock.monotonicMs();
+    const founders = chooseFounders([...heard.stores.values()], lostDisks, now);
     if (founders === null || this.founding) {
       return;
     }
--- a/packages/stallpaddle-node/src/NodeStorePlan.ts
+++ b/packages/stallpaddle-node/src/NodeStorePlan.ts
@@ -1,7 +1,7 @@
 /**
  * Which store processes found the group that keeps batch jobs, and which of them may leave it. Pure.
  */
-import type {MonotonicMs, ReplicaId} from 'stallpaddle';
+import type {MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
 import type {FleetState, FleetStore, JobsGroupReport} from 'stallpaddle-fleet';
 
 import type {HeardStore, NodeHeard} from './NodeHeard';
@@ -22,21 +22,36 @@
   return ranked.sort((a, b) => a.rank - b.rank).map(({store}) => store);
 }
 
+/** The present disk of each VM: the one that spoke last. */
+function presentStores(stores: readonly HeardStore[]): readonly HeardStore[] {
+  const byVm = new Map<VmId, HeardStore>();
+  for (const store of stores) {
+    if (store.at >= (byVm.get(store.name)?.at ?? -Infinity)) {
+      byVm.set(store.name, store);
+    }
+  }
+  return [...byVm.values()];
+}
+
 /**
- * First members of the group, or null while too few store processes are there to bear a loss.
+ * First members of the group, or null while too few store processes are there to bear a loss. A disk that is lost already
+ * would be one of those that may be lost later.
  *
  * @param stores the store processes that were heard
  * @param lostDisks disks that may be lost at once
+ * @param now the present moment
  */
 export function chooseFounders(
   stores: readonly HeardStore[],
   lostDisks: number,
+  now: MonotonicMs,
 ): readonly ReplicaId[] | null {
   const wanted = votersFor(lostDisks);
-  if (stores.length < wanted) {
+  const present = presentStores(stores).filter(({at}) => now - at < ENTRY_SILENT_MS);
+  if (present.length < wanted) {
     return null;
   }
-  return spreadOverZones(stores)
+  return spreadOverZones(present)
     .slice(0, wanted)
     .map(({replica}) => replica);
 }
