A failing test: a group is called whole without a VM before the change that let it go is recorded

'completed' rests on the leader's word that its group is settled. It said so of members that stood in its own log only. The VM then goes with its disk, the leader dies, and the next one counts the VM among its voters: with two disks that may be lost at once, three of six are left after them.

--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -199,6 +199,23 @@
     expect(fleet.groups.get(more)!.driver.localState.texts).toEqual(['one']);
   });
 
+  test('is settled only once the change of its members is recorded, however well all are caught up', async () => {
+    // A VM to be emptied goes with its disk once the group is said to be whole without it.
+    const {fleet, ids} = await found();
+    const group = await fleet.leader();
+    await group.driver.propose(Buffer.from('one'));
+    for (let tries = 0; !group.settled; tries++) {
+      expect(tries).toBeLessThan(300);
+      await delay(10);
+    }
+    const {self} = group.driver.status;
+    const voters = [self, ids.find((id) => id !== self)!];
+    const changed = group.driver.changeMembers({learners: [], voters});
+    expect(group.driver.status.log.members.voters).toEqual(voters);
+    expect(group.settled).toBe(false);
+    await changed;
+  });
+
   test('commands that links take long to carry are recorded, and leadership stays where it is', async () => {
     // As measured on a fleet whose stores were busy: 800 KB took half a second.
     const fleet = new Fleet(1_600);
