A group is settled only with recorded members; the steps of a change follow each other at once

Cause: the members in the leader's log hold for its own decisions from the moment they are written, but not for the next leader before a majority has them. Change: settled asks for the record too.

--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -18,6 +18,9 @@
 import {GROUP_TIMING, KEEP_MEMBERS_MS, REOPEN_MS, SECOND_MS} from './NodeConstants';
 import {type KnownReplica, planMembers} from './NodeKeeper';
 
+/** Most changes of members at one look: all that follows a lost VM, or the founding of a group of five by three. */
+const STEPS_A_LOOK = 4;
+
 /** A replica that may belong to the group, as the process has heard of it. */
 export interface Candidate {
   readonly id: ReplicaId;
@@ -142,12 +145,16 @@
     }
   }
 
-  /** Whether every voter holds all that was committed. */
+  /**
+   * Whether every voter holds all that was committed, and the members themselves are: the next leader may not know of a
+   * change that isn't, and count on a replica that has left since.
+   */
   get settled(): boolean {
     const {status} = this.driver;
-    return status.log.members.voters.every(
-      (voter) => voter === this.options.self || isCaughtUp(status, voter),
-    );
+    const {members, membersIndex} = status.log;
+    const isWhole = (voter: ReplicaId): boolean =>
+      voter === this.options.self || isCaughtUp(status, voter);
+    return membersIndex <= status.commit && members.voters.every(isWhole);
   }
 
   /**
@@ -208,20 +215,33 @@
     return [...known.values()];
   }
 
+  /**
+   * A step that is due after another is taken at once: between the vote of a successor and the end of the voter that it
+   * replaces lies one voter that counts and may be lost.
+   */
   private async keepMembers(): Promise<void> {
+    for (let steps = 0; steps < STEPS_A_LOOK && !this.closed; steps++) {
+      if (!(await this.takeStep())) {
+        return;
+      }
+    }
+  }
+
+  /** Changes the members where that is due; returns whether it was done. */
+  private async takeStep(): Promise<boolean> {
     const {group, logger, lostDisks, self} = this.options;
     const {driver} = this;
     if (!driver.leads) {
-      return;
+      return false;
     }
     const {members} = driver.status.log;
     const step = planMembers({known: this.known(), lostDisks, members, self});
     if (step === null) {
-      return;
+      return false;
     }
     if (step.kind === 'handOver') {
       driver.transferLeadership();
-      return;
+      return false;
     }
     const fields = {
       group,
@@ -232,8 +252,10 @@
     try {
       await driver.changeMembers(step.members);
       logger.info('The members of the group change.', fields);
+      return true;
     } catch (err) {
       logger.warn('The members could not be changed.', {...fields, error: errorMessage(err)});
+      return false;
     }
   }
 }
