Tests: a leader changes no members before an entry of its own term is recorded, nor while another change is not

Nothing changed in the code: the known flaw of changes by one voter at a time was kept out already, by the lease (which asks for an entry of the leader's own term) and by the place of the members' entry. Shown by mutations: with 'leads' in place of the lease the first test fails, without the place the second.

--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
@@ -5,7 +5,7 @@
 /**
  * One scripted failure for each rule that the safety of the log rests on.
  */
-import type {Message, MessageBody} from '../../ReplicationTypes';
+import type {LogEntry, Message, MessageBody, ReplicationEvent} from '../../ReplicationTypes';
 
 import {STUCK_TIMEOUTS} from '../../ReplicationConstants';
 import {entryBytes, ReplicationLog} from '../../ReplicationLog';
@@ -153,6 +153,64 @@
   });
 });
 
+describe('a change of members', () => {
+  const four = ['a/1', 'b/1', 'c/1', 'd/1'];
+  const three = {learners: [], voters: ['a/1', 'b/1', 'c/1']};
+
+  /** A leader of term 3 whose log holds a change of term 2 that is not known to be recorded. */
+  function newLeader(payload: LogEntry['payload']) {
+    const members = {learners: [], voters: four};
+    const log = ReplicationLog.restore({index: 0, members, term: 0}, [
+      {index: 1, payload, term: 2},
+    ]);
+    const timing = {electionTimeoutMs: ELECTION_MS, heartbeatMs: 20, leaseDriftFraction: 0.2};
+    const start = {group: 'g', hardState: {term: 2, votedFor: null}, log, self: 'a/1', timing};
+    const now = ELECTION_MS * 3;
+    let state = startReplica(start, 0);
+    const step = (event: ReplicationEvent): readonly string[] => {
+      const {effects, state: next} = stepReplica(state, event, now);
+      state = next;
+      return effects.map(({kind}) => kind);
+    };
+    const hear = (from: ReplicaId, body: MessageBody, term: number): void => {
+      step({kind: 'message', message: {body, from, group: 'g', term, to: 'a/1'}});
+    };
+    const others = four.slice(1);
+    step({kind: 'tick'});
+    others.forEach((from) => hear(from, {granted: true, kind: 'preVoteReply'}, 2));
+    others.forEach((from) => hear(from, {granted: true, kind: 'voteReply'}, 3));
+    expect(state.role.kind).toBe('leader');
+    const acknowledge = (lastIndex: number): void => {
+      step({index: lastIndex, kind: 'persisted', term: lastIndex === 1 ? 2 : 3});
+      const body = {kind: 'appendReply' as const, lastIndex, ok: true, sentAt: now};
+      others.forEach((from) => hear(from, body, 3));
+    };
+    const change = (): readonly string[] =>
+      step({kind: 'changeMembers', members: three, requestId: 1});
+    return {acknowledge, change, commit: () => state.commit};
+  }
+
+  test('waits until an entry of the leader’s own term is recorded, also when no other change is under way', () => {
+    // Else two leaders that each know of another change could both record theirs by majorities that don't meet.
+    const {acknowledge, change, commit} = newLeader({kind: 'noop'});
+    acknowledge(1);
+    expect(commit()).toBe(0);
+    expect(change()).toEqual(['rejected']);
+    acknowledge(2);
+    expect(commit()).toBe(2);
+    expect(change()).toContain('proposed');
+  });
+
+  test('counts one that an earlier leader began, and one of its own that isn’t recorded', () => {
+    const members = {learners: ['e/1'], voters: four};
+    const {acknowledge, change} = newLeader({kind: 'members', members});
+    expect(change()).toEqual(['rejected']);
+    acknowledge(2);
+    expect(change()).toContain('proposed');
+    expect(change()).toEqual(['rejected']);
+  });
+});
+
 describe('a snapshot', () => {
   test('never takes away entries after its place that count towards a majority', () => {
     const {leader, others, world} = settled();
