--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -3,12 +3,10 @@
  */
 
 import type {Clock, GroupId, ReplicaId, VmId} from 'stallpaddle';
-import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
+import type {RpcChannel, TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import {delay, encodeValue, RefusalError, vmOfReplica} from 'stallpaddle';
 
-import type {NodePeers} from './NodePeers';
-
 import {CALL_AGAIN_MS, CALL_TRY_MS, SLOW_BYTES_PER_MS} from './NodeConstants';
 import {hostOf} from './NodeSettings';
 
@@ -23,7 +21,7 @@
   };
   /** Hosts that may lead, best known first. */
   readonly hosts: () => readonly VmId[];
-  readonly peers: NodePeers;
+  readonly peers: {readonly channel: (host: VmId) => Pick<RpcChannel, 'call' | 'post'>};
 }
 
 /** One call. */
