What a process knows of a leader is taken back only by what is newer

Cause: each outcome of a try was believed over whatever other calls had learned meanwhile, and a read's single try could take its whole time, also at a VM that was only guessed, or named by another replica, to lead.

A leader that has answered may take as long as before.

Left: a read that waits for results holds its try at a dark guess for that wait besides.

--- a/packages/stallpaddle-node/src/NodeCaller.ts
+++ b/packages/stallpaddle-node/src/NodeCaller.ts
@@ -28,9 +28,11 @@
 export interface GroupCall {
   /** Whether it changes something: then a lost answer leaves its outcome unknown. */
   readonly changes: boolean;
+  /** Longest time for which the leader holds the answer, in milliseconds. */
+  readonly heldMs?: number;
   /** Longest time for all tries, in milliseconds. */
   readonly totalMs: number;
-  /** Longest single try, in milliseconds. */
+  /** Longest single try at a leader that has answered before, in milliseconds. */
   readonly tryMs?: number;
   /** Command or question; may arrive twice without harm. */
   readonly value: unknown;
@@ -49,6 +51,13 @@
   return [...new Set([...seeds.map(hostOf), ...replicas.map(vmOfReplica)])];
 }
 
+/** A host that leads, as far as known. */
+interface KnownLeader {
+  /** Whether it has answered; else another replica has named it. */
+  readonly hasAnswered: boolean;
+  readonly host: VmId;
+}
+
 /** An outcome that is unknown once its time is over. */
 function inTime(outcome: Promise<TryOutcome>, mostMs: number): Promise<TryOutcome> {
   return new Promise((resolve) => {
@@ -63,7 +72,7 @@
 
 /** See the module's comment. */
 export class NodeCaller {
-  private leader: null | VmId = null;
+  private leader: KnownLeader | null = null;
   private next = 0;
 
   /**
@@ -73,7 +82,7 @@
 
   /** The host that led when last heard. */
   get leaderHost(): null | VmId {
-    return this.leader;
+    return this.leader?.host ?? null;
   }
 
   /** Hosts that may lead, best known first. */
@@ -87,14 +96,16 @@
    * @param call the call
    * @throws {RefusalError} when no leader answers in time; its verdict tells whether anything may have changed
    */
-  async call<Answer>({changes, totalMs, value, ...given}: GroupCall): Promise<Answer> {
+  async call<Answer>({changes, heldMs = 0, totalMs, tryMs, value}: GroupCall): Promise<Answer> {
     const {clock, group} = this.options;
     const encoded = encodeValue(value);
-    const tryMs = given.tryMs ?? CALL_TRY_MS + encoded.length / SLOW_BYTES_PER_MS;
+    const shortMs = heldMs + CALL_TRY_MS + encoded.length / SLOW_BYTES_PER_MS;
     const end = clock.monotonicMs() + totalMs;
     let mayHaveChanged = false;
     for (let left = totalMs; left > 0; left = end - clock.monotonicMs()) {
-      const outcome = await this.tryOnce({encoded, group, query: !changes}, Math.min(tryMs, left));
+      // A VM that is only guessed or named to lead may be dark: a read would spend all its time there.
+      const mostMs = this.leader?.hasAnswered === true ? (tryMs ?? shortMs) : shortMs;
+      const outcome = await this.tryOnce({encoded, group, query: !changes}, Math.min(mostMs, left));
       if (outcome.kind === 'answered') {
         return outcome.result as Answer;
       }
@@ -112,21 +123,18 @@
    * @param tryMs longest wait, in milliseconds
    */
   async tryOnce(request: TryRequest, tryMs: number): Promise<TryOutcome> {
-    const host = this.leader ?? this.nextHost();
+    const asked = this.leader;
+    const host = asked?.host ?? this.nextHost();
     if (host === undefined) {
       return {kind: 'notLeader', leader: null};
     }
     const outcome = await this.tryAt(host, request, tryMs);
-    switch (outcome.kind) {
-      case 'answered':
-        this.leader = host;
-        break;
-      case 'notLeader':
-        this.leader = outcome.leader === host ? null : outcome.leader;
-        break;
-      case 'unknown':
-        this.leader = null;
-        break;
+    if (outcome.kind === 'answered') {
+      this.leader = {hasAnswered: true, host};
+    } else if (this.leader === asked) {
+      // Unless another call has learned more meanwhile: many may end one after the other at a leader that is lost.
+      const named = outcome.kind === 'notLeader' && outcome.leader !== host ? outcome.leader : null;
+      this.leader = named === null ? null : {hasAnswered: false, host: named};
     }
     return outcome;
   }
@@ -155,7 +163,7 @@
     if (this.leader === null) {
       return false;
     }
-    this.options.peers.channel(this.leader).post(request);
+    this.options.peers.channel(this.leader.host).post(request);
     return true;
   }
 
--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -76,16 +76,16 @@
   async carryOut(call: JobCall): Promise<RawAnswer> {
     switch (call.kind) {
       case 'endJob': {
-        const answer = await this.call<JobsAnswer>(call, true, JOB_CALL_MS);
+        const answer = await this.call<JobsAnswer>(call, true);
         this.log.decide('jobEnd', call.job, {outcome: answer.kind});
         return {status: answer.kind === 'unknownJob' ? 404 : 200};
       }
       case 'readBody': {
-        const answer = await this.call<BodyAnswer>(call, false, JOB_CALL_MS);
+        const answer = await this.call<BodyAnswer>(call, false);
         return answer.kind === 'body' ? {body: answer.body, status: 200} : {status: 404};
       }
       case 'readResults': {
-        const answer = await this.call<ResultsAnswer>(call, false, JOB_CALL_MS + call.waitMs);
+        const answer = await this.call<ResultsAnswer>(call, false, call.waitMs);
         return answer.kind === 'results'
           ? this.wire.encodeResults(answer.total, answer.next, answer.results)
           : {status: 404};
@@ -95,8 +95,9 @@
     }
   }
 
-  private call<Answer>(value: JobsRequest, changes: boolean, totalMs: number): Promise<Answer> {
-    return this.caller.call<Answer>({changes, totalMs, tryMs: totalMs, value});
+  private call<Answer>(value: JobsRequest, changes: boolean, heldMs = 0): Promise<Answer> {
+    const totalMs = JOB_CALL_MS + heldMs;
+    return this.caller.call<Answer>({changes, heldMs, totalMs, tryMs: totalMs, value});
   }
 
   private onAnswer(id: string, answer: JobsAnswer): RawAnswer {
