--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -180,6 +180,7 @@
     this.desk = new NodeDesk({
       clock,
       group,
+      jobsBefore: () => this.fleet.watch.view.news.jobsReplicas,
       log: (message, fields) => this.log.note(message, fields),
       lostDisks,
       reportMs: settings.bounds.report,
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -41,6 +41,8 @@
   readonly clock: Clock;
   /** The control group's replica here. */
   readonly group: Pick<NodeGroup<FleetState>, 'driver' | 'registerListener'>;
+  /** Where this process last heard that batch jobs are kept. */
+  readonly jobsBefore: () => readonly ReplicaId[];
   readonly log: (message: string, fields: LogFields) => void;
   readonly lostDisks: number;
   /** Time between two reports of an engine, in milliseconds. */
@@ -217,10 +219,11 @@
   }
 
   private makeNews(): FleetNews {
-    const {clock, group, reportMs} = this.options;
+    const {clock, group, jobsBefore, reportMs} = this.options;
     const {driver} = group;
     return makeNews({
       heard: this.current(),
+      jobsBefore: jobsBefore(),
       members: driver.status.log.members,
       now: clock.monotonicMs(),
       reportMs,
--- a/packages/stallpaddle-node/src/NodeNews.ts
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -2,7 +2,7 @@
  * The news that a leader of the control group has for all processes: pure, from the group's state and what
  * the leader has heard.
  */
-import type {MonotonicMs} from 'stallpaddle';
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
 import type {EngineView, EntryView, FleetNews, FleetState, StoreView} from 'stallpaddle-fleet';
 import type {GroupMembers} from 'stallpaddle-replication';
 
@@ -15,6 +15,8 @@
 /** What the news are made from. */
 export interface NewsInput {
   readonly heard: NodeHeard;
+  /** Where this process last heard that batch jobs are kept, from whoever led then. */
+  readonly jobsBefore: readonly ReplicaId[];
   /** Members of the control group. */
   readonly members: GroupMembers;
   /** The present moment. */
