While no leader of the jobs is heard, news name who kept them before, or all stores

Cause: the report of the jobs' leader lives in the memory of one leader of the control group; without it news named the founders alone. With their disks lost one after the other no founder belongs to the group any more, and an entry VM that came back asked only them until the jobs' leader had reported: callers read 503.

Change: what the process itself heard before is named, and after a loss of all power every store of the fleet, the founders first. Ruled out: naming all stores always; an entry VM would ask many VMs that know no leader.

--- a/packages/stallpaddle-node/src/NodeNews.ts
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -52,6 +52,20 @@
   return sortLines(stores, ({name}) => name);
 }
 
+/**
+ * Replicas of the group that keeps batch jobs. While no leader of it was heard: those that were named before, or, after
+ * a loss of all power, every store, for none of the founders may belong to it any more.
+ */
+function jobsReplicas({heard, jobsBefore, state}: NewsInput): readonly ReplicaId[] {
+  const {jobsFounders, stores} = state;
+  if (jobsFounders === null) {
+    return [];
+  }
+  const known = heard.jobsReport?.voters ?? jobsBefore;
+  const all = [...jobsFounders, ...[...stores.values()].map(({replica}) => replica)];
+  return known.length > 0 ? known : [...new Set(all)];
+}
+
 /**
  * Makes the news.
  *
@@ -66,7 +80,7 @@
     entries: entryViews(input),
     entriesComplete: now - heard.since > SETTLE_MS,
     jobsFounders,
-    jobsReplicas: heard.jobsReport?.voters ?? jobsFounders ?? [],
+    jobsReplicas: jobsReplicas(input),
     stores: storeViews(input),
   };
 }
