A test that voters find each other after a loss of all power, with two disks lost and without any news

It passes on the code as it is: voters know each other's hosts from the log; VMs that come back under the same hosts with empty disks, and are told of the founders, answer nothing that is meant for the replicas before them.

--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -90,6 +90,8 @@
   /** Changes of the members, as the logs tell them. */
   readonly memberChanges: string[] = [];
   private readonly port = port++;
+  /** Whether nobody tells the replicas who may belong to the group: the control group has no majority. */
+  isBlind = false;
   retiring: ReplicaId | undefined;
 
   /**
@@ -154,7 +156,8 @@
   }
 
   private candidates(): readonly Candidate[] {
-    return [...this.groups.keys()].map((id) => ({
+    const ids = this.isBlind ? [] : [...this.groups.keys()];
+    return ids.map((id) => ({
       id,
       retiring: id === this.retiring,
       silentMs: 0,
@@ -224,6 +227,37 @@
     expect(fleet.groups.get(again)!.driver.localState.texts).toEqual(['one', 'two']);
   });
 
+  test('voters that lost power together find each other with two disks lost, and without any news', async () => {
+    // Two of the five VMs come back under their old hosts with empty disks, and are told of the founders once more.
+    const fleet = new Fleet();
+    const ids = [1, 2, 3, 4, 5].map((number) => `127.0.7.${number}/first`);
+    const started = await Promise.all(ids.map((id) => fleet.start(id, ids)));
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+    fleet.isBlind = true;
+    await Promise.all(started.map(({stop}) => stop()));
+    const lost = ids.slice(0, 2);
+    const empty = await Promise.all(
+      lost.map((id) => fleet.start(id.replace('first', 'again'), ids)),
+    );
+    const returnedAt = performance.now();
+    for (const [at, {disk}] of [...started.entries()].slice(lost.length)) {
+      await fleet.start(ids[at]!, null, disk);
+      await delay(100);
+    }
+    const {driver} = await fleet.leader();
+    expect(driver.read().texts).toEqual(['one']);
+    // The start counts as having heard a leader, then two election timeouts at most, and a vote that was split.
+    expect(performance.now() - returnedAt).toBeLessThan(4_000);
+    expect(await driver.propose(Buffer.from('two'))).toBe(2);
+    await delay(2 * GROUP_TIMING.electionTimeoutMs);
+    // What is sent to those that were there before is not for them: they answer nothing, and lead nobody.
+    for (const {group} of empty) {
+      const {role, term} = group.driver.status;
+      expect([group.driver.localState.texts, role.kind, term]).toEqual([[], 'follower', 0]);
+    }
+    expect([driver.leads, driver.status.log.members.voters]).toEqual([true, ids]);
+  });
+
   test('empties a VM only after another has taken its place', async () => {
     const {fleet, ids} = await found();
     await (await fleet.leader()).driver.propose(Buffer.from('one'));
