A seed that lost its disk is told where its group is

Cause: replicas name themselves only to seeds that no member stands on. A VM whose disk was lost is still a member by its old replica until the leader hears the new one, and it can't be heard while it knows nobody. With the other seeds gone or lost as well, no process that came back found the control group, nor through it the jobs: kept, led, and not found.

Change: the leader names the group also to seeds whose replica has answered nothing for 1.5 s; a process whose replica knows no group yet takes that in, and answers others with it as a process without a replica does. Ruled out: naming it to all seeds always, a word each 250 ms for every seed and replica of an idle fleet.

--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -5,7 +5,8 @@
 
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {LogFields, ReplicaId} from 'stallpaddle';
+import type {LogFields, MonotonicMs, ReplicaId} from 'stallpaddle';
+import type {ReplicationState} from 'stallpaddle-replication';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import path from 'node:path';
@@ -31,7 +32,13 @@
 import type {NodeFleet} from './NodeFleet';
 import type {NodeOptions} from './NodeTypes';
 
-import {CONTROL_GROUP, HAND_OVER_MS, INTRODUCE_MS, INTRODUCE_TRY_MS} from './NodeConstants';
+import {
+  CANDIDATE_SILENT_MS,
+  CONTROL_GROUP,
+  HAND_OVER_MS,
+  INTRODUCE_MS,
+  INTRODUCE_TRY_MS,
+} from './NodeConstants';
 import {NodeControlCalls} from './NodeControlCalls';
 import {NodeDesk} from './NodeDesk';
 import {NodeFollowerDesk} from './NodeFollowerDesk';
@@ -48,6 +55,19 @@
 /** Name of the first disk of a founder, known to all founders beforehand. */
 const FOUNDER = 'first';
 
+/**
+ * Replicas that know their group: a leader leaves out those that answer nothing. A VM that has lost its disk is still
+ * counted among the members, and knows nobody.
+ */
+function informedReplicas({log, role}: ReplicationState, now: MonotonicMs): readonly ReplicaId[] {
+  const {learners, voters} = log.members;
+  const isSilent = (replica: ReplicaId): boolean => {
+    const heardAt = role.kind === 'leader' ? role.progress.get(replica)?.ackedSentAt : undefined;
+    return heardAt !== undefined && now - heardAt >= CANDIDATE_SILENT_MS;
+  };
+  return [...voters, ...learners].filter((replica) => !isSilent(replica));
+}
+
 /** See the module's comment. */
 export class NodeControl {
   private desk: NodeDesk | undefined;
@@ -193,19 +213,25 @@
   }
 
   /**
-   * Tells seeds without a replica where replicas are. After a loss of all processes such a seed knows nobody,
-   * and whoever has only such seeds would never find the group.
+   * Tells seeds without a replica, or with one that answers nothing, where replicas are. After a loss of all processes
+   * such a seed may know nobody, and whoever has only such seeds would never find the group.
    */
   private async introduce(group: NodeGroup<FleetState>): Promise<void> {
     const {control} = this.fleet;
-    const {learners, voters} = group.driver.status.log.members;
-    const replicas = [...voters, ...learners];
-    const request: FleetRequest = {kind: 'introduce', replicas};
+    const {status} = group.driver;
+    const {learners, voters} = status.log.members;
+    const request: FleetRequest = {kind: 'introduce', replicas: [...voters, ...learners]};
     const call = {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
-    const hosts = this.fleet.seedsWithout([...replicas, group.driver.status.self]);
+    const informed = informedReplicas(status, this.options.clock.monotonicMs());
+    const hosts = this.fleet.seedsWithout([...informed, status.self]);
     await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)));
   }
 
+  /** Whether the replica knows the members of its group; an empty disk does once the group has taken it in. */
+  private get knowsGroup(): boolean {
+    return (this.group?.driver.status.log.members.voters.length ?? 0) > 0;
+  }
+
   private exposeMetrics(group: NodeGroup<FleetState>): void {
     const {metrics} = this.fleet;
     group.exposeMetrics(metrics);
@@ -216,12 +242,16 @@
 
   /**
    * Answers other processes: as a leader does, with what the leader told this replica where that is enough, or, without a
-   * replica, with what this process was told.
+   * replica or with an empty one, with what this process was told.
    */
   private answer(request: FleetRequest): Promise<unknown> {
     if (this.desk !== undefined) {
-      const isRelayed = request.kind === 'watch' && request.mayRelay && !this.desk.leads;
-      return isRelayed ? this.follower.answer(request) : this.desk.answer(request);
+      if (request.kind === 'watch' && request.mayRelay && !this.desk.leads) {
+        return this.follower.answer(request);
+      }
+      if (this.knowsGroup) {
+        return this.desk.answer(request);
+      }
     }
     const {control, watch} = this.fleet;
     if (request.kind === 'introduce') {
