--- a/packages/stallpaddle-node/src/NodeJobReads.ts
+++ b/packages/stallpaddle-node/src/NodeJobReads.ts
@@ -95,8 +95,9 @@
     const spentMs = this.clock.monotonicMs() - startedAt;
     const totalMs = Math.max(0, JOB_CALL_MS + heldMs(call) - spentMs);
     const value = requestOf(call, false, totalMs);
+    const held = 'waitMs' in value ? value.waitMs : 0;
     try {
-      return await this.caller.call({changes: false, totalMs, tryMs: totalMs, value});
+      return await this.caller.call({changes: false, heldMs: held, totalMs, tryMs: totalMs, value});
     } catch (err) {
       if (err instanceof RefusalError) {
         const ms = Math.round(this.clock.monotonicMs() - startedAt);
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -27,12 +27,6 @@
 import {NodeReadQueue} from './NodeReadQueue';
 import {NodeWaiters} from './NodeWaiters';
 
-/**
- * Age of what a replica that follows surely holds, up to which it may say that there is no result yet, in milliseconds:
- * whoever has read a result must find it again after a second.
- */
-const FOLLOWER_AGE_MS = 500;
-
 type Driver = NodeGroup<JobsState>['driver'];
 
 async function readResult(driver: Driver, {id, outcome, texts}: ResultRef): Promise<ReadResult> {
@@ -130,7 +124,8 @@
 
   private async readResults(driver: Driver, request: ReadResults): Promise<ResultsAnswer> {
     const {from, job, mayFollow, patienceMs, waitMs} = request;
-    const holdUntil = this.clock.monotonicMs() + waitMs;
+    const askedAt = this.clock.monotonicMs();
+    const holdUntil = askedAt + waitMs;
     for (;;) {
       const found = findResults(stateFor(driver, mayFollow), job, from, RESULT_BYTES);
       if (found === undefined) {
@@ -140,7 +135,9 @@
       const {results: refs, total} = found;
       const left = holdUntil - this.clock.monotonicMs();
       if (refs.length > 0 || left <= 0 || from >= total) {
-        expectSure(driver, refs.length > 0 || from === total);
+        if (refs.length === 0 && from !== total) {
+          expectComplete(driver, this.clock.monotonicMs() - askedAt);
+        }
         const endAt = this.clock.monotonicMs() + Math.max(0, left) + patienceMs;
         const read = (): Promise<readonly ReadResult[]> =>
           Promise.all(refs.map((ref) => readResult(driver, ref)));
@@ -157,9 +154,12 @@
   return mayFollow ? driver.localState : driver.read();
 }
 
-/** An answer that there is nothing yet may be given only by who knows what was committed a moment ago. */
-function expectSure(driver: Driver, isSure: boolean): void {
-  if (!isSure && driver.completeAgeMs > FOLLOWER_AGE_MS) {
+/**
+ * That there is nothing yet may be said only by who holds all that was committed before the question came: whoever has read
+ * a result finds it again. A replica that follows can say so of a question that it has held for a while.
+ */
+function expectComplete(driver: Driver, askedMs: number): void {
+  if (driver.completeAgeMs > askedMs) {
     driver.read();
   }
 }
--- a/packages/stallpaddle-node/src/NodeNews.ts
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -2,7 +2,7 @@
  * The news that a leader of the control group has for all processes: pure, from the group's state and what
  * the leader has heard.
  */
-import type {EngineId, MonotonicMs} from 'stallpaddle';
+import type {EngineId, MonotonicMs, ReplicaId} from 'stallpaddle';
 import type {EngineView, EntryView, FleetNews, FleetState, StoreView} from 'stallpaddle-fleet';
 import type {GroupMembers} from 'stallpaddle-replication';
 
@@ -15,6 +15,8 @@
 /** What the news are made from. */
 export interface NewsInput {
   readonly heard: NodeHeard;
+  /** Where this process last heard that batch jobs are kept, from whoever led then. */
+  readonly jobsBefore: readonly ReplicaId[];
   /** Members of the control group. */
   readonly members: GroupMembers;
   /** The present moment. */
@@ -65,6 +67,20 @@
   return sortLines(stores, ({name}) => name);
 }
 
+/**
+ * Replicas of the group that keeps batch jobs. While no leader of it was heard: those that were named before, or, after
+ * a loss of all power, every store, for none of the founders may belong to it any more.
+ */
+function jobsReplicas({heard, jobsBefore, state}: NewsInput): readonly ReplicaId[] {
+  const {jobsFounders, stores} = state;
+  if (jobsFounders === null) {
+    return [];
+  }
+  const known = heard.jobsReport?.voters ?? jobsBefore;
+  const all = [...jobsFounders, ...[...stores.values()].map(({replica}) => replica)];
+  return known.length > 0 ? known : [...new Set(all)];
+}
+
 /**
  * Makes the news.
  *
@@ -79,7 +95,7 @@
     entries: entryViews(input),
     entriesComplete: now - heard.since > SETTLE_MS,
     jobsFounders,
-    jobsReplicas: heard.jobsReport?.voters ?? jobsFounders ?? [],
+    jobsReplicas: jobsReplicas(input),
     stores: storeViews(input),
   };
 }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
@@ -48,6 +48,7 @@
       driver: driver as unknown as ReplicaDriver<FleetState>,
       registerListener: () => () => true,
     },
+    jobsBefore: () => [],
     log: () => {},
     lostDisks,
     reportMs: 1_000,
@@ -159,6 +160,7 @@
   const desk = new NodeDesk({
     clock,
     group,
+    jobsBefore: () => [],
     log: (message) => logged.push(message),
     lostDisks: 1,
     reportMs: REPORT_MS,
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
@@ -138,6 +138,23 @@
     await expect(desk.answer(body, DISPATCHER)).rejects.toThrow(NotLeaderError);
   });
 
+  test('that find nothing are answered by a replica that holds all that was recorded when they came', async () => {
+    const before = jobsMachine.initial();
+    const submission = {
+      host: 'h',
+      id: 'open',
+      items: [{body: Buffer.from(''), headers: [], id: 'i', path: '/', tokens: 1}],
+      path: '/',
+      route: 'r',
+    };
+    const change = {kind: 'submit', maxWaitingTokens: 0, submission};
+    const {state} = jobsMachine.apply(before, encodeValue({change}), 0);
+    const {desk} = replicaOf(state, false, 50);
+    await expect(desk.answer(readOf('open'), DISPATCHER)).rejects.toThrow(NotLeaderError);
+    const held = await desk.answer(readOf('open', {waitMs: 100}), DISPATCHER);
+    expect(held).toMatchObject({kind: 'results', results: [], total: 1});
+  });
+
   test('go to the leader where a replica that follows can’t be sure', async () => {
     const {desk} = replicaOf(stateOf(1), false, 5_000);
     await expect(desk.answer(readOf('other'), DISPATCHER)).rejects.toThrow(NotLeaderError);
