A store is empty only by the word of a leader that knows of the order; old news name no candidates

Cause: the report of the group's leader may be older than the order to empty a store, and that leader may still take the store in as a copy, then as a voter; and what the control group said long ago was taken for the present, so that a leader cut off from it went on taking in replicas that are lost or to be emptied. Change: the report names the replicas that the leader knows are to be emptied; candidates are as silent as the news are old.

--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -32,6 +32,11 @@
 
 /** Members of the group that keeps batch jobs, as its leader knows them. */
 export interface JobsGroupReport {
+  /**
+   * Replicas that the leader knows are to be emptied: it takes none of them in any more. Leaders of releases before it
+   * don't tell, and no store is empty by their word.
+   */
+  readonly emptying?: readonly ReplicaId[];
   readonly learners: readonly ReplicaId[];
   /** Whether every voter holds all that was committed. */
   readonly settled: boolean;
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -220,12 +220,16 @@
     return null;
   }
 
-  /** Processes that may belong to the group, as the control group's leader names them. */
+  /**
+   * Processes that may belong to the group, as the control group's leader names them. Of whom it said something long ago
+   * nothing is known now, nor whether they have come back with another disk or are to be emptied.
+   */
   private candidates(): readonly Candidate[] {
-    return this.watch.view.news.stores.map(({heard, replica, retiring}) => ({
+    const {ageMs, view} = this.watch;
+    return view.news.stores.map(({heard, replica, retiring}) => ({
       id: replica,
       retiring,
-      silentMs: heard ? 0 : UNHEARD_SILENT_MS,
+      silentMs: heard ? ageMs : UNHEARD_SILENT_MS,
     }));
   }
 
@@ -237,7 +241,9 @@
     }
     const {log, term} = group.driver.status;
     const {learners, voters} = log.members;
-    return {learners, settled: group.settled, term, voters};
+    const {stores} = this.watch.view.news;
+    const emptying = stores.filter(({retiring}) => retiring).map(({replica}) => replica);
+    return {emptying, learners, settled: group.settled, term, voters};
   }
 
   private async answer(request: JobsRequest): Promise<unknown> {
--- a/packages/stallpaddle-node/src/NodeStorePlan.ts
+++ b/packages/stallpaddle-node/src/NodeStorePlan.ts
@@ -101,6 +101,8 @@
 ): boolean {
   return (
     report !== null &&
+    // A leader with older news may take the store in as a copy, and count on it once it has gone.
+    report.emptying?.includes(store.replica) === true &&
     report.settled &&
     report.voters.length >= votersFor(lostDisks) &&
     ![...report.voters, ...report.learners].includes(store.replica)
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeKeeperWorld.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeKeeperWorld.ts
@@ -497,7 +497,7 @@
     const isCaughtUp = (id: ReplicaId): boolean =>
       (leader.acked.get(id)?.length ?? -1) >= this.committed.length;
     const settled = this.mayChange(leader) && members.voters.every(isCaughtUp);
-    const report = {...members, settled, term: leader.term};
+    const report = {...members, emptying: [replica], settled, term: leader.term};
     return isEmptied({name, replica, retiring: true}, report, this.lostDisks);
   }
 
