--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
@@ -1,5 +1,5 @@
 import {decodeValue, delay, encodeValue, silentLogger, systemClock} from 'stallpaddle';
-import {placeBlob} from 'stallpaddle-storage';
+import {type BlobRef, encodeRecord, placeBlob} from 'stallpaddle-storage';
 import {FakeDisk} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -14,6 +14,7 @@
 const SELF = 'vm/1';
 const TIMING = {electionTimeoutMs: 20, heartbeatMs: 4, leaseDriftFraction: 0.2};
 const SNAPSHOT_LOG_BYTES = 2_000;
+const TEXTS = ['one', 'two', 'three'];
 
 interface ListState {
   readonly blobEnd: number;
@@ -42,7 +43,7 @@
   const opened: ReplicaDriver<ListState>[] = [];
   let failure: unknown;
 
-  async function start(disk: FakeDisk): Promise<ReplicaDriver<ListState>> {
+  async function start(disk: FakeDisk, self = SELF): Promise<ReplicaDriver<ListState>> {
     const driver = await ReplicaDriver.open({
       clock: systemClock,
       disk,
@@ -52,7 +53,7 @@
       onFailure: (err) => {
         failure = err;
       },
-      self: SELF,
+      self,
       snapshotLogBytes: SNAPSHOT_LOG_BYTES,
       timing: TIMING,
       transport: {send: () => {}, sendSnapshot: () => Promise.resolve(false)},
@@ -135,6 +136,38 @@
     expect(driver.localState.texts).toHaveLength(200);
   }, 15_000);
 
+  test('takes no snapshot over before its bulk data is whole, and has all of it on the disk when it says so', async () => {
+    // Whoever says so counts as a copy, and may soon be one of a majority.
+    const leader = await open(await formed());
+    const refs: BlobRef[] = [];
+    for (const text of TEXTS) {
+      refs.push((await leader.propose(Buffer.from(text))) as BlobRef);
+    }
+    const {applied, log, term} = leader.status;
+    const members = {learners: ['vm/2'], voters: [SELF]};
+    const meta = {index: applied, members, term: log.termAt(applied)!};
+    const snapshot = {machine: listMachine.encode(leader.localState), meta};
+    const bulk = TEXTS.map((text) => encodeRecord(0, Buffer.from(`bulk of ${text}`)));
+    const whole = Buffer.concat(bulk);
+    const disk = new FakeDisk();
+    const learner = await start(disk, 'vm/2');
+    expect(await learner.beginInstall(meta, term)).toBe(0);
+    expect(await learner.finishInstall(snapshot, term)).toBe(false);
+    const half = await learner.installBlobs(0, whole.subarray(0, 20));
+    expect([half, await learner.finishInstall(snapshot, term)]).toEqual([20, false]);
+    expect(await ReplicaStorage.formedMembers(disk)).toBeUndefined();
+    await learner.installBlobs(20, whole.subarray(20));
+    expect(await learner.finishInstall(snapshot, term)).toBe(true);
+    // A loss of power right after its word.
+    disk.restart();
+    const again = await start(disk, 'vm/2');
+    expect(again.localState.texts).toEqual(TEXTS);
+    const read = await Promise.all(refs.map((ref) => again.readBlob(ref)));
+    expect(read.map((bytes) => Buffer.from(bytes).toString())).toEqual(
+      TEXTS.map((text) => `bulk of ${text}`),
+    );
+  });
+
   test('ends when a sync fails, and acknowledges nothing after it', async () => {
     const disk = await formed();
     const driver = await open(disk);
