--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDiskFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDiskFaults.test.ts
@@ -8,7 +8,7 @@
 import type {ReplicaId} from 'stallpaddle';
 
 import {delay, silentLogger, systemClock} from 'stallpaddle';
-import {FakeDisk} from 'stallpaddle-testing';
+import {bulkOf, FakeDisk, listMachine, type ListState} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {SnapshotSource} from '../../ReplicaOptions';
@@ -22,7 +22,6 @@
 
 import {ReplicaDriver} from '../../ReplicaDriver';
 import {ReplicaStorage} from '../../ReplicaStorage';
-import {bulkOf, listMachine, type ListState} from './ReplicaList';
 
 type Driver = ReplicaDriver<ListState>;
 
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaList.ts
+++ b/packages/stallpaddle-testing/src/ListMachine.ts
@@ -1,13 +1,12 @@
 /**
  * A state machine for tests: a list of texts, most of them with bulk data.
  */
+import type {ReplicaMachine} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
 import {decodeValue, encodeValue} from 'stallpaddle';
 import {placeBlob} from 'stallpaddle-storage';
 
-import type {ReplicaMachine} from '../../ReplicaMachine';
-
 /** Begins a text that brings no bulk data. */
 export const BARE = '#';
 
