--- a/packages/stallpaddle-rpc/src/RpcSnapshots.ts
+++ b/packages/stallpaddle-rpc/src/RpcSnapshots.ts
@@ -11,6 +11,7 @@
 
 import {decodeValue, encodeValue} from 'stallpaddle';
 import {SNAPSHOT_CHUNK_BYTES} from 'stallpaddle-replication';
+import {checksum} from 'stallpaddle-storage';
 
 import type {PeerClient} from './RpcClients';
 
@@ -39,6 +40,28 @@
   readonly ok: boolean;
 }
 
+/**
+ * A snapshot on its way. Pieces don't say which transfer they belong to, so two at once could mix; the checksum tells.
+ * Earlier releases send none.
+ */
+interface SentSnapshot extends MachineSnapshot {
+  readonly check?: number;
+}
+
+function isWhole({check, machine}: SentSnapshot): boolean {
+  return check === undefined || check === checksum(machine);
+}
+
+/** The snapshot that pieces make, or undefined when they are of several. */
+function joinSnapshot(pieces: readonly Uint8Array[]): MachineSnapshot | undefined {
+  try {
+    const sent = decodeValue<SentSnapshot>(Buffer.concat(pieces));
+    return isWhole(sent) ? {machine: sent.machine, meta: sent.meta} : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Sends one step and waits for its receipt. */
 type SendStep = (step: Parameters<PeerClient['install']>[0]['step']) => Promise<InstallReply>;
 
@@ -82,7 +105,9 @@
 }
 
 async function sendState(source: SnapshotSource, call: SendStep): Promise<boolean> {
-  const state = encodeValue(source.snapshot);
+  const {snapshot} = source;
+  const sent: SentSnapshot = {...snapshot, check: checksum(snapshot.machine)};
+  const state = encodeValue(sent);
   for (let offset = 0; ; offset += SNAPSHOT_CHUNK_BYTES) {
     const bytes = state.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES);
     const last = offset + SNAPSHOT_CHUNK_BYTES >= state.length;
@@ -143,9 +168,9 @@
     if (!piece.last) {
       return {blobEnd: 0n, ok: true};
     }
-    const bytes = Buffer.concat([...pieces, piece.bytes]);
     this.states.delete(group);
-    const ok = await replica.finishInstall(decodeValue<MachineSnapshot>(bytes), term);
+    const snapshot = joinSnapshot([...pieces, piece.bytes]);
+    const ok = snapshot !== undefined && (await replica.finishInstall(snapshot, term));
     return {blobEnd: 0n, ok};
   }
 }
--- a/packages/stallpaddle-storage/src/StorageRecord.ts
+++ b/packages/stallpaddle-storage/src/StorageRecord.ts
@@ -29,7 +29,12 @@
   readonly validBytes: number;
 }
 
-function checksum(bytes: Uint8Array): number {
+/**
+ * CRC-32C of bytes.
+ *
+ * @param bytes content
+ */
+export function checksum(bytes: Uint8Array): number {
   return crc32c.buf(bytes, 0) >>> 0;
 }
 
--- a/packages/stallpaddle-storage/src/index.ts
+++ b/packages/stallpaddle-storage/src/index.ts
@@ -4,6 +4,7 @@
 export {CorruptionError} from './StorageErrors';
 export {isLogName, type OpenedLog, StorageLog} from './StorageLog';
 export {
+  checksum,
   decodeRecord,
   encodeRecord,
   RECORD_HEADER_BYTES,
