--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -2,7 +2,9 @@
  * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
  * for whole.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
+
+import type {EngineAnswer} from './RelayAnswer';
 
 import {WHOLE_ANSWER_BYTES} from './RelayConstants';
 import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
@@ -48,15 +50,13 @@
    *
    * @param answer the engine's answer
    */
-  async passStream(answer: IncomingMessage): Promise<ReadEnd> {
+  async passStream(answer: EngineAnswer): Promise<ReadEnd> {
     const splitter = new EventSplitter();
     try {
       for await (const chunk of answer) {
         this.options.onHeard();
-        for (const event of splitter.push(chunk as Buffer)) {
-          if (!(await this.passEvent(answer, event))) {
-            return 'broken';
-          }
+        if (!(await this.passEvents(answer, splitter.push(chunk)))) {
+          return 'broken';
         }
       }
     } catch {
@@ -70,21 +70,20 @@
    *
    * @param answer the engine's answer
    */
-  async passWhole(answer: IncomingMessage): Promise<ReadEnd> {
+  async passWhole(answer: EngineAnswer): Promise<ReadEnd> {
     let held: Buffer[] | null = [];
     let size = 0;
     try {
       for await (const chunk of answer) {
-        const bytes = chunk as Buffer;
-        size += bytes.length;
-        held?.push(bytes);
+        size += chunk.length;
+        held?.push(chunk);
         if (held !== null && size > WHOLE_ANSWER_BYTES) {
           const length = answer.headers['content-length'];
           this.writeHead(answer, length === undefined ? null : Number(length));
           await this.write(Buffer.concat(held));
           held = null;
         } else if (held === null) {
-          await this.write(bytes);
+          await this.write(chunk);
         }
       }
     } catch {
@@ -101,17 +100,27 @@
     return 'whole';
   }
 
-  private async passEvent(answer: IncomingMessage, event: StreamEvent): Promise<boolean> {
-    if (this.options.isOver() || !continues(this.last, event.id)) {
+  /** Passes on what came together in one write; false once an event is out of order. */
+  private async passEvents(answer: EngineAnswer, events: readonly StreamEvent[]): Promise<boolean> {
+    if (this.options.isOver()) {
       return false;
     }
-    this.writeHead(answer, null);
-    this.last = event.id ?? this.last;
-    await this.write(event.raw);
-    return true;
+    const passed: Buffer[] = [];
+    for (const {id, raw} of events) {
+      if (!continues(this.last, id)) {
+        break;
+      }
+      this.last = id ?? this.last;
+      passed.push(raw);
+    }
+    if (passed.length > 0) {
+      this.writeHead(answer, null);
+      await this.write(passed.length === 1 ? passed[0]! : Buffer.concat(passed));
+    }
+    return passed.length === events.length;
   }
 
-  private writeHead(answer: IncomingMessage, length: number | null): void {
+  private writeHead(answer: EngineAnswer, length: number | null): void {
     if (this.res.headersSent) {
       return;
     }
@@ -120,7 +129,7 @@
     if (length !== null) {
       headers.push('Content-Length', String(length));
     }
-    this.res.writeHead(answer.statusCode!, answer.statusMessage ?? '', headers);
+    this.res.writeHead(answer.status, answer.statusText, headers);
   }
 
   private async write(bytes: Uint8Array): Promise<void> {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -12,6 +12,7 @@
 
 import type {RelayContext, RelayEnd} from '../../RelayTypes';
 
+import {RelayBeat} from '../../RelayBeat';
 import {RelayExperience} from '../../RelayExperience';
 import {RelayOnline} from '../../RelayOnline';
 import {RelayPace} from '../../RelayPace';
@@ -25,6 +26,8 @@
   readonly status: number;
 }
 
+/** Time between reads of streams, in milliseconds. */
+const BEAT_MS = 20;
 const undo: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -69,6 +72,7 @@
     zone: 'z',
   }));
   return {
+    beat: new RelayBeat(BEAT_MS),
     clock: systemClock,
     decide: () => {},
     engines: () => views,
