--- a/packages/stallpaddle/src/LineWriter.ts
+++ b/packages/stallpaddle/src/LineWriter.ts
@@ -2,28 +2,57 @@
  * Writes lines to a file descriptor without ever holding the process up: a reader that is slow costs
  * lines, which are counted, and not time.
  */
-import {write} from 'node:fs';
+import {writeSync} from 'node:fs';
+import {Socket} from 'node:net';
 
 import {delay} from './Clock';
 
 /** Most bytes of lines that wait for a slow reader: some seconds of a busy process's lines. */
 const WAITING_BYTES = 262_144;
-/** Pause before a full pipe is tried again, in milliseconds. */
-const FULL_PIPE_MS = 20;
 /** Time between looks whether everything has been written, in milliseconds. */
 const SETTLE_LOOK_MS = 1;
 
+/** Takes bytes, and says when others may follow. */
+type Sink = (bytes: Buffer, onWritten: () => void) => void;
+
+/**
+ * Opens a file descriptor for writing within the process's own turn. Writes that go through the library's pool of threads
+ * woke the process up once more for each line, which cost more than all that the line told of.
+ */
+function openSink(fd: number): Sink {
+  try {
+    // A pipe is written to at once while it has room, and else when it has some again.
+    const socket = new Socket({fd, readable: false, writable: true});
+    // Nobody reads any more: the lines are lost, and the process goes on.
+    socket.on('error', () => {});
+    return (bytes, onWritten) => void socket.write(bytes, () => onWritten());
+  } catch {
+    // No pipe but a file, which takes all at once.
+    return (bytes, onWritten) => {
+      try {
+        writeSync(fd, bytes);
+      } catch {
+        // The disk is full: the lines are lost, and the process goes on.
+      }
+      onWritten();
+    };
+  }
+}
+
 /** See the module's comment. */
 export class LineWriter {
   private droppedLines = 0;
   private lines: string[] = [];
+  private readonly sink: Sink;
   private waiting = 0;
   private writing = false;
 
   /**
    * @param fd file descriptor, such as 1 for standard output
    */
-  constructor(private readonly fd: number) {}
+  constructor(fd: number) {
+    this.sink = openSink(fd);
+  }
 
   /**
    * Writes a line soon, or drops it when too much waits.
@@ -58,26 +87,14 @@
   private flush(): void {
     const bytes = Buffer.from(this.lines.join(''));
     this.lines = [];
-    this.send(bytes);
+    this.sink(bytes, () => this.onWritten());
   }
 
-  private send(bytes: Buffer): void {
-    write(this.fd, bytes, (err, written) => {
-      if (err !== null && err.code === 'EAGAIN') {
-        setTimeout(() => this.send(bytes), FULL_PIPE_MS);
-        return;
-      }
-      // Nobody reads any more: the lines are lost, and the process goes on.
-      const rest = err === null ? bytes.subarray(written) : Buffer.alloc(0);
-      if (rest.length > 0) {
-        this.send(rest);
-        return;
-      }
-      this.waiting = this.lines.reduce((sum, {length}) => sum + length, 0);
-      this.writing = this.lines.length > 0;
-      if (this.writing) {
-        this.flush();
-      }
-    });
+  private onWritten(): void {
+    this.waiting = this.lines.reduce((sum, {length}) => sum + length, 0);
+    this.writing = this.lines.length > 0;
+    if (this.writing) {
+      this.flush();
+    }
   }
 }
