--- a/packages/stallpaddle-relay/src/RelayBeat.ts
+++ b/packages/stallpaddle-relay/src/RelayBeat.ts
@@ -7,6 +7,8 @@
 export interface BeatReader {
   /** Reads what has arrived. */
   readonly read: () => void;
+  /** Leaves what arrives where it is. */
+  readonly rest: () => void;
 }
 
 /**
@@ -36,6 +38,7 @@
    */
   add(reader: BeatReader): void {
     this.readers.add(reader);
+    reader.rest();
     this.arm();
   }
 
@@ -56,9 +59,11 @@
     this.timer ??= setTimeout(() => this.beat(), untilBeatMs(performance.now(), this.periodMs));
   }
 
+  /** Sockets are read between timers and immediates of one turn. */
   private beat(): void {
     this.timer = undefined;
     this.readers.forEach((reader) => reader.read());
+    setImmediate(() => this.readers.forEach((reader) => reader.rest()));
     if (this.readers.size > 0) {
       this.arm();
     }
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -5,7 +5,6 @@
  * The connection is read here and not by the library's client: only so a stream can rest between beats, and the library's
  * objects for each request and answer cost a process with few requests a second more than the request itself.
  */
-import {readSync} from 'node:fs';
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {errorMessage, wasReset} from 'stallpaddle';
@@ -72,16 +71,6 @@
   return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
 
-/**
- * Descriptor of a connection; undefined once it is closed. The library leaves a connection that rests among those it waits
- * for until something has arrived, so each rest would cost the very turn that it is to save; one that is read by its
- * descriptor stays at rest.
- */
-function fdOf(socket: Socket): number | undefined {
-  const {_handle: handle} = socket as unknown as {readonly _handle: null | {readonly fd: number}};
-  return handle === null || handle.fd < 0 ? undefined : handle.fd;
-}
-
 /** A request as bytes, so that head and body go out in one write. */
 function encodeRequest({body, headers, method, path}: EngineRequest): Buffer {
   if (BAD_PATH.test(path)) {
@@ -141,7 +130,7 @@
     const request = encodeRequest(req);
     const onread = {
       buffer: READ_BUFFER,
-      callback: (size: number) => this.onRead(size),
+      callback: (size: number) => this.onRead(Buffer.from(READ_BUFFER.subarray(0, size))),
     };
     this.socket = connect({...splitAddress(req.address), noDelay: true, onread});
     this.timer = setTimeout(() => this.close(), pace.connect.limitMs);
@@ -158,44 +147,19 @@
   }
 
   closeAfterRead(): void {
-    this.read();
-    this.close();
+    this.socket.resume();
+    // Sockets are read before immediates of the next round.
+    setImmediate(() => setImmediate(() => this.close()));
   }
 
-  /** Reads what has arrived at a connection that rests. */
   read(): void {
-    if (this.answer?.isHeld !== false) {
-      return;
-    }
-    try {
-      for (let size = this.readNow(); size !== undefined; size = this.readNow()) {
-        if (size === 0) {
-          // The library finds out itself how the connection ended.
-          this.socket.resume();
-          return;
-        }
-        this.onRead(size);
-      }
-    } catch (err) {
-      this.fail(errorMessage(err));
-      this.socket.destroy();
+    if (this.answer?.isHeld === false) {
+      this.socket.resume();
     }
   }
 
-  /** Bytes that were read now; undefined when there were none, 0 at the end. */
-  private readNow(): number | undefined {
-    const fd = fdOf(this.socket);
-    if (fd === undefined) {
-      return undefined;
-    }
-    try {
-      return readSync(fd, READ_BUFFER, 0, READ_BUFFER.length, null);
-    } catch (err) {
-      if (err instanceof Error && 'code' in err && err.code === 'EAGAIN') {
-        return undefined;
-      }
-      throw err;
-    }
+  rest(): void {
+    this.socket.pause();
   }
 
   private onConnect(): void {
@@ -205,17 +169,14 @@
   }
 
   /** Takes in bytes; false to read no more until the next beat, or until they were taken. */
-  private onRead(size: number): boolean {
+  private onRead(bytes: Buffer): boolean {
     try {
-      const body = this.parser.push(Buffer.from(READ_BUFFER.subarray(0, size)));
+      const body = this.parser.push(bytes);
       const {head} = this.parser;
       if (this.answer === undefined && head !== undefined) {
         this.onHead(head);
       }
       this.answer?.add(body);
-      if (body.length > 0) {
-        this.followBeat();
-      }
     } catch (err) {
       this.fail(errorMessage(err));
       this.socket.destroy();
@@ -228,7 +189,7 @@
   }
 
   private onHead(head: AnswerHead): void {
-    const {onStart, req, wire} = this.options;
+    const {beat, onStart, req, wire} = this.options;
     const answer = new EngineAnswer(head, {
       isWhole: () => this.parser.isWhole,
       onTaken: () => {
@@ -242,14 +203,7 @@
     onStart(start);
     if (start.kind !== 'answer') {
       this.close();
-    }
-  }
-
-  /** The first piece of a stream is passed on at once, however its head came; from then on it rests between beats. */
-  private followBeat(): void {
-    const {beat} = this.options;
-    const isStream = this.answer?.headers['content-type']?.startsWith(EVENT_STREAM) === true;
-    if (beat !== undefined && isStream && !this.isOnBeat && !this.parser.isWhole) {
+    } else if (beat !== undefined && head.headers['content-type']?.startsWith(EVENT_STREAM)) {
       this.isOnBeat = true;
       beat.add(this);
     }
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayBeat.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayBeat.test.ts
@@ -24,19 +24,23 @@
   );
 });
 
-test('readers read together once a beat, and not between', async () => {
+test('readers read together once a beat and rest between', async () => {
   const beat = new RelayBeat(PERIOD_MS);
   const calls: string[] = [];
-  const reader = (name: string) => ({read: () => calls.push(name)});
+  const reader = (name: string) => ({
+    read: () => calls.push(`${name} reads`),
+    rest: () => calls.push(`${name} rests`),
+  });
   const one = reader('one');
   const two = reader('two');
   // Begins just behind a beat, so that both are added before the next one.
   await delay(untilBeatMs(performance.now(), PERIOD_MS) + 1);
   beat.add(one);
   beat.add(two);
-  expect(calls).toEqual([]);
+  expect(calls).toEqual(['one rests', 'two rests']);
+  calls.length = 0;
   await delay(PERIOD_MS * 1.3);
-  expect(calls).toEqual(['one', 'two']);
+  expect(calls.slice(0, 4)).toEqual(['one reads', 'two reads', 'one rests', 'two rests']);
   beat.remove(one);
   beat.remove(two);
   calls.length = 0;
