--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -30,12 +30,6 @@
  */
 export const EVENT_GAP_MS = 1_000;
 
-/**
- * Time between reads of the events of all runs, in milliseconds. Nobody waits for an item's events; its end frees a slot,
- * which is seen half as long too late in the mean, about 1% of a run.
- */
-export const ITEM_BEAT_MS = 100;
-
 /** Silence of all items of an engine at once after which nothing more is sent there, in milliseconds. */
 export const ENGINE_SILENT_MS = 300;
 
--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -6,13 +6,18 @@
   EngineCall,
   EngineCallStart,
   NotRunReason,
-  RelayBeat,
   RelayPace,
   RelayWire,
 } from 'stallpaddle-relay';
 
 import {errorMessage} from 'stallpaddle';
-import {continues, EventSplitter, passedHeaders, startEngineCall} from 'stallpaddle-relay';
+import {
+  continues,
+  EventSplitter,
+  passedHeaders,
+  SERVER_ERROR,
+  startEngineCall,
+} from 'stallpaddle-relay';
 
 import {EVENT_GAP_MS, FIRST_EVENT_WAIT_MS} from './JobsConstants';
 
@@ -62,7 +67,7 @@
   try {
     for await (const chunk of res) {
       alive();
-      for (const {data, id} of splitter.push(chunk)) {
+      for (const {data, id} of splitter.push(chunk as Buffer)) {
         if (!continues(last, id)) {
           return {kind: 'broken', reason: `event ${id} came after event ${last}`};
         }
@@ -86,7 +91,7 @@
   const start = await call.started;
   switch (start.kind) {
     case 'answer': {
-      const {status} = start.res;
+      const status = start.res.statusCode ?? SERVER_ERROR;
       return status === SUCCESS ? readEvents(start, req, alive) : {kind: 'failed', status};
     }
     case 'mayHaveRun':
@@ -102,14 +107,8 @@
  * @param wire the engines' words
  * @param pace how fast engines are
  * @param req what it is made of
- * @param beat when events are read after the first
  */
-export function startItemRun(
-  wire: RelayWire,
-  pace: RelayPace,
-  req: ItemRunRequest,
-  beat: RelayBeat,
-): ItemRun {
+export function startItemRun(wire: RelayWire, pace: RelayPace, req: ItemRunRequest): ItemRun {
   const set = wire.engineHeaders({
     deadlineMs: null,
     engine: req.engine.id,
@@ -117,15 +116,14 @@
     resumeAfter: req.lastEvent,
   });
   const raw = req.headers.flat();
-  const request = {
+  const call = startEngineCall(wire, pace, {
     address: req.engine.address,
     body: req.body,
     headers: passedHeaders(raw, [['Host', req.host], ...set]),
     method: 'POST',
     path: req.path,
     requestId: req.id,
-  };
-  const call = startEngineCall(wire, pace, request, beat);
+  });
   let timer = setTimeout(call.close, FIRST_EVENT_WAIT_MS);
   const alive = (): void => {
     clearTimeout(timer);
@@ -139,8 +137,7 @@
   });
   const cut = (): void => {
     wasCut = true;
-    // Events that wait for the beat would be made once more.
-    call.closeAfterRead();
+    call.close();
   };
   return {cut, ended};
 }
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -7,7 +7,7 @@
 
 import {errorMessage, unreachable} from 'stallpaddle';
 import {engineOf, type EngineView, type FleetRoute} from 'stallpaddle-fleet';
-import {RelayBeat, RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
+import {RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsEngines} from './JobsEngines';
@@ -15,7 +15,7 @@
 import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {DECLINED_PAUSE_MS, ITEM_BEAT_MS} from './JobsConstants';
+import {DECLINED_PAUSE_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 
@@ -41,7 +41,6 @@
 
 /** See the module's comment. */
 export class JobsRunner {
-  private readonly beat = new RelayBeat(ITEM_BEAT_MS);
   private readonly ends: JobsEnds;
   private readonly needs: JobsDispatcherOptions;
   private readonly pace = new RelayPace();
@@ -150,17 +149,16 @@
   }
 
   private startRun(task: Task, engine: EngineView): ItemRun {
-    const request = {
+    return startItemRun(this.needs.wire, this.pace, {
       body: task.body!,
       engine,
       headers: task.item.headers,
       host: task.job.host,
       id: task.item.id,
       lastEvent: task.lastEvent,
-      onEvent: (data: string, id: null | string) => this.onEvent(task, data, id),
+      onEvent: (data, id) => this.onEvent(task, data, id),
       path: task.item.path,
-    };
-    return startItemRun(this.needs.wire, this.pace, request, this.beat);
+    });
   }
 
   private onEvent(task: Task, data: string, id: string | null): void {
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -8,7 +8,6 @@
 import {drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
 import {type FleetRoute, type FleetView, type Hello, RouteTable} from 'stallpaddle-fleet';
 import {
-  RelayBeat,
   type RelayContext,
   type RelayDecision,
   RelayExperience,
@@ -38,8 +37,6 @@
 const FIRST_BODY_BYTES = 4_194_304;
 /** Pause after which a caller should come back while the configuration is not known, in milliseconds. */
 const CONFIG_AGAIN_MS = 500;
-/** Time between reads of all streams after their first events, in milliseconds. */
-const STREAM_BEAT_MS = 60;
 /** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
 const READY_AGE_MS = 3_000;
 
@@ -70,7 +67,6 @@
     this.tells = new NodeTells(jobs, online, drawId('e'), () => watch.view.news.entries.length);
     this.jobCalls = new NodeJobCalls(jobs, wire, this.log);
     this.context = {
-      beat: new RelayBeat(STREAM_BEAT_MS),
       clock,
       decide: (decision, id, fields) => this.decide(decision, id, fields),
       engines: () => watch.view.news.engines,
--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -2,9 +2,7 @@
  * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
  * for whole.
  */
-import type {ServerResponse} from 'node:http';
-
-import type {EngineAnswer} from './RelayAnswer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {WHOLE_ANSWER_BYTES} from './RelayConstants';
 import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
@@ -50,13 +48,15 @@
    *
    * @param answer the engine's answer
    */
-  async passStream(answer: EngineAnswer): Promise<ReadEnd> {
+  async passStream(answer: IncomingMessage): Promise<ReadEnd> {
     const splitter = new EventSplitter();
     try {
       for await (const chunk of answer) {
         this.options.onHeard();
-        if (!(await this.passEvents(answer, splitter.push(chunk)))) {
-          return 'broken';
+        for (const event of splitter.push(chunk as Buffer)) {
+          if (!(await this.passEvent(answer, event))) {
+            return 'broken';
+          }
         }
       }
     } catch {
@@ -70,20 +70,21 @@
    *
    * @param answer the engine's answer
    */
-  async passWhole(answer: EngineAnswer): Promise<ReadEnd> {
+  async passWhole(answer: IncomingMessage): Promise<ReadEnd> {
     let held: Buffer[] | null = [];
     let size = 0;
     try {
       for await (const chunk of answer) {
-        size += chunk.length;
-        held?.push(chunk);
+        const bytes = chunk as Buffer;
+        size += bytes.length;
+        held?.push(bytes);
         if (held !== null && size > WHOLE_ANSWER_BYTES) {
           const length = answer.headers['content-length'];
           this.writeHead(answer, length === undefined ? null : Number(length));
           await this.write(Buffer.concat(held));
           held = null;
         } else if (held === null) {
-          await this.write(chunk);
+          await this.write(bytes);
         }
       }
     } catch {
@@ -100,27 +101,17 @@
     return 'whole';
   }
 
-  /** Passes on what came together in one write; false once an event is out of order. */
-  private async passEvents(answer: EngineAnswer, events: readonly StreamEvent[]): Promise<boolean> {
-    if (this.options.isOver()) {
+  private async passEvent(answer: IncomingMessage, event: StreamEvent): Promise<boolean> {
+    if (this.options.isOver() || !continues(this.last, event.id)) {
       return false;
     }
-    const passed: Buffer[] = [];
-    for (const {id, raw} of events) {
-      if (!continues(this.last, id)) {
-        break;
-      }
-      this.last = id ?? this.last;
-      passed.push(raw);
-    }
-    if (passed.length > 0) {
-      this.writeHead(answer, null);
-      await this.write(passed.length === 1 ? passed[0]! : Buffer.concat(passed));
-    }
-    return passed.length === events.length;
+    this.writeHead(answer, null);
+    this.last = event.id ?? this.last;
+    await this.write(event.raw);
+    return true;
   }
 
-  private writeHead(answer: EngineAnswer, length: number | null): void {
+  private writeHead(answer: IncomingMessage, length: number | null): void {
     if (this.res.headersSent) {
       return;
     }
@@ -129,7 +120,7 @@
     if (length !== null) {
       headers.push('Content-Length', String(length));
     }
-    this.res.writeHead(answer.status, answer.statusText, headers);
+    this.res.writeHead(answer.statusCode!, answer.statusMessage ?? '', headers);
   }
 
   private async write(bytes: Uint8Array): Promise<void> {
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -2,13 +2,12 @@
  * Brings one online request to an engine and its answer back, with further attempts where nothing can
  * run twice by them.
  */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {LogFields, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
 
-import type {EngineAnswer} from './RelayAnswer';
 import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
 
 import {sendRefusal} from './RelayAnswers';
@@ -193,7 +192,7 @@
   }
 
   private async send(engine: EngineView): Promise<void> {
-    const {beat, decide, experience, online, pace, viewAgeMs, wire} = this.context;
+    const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
     const {body, facts, method, path, rawHeaders} = this.req;
     const resumeAfter = this.pass.lastEvent;
     this.choice.noteSent(engine.id);
@@ -215,15 +214,14 @@
         requestId: facts.requestId,
         resumeAfter,
       });
-      const call = {
+      this.call = startEngineCall(wire, pace, {
         address: engine.address,
         body,
         headers: passedHeaders(rawHeaders, headers),
         method,
         path,
         requestId: facts.requestId,
-      };
-      this.call = startEngineCall(wire, pace, call, beat);
+      });
       this.silence.start(hadRoom);
       const start = await this.call.started;
       if (start.kind === 'notRun') {
@@ -279,7 +277,7 @@
   }
 
   private async onAnswer(engine: EngineView, {res}: Answer): Promise<void> {
-    const {status} = res;
+    const status = res.statusCode ?? SERVER_ERROR;
     if (status >= SERVER_ERROR) {
       await this.onServerFailure(status, res);
       return;
@@ -304,7 +302,7 @@
   }
 
   /** The engine's own failure: another engine may do better, if the request may run again. */
-  private async onServerFailure(status: number, res: EngineAnswer): Promise<void> {
+  private async onServerFailure(status: number, res: IncomingMessage): Promise<void> {
     this.verdict = 'ran';
     if (this.res.headersSent || (this.repeatable && this.choice.hasAttemptLeft)) {
       return;
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -4,7 +4,6 @@
 import type {Clock, LogFields, MonotonicMs, Random, ZoneId} from 'stallpaddle';
 import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
 
-import type {RelayBeat} from './RelayBeat';
 import type {RelayExperience} from './RelayExperience';
 import type {RelayOnline} from './RelayOnline';
 import type {RelayPace} from './RelayPace';
@@ -42,8 +41,6 @@
 
 /** What the relay needs of its process. */
 export interface RelayContext {
-  /** When streams are read after their first event. */
-  readonly beat: RelayBeat;
   readonly clock: Clock;
   /** Writes one line for a decision. */
   readonly decide: (decision: RelayDecision, requestId: string, fields: LogFields) => void;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -12,7 +12,6 @@
 
 import type {RelayContext, RelayEnd} from '../../RelayTypes';
 
-import {RelayBeat} from '../../RelayBeat';
 import {RelayExperience} from '../../RelayExperience';
 import {RelayOnline} from '../../RelayOnline';
 import {RelayPace} from '../../RelayPace';
@@ -26,8 +25,6 @@
   readonly status: number;
 }
 
-/** Time between reads of streams, in milliseconds. */
-const BEAT_MS = 20;
 const undo: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -72,7 +69,6 @@
     zone: 'z',
   }));
   return {
-    beat: new RelayBeat(BEAT_MS),
     clock: systemClock,
     decide: () => {},
     engines: () => views,
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -1,7 +1,5 @@
-export {EngineAnswer} from './RelayAnswer';
 /** Brings callers' requests to engines and the answers back. */
 export {sendRefusal} from './RelayAnswers';
-export {RelayBeat} from './RelayBeat';
 export {SERVER_ERROR} from './RelayConstants';
 export {
   type EngineCall,
--- a/packages/stallpaddle/src/Answers.ts
+++ b/packages/stallpaddle/src/Answers.ts
@@ -9,10 +9,8 @@
  * Whether a connection that ended was reset. When bytes and a reset wait together, libuv reports the bytes and
  * then an ordinary end (13 of 400 resets beside a busy client). A socket that was reset has no peer any more; one
  * that the other side closed still has.
- *
- * @param socket the connection, just ended
  */
-export function wasReset(socket: Socket): boolean {
+function wasReset(socket: Socket): boolean {
   return socket.remoteAddress === undefined;
 }
 
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -1,5 +1,5 @@
 /** Shared vocabulary of all packages: identifiers, time, errors, verdicts, hashing, logs. */
-export {registerResetWatch, wasReset} from './Answers';
+export {registerResetWatch} from './Answers';
 export {
   type Clock,
   type Deadline,
