--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -53,10 +53,8 @@
     try {
       for await (const chunk of answer) {
         this.options.onHeard();
-        for (const event of splitter.push(chunk as Buffer)) {
-          if (!(await this.passEvent(answer, event))) {
-            return 'broken';
-          }
+        if (!(await this.passEvents(answer, splitter.push(chunk as Buffer)))) {
+          return 'broken';
         }
       }
     } catch {
@@ -101,14 +99,27 @@
     return 'whole';
   }
 
-  private async passEvent(answer: IncomingMessage, event: StreamEvent): Promise<boolean> {
-    if (this.options.isOver() || !continues(this.last, event.id)) {
+  /** Passes on in one write what came together; false once an event is out of order. */
+  private async passEvents(
+    answer: IncomingMessage,
+    events: readonly StreamEvent[],
+  ): Promise<boolean> {
+    if (this.options.isOver()) {
       return false;
     }
-    this.writeHead(answer, null);
-    this.last = event.id ?? this.last;
-    await this.write(event.raw);
-    return true;
+    const passed: Buffer[] = [];
+    for (const {id, raw} of events) {
+      if (!continues(this.last, id)) {
+        break;
+      }
+      this.last = id ?? this.last;
+      passed.push(raw);
+    }
+    if (passed.length > 0) {
+      this.writeHead(answer, null);
+      await this.write(passed.length === 1 ? passed[0]! : Buffer.concat(passed));
+    }
+    return passed.length === events.length;
   }
 
   private writeHead(answer: IncomingMessage, length: number | null): void {
--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -1,6 +1,9 @@
 /**
  * Logs: short sentences, a fixed prefix for each part, no keys or prompts.
  */
+// Its core only: the rest formats lines for terminals, which is a sixth of the program that each process loads.
+import {createConsola, type LogObject} from 'consola/core';
+
 /** Parts of the system that write logs. */
 export type LogPart =
   | 'batch'
@@ -42,22 +45,27 @@
     .join('');
 }
 
-/** One line of the log before it is written. */
-interface LogEntry {
-  readonly fields: LogFields;
-  readonly level: keyof Logger;
-  readonly message: string;
-  readonly part: LogPart;
-}
-
-function jsonLine({fields, level, message, part}: LogEntry, base: LogFields): string {
-  const time = new Date().toISOString();
-  return `${JSON.stringify({level, message, part, time, ...base, ...fields})}\n`;
+function jsonReporter(write: WriteLine, base: LogFields): (entry: LogObject) => void {
+  return (entry) => {
+    const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+    const line = {
+      level: entry.type,
+      message,
+      part: entry.tag,
+      time: entry.date.toISOString(),
+      ...base,
+      ...fields,
+    };
+    write(`${JSON.stringify(line)}\n`);
+  };
 }
 
-function textLine({fields, level, message, part}: LogEntry): string {
-  const time = new Date().toISOString().slice(11, 23);
-  return `${time} ${level} [${part}] ${message}${textFields(fields)}\n`;
+function textReporter(write: WriteLine): (entry: LogObject) => void {
+  return (entry) => {
+    const [message, fields] = entry.args as unknown as readonly [string, LogFields];
+    const time = entry.date.toISOString().slice(11, 23);
+    write(`${time} ${entry.type} [${entry.tag}] ${message}${textFields(fields)}\n`);
+  };
 }
 
 const writeToStandardError: WriteLine = (line) => {
@@ -76,17 +84,17 @@
   write: WriteLine = writeToStandardError,
   base: LogFields = {},
 ): LoggerFactory {
-  if (format === 'silent') {
-    return () => silentLogger;
-  }
-  const add = (entry: LogEntry): void =>
-    write(format === 'json' ? jsonLine(entry, base) : textLine(entry));
+  const log = format === 'json' ? jsonReporter(write, base) : textReporter(write);
   return (part) => {
-    const log =
-      (level: keyof Logger) =>
-      (message: string, fields: LogFields = {}): void =>
-        add({fields, level, message, part});
-    return {error: log('error'), info: log('info'), warn: log('warn')};
+    const consola = createConsola({
+      level: format === 'silent' ? -1 : 3,
+      reporters: [{log}],
+    }).withTag(part);
+    return {
+      error: (message, fields = {}) => consola.error(message, fields),
+      info: (message, fields = {}) => consola.info(message, fields),
+      warn: (message, fields = {}) => consola.warn(message, fields),
+    };
   };
 }
 
