--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -2,9 +2,7 @@
  * Reads an engine's answer and passes it on to the caller, so that nothing which broke off can be taken
  * for whole.
  */
-import type {ServerResponse} from 'node:http';
-
-import type {EngineAnswer} from './RelayAnswer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {WHOLE_ANSWER_BYTES} from './RelayConstants';
 import {continues, EventSplitter, type StreamEvent} from './RelayEvents';
@@ -50,12 +48,12 @@
    *
    * @param answer the engine's answer
    */
-  async passStream(answer: EngineAnswer): Promise<ReadEnd> {
+  async passStream(answer: IncomingMessage): Promise<ReadEnd> {
     const splitter = new EventSplitter();
     try {
       for await (const chunk of answer) {
         this.options.onHeard();
-        if (!(await this.passEvents(answer, splitter.push(chunk)))) {
+        if (!(await this.passEvents(answer, splitter.push(chunk as Buffer)))) {
           return 'broken';
         }
       }
@@ -70,20 +68,21 @@
    *
    * @param answer the engine's answer
    */
-  async passWhole(answer: EngineAnswer): Promise<ReadEnd> {
+  async passWhole(answer: IncomingMessage): Promise<ReadEnd> {
     let held: Buffer[] | null = [];
     let size = 0;
     try {
       for await (const chunk of answer) {
-        size += chunk.length;
-        held?.push(chunk);
+        const bytes = chunk as Buffer;
+        size += bytes.length;
+        held?.push(bytes);
         if (held !== null && size > WHOLE_ANSWER_BYTES) {
           const length = answer.headers['content-length'];
           this.writeHead(answer, length === undefined ? null : Number(length));
           await this.write(Buffer.concat(held));
           held = null;
         } else if (held === null) {
-          await this.write(chunk);
+          await this.write(bytes);
         }
       }
     } catch {
@@ -100,8 +99,11 @@
     return 'whole';
   }
 
-  /** Passes on what came together in one write; false once an event is out of order. */
-  private async passEvents(answer: EngineAnswer, events: readonly StreamEvent[]): Promise<boolean> {
+  /** Passes on in one write what came together; false once an event is out of order. */
+  private async passEvents(
+    answer: IncomingMessage,
+    events: readonly StreamEvent[],
+  ): Promise<boolean> {
     if (this.options.isOver()) {
       return false;
     }
@@ -120,7 +122,7 @@
     return passed.length === events.length;
   }
 
-  private writeHead(answer: EngineAnswer, length: number | null): void {
+  private writeHead(answer: IncomingMessage, length: number | null): void {
     if (this.res.headersSent) {
       return;
     }
@@ -129,7 +131,7 @@
     if (length !== null) {
       headers.push('Content-Length', String(length));
     }
-    this.res.writeHead(answer.status, answer.statusText, headers);
+    this.res.writeHead(answer.statusCode!, answer.statusMessage ?? '', headers);
   }
 
   private async write(bytes: Uint8Array): Promise<void> {
