--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -1,7 +1,8 @@
 /**
  * Logs: short sentences, a fixed prefix for each part, no keys or prompts.
  */
-import {createConsola, type LogObject} from 'consola';
+// Its core only: the rest formats lines for terminals, which is a sixth of the program that each process loads.
+import {createConsola, type LogObject} from 'consola/core';
 
 /** Parts of the system that write logs. */
 export type LogPart =
