--- a/packages/stallpaddle-rpc/src/RpcHeadersGlobal.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Puts the own headers where bundled code names those of `fetch`. */
-export {RpcHeaders as Headers} from './RpcHeaders';
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -133,8 +133,6 @@
       ...BUNDLE_OPTIONS,
       entryPoints: [path.join(root, source)],
       outfile: path.join(target, file),
-      // Only code that names headers gets it.
-      inject: [path.join(root, 'packages/stallpaddle-rpc/src/RpcHeadersGlobal.ts')],
       plugins: [lateParts],
     }),
   ),
