--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationStep.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationStep.test.ts
@@ -268,6 +268,29 @@
     expect(world.leaseHolders()).toEqual([]);
   });
 
+  test('lets a leader take itself out: it leads until that is recorded, and the others go on', () => {
+    const world = new ReplicationWorld(IDS);
+    const leader = leaderOf(world);
+    world.propose(leader, 'one');
+    world.settle(100);
+    world.addReplica('d/2', 1, null);
+    const others = IDS.filter((id) => id !== leader);
+    world.changeMembers(leader, {learners: ['d/2'], voters: IDS});
+    world.settle(300);
+    world.changeMembers(leader, {learners: [], voters: [...IDS, 'd/2']});
+    world.settle(300);
+    world.changeMembers(leader, {learners: [], voters: [...others, 'd/2']});
+    world.settle(900);
+    expect(world.replicas.get(leader)!.state!.role.kind).toBe('follower');
+    const [next] = world.leaseHolders();
+    expect([...others, 'd/2']).toContain(next);
+    world.loseForGood(leader);
+    world.propose(next!, 'two');
+    world.settle(300);
+    world.checkConverged();
+    expect(world.acknowledged).toEqual(['one', 'two']);
+  });
+
   test('refuses two changes of members at once', () => {
     const world = new ReplicationWorld(IDS);
     const leader = leaderOf(world);
