A leader that can't read bulk data says so and makes way; replicas tell what they hold and who is missing

Cause: a read that failed its checksum was answered as an unknown outcome, and the same replica went on leading; the log had neither group, place nor job. Ruled out: ending the replica or emptying its disk. Its log and its vote are sound, and one more lost disk could cost the majority; a replica that lacks one record still serves if nobody else can.

--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -7,7 +7,7 @@
 import type {BlobRef} from 'stallpaddle-storage';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {StorageBlobs} from 'stallpaddle-storage';
+import {CorruptionError, StorageBlobs} from 'stallpaddle-storage';
 
 import type {ReplicaCounters, ReplicaOptions, SnapshotSource} from './ReplicaOptions';
 import type {MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
@@ -25,6 +25,7 @@
 
 import {ReplicaBlobs} from './ReplicaBlobs';
 import {COMMIT_RECORD_MS, LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
+import {ReplicaDamage} from './ReplicaDamage';
 import {NotLeaderError, ReplicaStoppedError} from './ReplicaErrors';
 import {ReplicaRequests} from './ReplicaRequests';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
@@ -45,6 +46,7 @@
 export class ReplicaDriver<State> {
   private readonly blobs: ReplicaBlobs;
   private commits = 0;
+  private readonly damage: ReplicaDamage;
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
   /** A snapshot of another replica is being saved: no entry may be applied meanwhile. */
@@ -68,6 +70,7 @@
     readonly replayed: number,
   ) {
     this.blobs = new ReplicaBlobs(blobs, (err) => this.fail(err));
+    this.damage = new ReplicaDamage(options.clock, options.logger, options.group);
     this.watch = new ReplicaWatch(options.clock, options.logger, options.timing);
     this.writer = new ReplicaWriter({
       onFailure: (err) => this.fail(err),
@@ -90,6 +93,7 @@
     const start = startReplica({group, hardState, log, self, timing}, clock.monotonicMs());
     const driver = new ReplicaDriver(options, storage, blobs, start, state, replay);
     driver.dispatch({kind: 'applyKnown'});
+    driver.watch.noteOpened(driver.replication, driver.blobs.end, replay);
     driver.followVote();
     driver.commitTimer = setInterval(() => driver.recordCommit(), COMMIT_RECORD_MS);
     return driver;
@@ -209,8 +213,16 @@
    *
    * @param ref its place, from the state
    */
-  readBlob(ref: BlobRef): Promise<Uint8Array> {
-    return this.blobs.read(ref);
+  async readBlob(ref: BlobRef): Promise<Uint8Array> {
+    try {
+      return await this.blobs.read(ref);
+    } catch (err) {
+      if (err instanceof CorruptionError && this.damage.note(ref, err, this.leads)) {
+        // The others may hold it whole, and callers ask whoever leads.
+        this.makeWay();
+      }
+      throw err;
+    }
   }
 
   /**
@@ -267,6 +279,12 @@
     await this.blobs.close();
   }
 
+  private makeWay(): void {
+    if (this.replication.log.members.voters.length > 1) {
+      this.transferLeadership();
+    }
+  }
+
   private async install(snapshot: MachineSnapshot, state: State, term: Term): Promise<boolean> {
     let installed = false;
     await this.writer.runBetweenWrites(async () => {
@@ -286,8 +304,13 @@
     term: Term,
   ): Promise<boolean> {
     await this.blobs.settle();
-    const complete = this.blobs.end === this.options.machine.blobEnd(state);
-    if (!complete || !wantsSnapshot(this.replication, snapshot.meta)) {
+    const blobEnd = this.options.machine.blobEnd(state);
+    const complete = this.blobs.end === blobEnd;
+    const wanted = wantsSnapshot(this.replication, snapshot.meta);
+    const fields = {blobEnd, group: this.options.group, hasBlobsTo: this.blobs.end};
+    if (!complete || !wanted) {
+      const {index} = snapshot.meta;
+      this.options.logger.info('A snapshot was not taken over here.', {...fields, index, wanted});
       return false;
     }
     await this.blobs.sync();
@@ -295,6 +318,8 @@
     this.machineState = state;
     this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
     await this.writer.restartLog(this.hardState(), []);
+    const {index} = snapshot.meta;
+    this.options.logger.info('A snapshot was taken over here.', {...fields, index, term});
     return true;
   }
 
@@ -464,6 +489,8 @@
       const source = await this.snapshotSource();
       index = source.snapshot.meta.index;
       ok = await this.options.transport.sendSnapshot(to, source);
+      const {blobEnd, group} = source;
+      this.options.logger.info('A snapshot was sent.', {blobEnd, group, index, taken: ok, to});
     } catch (err) {
       this.options.logger.warn('A snapshot was not taken over.', {reason: errorMessage(err), to});
     }
--- a/packages/stallpaddle-replication/src/ReplicaWatch.ts
+++ b/packages/stallpaddle-replication/src/ReplicaWatch.ts
@@ -14,6 +14,9 @@
 /** Time for which the latest late turn is told, in milliseconds: some election timeouts, so a change of leaders shows it. */
 const TOLD_MS = 2_000;
 
+/** Time between lines that no majority answers, in milliseconds: some elections. */
+const MISSING_AGAIN_MS = 5_000;
+
 /** Why a replica leads no more. */
 type EndOfLeadership = 'handedOver' | 'laterTerm' | 'nothingRecorded' | 'quorumSilent';
 
@@ -21,6 +24,7 @@
 export class ReplicaWatch {
   private dueAt: MonotonicMs;
   private latestLate: {readonly at: MonotonicMs; readonly ms: number} = {at: -Infinity, ms: 0};
+  private missingToldAt: MonotonicMs = -Infinity;
   /** As the latest turn found it. */
   private leadership: Leadership = {kind: 'follows'};
 
@@ -51,6 +55,31 @@
     return this.clock.monotonicMs() - this.latestLate.at < TOLD_MS ? this.latestLate.ms : 0;
   }
 
+  /**
+   * Notes what the replica holds at its start.
+   *
+   * @param state its state
+   * @param blobEnd where its bulk data ends, in bytes
+   * @param replayed log entries found that its snapshot doesn't cover
+   */
+  noteOpened(state: ReplicationState, blobEnd: number, replayed: number): void {
+    const {commit, group, log, self, term} = state;
+    const {learners, voters} = log.members;
+    this.logger.info('This replica has opened.', {
+      blobEnd,
+      commit,
+      group,
+      lastIndex: log.lastIndex,
+      lastTerm: log.lastTerm,
+      learners: learners.join(','),
+      replayed,
+      self,
+      snapshotIndex: log.snapshot.index,
+      term,
+      voters: voters.join(','),
+    });
+  }
+
   /**
    * Notes a turn, before it is taken.
    *
@@ -102,8 +131,11 @@
   noteRole(before: ReplicationState, after: ReplicationState): boolean {
     const {group, term} = after;
     if (before.role.kind !== 'leader' && after.role.kind === 'leader') {
-      this.logger.info('This replica leads.', {group, term});
+      const {commit, log} = after;
+      const fields = {commit, lastIndex: log.lastIndex, voters: log.members.voters.join(',')};
+      this.logger.info('This replica leads.', {group, term, ...fields});
     }
+    this.noteMajority(before, after);
     if (before.role.kind === 'follower' && after.role.kind === 'preCandidate') {
       const silentMs = Math.round(this.clock.monotonicMs() - before.heardLeaderAt);
       const turnLateMs = Math.round(this.turnLateMs);
@@ -117,6 +149,26 @@
     return isEnd;
   }
 
+  /** An election that nobody won: who answered, of whom. Told now and then while it lasts. */
+  private noteMajority(before: ReplicationState, after: ReplicationState): void {
+    const {role} = before;
+    const isNext = after.role.kind === 'preCandidate' && after.electionCount > before.electionCount;
+    const now = this.clock.monotonicMs();
+    if (!isNext || !('votes' in role) || now - this.missingToldAt < MISSING_AGAIN_MS) {
+      return;
+    }
+    this.missingToldAt = now;
+    const {group, log, term} = before;
+    const {voters} = log.members;
+    this.logger.info('No majority answers this replica.', {
+      answered: voters.filter((voter) => role.votes.has(voter)).join(','),
+      group,
+      lastIndex: log.lastIndex,
+      missing: voters.filter((voter) => !role.votes.has(voter)).join(','),
+      term,
+    });
+  }
+
   private silence(state: ReplicationState): {
     readonly quorumSilentMs: number;
     readonly turnLateMs: number;
--- a/packages/stallpaddle-replication/src/ReplicationLease.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLease.ts
@@ -3,7 +3,7 @@
  */
 import type {MonotonicMs, ReplicaId} from 'stallpaddle';
 
-import type {GroupMembers, Leadership, ReplicationState} from './ReplicationTypes';
+import type {GroupMembers, Leadership, LogIndex, ReplicationState} from './ReplicationTypes';
 
 /**
  * Whether a set of replicas holds a majority of the voters.
@@ -29,6 +29,21 @@
   return values[Math.floor(values.length / 2)] ?? -Infinity;
 }
 
+/**
+ * Voters that hold a log up to a place on their disks, as a leader knows.
+ *
+ * @param state a leader's state
+ * @param index the place
+ */
+export function holdersOf(state: ReplicationState, index: LogIndex): readonly ReplicaId[] {
+  const {log, persisted, role, self} = state;
+  const progress = role.kind === 'leader' ? role.progress : undefined;
+  return log.members.voters.filter((voter) => {
+    const reached = voter === self ? persisted : (progress?.get(voter)?.match ?? 0);
+    return reached >= index;
+  });
+}
+
 /**
  * When a leader last sent something that a majority has since answered.
  *
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
@@ -138,4 +138,15 @@
     turns.stop();
     expect(looks).toBeGreaterThan(3);
   });
+
+  test('who is missing when no majority answers, now and then', () => {
+    const watched = new Watched();
+    for (let turn = 0; turn < 400; turn++) {
+      watched.turn();
+    }
+    const lines = watched.lines.filter(({message}) => message.startsWith('No majority'));
+    expect(lines[0]).toMatchObject({answered: SELF, missing: OTHER});
+    expect(lines.length).toBeGreaterThan(1);
+    expect(lines.length).toBeLessThanOrEqual(3);
+  });
 });
--- a/packages/stallpaddle-replication/src/index.ts
+++ b/packages/stallpaddle-replication/src/index.ts
@@ -13,7 +13,14 @@
 export {type MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 export {DEFAULT_TIMING} from './ReplicationConstants';
 export {wantsSnapshot} from './ReplicationFollower';
-export {holdsLease, isMajority, leadershipOf, leaseUntil, majorityValue} from './ReplicationLease';
+export {
+  holdersOf,
+  holdsLease,
+  isMajority,
+  leadershipOf,
+  leaseUntil,
+  majorityValue,
+} from './ReplicationLease';
 export {EMPTY_SNAPSHOT, ReplicationLog} from './ReplicationLog';
 export {
   isCaughtUp,
