Logs tell for one job id in which of four ways it can't be read

At the leader: where the job stands in the log and on whose disks it is when it counts as accepted (jobRecorded), that it isn't known there (jobNotFound with applied and commit), that its bytes are damaged (jobUnreadable). At the entry VM: who answered that it isn't known, or that nobody answered. Test: NodeJobsDesk, one test of the three lines; passes.

--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -4,7 +4,7 @@
 import type {FleetRoute} from 'stallpaddle-fleet';
 import type {BodyAnswer, JobsAnswer, JobsRequest, ResultsAnswer} from 'stallpaddle-jobs';
 
-import {RefusalError, refuse, unreachable} from 'stallpaddle';
+import {errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
 
 import type {NodeCaller} from './NodeCaller';
 import type {NodeLog} from './NodeLog';
@@ -95,8 +95,23 @@
     }
   }
 
-  private call<Answer>(value: JobsRequest, changes: boolean, totalMs: number): Promise<Answer> {
-    return this.caller.call<Answer>({changes, totalMs, tryMs: totalMs, value});
+  private async call<Answer extends {readonly kind: string}>(
+    value: JobCall,
+    changes: boolean,
+    totalMs: number,
+  ): Promise<Answer> {
+    const call = value.kind;
+    try {
+      const answer = await this.caller.call<Answer>({changes, totalMs, tryMs: totalMs, value});
+      if (answer.kind === 'notFound' || answer.kind === 'unknownJob') {
+        this.log.decide('jobNotFound', value.job, {call, leader: this.caller.leaderHost ?? ''});
+      }
+      return answer;
+    } catch (err) {
+      const hosts = this.caller.hosts().join(',');
+      this.log.decide('jobUnavailable', value.job, {call, hosts, reason: errorMessage(err)});
+      throw err;
+    }
   }
 
   private onAnswer(id: string, answer: JobsAnswer): RawAnswer {
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -183,7 +183,9 @@
     });
     this.group.exposeMetrics(this.fleet.metrics);
     const {group} = this;
-    const desk = new NodeJobsDesk(clock, group);
+    const desk = new NodeJobsDesk(clock, group, (decision, id, fields) =>
+      this.log.decide(decision, id, fields),
+    );
     this.desk = desk;
     this.dispatcher = this.makeDispatcher(group, desk);
     group.registerListener(() => {
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
@@ -1,11 +1,13 @@
 /**
  * The group's own clock, by which items grow old, while its replicas lead by turns.
  */
-import type {JobsState} from 'stallpaddle-jobs';
+import type {LogFields} from 'stallpaddle';
+import type {JobsDispatcher, JobsState, Submission} from 'stallpaddle-jobs';
 
 import {delay, type ReplicaId, silentLogger, systemClock} from 'stallpaddle';
 import {jobsMachine} from 'stallpaddle-jobs';
 import {startRpcServer} from 'stallpaddle-rpc';
+import {CorruptionError} from 'stallpaddle-storage';
 import {FakeDisk} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -14,13 +16,25 @@
 import {NodePeers} from '../../NodePeers';
 import {addNodeService} from '../../NodeService';
 
+type Line = LogFields & {readonly decision: string; readonly job: string};
+
 interface Replica {
   readonly desk: NodeJobsDesk;
+  readonly disk: FakeDisk;
   readonly group: NodeGroup<JobsState>;
+  /** What the desk wrote of jobs. */
+  readonly lines: readonly Line[];
 }
 
 const GROUP = 'jobs';
 const PORT = 18_450;
+const SUBMISSION: Submission = {
+  host: '',
+  id: 'job',
+  items: [{body: Buffer.from('body of a'), headers: [], id: 'a', path: '/', tokens: 1}],
+  path: '/',
+  route: 'route',
+};
 const undo: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -30,6 +44,7 @@
 });
 
 async function startReplica(id: ReplicaId, founders: readonly ReplicaId[]): Promise<Replica> {
+  const disk = new FakeDisk();
   const peers = new NodePeers(PORT);
   const opened: {group?: NodeGroup<JobsState>} = {};
   const rpc = await startRpcServer(id.split('/')[0]!, PORT, peers.key, (router) =>
@@ -43,7 +58,7 @@
   const group = await NodeGroup.open<JobsState>({
     candidates: () => [],
     clock: systemClock,
-    disk: new FakeDisk(),
+    disk,
     founders,
     group: GROUP,
     logger: silentLogger,
@@ -59,7 +74,11 @@
     peers.close();
     await rpc.stop();
   });
-  return {desk: new NodeJobsDesk(systemClock, group), group};
+  const lines: Line[] = [];
+  const desk = new NodeJobsDesk(systemClock, group, (decision, job, fields) => {
+    lines.push({decision, job, ...fields});
+  });
+  return {desk, disk, group, lines};
 }
 
 async function leaderOf(
@@ -104,4 +123,25 @@
     // It does run while somebody leads.
     expect(clockMs).toBeGreaterThan(700);
   });
+
+  test('the log tells of a job whose disks hold it, that it is not known, and that its bytes are damaged', async () => {
+    const ids = [1, 2, 3].map((number) => `127.0.8.${number + 3}/first`);
+    const replicas = await Promise.all(ids.map((id) => startReplica(id, ids)));
+    const {desk, disk, group, lines} = await leaderOf(replicas);
+    const dispatcher = {} as JobsDispatcher;
+    await desk.answer({kind: 'submit', maxWaitingTokens: 0, submission: SUBMISSION}, dispatcher);
+    expect(lines.at(-1)).toMatchObject({answer: 'accepted', decision: 'jobRecorded', job: 'job'});
+    const holders = String(lines.at(-1)?.holders).split(',');
+    expect(holders.length).toBeGreaterThanOrEqual(2);
+    expect(ids).toEqual(expect.arrayContaining(holders));
+    expect(lines.at(-1)?.index).toBe(group.driver.status.commit);
+    await desk.answer({item: 'a', job: 'none', kind: 'readBody'}, dispatcher);
+    expect(lines.at(-1)).toMatchObject({decision: 'jobNotFound', job: 'none', known: false});
+    const {body} = group.driver.localState.jobs.get('job')!.items[0]!;
+    await group.driver.readBlob(body);
+    disk.flip('blobs-0000000000000000', body.offset + body.length);
+    const read = desk.answer({item: 'a', job: 'job', kind: 'readBody'}, dispatcher);
+    await expect(read).rejects.toBeInstanceOf(CorruptionError);
+    expect(lines.at(-1)).toMatchObject({decision: 'jobUnreadable', job: 'job'});
+  });
 });
