--- a/packages/stallpaddle-storage/src/__tests__/unit/StorageLog.test.ts
+++ b/packages/stallpaddle-storage/src/__tests__/unit/StorageLog.test.ts
@@ -62,6 +62,19 @@
     fuzzTimeoutMs(),
   );
 
+  test('what a start finds lasts, though an earlier sync of it failed', async () => {
+    // A sync that failed may leave content that reads well, counts as written, and is gone after a loss of power.
+    const disk = await filled(1);
+    const {log} = await StorageLog.open(disk);
+    disk.failSyncs = true;
+    await expect(log.append(Buffer.from('doubtful'))).rejects.toThrow('the sync failed');
+    disk.failSyncs = false;
+    const found = await texts(disk);
+    expect(found).toEqual(['record 0', 'doubtful']);
+    disk.restart();
+    expect(await texts(disk)).toEqual(found);
+  });
+
   test('cuts off a torn last record and goes on after it', async () => {
     const disk = await filled(3);
     await disk.truncate(FIRST_FILE, disk.sizeOf(FIRST_FILE) - 3);
