--- a/packages/stallpaddle-node/src/NodeJobReads.ts
+++ b/packages/stallpaddle-node/src/NodeJobReads.ts
@@ -52,7 +52,7 @@
    * @param random chooses among replicas
    */
   constructor(
-    private readonly caller: Pick<NodeCaller, 'call' | 'hosts' | 'tryAt'>,
+    private readonly caller: Pick<NodeCaller, 'call' | 'hosts' | 'leaderHost' | 'tryAt'>,
     private readonly clock: Clock,
     private readonly log: Pick<NodeLog, 'decide'>,
     private readonly random: Random = Math.random,
@@ -69,10 +69,12 @@
   ): Promise<ReadAnswers[Kind]> {
     const startedAt = this.clock.monotonicMs();
     const followed = await this.readAtReplica(call);
-    if (followed !== undefined) {
-      return followed as ReadAnswers[Kind];
+    const answer = (followed ?? (await this.readAtLeader(call, startedAt))) as ReadAnswers[Kind];
+    if (answer.kind === 'notFound') {
+      const leader = this.caller.leaderHost ?? '';
+      this.log.decide('jobNotFound', call.job, {call: call.kind, leader});
     }
-    return this.readAtLeader(call, startedAt) as Promise<ReadAnswers[Kind]>;
+    return answer;
   }
 
   private async readAtReplica(call: ReadCall): Promise<unknown> {
@@ -101,7 +103,9 @@
     } catch (err) {
       if (err instanceof RefusalError) {
         const ms = Math.round(this.clock.monotonicMs() - startedAt);
-        this.log.decide('jobNotRead', call.job, {kind: call.kind, ms, reason: err.message});
+        const hosts = this.caller.hosts().join(',');
+        const fields = {call: call.kind, hosts, ms, reason: err.message};
+        this.log.decide('jobUnavailable', call.job, fields);
       }
       throw err;
     }
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -1,13 +1,14 @@
 /**
  * Answers all processes while this one leads the group that keeps batch jobs; reads of jobs also while it follows.
  */
-import type {Clock} from 'stallpaddle';
+import type {Clock, MonotonicMs} from 'stallpaddle';
 
-import {encodeValue, unreachable} from 'stallpaddle';
+import {encodeValue, errorMessage, unreachable} from 'stallpaddle';
 import {
   type BodyAnswer,
   findBody,
   findResults,
+  type JobId,
   type JobsAnswer,
   type JobsChange,
   type JobsCommand,
@@ -20,8 +21,10 @@
   type ResultRef,
   type ResultsAnswer,
 } from 'stallpaddle-jobs';
+import {holdersOf} from 'stallpaddle-replication';
 
 import type {NodeGroup} from './NodeGroup';
+import type {NodeLog} from './NodeLog';
 
 import {NodeOnlineDesk} from './NodeOnlineDesk';
 import {NodeReadQueue} from './NodeReadQueue';
@@ -46,10 +49,12 @@
   /**
    * @param clock this process's clock
    * @param group the replica here of the group that keeps batch jobs
+   * @param decide writes a line on a job
    */
   constructor(
     private readonly clock: Clock,
     private readonly group: Pick<NodeGroup<JobsState>, 'driver'>,
+    private readonly decide: NodeLog['decide'],
   ) {
     this.reads = new NodeReadQueue(clock);
   }
@@ -93,7 +98,7 @@
         if (driver.read().jobs.has(submission.id)) {
           return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
         }
-        return this.proposeTo(driver, {kind: 'submit', maxWaitingTokens, submission});
+        return this.submit(driver, {kind: 'submit', maxWaitingTokens, submission});
       }
       case 'tellOnline':
         driver.read();
@@ -103,22 +108,69 @@
     }
   }
 
+  /** Tells where a job stands in the log, and on whose disks it is once it counts as accepted. */
+  private async submit(
+    driver: Driver,
+    change: Extract<JobsChange, {kind: 'submit'}>,
+  ): Promise<unknown> {
+    const answer = this.proposeTo(driver, change);
+    const {id} = change.submission;
+    const {log, term} = driver.status;
+    const index = log.lastIndex;
+    try {
+      const result = (await answer) as JobsAnswer;
+      const {status} = driver;
+      const {voters} = status.log.members;
+      const holders = holdersOf(status, index).join(',');
+      const fields = {answer: result.kind, holders, index, term, voters: voters.join(',')};
+      this.decide('jobRecorded', id, fields);
+      return result;
+    } catch (err) {
+      this.decide('jobNotRecorded', id, {index, reason: errorMessage(err), term});
+      throw err;
+    }
+  }
+
+  /** Only the leader knows for certain what is not there. */
+  private answerNotFound(
+    driver: Driver,
+    {job, kind: call}: ReadBody | ReadResults,
+  ): {kind: 'notFound'} {
+    driver.read();
+    const {applied, commit, term} = driver.status;
+    const known = driver.localState.jobs.has(job);
+    this.decide('jobNotFound', job, {applied, call, commit, known, term});
+    return {kind: 'notFound'};
+  }
+
+  /** Reads in its turn; tells where the job's data is there by its name, but its bytes are not whole. */
+  private readFor<Result>(
+    job: JobId,
+    endAt: MonotonicMs,
+    read: () => Promise<Result>,
+  ): Promise<Result> {
+    return this.reads.add(async () => {
+      try {
+        return await read();
+      } catch (err) {
+        this.decide('jobUnreadable', job, {reason: errorMessage(err)});
+        throw err;
+      }
+    }, endAt);
+  }
+
   private proposeTo(driver: Driver, change: JobsChange): Promise<unknown> {
     return driver.propose(encodeValue({change} satisfies JobsCommand));
   }
 
-  private async readBody(
-    driver: Driver,
-    {item, job, mayFollow, patienceMs}: ReadBody,
-  ): Promise<BodyAnswer> {
+  private async readBody(driver: Driver, request: ReadBody): Promise<BodyAnswer> {
+    const {item, job, mayFollow, patienceMs} = request;
     const endAt = this.clock.monotonicMs() + patienceMs;
     const ref = findBody(stateFor(driver, mayFollow), job, item);
     if (ref === undefined) {
-      // Only the leader knows for certain what is not there.
-      driver.read();
-      return {kind: 'notFound'};
+      return this.answerNotFound(driver, request);
     }
-    const body = await this.reads.add(() => driver.readBlob(ref), endAt);
+    const body = await this.readFor(job, endAt, () => driver.readBlob(ref));
     return {body, kind: 'body'};
   }
 
@@ -129,8 +181,7 @@
     for (;;) {
       const found = findResults(stateFor(driver, mayFollow), job, from, RESULT_BYTES);
       if (found === undefined) {
-        driver.read();
-        return {kind: 'notFound'};
+        return this.answerNotFound(driver, request);
       }
       const {results: refs, total} = found;
       const left = holdUntil - this.clock.monotonicMs();
@@ -141,7 +192,7 @@
         const endAt = this.clock.monotonicMs() + Math.max(0, left) + patienceMs;
         const read = (): Promise<readonly ReadResult[]> =>
           Promise.all(refs.map((ref) => readResult(driver, ref)));
-        const results = refs.length === 0 ? [] : await this.reads.add(read, endAt);
+        const results = refs.length === 0 ? [] : await this.readFor(job, endAt, read);
         return {kind: 'results', next: from + results.length, results, total};
       }
       await this.waiters.wait(left);
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobReads.test.ts
@@ -77,7 +77,7 @@
     },
   };
   const group = {driver} as unknown as Pick<NodeGroup<JobsState>, 'driver'>;
-  return {counts, desk: new NodeJobsDesk(systemClock, group)};
+  return {counts, desk: new NodeJobsDesk(systemClock, group, () => {})};
 }
 
 function readOf(job: string, changes: Partial<Extract<JobsRequest, {kind: 'readResults'}>> = {}) {
@@ -181,6 +181,7 @@
         : Promise.reject(new RefusalError('unavailable', 'notRun', 'no time'));
     },
     hosts: () => Object.keys(answers),
+    leaderHost: null,
     tryAt: (host: string): Promise<TryOutcome> => {
       asked.push(host);
       return Promise.resolve(answers[host]!);
@@ -221,6 +222,6 @@
     };
     const reads = new NodeJobReads(refusing, systemClock, log);
     await expect(reads.read(call)).rejects.toThrow('no leader');
-    expect(told).toEqual(['jobNotRead j']);
+    expect(told).toEqual(['jobUnavailable j']);
   });
 });
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
@@ -172,4 +172,15 @@
     turns.stop();
     expect(looks).toHaveLength(1);
   });
+
+  test('who is missing when no majority answers, now and then', () => {
+    const watched = new Watched();
+    for (let turn = 0; turn < 400; turn++) {
+      watched.turn();
+    }
+    const lines = watched.lines.filter(({message}) => message.startsWith('No majority'));
+    expect(lines[0]).toMatchObject({answered: SELF, missing: OTHER});
+    expect(lines.length).toBeGreaterThan(1);
+    expect(lines.length).toBeLessThanOrEqual(3);
+  });
 });
