--- a/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeJobsDesk.test.ts
@@ -141,7 +141,11 @@
     await desk.answer({...TERMS, item: 'a', job: 'none', kind: 'readBody'}, dispatcher);
     expect(lines.at(-1)).toMatchObject({decision: 'jobNotFound', job: 'none', known: false});
     const {body} = group.driver.localState.jobs.get('job')!.items[0]!;
-    await group.driver.readBlob(body);
+    // Until it is written, it is read from memory.
+    while (disk.sizeOf('blobs-0000000000000000') <= body.offset + body.length) {
+      await delay(5);
+    }
+    await delay(50);
     disk.flip('blobs-0000000000000000', body.offset + body.length);
     const read = desk.answer({...TERMS, item: 'a', job: 'job', kind: 'readBody'}, dispatcher);
     await expect(read).rejects.toBeInstanceOf(CorruptionError);
