The log's last record is written once more at a start; a disk that is full at a start is waited for

Cause: after a sync that failed the system may take content for written. A start read it, synced it without effect and counted it; a loss of power took it. Earlier records can't be in doubt: each is synced before the next is written, and a sync that fails ends the replica. Change: the last record is written again in place, with the same bytes, before the start's sync. So a start writes now, and one whose disk takes no writes waits for room, as a running replica does. NodeGroup 'full at its start': fails ('no space left') with the rewrite alone, passes with the wait.

--- a/packages/stallpaddle-node/src/NodeGroup.ts
+++ b/packages/stallpaddle-node/src/NodeGroup.ts
@@ -69,7 +69,14 @@
       await ReplicaStorage.form(disk, machine.encode(machine.initial()), members);
     }
     const group = new NodeGroup(options);
-    await group.openDriver();
+    try {
+      await group.openDriver();
+    } catch (err) {
+      if (!isFullDisk(err)) {
+        throw err;
+      }
+      await group.openAgain(err);
+    }
     // Only now: a slow disk may take longer to open than a round waits.
     group.stopKeeping = registerLoop(KEEP_MEMBERS_MS, () => group.keepMembers());
     return group;
@@ -121,12 +128,16 @@
 
   /** Opens the replica again and again until its disk takes it; the others go on without it. */
   private async reopen(failure: unknown): Promise<void> {
+    await this.current.close().catch(() => {});
+    await this.openAgain(failure);
+  }
+
+  private async openAgain(failure: unknown): Promise<void> {
     const {group, logger} = this.options;
     logger.warn('The disk is full; the replica waits for room.', {
       group,
       reason: errorMessage(failure),
     });
-    await this.current.close().catch(() => {});
     while (!this.closed) {
       await delay(REOPEN_MS);
       try {
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -260,4 +260,18 @@
     }
     expect(group.driver.localState.texts[0]).toBe('one');
   });
+
+  test('a replica whose disk is full at its start waits for room', async () => {
+    const fleet = new Fleet();
+    const id = '127.0.7.9/first';
+    const {disk, group} = await fleet.start(id, [id]);
+    await (await fleet.leader()).driver.propose(Buffer.from('one'));
+    await group.close();
+    disk.failAppends = Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+    setTimeout(() => {
+      disk.failAppends = null;
+    }, 300);
+    const again = await new Fleet().start(id, null, disk);
+    expect(again.group.driver.status.log.lastIndex).toBeGreaterThan(0);
+  });
 });
--- a/packages/stallpaddle-storage/src/StorageDisk.ts
+++ b/packages/stallpaddle-storage/src/StorageDisk.ts
@@ -20,6 +20,8 @@
   readonly close: () => Promise<void>;
   /** Returns fewer bytes than asked for at the file's end. */
   readonly read: (offset: number, length: number) => Promise<Uint8Array>;
+  /** Writes bytes once more that stand at a place already. */
+  readonly rewrite: (offset: number, bytes: Uint8Array) => Promise<void>;
   /** Resolves once all that was appended is on the disk. */
   readonly sync: () => Promise<void>;
 }
@@ -40,12 +42,15 @@
 
 function fileOf(handle: FileHandle, size: number): DiskFile {
   let end = size;
+  const write = async (offset: number, bytes: Uint8Array): Promise<void> => {
+    const {bytesWritten} = await handle.write(bytes, 0, bytes.length, offset);
+    if (bytesWritten !== bytes.length) {
+      throw new Error(`wrote ${bytesWritten} of ${bytes.length} bytes`);
+    }
+  };
   return {
     append: async (bytes) => {
-      const {bytesWritten} = await handle.write(bytes, 0, bytes.length, end);
-      if (bytesWritten !== bytes.length) {
-        throw new Error(`wrote ${bytesWritten} of ${bytes.length} bytes`);
-      }
+      await write(end, bytes);
       end += bytes.length;
     },
     close: () => handle.close(),
@@ -54,6 +59,7 @@
       const {bytesRead} = await handle.read(buffer, 0, length, offset);
       return buffer.subarray(0, bytesRead);
     },
+    rewrite: write,
     sync: () => handle.datasync(),
   };
 }
--- a/packages/stallpaddle-storage/src/StorageLog.ts
+++ b/packages/stallpaddle-storage/src/StorageLog.ts
@@ -69,6 +69,11 @@
       await disk.truncate(name, validBytes);
     }
     const file = await disk.open(name);
+    const last = records.at(-1);
+    if (last !== undefined) {
+      // Its sync may have failed before this start: then the system takes it for written, and only a write makes it last.
+      await file.rewrite(last.start, content.subarray(last.start, last.end));
+    }
     await file.sync();
     for (const old of generations.slice(0, -1)) {
       await disk.remove(fileName(old));
--- a/packages/stallpaddle-testing/src/FakeDisk.ts
+++ b/packages/stallpaddle-testing/src/FakeDisk.ts
@@ -227,6 +227,14 @@
         this.checkOpen(start, closed);
         return inode.volatile.slice(offset, offset + length);
       },
+      rewrite: async (offset, bytes) => {
+        await use();
+        if (this.failAppends !== null) {
+          throw this.failAppends;
+        }
+        inode.volatile = writeAt(inode.volatile, offset, bytes);
+        inode.pending.push(writeChange(offset, bytes.slice()));
+      },
       sync: async () => {
         // A sync answers for what was written before it began, and for nothing else.
         const covered = [...inode.pending];
