--- a/packages/stallpaddle-replication/src/ReplicaDriver.ts
+++ b/packages/stallpaddle-replication/src/ReplicaDriver.ts
@@ -9,7 +9,7 @@
 import {errorMessage, unreachable} from 'stallpaddle';
 import {CorruptionError, StorageBlobs} from 'stallpaddle-storage';
 
-import type {ReplicaCounters, ReplicaOptions, SnapshotSource} from './ReplicaOptions';
+import type {ReplicaCounters, ReplicaOptions} from './ReplicaOptions';
 import type {MachineSnapshot, ReplicaStorage} from './ReplicaStorage';
 import type {
   GroupMembers,
@@ -24,12 +24,12 @@
 } from './ReplicationTypes';
 
 import {ReplicaBlobs} from './ReplicaBlobs';
-import {COMMIT_RECORD_MS, LOG_BYTES_BEFORE_SNAPSHOT, LOG_BYTES_KEPT} from './ReplicaConstants';
+import {COMMIT_RECORD_MS} from './ReplicaConstants';
 import {ReplicaDamage} from './ReplicaDamage';
 import {NotLeaderError, ReplicaStoppedError} from './ReplicaErrors';
 import {ReplicaRequests} from './ReplicaRequests';
+import {ReplicaSnapshots} from './ReplicaSnapshots';
 import {ReplicaStorage as Storage} from './ReplicaStorage';
-import {wantsSnapshot} from './ReplicationFollower';
 import {leadershipOf} from './ReplicationLease';
 import {isCaughtUp, knownLeader, startReplica, stepReplica, uncountedMs} from './ReplicationStep';
 import {isVoter, ReplicaTurns, turnPeriodMs, untilElectionMs} from './ReplicaTurns';
@@ -49,11 +49,7 @@
   private readonly damage: ReplicaDamage;
   private readonly listeners = new Set<(state: State) => void>();
   private readonly requests = new ReplicaRequests();
-  /** A snapshot of another replica is being saved: no entry may be applied meanwhile. */
-  private installing = false;
-  private snapshotting = false;
-  /** Snapshots taken, begun and taken over; one at a time. */
-  private snapshotWork: Promise<unknown> = Promise.resolve();
+  private readonly snapshots: ReplicaSnapshots<State>;
   private stopped = false;
   private commitTimer: NodeJS.Timeout | undefined;
   private readonly turns = new ReplicaTurns(() => this.tick());
@@ -62,7 +58,7 @@
 
   private constructor(
     private readonly options: ReplicaOptions<State>,
-    private readonly storage: ReplicaStorage,
+    storage: ReplicaStorage,
     blobs: StorageBlobs,
     private replication: ReplicationState,
     private machineState: State,
@@ -78,6 +74,21 @@
       send: (message) => options.transport.send(message),
       storage,
     });
+    this.snapshots = new ReplicaSnapshots({
+      blobs: this.blobs,
+      checkRuns: () => this.checkRuns(),
+      dispatch: (event) => this.dispatch(event),
+      fail: (err) => this.fail(err),
+      hardState: () => this.hardState(),
+      machineState: () => this.machineState,
+      options,
+      replication: () => this.replication,
+      setMachineState: (state) => {
+        this.machineState = state;
+      },
+      storage,
+      writer: this.writer,
+    });
   }
 
   /**
@@ -198,7 +209,7 @@
     if (message.to === this.options.self) {
       // Entries that are applied while a snapshot is saved would cut off the bulk data that it names, and be forgotten with
       // the state that it replaces. The leader sends them again.
-      const taken = this.installing ? withoutEntries(message) : message;
+      const taken = this.snapshots.isInstalling ? withoutEntries(message) : message;
       this.dispatch({kind: 'message', message: taken});
     }
   }
@@ -239,14 +250,7 @@
    * @returns where the bulk data goes on, or undefined when the snapshot isn't wanted
    */
   beginInstall(meta: SnapshotMeta, term: Term): Promise<number | undefined> {
-    // Alone: a cut while another snapshot is saved would take the bulk data that it names.
-    return this.alone(async () => {
-      if (term < this.replication.term || !wantsSnapshot(this.replication, meta)) {
-        return undefined;
-      }
-      await this.blobs.cutTo(this.options.machine.blobEnd(this.machineState));
-      return this.blobs.end;
-    });
+    return this.snapshots.beginInstall(meta, term);
   }
 
   /**
@@ -270,9 +274,7 @@
    * @returns whether it was taken over
    */
   async finishInstall(snapshot: MachineSnapshot, term: Term): Promise<boolean> {
-    const state = this.options.machine.decode(snapshot.machine);
-    // Alone: an own snapshot must not replace the newer one.
-    const installed = await this.alone(() => this.install(snapshot, state, term));
+    const installed = await this.snapshots.finishInstall(snapshot, term);
     this.notify();
     return installed;
   }
@@ -280,7 +282,7 @@
   /** Ends the replica without any further write. */
   async close(): Promise<void> {
     this.stop();
-    await this.snapshotWork;
+    await this.snapshots.settle();
     await this.writer.close();
     await this.blobs.close();
   }
@@ -291,54 +293,6 @@
     }
   }
 
-  private async install(snapshot: MachineSnapshot, state: State, term: Term): Promise<boolean> {
-    let installed = false;
-    await this.writer.runBetweenWrites(async () => {
-      this.installing = true;
-      try {
-        installed = await this.installBetweenWrites(snapshot, state, term);
-      } finally {
-        this.installing = false;
-      }
-    });
-    return installed;
-  }
-
-  private async installBetweenWrites(
-    snapshot: MachineSnapshot,
-    state: State,
-    term: Term,
-  ): Promise<boolean> {
-    await this.blobs.settle();
-    const blobEnd = this.options.machine.blobEnd(state);
-    const complete = this.blobs.end === blobEnd;
-    const wanted = wantsSnapshot(this.replication, snapshot.meta);
-    const fields = {blobEnd, group: this.options.group, hasBlobsTo: this.blobs.end};
-    if (!complete || !wanted) {
-      const {index} = snapshot.meta;
-      this.options.logger.info('A snapshot was not taken over here.', {...fields, index, wanted});
-      return false;
-    }
-    await this.blobs.sync();
-    await this.storage.saveSnapshot(snapshot);
-    this.machineState = state;
-    this.dispatch({kind: 'snapshotInstalled', meta: snapshot.meta, term});
-    await this.writer.restartLog(this.hardState(), []);
-    const {index} = snapshot.meta;
-    this.options.logger.info('A snapshot was taken over here.', {...fields, index, term});
-    return true;
-  }
-
-  /** Runs a task while no snapshot is taken, begun or taken over. */
-  private alone<Result>(task: () => Promise<Result>): Promise<Result> {
-    const run = this.snapshotWork.then(() => {
-      this.checkRuns();
-      return task();
-    });
-    this.snapshotWork = run.catch(() => {});
-    return run;
-  }
-
   /** A replica that has ended writes nothing: its successor may have opened the same files. */
   private checkRuns(): void {
     if (this.stopped) {
@@ -383,7 +337,7 @@
     }
     this.followVote();
     this.writer.flush();
-    this.startSnapshotWhenDue();
+    this.snapshots.startWhenDue();
   }
 
   /** Only a leader has to look at its clock often. */
@@ -425,7 +379,7 @@
         this.writer.send(effect.message, effect.afterPersist);
         return;
       case 'sendSnapshot':
-        void this.sendSnapshot(effect.to);
+        void this.snapshots.send(effect.to);
         return;
       default:
         unreachable(effect);
@@ -439,93 +393,6 @@
     }
   }
 
-  private startSnapshotWhenDue(): void {
-    const {applied, log} = this.replication;
-    const {snapshotLogBytes = LOG_BYTES_BEFORE_SNAPSHOT} = this.options;
-    const grown = this.writer.logBytes > snapshotLogBytes;
-    if (grown && applied > log.snapshot.index && !this.snapshotting && !this.stopped) {
-      this.snapshotting = true;
-      this.takeSnapshot()
-        .catch(() => {})
-        .finally(() => {
-          this.snapshotting = false;
-        });
-    }
-  }
-
-  /** Whoever a snapshot is for, a disk that failed at it is in doubt, and the replica ends. */
-  private takeSnapshot(): Promise<MachineSnapshot> {
-    const taken = this.alone(() => this.writeSnapshot());
-    return taken.catch((err: unknown) => {
-      this.fail(err);
-      throw err;
-    });
-  }
-
-  /**
-   * Syncing bulk data takes long, so it goes on beside the log's writes: were they to wait, no
-   * majority would answer the leader in time. Only the log's restart goes between two writes.
-   */
-  private async writeSnapshot(): Promise<MachineSnapshot> {
-    const {applied, log} = this.replication;
-    const meta = {index: applied, members: log.membersAt(applied), term: log.termAt(applied)!};
-    const snapshot = {machine: this.options.machine.encode(this.machineState), meta};
-    await this.blobs.sync();
-    this.checkRuns();
-    await this.storage.saveSnapshot(snapshot);
-    await this.writer.runBetweenWrites(async () => {
-      this.checkRuns();
-      this.dispatch({keepFrom: this.keepFrom(applied), kind: 'snapshotTaken', meta});
-      const kept = this.replication.log;
-      await this.writer.restartLog(this.hardState(), kept.entriesFrom(kept.firstIndex, Infinity));
-    });
-    return snapshot;
-  }
-
-  /** First entry to keep so that a replica that lags a little needs no snapshot. */
-  private keepFrom(applied: number): number {
-    const {log} = this.replication;
-    let from = applied + 1;
-    let bytes = 0;
-    while (from > log.firstIndex && bytes < LOG_BYTES_KEPT) {
-      const [entry] = log.entriesFrom(from - 1, 0);
-      bytes += entry?.payload.kind === 'command' ? entry.payload.data.length : 1;
-      from--;
-    }
-    return from;
-  }
-
-  private async sendSnapshot(to: ReplicaId): Promise<void> {
-    let index = 0;
-    let ok = false;
-    try {
-      const source = await this.snapshotSource();
-      index = source.snapshot.meta.index;
-      ok = await this.options.transport.sendSnapshot(to, source);
-      const {blobEnd, group} = source;
-      this.options.logger.info('A snapshot was sent.', {blobEnd, group, index, taken: ok, to});
-    } catch (err) {
-      this.options.logger.warn('A snapshot was not taken over.', {reason: errorMessage(err), to});
-    }
-    // A receiver that didn't want it gets entries again, or the next try after a heartbeat.
-    setTimeout(
-      () => this.dispatch({index, kind: 'snapshotSent', ok, to}),
-      ok ? 0 : this.options.timing.electionTimeoutMs,
-    ).unref();
-  }
-
-  private async snapshotSource(): Promise<SnapshotSource> {
-    const {group, machine} = this.options;
-    const snapshot = await this.takeSnapshot();
-    if (this.stopped) {
-      throw new ReplicaStoppedError();
-    }
-    const blobEnd = machine.blobEnd(machine.decode(snapshot.machine));
-    const readBlobs: SnapshotSource['readBlobs'] = (offset, most) =>
-      this.blobs.readRaw(offset, Math.min(most, blobEnd - offset));
-    return {blobEnd, group, readBlobs, snapshot, term: this.replication.term};
-  }
-
   private apply(entries: readonly LogEntry[]): void {
     for (const entry of entries) {
       this.commits++;
--- a/packages/stallpaddle-replication/src/ReplicaWriter.ts
+++ b/packages/stallpaddle-replication/src/ReplicaWriter.ts
@@ -40,6 +40,11 @@
    */
   constructor(private readonly options: ReplicaWriterOptions) {}
 
+  /** Whether nothing more is written. */
+  get isStopped(): boolean {
+    return this.stopped;
+  }
+
   /** Bytes of the present log file. */
   get logBytes(): number {
     return this.options.storage.logBytes;
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaDriver.test.ts
@@ -7,6 +7,7 @@
  * The driver on a fake disk: restarts, snapshots, and a disk that fails or is slow.
  */
 import type {ReplicaMachine} from '../../ReplicaMachine';
+import type {ReplicaTransport} from '../../ReplicaOptions';
 
 import {ReplicaDriver} from '../../ReplicaDriver';
 import {ReplicaStorage} from '../../ReplicaStorage';
@@ -42,6 +43,11 @@
 describe('ReplicaDriver', () => {
   const opened: ReplicaDriver<ListState>[] = [];
   let failure: unknown;
+  /** Brings nothing anywhere. */
+  const transport: {-readonly [Key in keyof ReplicaTransport]: ReplicaTransport[Key]} = {
+    send: () => {},
+    sendSnapshot: () => Promise.resolve(false),
+  };
 
   async function start(disk: FakeDisk, self = SELF): Promise<ReplicaDriver<ListState>> {
     const driver = await ReplicaDriver.open({
@@ -56,7 +62,7 @@
       self,
       snapshotLogBytes: SNAPSHOT_LOG_BYTES,
       timing: TIMING,
-      transport: {send: () => {}, sendSnapshot: () => Promise.resolve(false)},
+      transport,
     });
     opened.push(driver);
     return driver;
@@ -177,4 +183,29 @@
     await expect(driver.propose(Buffer.from('more'))).rejects.toThrow('the replica has ended');
     expect(driver.leads).toBe(false);
   });
+
+  test('writes no new snapshot for each try at a replica that is dark', async () => {
+    const disk = await formed();
+    const driver = await open(disk);
+    // More than the log keeps for replicas that lag a little.
+    for (const letter of ['a', 'b', 'c']) {
+      await driver.propose(Buffer.from(letter.repeat(2_000_000)));
+    }
+    let saved = 0;
+    const {rename} = disk;
+    disk.rename = (from: string, to: string) => {
+      saved += to.includes('snapshot') ? 1 : 0;
+      return rename.call(disk, from, to);
+    };
+    let tries = 0;
+    transport.sendSnapshot = () => {
+      tries++;
+      return Promise.resolve(false);
+    };
+    await driver.changeMembers({learners: ['vm2/1'], voters: [SELF]});
+    while (tries < 10) {
+      await delay(5);
+    }
+    expect(saved).toBeLessThanOrEqual(2);
+  });
 });
