--- a/packages/stallpaddle-testing/src/FakeDisk.ts
+++ b/packages/stallpaddle-testing/src/FakeDisk.ts
@@ -218,7 +218,7 @@
         }
         end = at + bytes.length;
         inode.volatile = writeAt(inode.volatile, at, bytes);
-        inode.pending.push(writeChange(at, bytes.slice()));
+        inode.pending.push(writeChange(at, bytes));
       },
       close: async () => {
         closed = true;
@@ -233,7 +233,7 @@
           throw this.failAppends;
         }
         inode.volatile = writeAt(inode.volatile, offset, bytes);
-        inode.pending.push(writeChange(offset, bytes.slice()));
+        inode.pending.push(writeChange(offset, bytes));
       },
       sync: async () => {
         // A sync answers for what was written before it began, and for nothing else.
@@ -252,6 +252,12 @@
   }
 
   private keep(inode: FakeInode, covered: readonly FakeChange[]): void {
+    const isAll = inode.pending.every((change) => covered.includes(change) && !change.givenUp);
+    if (isAll) {
+      inode.durable = inode.volatile;
+      inode.pending = [];
+      return;
+    }
     const still = inode.pending.filter((change) => covered.includes(change));
     const lasting = still.filter(({givenUp}) => !givenUp);
     inode.durable = lasting.reduce((content, change) => change.apply(content, 1), inode.durable);
