--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -153,6 +153,9 @@
   /** The members are recorded before the configuration: when it is acknowledged, as many have both as must. */
   private async putConfig(config: FleetConfig): Promise<FleetAnswer> {
     if (!this.bearsLosses()) {
+      const {group, log, lostDisks} = this.options;
+      const voters = group.driver.status.log.members.voters.join(',');
+      log('The control group can’t bear the losses yet.', {voters, wanted: votersFor(lostDisks)});
       // Whoever asks tries again: the other replicas join within a second.
       throw new NotLeaderError(null);
     }
