Tests: as of when a follower holds all that was committed; three fail

Seen by reading. An append counts as proof of all that was committed when it was sent, whoever sent it: a leader that slept, or one that has not recorded an entry of its own term yet, names a commit that is behind. And a follower that slept since a term began takes the delay of its first appends for the distance of the clocks.

--- /dev/null
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFollower.test.ts
@@ -0,0 +1,115 @@
+/**
+ * As of when a follower may say that it holds all that was committed.
+ */
+import type {MonotonicMs, ReplicaId} from 'stallpaddle';
+
+import {describe, expect, test} from 'vitest';
+
+import type {
+  LogIndex,
+  Message,
+  MessageBody,
+  ReplicationEvent,
+  ReplicationState,
+  ReplicationStepResult,
+} from '../../ReplicationTypes';
+
+import {ReplicationLog} from '../../ReplicationLog';
+import {startReplica, stepReplica} from '../../ReplicationStep';
+
+const TIMING = {electionTimeoutMs: 100, heartbeatMs: 20, leaseDriftFraction: 0.2};
+const SELF = 'a/1';
+const LEADER = 'b/1';
+const OTHER = 'c/1';
+const MEMBERS = {learners: [], voters: [SELF, LEADER, OTHER]};
+
+function start(self: string): ReplicationState {
+  const log = ReplicationLog.restore({index: 0, members: MEMBERS, term: 0}, []);
+  const hardState = {term: 0, votedFor: null};
+  return startReplica({group: 'g', hardState, log, self, timing: TIMING}, 0);
+}
+
+function take(
+  state: ReplicationState,
+  body: MessageBody,
+  term: number,
+  now: MonotonicMs,
+): ReplicationState {
+  const message: Message = {body, from: LEADER, group: 'g', term, to: state.self};
+  return stepReplica(state, {kind: 'message', message}, now).state;
+}
+
+/** An append whose only entry is the first of the term, committed or not. */
+function append(commit: number, sentAt: MonotonicMs): MessageBody {
+  const entry = {index: 1, payload: {kind: 'noop'}, term: 1} as const;
+  return {commit, entries: [entry], kind: 'append', prevIndex: 0, prevTerm: 0, sentAt};
+}
+
+describe('a follower', () => {
+  test('that was frozen since a term began does not take what its leader said then for new', () => {
+    // Both clocks are the same. The follower sleeps from 0 to 5000, and then finds what was sent at 1000 and 1100.
+    let follower = take(start(SELF), append(0, 1000), 1, 5000);
+    follower = take(follower, append(1, 1100), 1, 5000);
+    expect(follower.commit).toBe(1);
+    expect(follower.completeAt).toBeLessThanOrEqual(1100);
+  });
+
+  test('knows by the next append that comes at once when it held all', () => {
+    let follower = take(start(SELF), append(0, 1000), 1, 1000);
+    follower = take(follower, append(1, 1100), 1, 1100);
+    expect(follower.completeAt).toBeGreaterThan(1000);
+    expect(follower.completeAt).toBeLessThanOrEqual(1100);
+  });
+});
+
+/** Commits that a leader's appends name. */
+function commitsNamed({effects}: ReplicationStepResult): readonly LogIndex[] {
+  return effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.body.kind === 'append'
+      ? [effect.message.body.commit]
+      : [],
+  );
+}
+
+function from(replica: ReplicaId, term: number, body: MessageBody): ReplicationEvent {
+  return {kind: 'message', message: {body, from: replica, group: 'g', term, to: LEADER}};
+}
+
+function ack(replica: ReplicaId, lastIndex: LogIndex): ReplicationEvent {
+  return from(replica, 1, {kind: 'appendReply', lastIndex, ok: true, sentAt: 301});
+}
+
+/** A leader of the first term, elected at 301, whose own first entry isn't recorded yet. */
+function elected(state: ReplicationState): ReplicationState {
+  let leader = stepReplica(state, {kind: 'tick'}, 300).state;
+  for (const kind of ['preVoteReply', 'voteReply'] as const) {
+    const {term} = leader;
+    leader = stepReplica(leader, from(SELF, term, {granted: true, kind}), 301).state;
+  }
+  expect(leader.role.kind).toBe('leader');
+  return leader;
+}
+
+describe('a leader without its lease names no commit', () => {
+  test('after a freeze: another may lead by then and have committed more', () => {
+    let leader = elected(start(LEADER));
+    leader = stepReplica(leader, {index: 1, kind: 'persisted', term: 1}, 302).state;
+    leader = stepReplica(leader, ack(SELF, 1), 303).state;
+    expect(leader.commit).toBe(1);
+    // Awake again, it takes in an answer that it got long ago before it looks at its clock.
+    const awake = stepReplica(leader, ack(OTHER, 0), 9_000);
+    expect(commitsNamed(awake)).toEqual([0]);
+  });
+
+  test('before an entry of its own term is recorded: the leader before it may have committed more', () => {
+    const entries = [1, 2].map((index) => ({index, payload: {kind: 'noop'}, term: 0}) as const);
+    const log = ReplicationLog.restore({index: 0, members: MEMBERS, term: 0}, entries);
+    const hardState = {commit: 1, term: 0, votedFor: null};
+    const before = startReplica({group: 'g', hardState, log, self: LEADER, timing: TIMING}, 0);
+    const leader = elected(before);
+    expect([leader.commit, leader.log.lastIndex]).toEqual([1, 3]);
+    // The second entry was committed, and read, by the leader before; nobody has told this one.
+    const beat = stepReplica(leader, {kind: 'tick'}, 301 + TIMING.heartbeatMs);
+    expect(commitsNamed(beat)).toEqual([0, 0]);
+  });
+});
