A leader without its lease names no commit

Cause: a follower takes an append's commit for all that was committed when it was sent. A leader that slept, or whose own first entry isn't recorded, names one that is behind, so that a follower may say of a result that there is none though it was read.

--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -24,7 +24,7 @@
   YIELD_TIMEOUTS,
 } from './ReplicationConstants';
 import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
-import {majorityValue, quorumHeardAt} from './ReplicationLease';
+import {holdsLease, majorityValue, quorumHeardAt} from './ReplicationLease';
 import {entryBytes} from './ReplicationLog';
 
 type AppendReply = Extract<MessageBody, {kind: 'appendReply'}>;
@@ -93,7 +93,10 @@
       : probeEntries(log, progress.next);
   const next = progress.mode === 'replicate' ? progress.next + entries.length : progress.next;
   $setProgress(draft, role, replica, {lastSentAt: draft.now, next});
-  const {commit, now} = draft;
+  const {now} = draft;
+  // A follower takes the commit for all that there is as of now. Without its lease a leader can't say so: another may have
+  // committed more by then, or the one before it, until an entry of its own term is recorded.
+  const commit = holdsLease(draft, now) ? draft.commit : 0;
   $send(draft, replica, {commit, entries, kind: 'append', prevIndex, prevTerm, sentAt: now}, false);
 }
 
