A follower knows that it holds all by an answer that came back, not by clocks

Cause: a follower dated an append by the least delay that it had seen in the term. After a freeze over the term's beginning, or on a link that is slow for a whole term, that delay was taken for the distance of the clocks, and old news for new. Ruled out: a bound on the drift of clocks (the fault is delay, not drift); a follower's own time in its replies (another process's steady clock begins anew, and the leader may name an answer of its earlier life). Change: an append names the newest append that its receiver has answered. It was sent after that answer, so the follower holds all that was committed when it gave that. Answers are remembered in this process's life and term only.

--- a/packages/stallpaddle-replication/src/ReplicationFollower.ts
+++ b/packages/stallpaddle-replication/src/ReplicationFollower.ts
@@ -21,8 +21,8 @@
 
 type Append = Extract<MessageBody, {kind: 'append'}>;
 
-/** Most by which two steady clocks part, as a fraction: ten times what quartz clocks do. */
-const CLOCK_DRIFT = 0.001;
+/** Most answers that are remembered: those of a second of a busy leader's appends. Without them the leader is asked. */
+const MOST_ANSWERED = 256;
 
 function $heedLeader(draft: ReplicationDraft, message: Message): void {
   if (message.term > draft.term) {
@@ -98,22 +98,32 @@
     $applyCommitted(draft);
   }
   $noteComplete(draft, message.term, append);
+  $noteAnswered(draft, message.term, sentAt);
+}
+
+/** Notes that an append is answered. */
+function $noteAnswered(draft: ReplicationDraft, term: Term, sentAt: MonotonicMs): void {
+  const appends = draft.answered?.term === term ? draft.answered.appends : [];
+  const added = [...appends, {at: draft.now, sentAt}].slice(-MOST_ANSWERED);
+  draft.answered = {appends: added, term};
 }
 
 /**
- * Notes as of when this replica holds all that its leader has committed: an append tells what was committed when it was
- * sent. One that a cut or a freeze held up is told from others by the two clocks, whose distance hardly changes.
+ * Notes as of when this replica holds all that its leader has committed. An append tells what was committed when it was
+ * sent, and may have been on its way for long; but it was sent after this replica had given the answer that it names. An
+ * answer of this process's earlier life isn't among those that it remembers.
  */
-function $noteComplete(draft: ReplicationDraft, term: Term, {commit, sentAt}: Append): void {
-  const {leaderClock, now} = draft;
-  const apartMs = now - sentAt;
-  const known = leaderClock?.term === term ? leaderClock : null;
-  const driftMs = known === null ? 0 : (now - known.seenAt) * CLOCK_DRIFT;
-  const leastMs = Math.min(apartMs, known === null ? Infinity : known.leastMs + driftMs);
-  draft.leaderClock = {leastMs, seenAt: now, term};
-  // To a replica that lacks a snapshot the leader names no commit at all.
-  if (known !== null && commit > 0 && commit <= draft.commit) {
-    draft.completeAt = Math.max(draft.completeAt, now - (apartMs - leastMs));
+function $noteComplete(
+  draft: ReplicationDraft,
+  term: Term,
+  {answeredSentAt, commit}: Append,
+): void {
+  const appends = draft.answered?.term === term ? draft.answered.appends : [];
+  const position = appends.findIndex(({sentAt}) => sentAt === answeredSentAt);
+  // To a replica that lacks a snapshot, and without a lease, the leader names no commit at all.
+  if (position >= 0 && commit > 0 && commit <= draft.commit) {
+    draft.completeAt = Math.max(draft.completeAt, appends[position]!.at);
+    draft.answered = {appends: appends.slice(position), term};
   }
 }
 
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -97,7 +97,10 @@
   // A follower takes the commit for all that there is as of now. Without its lease a leader can't say so: another may have
   // committed more by then, or the one before it, until an entry of its own term is recorded.
   const commit = holdsLease(draft, now) ? draft.commit : 0;
-  $send(draft, replica, {commit, entries, kind: 'append', prevIndex, prevTerm, sentAt: now}, false);
+  const answeredSentAt = progress.appendAckedSentAt;
+  const place = {prevIndex, prevTerm};
+  const append = {answeredSentAt, commit, entries, kind: 'append', sentAt: now, ...place} as const;
+  $send(draft, replica, append, false);
 }
 
 /** A probe is repeated with each heartbeat until it is answered, so it carries only what is small. */
--- a/packages/stallpaddle-replication/src/ReplicationStep.ts
+++ b/packages/stallpaddle-replication/src/ReplicationStep.ts
@@ -65,6 +65,7 @@
   const commit = Math.max(index, Math.min(start.hardState.commit ?? 0, start.log.lastIndex));
   const draft = openDraft(
     {
+      answered: null,
       applied: index,
       commit,
       completeAt: -Infinity,
@@ -72,7 +73,6 @@
       electionCount: 0,
       group: start.group,
       heardLeaderAt: now,
-      leaderClock: null,
       log: start.log,
       persisted: start.log.lastIndex,
       role: {kind: 'follower', leader: null},
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -69,6 +69,8 @@
    */
   | {readonly kind: 'alive' | 'aliveReply'; readonly sentAt: MonotonicMs}
   | {
+      /** When the leader sent the newest append that the receiver has answered; earlier releases don't tell. */
+      readonly answeredSentAt?: MonotonicMs;
       readonly commit: LogIndex;
       readonly entries: readonly LogEntry[];
       readonly kind: 'append';
@@ -216,16 +218,24 @@
   readonly state: ReplicationState;
 }
 
-/** The clock of a term's leader, as a follower sees it. */
-export interface LeaderClock {
-  /** Least difference of the two clocks that an append showed: what others show beyond it is delay on their way. */
-  readonly leastMs: number;
-  readonly seenAt: MonotonicMs;
+/** A leader's append that a follower answered. */
+export interface AnsweredAppend {
+  /** When, by the follower's clock. */
+  readonly at: MonotonicMs;
+  /** When it was sent, by the leader's clock. */
+  readonly sentAt: MonotonicMs;
+}
+
+/** Appends of a term's leader that a follower answered, from the last whose answer surely came to the latest. */
+export interface AnsweredAppends {
+  readonly appends: readonly AnsweredAppend[];
   readonly term: Term;
 }
 
 /** Everything that a replica of a group knows. */
 export interface ReplicationState {
+  /** What this replica answered as a follower of its term's leader; null before the first answer. */
+  readonly answered: AnsweredAppends | null;
   readonly applied: LogIndex;
   readonly commit: LogIndex;
   /** When this replica last held all that its leader had committed, as a follower; -Infinity before it ever did. */
@@ -236,8 +246,6 @@
   readonly group: GroupId;
   /** When a current leader was last heard, or the start: until the timeout no vote is given. */
   readonly heardLeaderAt: MonotonicMs;
-  /** How far this replica's clock is from its leader's; null before the leader's first append. */
-  readonly leaderClock: LeaderClock | null;
   readonly log: ReplicationLog;
   /** Last index known to be synced on this replica's disk. */
   readonly persisted: LogIndex;
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFollower.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFollower.test.ts
@@ -40,9 +40,10 @@
 }
 
 /** An append whose only entry is the first of the term, committed or not. */
-function append(commit: number, sentAt: MonotonicMs): MessageBody {
+function append(commit: number, sentAt: MonotonicMs, answeredSentAt = -Infinity): MessageBody {
   const entry = {index: 1, payload: {kind: 'noop'}, term: 1} as const;
-  return {commit, entries: [entry], kind: 'append', prevIndex: 0, prevTerm: 0, sentAt};
+  const place = {prevIndex: 0, prevTerm: 0};
+  return {answeredSentAt, commit, entries: [entry], kind: 'append', sentAt, ...place};
 }
 
 describe('a follower', () => {
@@ -54,11 +55,26 @@
     expect(follower.completeAt).toBeLessThanOrEqual(1100);
   });
 
-  test('knows by the next append that comes at once when it held all', () => {
-    let follower = take(start(SELF), append(0, 1000), 1, 1000);
-    follower = take(follower, append(1, 1100), 1, 1100);
-    expect(follower.completeAt).toBeGreaterThan(1000);
-    expect(follower.completeAt).toBeLessThanOrEqual(1100);
+  test('knows by an append that names its answer that it held all when it gave that', () => {
+    let follower = take(start(SELF), append(0, 1000), 1, 1050);
+    follower = take(follower, append(1, 1100, 1000), 1, 9000);
+    expect(follower.completeAt).toBe(1050);
+    follower = take(follower, append(1, 1200, 1100), 1, 9001);
+    expect(follower.completeAt).toBe(9000);
+  });
+
+  test('that has started again knows nothing by an answer of its earlier life', () => {
+    let follower = take(start(SELF), append(0, 1100), 1, 50);
+    follower = take(follower, append(1, 1200, 1000), 1, 51);
+    expect(follower.completeAt).toBe(-Infinity);
+  });
+
+  test('knows nothing by an answer in an earlier term, or an append that names a commit that it lacks', () => {
+    let follower = take(start(SELF), append(0, 1000), 1, 1050);
+    follower = take(follower, append(1, 1100, 1000), 2, 1150);
+    expect(follower.completeAt).toBe(-Infinity);
+    follower = take(follower, append(9, 1200, 1100), 2, 1250);
+    expect(follower.completeAt).toBe(-Infinity);
   });
 });
 
