--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationStep.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationStep.test.ts
@@ -128,6 +128,7 @@
     'keeps every acknowledged command, one lease and one order under random failures',
     async () => {
       let acknowledged = 0;
+      let completions = 0;
       const property = fc.property(
         fc.array(action, {maxLength: 200, minLength: 40, size: 'max'}),
         (actions) => {
@@ -139,11 +140,13 @@
           world.settle(200);
           world.checkConverged();
           acknowledged += world.acknowledged.length;
+          completions += world.completions;
         },
       );
       await assertHistories('replication', property, 250);
       // A world in which nothing is ever acknowledged would prove nothing.
       expect(acknowledged).toBeGreaterThan(1000);
+      expect(completions).toBeGreaterThan(1000);
     },
     fuzzTimeoutMs(),
   );
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationWorld.ts
@@ -80,6 +80,10 @@
 export class ReplicationWorld {
   /** Commands that a leader has acknowledged. */
   readonly acknowledged: string[] = [];
+  /** When each of them was. */
+  private readonly acknowledgedAt: number[] = [];
+  /** Times that a follower has said as of when it holds all. */
+  completions = 0;
   /** One-way cuts, as `from>to`. */
   readonly cuts = new Set<string>();
   now = 1000;
@@ -326,6 +330,7 @@
     if (replica?.state === undefined || this.isFrozen(id)) {
       return;
     }
+    const {completeAt} = replica.state;
     const {effects, state} = stepReplica(replica.state, event, this.clockOf(id));
     replica.state = state;
     for (const effect of effects) {
@@ -359,6 +364,9 @@
           break;
       }
     }
+    if (state.completeAt > completeAt) {
+      this.checkComplete(id, replica, state.completeAt / replica.clockRate);
+    }
   }
 
   private sendSnapshot(from: ReplicaId, replica: Replica, to: ReplicaId): void {
@@ -406,9 +414,21 @@
     replica.waiters.delete(entry.index);
     if (waiter !== undefined && waiter.term === entry.term) {
       this.acknowledged.push(waiter.command);
+      this.acknowledgedAt.push(this.now);
     }
   }
 
+  /** A follower that holds all as of a moment has applied what was acknowledged before it. */
+  private checkComplete(id: ReplicaId, replica: Replica, at: number): void {
+    this.completions++;
+    this.acknowledged.forEach((command, position) => {
+      const isBefore = this.acknowledgedAt[position]! < at - ROUNDING_MS;
+      if (isBefore && !replica.applied.includes(command)) {
+        throw new SafetyError(`${id} holds all as of ${at}, but not ${command}`);
+      }
+    });
+  }
+
   /** The time that all committed commands count together never runs ahead, but for clocks that run fast. */
   private checkTime(index: number, elapsedMs: number): void {
     this.counted[index] = elapsedMs;
