--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFollower.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFollower.test.ts
@@ -129,3 +129,20 @@
     expect(commitsNamed(beat)).toEqual([0, 0]);
   });
 });
+
+describe('a leader that makes way', () => {
+  test('asks the next voter among equals: two that both lack something never pass leadership to and fro', () => {
+    // Seen by reading: each asked the first of the others, so a third one that held the bulk data whole never led.
+    let leader = elected(start(LEADER));
+    leader = stepReplica(leader, {index: 1, kind: 'persisted', term: 1}, 302).state;
+    leader = stepReplica(leader, ack(SELF, 1), 303).state;
+    leader = stepReplica(leader, ack(OTHER, 1), 303).state;
+    const {effects} = stepReplica(leader, {kind: 'transferLeadership'}, 304);
+    const asked = effects.flatMap((effect) =>
+      effect.kind === 'send' && effect.message.body.kind === 'timeoutNow'
+        ? [effect.message.to]
+        : [],
+    );
+    expect(asked).toEqual([OTHER]);
+  });
+});
