A leader that makes way asks the next voter among equals

Cause: of voters that are equally far it asked the first of the others, so two that both lack a piece of bulk data passed leadership to and fro, and a third that held it whole never led. Seen by reading. Run: ReplicationFollower (failed before: a/1 asked, not c/1), all tests of stallpaddle-replication, RpcReplicas, NodeKeeper: 78 passed.

--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -184,7 +184,11 @@
   if (role.kind !== 'leader') {
     return;
   }
-  const successor = othersOf(draft)
+  const {voters} = draft.log.members;
+  const after = voters.indexOf(draft.self) + 1;
+  // The next one among equals: were it always the first, two that both lack something would pass leadership to and fro.
+  const successor = [...voters.slice(after), ...voters.slice(0, after)]
+    .filter((voter) => voter !== draft.self)
     .map((voter) => ({match: role.progress.get(voter)?.match ?? 0, voter}))
     .sort((a, b) => b.match - a.match)[0];
   $becomeFollower(draft, null);
