--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -8,11 +8,14 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-import {FLAGS, HEAP_FILE, LATE_PACKAGES, lateParts, storeHeap} from './platformHeap.mjs';
-
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
 const target = path.join(root, 'target');
 
+/**
+ * Packages with what is used of them. They are loaded only when metrics are read, so they are kept out of the
+ * file that every start has to parse.
+ */
+const LATE_PACKAGES = {'hdr-histogram-js': 'build', 'prom-client': 'Counter, Gauge, Registry'};
 /** What all bundles have in common. */
 const BUNDLE_OPTIONS = {
   bundle: true,
@@ -26,6 +29,12 @@
   supported: {'dynamic-import': false},
   target: 'node20',
 };
+/**
+ * The flags that the processes are started with, as in `deploy/system.toml`: a code cache is of use to the same
+ * flags only.
+ */
+const FLAGS = ['--max-semi-space-size=2'];
+
 /** The file that writes the code cache, run once by this build. */
 const WARM_FILE = 'warm.cjs';
 /** Sources and their bundles; `NodeProgram.ts` knows the name of the program's bundle too. */
@@ -78,8 +87,8 @@
     build({
       ...BUNDLE_OPTIONS,
       entryPoints: [path.join(root, source)],
+      external: Object.keys(LATE_PACKAGES),
       outfile: path.join(target, file),
-      plugins: [lateParts],
     }),
   ),
   ...Object.entries(LATE_PACKAGES).map(([name, used]) =>
@@ -91,4 +100,3 @@
   ),
 ]);
 writeCodeCache();
-storeHeap(path.join(target, 'program.cjs'), path.join(target, HEAP_FILE));
