--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -46,6 +46,9 @@
 
 const EVENT_STREAM = 'text/event-stream';
 
+/** Time from the begin of a request that ends its engine to that end, in milliseconds; 34 to 95 were seen. */
+const END_AFTER_MS = 30;
+
 const SERVE: EngineManner = {kind: 'serve'};
 
 function eventText(number: number): string {
@@ -59,6 +62,12 @@
   /** Orders on runs, method and name. */
   readonly orders: string[] = [];
   readonly seen: SeenRequest[] = [];
+  /** Events of an answer that are sent before a request that ends the engine does so. */
+  eventsBeforeEnd = 0;
+  /** Bodies of requests that end the engine which begins to run them. */
+  readonly fatal = new Set<string>();
+  /** Called once such a request has ended the engine. */
+  onEnded: (body: string) => void = () => {};
   /** Whether it answers the question how many requests it holds. */
   tellsOccupancy = true;
 
@@ -97,7 +106,8 @@
   /** Ends the engine with all its connections. */
   async stop(): Promise<void> {
     this.server.closeAllConnections();
-    await new Promise((resolve) => this.server.close(resolve));
+    // An engine that has ended already answers with an error, which is as good.
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
   }
 
   private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -134,9 +144,24 @@
       seen.left = !res.writableFinished;
       seen.open = false;
     });
+    if (this.fatal.has(body)) {
+      await this.endBy(body, req, res);
+      return;
+    }
     await this.treat(this.manners.shift() ?? SERVE, req, res);
   }
 
+  /** Begins to run a request, and ends as a process that crashes: all connections are reset, none comes up any more. */
+  private async endBy(body: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.eventsBeforeEnd > 0) {
+      await this.treat({after: this.eventsBeforeEnd, kind: 'pause'}, req, res);
+    }
+    await new Promise((resolve) => setTimeout(resolve, END_AFTER_MS));
+    this.server.close();
+    this.server.closeAllConnections();
+    this.onEnded(body);
+  }
+
   private async treat(
     manner: EngineManner,
     req: IncomingMessage,
