A request during whose runs engines ended is held off the engines, by every VM

Cause: nobody remembered a request beyond its attempt. Class: state about a shared resource kept by attempt and VM, where the thing to remember outlives both. One end makes a suspect, which is kept apart from other suspects; a second end, of a run that began when the first was known, holds it for ten minutes, twice as long each further time. A run to the end clears it. Items the same; held ones are given up by age only. Ruled out: counting ends that were simultaneous (a herd of kills would deny what all callers send), counting runs long past their first event (bystanders), a 4xx (the request is well formed).

--- a/packages/stallpaddle-fleet/src/FleetDelta.ts
+++ b/packages/stallpaddle-fleet/src/FleetDelta.ts
@@ -2,6 +2,7 @@
  * What differs between two states of the news, so that a change of one engine or VM costs each process a line and not
  * the whole list: with 170 entry VMs, 52 engines and 30 stores the list has 18 KB. Pure.
  */
+import type {SuspectView} from './FleetSuspects';
 import type {EngineView, EntryView, FleetNews, StoreView} from './FleetView';
 
 /** Lines of one list that are new, changed or gone. */
@@ -14,8 +15,10 @@
 export interface NewsDelta {
   readonly engines: ListDelta<EngineView>;
   readonly entries: ListDelta<EntryView>;
-  readonly plain: Partial<Omit<FleetNews, 'engines' | 'entries' | 'stores'>>;
+  readonly plain: Partial<Omit<FleetNews, 'engines' | 'entries' | 'stores' | 'suspects'>>;
   readonly stores: ListDelta<StoreView>;
+  /** Leaders of releases before send none. */
+  readonly suspects?: ListDelta<SuspectView>;
 }
 
 /** A part of an answer that brings news. */
@@ -34,10 +37,16 @@
 const ENGINES: NewsList<EngineView> = {nameOf: ({id}) => id, of: ({engines}) => engines};
 const ENTRIES: NewsList<EntryView> = {nameOf: ({name}) => name, of: ({entries}) => entries};
 const STORES: NewsList<StoreView> = {nameOf: ({name}) => name, of: ({stores}) => stores};
+const SUSPECTS: NewsList<SuspectView> = {
+  nameOf: ({digest}) => digest,
+  of: ({suspects}) => suspects,
+};
 
 /** The parts of the news that are no lists of lines with names. */
 const PLAIN = ['controls', 'entriesComplete', 'jobsFounders', 'jobsReplicas'] as const;
 
+const NO_LINES: ListDelta<never> = {gone: [], put: []};
+
 /** Whether two lines hold the same plain values. */
 function isSameLine<Line extends object>(a: Line, b: Line): boolean {
   const keys = Object.keys(a) as (keyof Line)[];
@@ -114,6 +123,7 @@
     entries: diffList(ENTRIES, before, after),
     plain: Object.fromEntries(changed.map((key) => [key, after[key]])),
     stores: diffList(STORES, before, after),
+    suspects: diffList(SUSPECTS, before, after),
   };
 }
 
@@ -122,8 +132,9 @@
  *
  * @param delta what differs
  */
-export function isEmptyDelta({engines, entries, plain, stores}: NewsDelta): boolean {
-  return [engines, entries, stores].every(isEmpty) && Object.keys(plain).length === 0;
+export function isEmptyDelta(delta: NewsDelta): boolean {
+  const {engines, entries, plain, stores, suspects = NO_LINES} = delta;
+  return [engines, entries, stores, suspects].every(isEmpty) && Object.keys(plain).length === 0;
 }
 
 /**
@@ -139,5 +150,6 @@
     engines: applyList(ENGINES, before, delta.engines),
     entries: applyList(ENTRIES, before, delta.entries),
     stores: applyList(STORES, before, delta.stores),
+    suspects: applyList(SUSPECTS, before, delta.suspects ?? NO_LINES),
   };
 }
--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -2,10 +2,11 @@
  * The control group's state as a replicated state machine. All commands may be repeated without harm.
  */
 import type {EngineId} from 'stallpaddle';
-import type {MachineResult, ReplicaMachine} from 'stallpaddle-replication';
+import type {GroupMs, MachineResult, ReplicaMachine} from 'stallpaddle-replication';
 
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
+import type {FleetSuspect, FleetSuspects} from './FleetSuspects';
 import type {
   EngineReport,
   FleetAnswer,
@@ -15,18 +16,21 @@
   RemoveEngine,
 } from './FleetTypes';
 
+import {afterEngineEnd, afterRelease, afterTick} from './FleetSuspects';
 import {UNTOLD_START} from './FleetTypes';
 
 /** Ended engines that are remembered: at 290 restarts a day, more than a week of them. */
 const GONE_ENGINES_KEPT = 4_096;
 
 const EMPTY_FLEET: FleetState = {
+  clockMs: 0,
   config: null,
   engines: new Map(),
   enginesRevision: 0,
   goneEngines: new Map(),
   jobsFounders: null,
   stores: new Map(),
+  suspects: new Map(),
 };
 
 interface FleetStep {
@@ -146,18 +150,26 @@
   return unchanged(isKnown || isEarlier ? state : withoutEngines(state, new Map([[id, ending]])));
 }
 
+function withSuspects(state: FleetState, suspects: FleetSuspects): FleetStep {
+  return unchanged(suspects === state.suspects ? state : {...state, suspects});
+}
+
 function step(state: FleetState, command: FleetCommand): FleetStep {
   switch (command.kind) {
     case 'foundJobs':
       return unchanged(
         state.jobsFounders === null ? {...state, jobsFounders: command.founders} : state,
       );
+    case 'noteEngineEnd':
+      return withSuspects(state, afterEngineEnd(state.suspects, command, state.clockMs));
     case 'putConfig': {
       const held = state.config?.version ?? -Infinity;
       return command.config.version > held
         ? unchanged({...state, config: command.config})
         : {answer: {kind: 'held', version: held}, state};
     }
+    case 'releaseRequest':
+      return withSuspects(state, afterRelease(state.suspects, command));
     case 'removeEngine':
       return removeEngine(state, command);
     case 'reportEngine':
@@ -178,18 +190,26 @@
       const stores = new Map(state.stores).set(name, {name, replica, retiring});
       return unchanged({...state, stores});
     }
+    case 'tick':
+      return unchanged(state);
     default:
       return unreachable(command);
   }
 }
 
-interface EncodedFleet extends Omit<FleetState, 'engines' | 'goneEngines' | 'stores'> {
+interface EncodedFleet extends Omit<
+  FleetState,
+  'clockMs' | 'engines' | 'goneEngines' | 'stores' | 'suspects'
+> {
+  /** Releases before wrote neither this nor suspects. */
+  readonly clockMs?: GroupMs;
   readonly engines: readonly FleetEngine[];
   /** With their last starts; releases before wrote the names alone. */
   readonly goneEngines: readonly (EngineId | readonly [EngineId, number])[];
   readonly stores: readonly (FleetState['stores'] extends ReadonlyMap<string, infer S>
     ? S
     : never)[];
+  readonly suspects?: readonly FleetSuspect[];
 }
 
 /** What releases before wrote: their engines didn't say when they started. */
@@ -215,8 +235,10 @@
 
 /** See the module's comment. */
 export const fleetMachine: ReplicaMachine<FleetState> = {
-  apply: (state, command): MachineResult<FleetState> => {
-    const {answer, state: next} = step(state, decodeCommand(command));
+  apply: (state, command, elapsedMs): MachineResult<FleetState> => {
+    const clockMs = state.clockMs + elapsedMs;
+    const suspects = afterTick(state.suspects, clockMs);
+    const {answer, state: next} = step({...state, clockMs, suspects}, decodeCommand(command));
     return {blobs: [], result: answer, state: next};
   },
   blobEnd: () => 0,
@@ -224,11 +246,13 @@
     const encoded = decodeValue<EncodedFleet>(bytes);
     return {
       ...encoded,
+      clockMs: encoded.clockMs ?? 0,
       engines: new Map(encoded.engines.map((engine) => [engine.id, withStart(engine)])),
       goneEngines: new Map(
         encoded.goneEngines.map((gone) => (typeof gone === 'string' ? [gone, UNTOLD_START] : gone)),
       ),
       stores: new Map(encoded.stores.map((store) => [store.name, store])),
+      suspects: new Map((encoded.suspects ?? []).map((suspect) => [suspect.digest, suspect])),
     };
   },
   encode: (state) => {
@@ -237,6 +261,7 @@
       engines: [...state.engines.values()],
       goneEngines: [...state.goneEngines],
       stores: [...state.stores.values()],
+      suspects: [...state.suspects.values()],
     };
     return encodeValue(encoded);
   },
--- /dev/null
+++ b/packages/stallpaddle-fleet/src/FleetSuspects.ts
@@ -0,0 +1,173 @@
+/**
+ * Requests during whose runs engines ended, by their digests. A request may end every engine that begins to run it, and
+ * come again at any VM; whoever only knows its attempts brings it to one engine after the other, and each takes all else
+ * that runs there along. What stands beside it is cut off too, and comes again as well. So one end makes a request a suspect
+ * and no more; a second end, in a run that began when the first was known, holds it off the engines for some time. Pure.
+ */
+import type {EngineId} from 'stallpaddle';
+import type {GroupMs} from 'stallpaddle-replication';
+
+/** An engine has ended while it began to run a request. */
+export interface NoteEngineEnd {
+  /** The request, whatever attempt it was. */
+  readonly digest: string;
+  readonly engine: EngineId;
+  readonly kind: 'noteEngineEnd';
+  /** Level at which the request stood for its sender when the run began. */
+  readonly known: number;
+  /** Which of the engine's starts has ended. */
+  readonly startedAtMs: number;
+}
+
+/** An engine has run a suspect to an end: it doesn't end every engine that begins to run it. */
+export interface ReleaseRequest {
+  readonly digest: string;
+  readonly kind: 'releaseRequest';
+}
+
+/** A suspect as the group keeps it. */
+export interface FleetSuspect {
+  readonly digest: string;
+  /** Starts of engines that have ended, the last ones; an end that two VMs tell of is one. */
+  readonly ended: readonly string[];
+  /** How often it was held so far: each time twice as long. */
+  readonly holds: number;
+  /** Ends one after the other; {@link HELD_LEVEL} holds it off the engines. */
+  readonly level: number;
+  /** When the level is lowered, by the group's clock. */
+  readonly until: GroupMs;
+}
+
+/** A suspect as all processes are told of it. */
+export interface SuspectView {
+  readonly digest: string;
+  /** How long it is held in all, in milliseconds; 0 while it is not. */
+  readonly holdMs: number;
+  readonly level: number;
+}
+
+/** All suspects, those that were changed last behind the others. */
+export type FleetSuspects = ReadonlyMap<string, FleetSuspect>;
+
+/**
+ * Level from which on a request is held off the engines. After a second end it is more likely the cause than not: an innocent
+ * one is cut off again with 1 in 8 at worst (8 engines, one ended by the same cause at once), the cause itself each time;
+ * a third run costs an engine for seconds with all that it runs, and brings one answer at best.
+ */
+export const HELD_LEVEL = 2;
+
+/** Time for which one end counts, in milliseconds: callers that come again do so within seconds. */
+const SUSPECT_MS = 60_000;
+/**
+ * First time for which a request is held, in milliseconds: no caller waits so long, and whoever repairs the engines has had a
+ * look. It is on trial for as long again: one more end holds it twice as long.
+ */
+export const FIRST_HOLD_MS = 600_000;
+/** Longest such time, in milliseconds: a day. */
+const LONGEST_HOLD_MS = 86_400_000;
+/** Suspects that are kept; each end makes a dozen at most, and 740 engines end 50 times a day. */
+const MOST_SUSPECTS = 4_096;
+/** Ends that are remembered of each, so that one that is told again counts once. */
+const ENDS_KEPT = 8;
+
+function holdMs(holds: number): number {
+  return Math.min(LONGEST_HOLD_MS, FIRST_HOLD_MS * 2 ** (holds - 1));
+}
+
+function startName({engine, startedAtMs}: NoteEngineEnd): string {
+  return `${engine}@${startedAtMs}`;
+}
+
+/** The suspects within bounds: those with one end go first, the oldest before others. */
+function bounded(suspects: FleetSuspects): FleetSuspects {
+  if (suspects.size <= MOST_SUSPECTS) {
+    return suspects;
+  }
+  const [oldest] = suspects.keys();
+  const least = [...suspects.values()].find(({level}) => level < HELD_LEVEL)?.digest ?? oldest!;
+  const kept = new Map(suspects);
+  kept.delete(least);
+  return kept;
+}
+
+/**
+ * Suspects after an engine's end. The level rises only by runs whose sender knew of the end before: engines that end
+ * at one moment, by whatever cause, hold nobody.
+ *
+ * @param suspects suspects before
+ * @param end the end
+ * @param now the group's clock
+ */
+export function afterEngineEnd(
+  suspects: FleetSuspects,
+  end: NoteEngineEnd,
+  now: GroupMs,
+): FleetSuspects {
+  const {digest, known} = end;
+  const before = suspects.get(digest);
+  const start = startName(end);
+  if (before?.ended.includes(start) === true) {
+    return suspects;
+  }
+  const levelBefore = before?.level ?? 0;
+  const level = known >= levelBefore ? levelBefore + 1 : levelBefore;
+  const isNewHold = level >= HELD_LEVEL && levelBefore < HELD_LEVEL;
+  const holds = (before?.holds ?? 0) + (isNewHold ? 1 : 0);
+  const lastsMs = level >= HELD_LEVEL ? holdMs(holds) : SUSPECT_MS;
+  const ended = [...(before?.ended ?? []), start].slice(-ENDS_KEPT);
+  const until = Math.max(before?.until ?? 0, now + lastsMs);
+  const next = new Map(suspects);
+  next.delete(digest);
+  next.set(digest, {digest, ended, holds, level, until});
+  return bounded(next);
+}
+
+/** A suspect once its time is over: one that was held is on trial, any other is forgotten. */
+function afterTime(suspect: FleetSuspect): FleetSuspect | undefined {
+  const {holds, level, until} = suspect;
+  return level >= HELD_LEVEL
+    ? {...suspect, level: HELD_LEVEL - 1, until: until + holdMs(holds)}
+    : undefined;
+}
+
+/**
+ * Suspects whose time is not over.
+ *
+ * @param suspects suspects before
+ * @param now the group's clock
+ */
+export function afterTick(suspects: FleetSuspects, now: GroupMs): FleetSuspects {
+  const isOver = ({until}: FleetSuspect): boolean => now >= until;
+  if (![...suspects.values()].some(isOver)) {
+    return suspects;
+  }
+  const next = [...suspects.values()].flatMap((suspect) => {
+    const later = isOver(suspect) ? afterTime(suspect) : suspect;
+    return later === undefined ? [] : [[later.digest, later] as const];
+  });
+  return new Map(next);
+}
+
+/**
+ * Suspects without one that an engine has run to an end.
+ *
+ * @param suspects suspects before
+ * @param release the request
+ */
+export function afterRelease(suspects: FleetSuspects, {digest}: ReleaseRequest): FleetSuspects {
+  if (!suspects.has(digest)) {
+    return suspects;
+  }
+  const next = new Map(suspects);
+  next.delete(digest);
+  return next;
+}
+
+/**
+ * What all processes are told of a suspect.
+ *
+ * @param suspect the suspect
+ */
+export function suspectView({digest, holds, level}: FleetSuspect): SuspectView {
+  return {digest, holdMs: level >= HELD_LEVEL ? holdMs(holds) : 0, level};
+}
--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -3,6 +3,9 @@
  * sends whole configurations.
  */
 import type {EngineId, ReplicaId, VmId, ZoneId} from 'stallpaddle';
+import type {GroupMs} from 'stallpaddle-replication';
+
+import type {FleetSuspects, NoteEngineEnd, ReleaseRequest} from './FleetSuspects';
 
 /** What may happen to a request of a route when an attempt fails. */
 export type RouteKind = 'batch' | 'nonRepeatable' | 'repeatable' | 'streaming';
@@ -110,10 +113,14 @@
 export type FleetCommand =
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
   | {readonly founders: readonly ReplicaId[]; readonly kind: 'foundJobs'}
+  | NoteEngineEnd
+  | ReleaseRequest
   | RemoveEngine
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireStore'; readonly name: VmId}
-  | {readonly kind: 'seeStore'; readonly name: VmId; readonly replica: ReplicaId};
+  | {readonly kind: 'seeStore'; readonly name: VmId; readonly replica: ReplicaId}
+  /** Lets the group's clock run, so that suspects whose time is over are let go. */
+  | {readonly kind: 'tick'};
 
 /** Answer to a command. */
 export type FleetAnswer =
@@ -124,6 +131,8 @@
 
 /** Everything that the group keeps. */
 export interface FleetState {
+  /** The group's own clock: time that its leaders have counted. */
+  readonly clockMs: GroupMs;
   readonly config: FleetConfig | null;
   readonly engines: ReadonlyMap<EngineId, FleetEngine>;
   /** Rises with each change of the engines. */
@@ -133,4 +142,6 @@
   /** First members of the group that keeps batch jobs; null until it was founded. */
   readonly jobsFounders: readonly ReplicaId[] | null;
   readonly stores: ReadonlyMap<VmId, FleetStore>;
+  /** Requests during whose runs engines ended. */
+  readonly suspects: FleetSuspects;
 }
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -5,6 +5,7 @@
 
 import {unreachable} from 'stallpaddle';
 
+import type {NoteEngineEnd, ReleaseRequest, SuspectView} from './FleetSuspects';
 import type {EngineReport, FleetConfig, FleetEngine, FleetStore, RemoveEngine} from './FleetTypes';
 
 import {applyNews, type NewsUpdate} from './FleetDelta';
@@ -92,6 +93,8 @@
   /** Where batch jobs are kept, best known place first. */
   readonly jobsReplicas: readonly ReplicaId[];
   readonly stores: readonly StoreView[];
+  /** Requests during whose runs engines ended. */
+  readonly suspects: readonly SuspectView[];
 }
 
 /** What any process may ask of the control group's leader. */
@@ -109,6 +112,8 @@
       readonly waitMs: number;
     }
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
+  | NoteEngineEnd
+  | ReleaseRequest
   | RemoveEngine
   /** Tells a process without a replica where replicas are: it may know nobody, and be asked by others. */
   | {readonly kind: 'introduce'; readonly replicas: readonly ReplicaId[]}
@@ -160,6 +165,7 @@
   jobsFounders: null,
   jobsReplicas: [],
   stores: [],
+  suspects: [],
 };
 
 /** What a process knows before the first answer. */
@@ -195,7 +201,8 @@
     case 'same':
       return view.told;
     case 'whole':
-      return update.news;
+      // Leaders of releases before tell of no suspects.
+      return {...NO_NEWS, ...update.news};
     default:
       return unreachable(update);
   }
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
@@ -5,6 +5,7 @@
 import {assertHistories} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
+import type {SuspectView} from '../../FleetSuspects';
 import type {EngineView, EntryView, FleetNews, FleetView, StoreView} from '../../FleetView';
 
 import {applyNews, diffNews, isEmptyDelta} from '../../FleetDelta';
@@ -42,6 +43,11 @@
     replica: `${name}/1`,
     retiring: false,
   })),
+  suspects: listOf((digest, held): SuspectView => ({
+    digest,
+    holdMs: held ? 1 : 0,
+    level: held ? 2 : 1,
+  })),
 });
 
 describe('news', () => {
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -10,6 +10,19 @@
 } from './FleetDelta';
 export {FleetHistory, type NumberedNews} from './FleetHistory';
 export {fleetMachine, isNews, isOutdated, laterHolders} from './FleetMachine';
+export {
+  afterEngineEnd,
+  afterRelease,
+  afterTick,
+  FIRST_HOLD_MS,
+  type FleetSuspect,
+  type FleetSuspects,
+  HELD_LEVEL,
+  type NoteEngineEnd,
+  type ReleaseRequest,
+  suspectView,
+  type SuspectView,
+} from './FleetSuspects';
 export {
   type EngineReport,
   type FleetAnswer,
--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -45,6 +45,9 @@
  */
 export const RECORD_BYTES = 65_536;
 
+/** Time between looks whether an item that is kept off the engines may run again, in milliseconds: it is kept off for minutes. */
+export const HELD_LOOK_MS = 1_000;
+
 /** Pause before an item that an engine declined is tried again, in milliseconds. */
 export const DECLINED_PAUSE_MS = 100;
 
--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -3,7 +3,7 @@
  */
 import type {Clock, LogFields} from 'stallpaddle';
 import type {FleetView} from 'stallpaddle-fleet';
-import type {RelayWire} from 'stallpaddle-relay';
+import type {RelaySuspects, RelayWire} from 'stallpaddle-relay';
 import type {Leadership} from 'stallpaddle-replication';
 import type {BlobRef} from 'stallpaddle-storage';
 
@@ -16,6 +16,7 @@
   | 'engineSurveyed'
   | 'itemCut'
   | 'itemEnded'
+  | 'itemHeld'
   | 'itemPlaced'
   | 'itemReturned'
   | 'progressNotSaved'
@@ -33,6 +34,7 @@
   /** Reads a body or a part of an output. */
   readonly readBlob: (ref: BlobRef) => Promise<Uint8Array>;
   readonly state: () => JobsState;
+  readonly suspects: RelaySuspects;
   readonly view: () => FleetView;
   readonly wire: RelayWire;
 }
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -6,8 +6,8 @@
 import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {engineOf, type EngineView, type FleetRoute} from 'stallpaddle-fleet';
-import {RelayPace, SERVER_ERROR} from 'stallpaddle-relay';
+import {engineOf, type EngineView, type FleetRoute, HELD_LEVEL} from 'stallpaddle-fleet';
+import {endedEarly, RelayPace, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsEngines} from './JobsEngines';
@@ -15,7 +15,7 @@
 import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {DECLINED_PAUSE_MS} from './JobsConstants';
+import {DECLINED_PAUSE_MS, HELD_LOOK_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 
@@ -115,6 +115,10 @@
     } finally {
       task.startsAt = undefined;
     }
+    if (this.levelOf(task) >= HELD_LEVEL) {
+      this.hold(task);
+      return;
+    }
     // The disk may have taken long: the engine may leave by now, or another process lead.
     const engine = engineOf(this.needs.view(), engineId);
     const isOpen = this.options.isFresh() && engine?.draining === false;
@@ -123,6 +127,47 @@
     }
   }
 
+  private digestOf(task: Task): string {
+    const {host} = task.job;
+    const {path} = task.item;
+    task.digest ??= requestDigest({body: task.body!, caller: '', host, method: 'POST', path});
+    return task.digest;
+  }
+
+  /** How many engines ended, one after the other, when they began to run an item. */
+  private levelOf(task: Task): number {
+    const {suspects} = this.needs;
+    return suspects.isEmpty ? 0 : suspects.levelOf(this.digestOf(task));
+  }
+
+  /**
+   * Keeps an item off the engines that it most likely would end. It is not listed for that: an item that can be run when its
+   * hold is over is run, and one that can't is given up by its age like any other.
+   */
+  private hold(task: Task): void {
+    if (!task.isHeld) {
+      task.isHeld = true;
+      this.decide('itemHeld', task, {digest: task.digest, level: this.levelOf(task)});
+    }
+    task.notBefore = this.needs.clock.monotonicMs() + HELD_LOOK_MS;
+  }
+
+  /** Looks whether the engine of a run that broke off has ended; the item waits until that is known. */
+  private async onBreak(task: Task, engine: EngineView, known: number): Promise<void> {
+    const {clock, suspects} = this.needs;
+    task.notBefore = Infinity;
+    const digest = this.digestOf(task);
+    await suspects.noteBreak({digest, engine, id: task.item.id, known});
+    task.notBefore = clock.monotonicMs();
+    this.options.poke();
+  }
+
+  private noteServed(task: Task): void {
+    if (this.levelOf(task) > 0) {
+      this.needs.suspects.noteServed(this.digestOf(task));
+    }
+  }
+
   private async run(task: Task, engine: EngineView): Promise<void> {
     const {clock} = this.needs;
     this.decide('itemPlaced', task, {
@@ -130,12 +175,14 @@
       resumeAfter: task.lastEvent ?? undefined,
       viewAgeMs: Math.round(clock.monotonicMs() - this.needs.view().asOf),
     });
+    const known = this.levelOf(task);
     const run = this.startRun(task, engine);
     const startedAt = clock.monotonicMs();
     const taskRun: TaskRun = {
       engine: engine.id,
       engineStartMs: engine.startedAtMs,
       events: 0,
+      firstEventAt: undefined,
       isCut: false,
       lastEventAt: startedAt,
       run,
@@ -146,6 +193,9 @@
     this.options.urgency.estimates.noteRun(taskRun.events, taskRun.lastEventAt - startedAt);
     if (this.options.tasks.get(task.key) === task) {
       this.onRunEnd(task, engine, end);
+      if (end.kind === 'broken' && endedEarly(taskRun.firstEventAt, clock.monotonicMs())) {
+        void this.onBreak(task, engine, known);
+      }
     }
   }
 
@@ -168,6 +218,7 @@
     task.lastEvent = id ?? task.lastEvent;
     if (task.run !== undefined) {
       task.run.events++;
+      task.run.firstEventAt ??= this.needs.clock.monotonicMs();
       task.run.lastEventAt = this.needs.clock.monotonicMs();
     }
   }
@@ -187,6 +238,7 @@
       case 'cut':
         return;
       case 'failed':
+        this.noteServed(task);
         this.onItemFailure(task, end.status);
         return;
       case 'notRun':
@@ -197,6 +249,7 @@
         return;
       case 'whole':
         this.options.engines.note(engine, true);
+        this.noteServed(task);
         this.options.urgency.estimates.noteItem(task.job.route, task.events);
         this.endTask(task, 'completed');
         return;
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -15,6 +15,8 @@
   readonly engineStartMs: number;
   /** Events that this run has brought. */
   events: number;
+  /** When its first event came; undefined before it. */
+  firstEventAt: MonotonicMs | undefined;
   /** It gives way, and its end is on its way. */
   isCut: boolean;
   /** When its last event came, or its start. */
@@ -28,11 +30,15 @@
   body: Uint8Array | undefined;
   /** Data of the events so far; the recorded parts are one entry each once they were read. */
   data: string[];
+  /** What the item's request is, whatever its run; worked out only while there are suspects. */
+  digest: string | undefined;
   /** Its end was proposed and waits to be recorded. */
   ending: boolean;
   /** Number of events so far. */
   events: number;
   readonly index: number;
+  /** Whether it was kept off the engines that it would end. */
+  isHeld: boolean;
   item: JobItem;
   readonly job: Job;
   readonly key: string;
@@ -55,9 +61,11 @@
     acceptedAt: job.acceptedAt,
     body: undefined,
     data: [],
+    digest: undefined,
     ending: false,
     events,
     index,
+    isHeld: false,
     item,
     job,
     key: `${job.id}/${index}`,
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -14,11 +14,14 @@
   type FleetNews,
   type FleetRequest,
   type FleetState,
+  HELD_LEVEL,
   type Hello,
   isEmptyDelta,
   isNews,
   isOutdated,
   laterHolders,
+  type NoteEngineEnd,
+  type ReleaseRequest,
   type RetireAnswer,
   UNPROVEN_TERM,
   type WatchAnswer,
@@ -39,6 +42,9 @@
  */
 const REFRESH_MS = 100;
 
+/** Time between ticks of the group's clock while it has suspects, in milliseconds: a sixth of the shortest time that it measures. */
+const TICK_MS = 10_000;
+
 /** What the desk needs of its process. */
 export interface NodeDeskOptions {
   readonly clock: Clock;
@@ -61,6 +67,7 @@
   private founding = false;
   private heard = new NodeHeard(-1, -Infinity);
   private refreshedAt: MonotonicMs = -Infinity;
+  private tickedAt: MonotonicMs = -Infinity;
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -103,12 +110,16 @@
       case 'introduce':
         // A replica knows the others from its log.
         return null;
+      case 'noteEngineEnd':
+        return this.noteEngineEnd(request);
       case 'peek':
         return this.peek();
       case 'putConfig':
         return this.putConfig(request.config);
       case 'readConfig':
         return this.options.group.driver.read().config;
+      case 'releaseRequest':
+        return this.releaseRequest(request);
       case 'removeEngine':
         return this.propose(request);
       case 'reportEngine':
@@ -198,6 +209,45 @@
     return this.board.answer(request.known, request.waitMs);
   }
 
+  private async noteEngineEnd(end: NoteEngineEnd): Promise<FleetAnswer> {
+    const {group, log} = this.options;
+    const answer = await this.propose(end);
+    const {digest, engine, known, startedAtMs} = end;
+    const suspect = group.driver.localState.suspects.get(digest);
+    log('An engine ended while it began to run a request.', {
+      digest,
+      ended: suspect?.ended.join(','),
+      engine,
+      held: (suspect?.level ?? 0) >= HELD_LEVEL,
+      known,
+      level: suspect?.level,
+      startedAtMs,
+    });
+    return answer;
+  }
+
+  private async releaseRequest(release: ReleaseRequest): Promise<FleetAnswer> {
+    const {group, log} = this.options;
+    const suspect = group.driver.read().suspects.get(release.digest);
+    if (suspect === undefined) {
+      return {kind: 'applied'};
+    }
+    const {digest, level} = suspect;
+    log('An engine has run a suspect to an end; it is one no more.', {digest, level});
+    return this.propose(release);
+  }
+
+  /** Suspects are let go by the group's clock, which runs with commands only. */
+  private tickSoon(): void {
+    const {clock, group} = this.options;
+    const now = clock.monotonicMs();
+    if (group.driver.localState.suspects.size > 0 && now - this.tickedAt >= TICK_MS) {
+      this.tickedAt = now;
+      // Without a leader the next look tries again.
+      this.propose({kind: 'tick'}).catch(() => {});
+    }
+  }
+
   /** What this leader has heard; begins anew with each term. */
   private current(): NodeHeard {
     const {clock, group} = this.options;
@@ -248,6 +298,7 @@
       return;
     }
     this.foundJobs();
+    this.tickSoon();
     const isPut = this.putNews();
     const version = driver.localState.config?.version;
     if (!isPut && version !== this.configTold) {
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -29,6 +29,7 @@
 import {NodeIntake} from './NodeIntake';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
+import {makeSuspects} from './NodeSuspects';
 import {NodeTells} from './NodeTells';
 
 /** Time that a rested connection is kept before the first configuration, in milliseconds. */
@@ -74,6 +75,12 @@
       online,
       pace: new RelayPace(),
       random: Math.random,
+      suspects: makeSuspects({
+        clock,
+        decide: (id, fields) => this.decide('suspected', id, fields),
+        fleet,
+        wire: wire.relay,
+      }),
       viewAgeMs: () => watch.ageMs,
       wire: wire.relay,
       zone: settings.zone,
@@ -238,7 +245,18 @@
         const {method, url} = call;
         const {rawHeaders} = req;
         const spentMs = this.usual.spentMs(route.name, facts.deadlineMs);
-        const request = {arrivedAt, body, facts, method, path: url, rawHeaders, route, spentMs};
+        const host = req.headers.host ?? '';
+        const request = {
+          arrivedAt,
+          body,
+          facts,
+          host,
+          method,
+          path: url,
+          rawHeaders,
+          route,
+          spentMs,
+        };
         await new RelayRun(this.context, request, res).run();
         return;
       }
--- a/packages/stallpaddle-node/src/NodeNews.ts
+++ b/packages/stallpaddle-node/src/NodeNews.ts
@@ -3,10 +3,17 @@
  * the leader has heard.
  */
 import type {EngineId, MonotonicMs, ReplicaId} from 'stallpaddle';
-import type {EngineView, EntryView, FleetNews, FleetState, StoreView} from 'stallpaddle-fleet';
+import type {
+  EngineView,
+  EntryView,
+  FleetNews,
+  FleetState,
+  StoreView,
+  SuspectView,
+} from 'stallpaddle-fleet';
 import type {GroupMembers} from 'stallpaddle-replication';
 
-import {sortLines} from 'stallpaddle-fleet';
+import {sortLines, suspectView} from 'stallpaddle-fleet';
 
 import type {NodeHeard} from './NodeHeard';
 
@@ -81,6 +88,10 @@
   return known.length > 0 ? known : [...new Set(all)];
 }
 
+function suspectViews({state}: NewsInput): readonly SuspectView[] {
+  return sortLines([...state.suspects.values()].map(suspectView), ({digest}) => digest);
+}
+
 /**
  * Makes the news.
  *
@@ -97,5 +108,6 @@
     jobsFounders,
     jobsReplicas: jobsReplicas(input),
     stores: storeViews(input),
+    suspects: suspectViews(input),
   };
 }
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -32,6 +32,7 @@
 import {NodeLog} from './NodeLog';
 import {addNodeService} from './NodeService';
 import {lostDisksOf} from './NodeSettings';
+import {makeSuspects} from './NodeSuspects';
 import {NodeWaiters} from './NodeWaiters';
 
 /** Pause before a process that may be a founder looks again without news whether it stops, in milliseconds. */
@@ -209,6 +210,12 @@
       propose: (change) => desk.propose(change),
       readBlob: (ref) => group.driver.readBlob(ref),
       state: () => group.driver.localState,
+      suspects: makeSuspects({
+        clock,
+        decide: (id, fields) => this.log.decide('suspected', id, fields),
+        fleet: this.fleet,
+        wire: wire.relay,
+      }),
       view: () => this.watch.view,
       wire: wire.relay,
     });
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeSuspects.ts
@@ -0,0 +1,26 @@
+/**
+ * The requests during whose runs engines ended, as a process knows them by its place in the fleet.
+ */
+import {RelaySuspects, type RelaySuspectsOptions} from 'stallpaddle-relay';
+
+import type {NodeFleet} from './NodeFleet';
+
+import {SUSPECT_CALL_MS} from './NodeConstants';
+
+/** What it needs of its process. */
+export interface NodeSuspectsOptions extends Omit<RelaySuspectsOptions, 'record' | 'told'> {
+  readonly fleet: Pick<NodeFleet, 'control' | 'watch'>;
+}
+
+/**
+ * Makes it.
+ *
+ * @param options what it needs of its process
+ */
+export function makeSuspects({fleet, ...options}: NodeSuspectsOptions): RelaySuspects {
+  return new RelaySuspects({
+    ...options,
+    record: (value) => fleet.control.call({changes: true, totalMs: SUSPECT_CALL_MS, value}),
+    told: () => fleet.watch.view.news.suspects,
+  });
+}
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -180,6 +180,8 @@
     metrics.exposeGauge('stallpaddle_view_age_seconds', 'Age of what is known.', () => {
       return this.ageMs / SECOND_MS;
     });
+    const help = 'Requests during whose runs engines ended.';
+    metrics.exposeGauge('stallpaddle_suspects', help, () => this.view.news.suspects.length);
   }
 
   /** Asks no more. */
--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -28,10 +28,12 @@
   /**
    * @param context what the relay needs of its process
    * @param req the request
+   * @param apart the request's digest while it is a suspect, else null
    */
   constructor(
     private readonly context: RelayContext,
     private readonly req: RelayRequest,
+    private readonly apart: () => null | string,
   ) {}
 
   /** Number of engines that the request was sent to, also of those that declined it. */
@@ -114,6 +116,7 @@
       return undefined;
     }
     return placeRequest({
+      apart: this.apart(),
       engines: this.hasAttemptLeft ? engines() : this.knownEngines(),
       experienceOf: (engine) => experience.of(engine),
       isSuspect: (id) => online.isSuspect(id),
--- a/packages/stallpaddle-relay/src/RelayPlacement.ts
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -4,6 +4,8 @@
 import type {EngineId, MonotonicMs, Random, ZoneId} from 'stallpaddle';
 import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
 
+import {rendezvousOwner} from 'stallpaddle';
+
 /** What a sender has seen of an engine itself. */
 export interface EngineExperience {
   /** Failures in a row. */
@@ -81,6 +83,8 @@
 
 /** What placement looks at. */
 export interface PlacementInput {
+  /** Digest of a suspect, which is kept apart from other suspects; null for any other request. */
+  readonly apart: null | string;
   readonly engines: readonly EngineView[];
   readonly experienceOf: (engine: EngineView) => EngineExperience;
   /** Whether others have found an engine silent. */
@@ -135,6 +139,25 @@
   return (online + input.random() / 2 - (isNear ? NEAR_BONUS : 0)) / slots;
 }
 
+/**
+ * An engine for a suspect. What one engine's end cut off comes again at the same moment, from many VMs that know the same
+ * counts; drawn by their digests they part, so that the next end takes two of them along with one chance in as many as there
+ * are engines.
+ */
+function placeApart(
+  engines: readonly EngineView[],
+  digest: string,
+  {onlineAt}: PlacementInput,
+): EngineView | undefined {
+  const free = engines.filter(({id, slots}) => onlineAt(id) < slots);
+  const choice = free.length > 0 ? free : engines;
+  const owner = rendezvousOwner(
+    digest,
+    choice.map(({id, startedAtMs}) => `${id}@${startedAtMs}`),
+  );
+  return choice.find(({id, startedAtMs}) => `${id}@${startedAtMs}` === owner);
+}
+
 /**
  * The engine with the fewest online requests for its slots, the sender's own availability zone before others
  * while there is room; chance decides between equals. Engines that leave get nothing, suspects only when there is no other.
@@ -142,16 +165,20 @@
  * @param input what is known
  */
 export function placeRequest(input: PlacementInput): EngineView | undefined {
-  const {engines, experienceOf, isSuspect, now, service, tried} = input;
+  const {apart, engines, experienceOf, isSuspect, now, service, tried} = input;
   const open = engines.filter(
     (engine) => engine.service === service && !engine.draining && !tried.has(engine.id),
   );
   const sound = open.filter(
     (engine) => isSound(engine, experienceOf(engine), now) && !isSuspect(engine.id),
   );
+  const choice = sound.length > 0 ? sound : open;
+  if (apart !== null) {
+    return placeApart(choice, apart, input);
+  }
   let best: EngineView | undefined;
   let bestLoad = Infinity;
-  for (const engine of drawChoices(sound.length > 0 ? sound : open, input)) {
+  for (const engine of drawChoices(choice, input)) {
     const load = loadOf(engine, input);
     if (load < bestLoad) {
       best = engine;
--- a/packages/stallpaddle-relay/src/RelaySilence.ts
+++ b/packages/stallpaddle-relay/src/RelaySilence.ts
@@ -36,6 +36,11 @@
    */
   constructor(private readonly options: RelaySilenceOptions) {}
 
+  /** Whether the attempt was ended for its engine's silence. */
+  get hasLeft(): boolean {
+    return this.left;
+  }
+
   /** Whether the engine was left only because it had yet to begin and another one had room. */
   get leftQueue(): boolean {
     return this.left && !this.isHeard && !this.hadRoom;
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -7,6 +7,7 @@
 import type {RelayExperience} from './RelayExperience';
 import type {RelayOnline} from './RelayOnline';
 import type {RelayPace} from './RelayPace';
+import type {RelaySuspects} from './RelaySuspects';
 import type {CallerFacts, RelayWire} from './RelayWire';
 
 /** A caller's request, read whole. */
@@ -14,6 +15,8 @@
   readonly arrivedAt: MonotonicMs;
   readonly body: Uint8Array;
   readonly facts: CallerFacts;
+  /** Name that the caller gave the server. */
+  readonly host: string;
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
@@ -37,7 +40,8 @@
   | 'timedOut';
 
 /** One decision on a request. */
-export type RelayDecision = 'declined' | 'ended' | 'placed' | 'resumed' | 'silent' | 'taken';
+export type RelayDecision =
+  'declined' | 'ended' | 'held' | 'placed' | 'resumed' | 'silent' | 'suspected' | 'taken';
 
 /** What the relay needs of its process. */
 export interface RelayContext {
@@ -49,6 +53,7 @@
   readonly online: RelayOnline;
   readonly pace: RelayPace;
   readonly random: Random;
+  readonly suspects: RelaySuspects;
   /** Age of what is known of the fleet, in milliseconds. */
   readonly viewAgeMs: () => number;
   readonly wire: RelayWire;
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -7,6 +7,8 @@
 
 /** What a caller says of its request. */
 export interface CallerFacts {
+  /** What tells callers apart who send the same, such as a key; empty where nothing does. */
+  readonly caller: string;
   /** How long the caller will wait, in milliseconds, where it says so. */
   readonly deadlineMs: number | null;
   /** The caller's name for this attempt. */
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -32,6 +32,7 @@
 
 function place(engines: readonly EngineView[], changes: Partial<PlacementInput> = {}) {
   return placeRequest({
+    apart: null,
     engines,
     experienceOf: () => NO_EXPERIENCE,
     isSuspect: () => false,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -7,7 +7,7 @@
 import {createServer, request, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {seededRandom, systemClock} from 'stallpaddle';
-import {PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
+import {PLAIN, plainRelay, StreamEngine, SuspectBoard} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {RelayContext, RelayEnd} from '../../RelayTypes';
@@ -77,6 +77,7 @@
     online: new RelayOnline(systemClock),
     pace: new RelayPace(),
     random: seededRandom(1),
+    suspects: new SuspectBoard().view(plainRelay),
     viewAgeMs: () => 0,
     wire: plainRelay,
     zone: 'z',
@@ -101,6 +102,7 @@
         arrivedAt: systemClock.monotonicMs(),
         body: Buffer.concat(chunks),
         facts: plainRelay.readCaller(req.headers)!,
+        host: req.headers.host ?? '',
         method: req.method!,
         path: req.url!,
         rawHeaders: req.rawHeaders,
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -1,6 +1,7 @@
 /** Brings callers' requests to engines and the answers back. */
 export {sendRefusal} from './RelayAnswers';
 export {SERVER_ERROR} from './RelayConstants';
+export {type DigestInput, requestDigest} from './RelayDigest';
 export {
   type EngineCall,
   type EngineCallStart,
@@ -16,6 +17,7 @@
 export {RelayPace} from './RelayPace';
 export {type EngineExperience, isSound} from './RelayPlacement';
 export {RelayRun} from './RelayRun';
+export {endedEarly, RelaySuspects, type RelaySuspectsOptions} from './RelaySuspects';
 export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
 export {RelayUsual} from './RelayUsual';
 export type {
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -51,6 +51,7 @@
     return requestId === null
       ? null
       : {
+          caller: text(headers.authorization) ?? '',
           deadlineMs: deadline === null ? null : Number(deadline),
           requestId,
           resumeAfter: text(headers[PLAIN.resumeAfter]),
--- a/packages/stallpaddle-testing/src/index.ts
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -5,3 +5,4 @@
 export {PLAIN, plainRelay} from './PlainWire';
 export {SlowLink, type SlowLinkOptions} from './SlowLink';
 export {type EngineManner, type SeenRequest, StreamEngine} from './StreamEngine';
+export {SuspectBoard} from './SuspectBoard';
