--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -2,159 +2,24 @@
  * What callers get when engines serve, decline, fail, break off or mix answers up.
  */
 import type {LogFields} from 'stallpaddle';
-import type {FleetRoute} from 'stallpaddle-fleet';
 
-import {createServer, request, type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
-import {seededRandom, systemClock} from 'stallpaddle';
-import {PLAIN, plainRelay, StreamEngine, SuspectBoard} from 'stallpaddle-testing';
+import {seededRandom} from 'stallpaddle';
+import {PLAIN, StreamEngine} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
-import type {RelayContext, RelayEnd} from '../../RelayTypes';
+import type {RelayContext} from '../../RelayTypes';
 
-import {RelayExperience} from '../../RelayExperience';
-import {RelayOnline} from '../../RelayOnline';
-import {RelayPace} from '../../RelayPace';
-import {RelayRun} from '../../RelayRun';
+import {
+  ask,
+  contextOf,
+  registerUndo,
+  routeOf,
+  startEngines,
+  startRelay,
+  stopAll,
+} from '../RelayFixture';
 
-interface CallerAnswer {
-  readonly body: string;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  /** False when the answer broke off. */
-  readonly isWhole: boolean;
-  readonly status: number;
-}
-
-const undo: (() => Promise<void> | void)[] = [];
-
-afterEach(async () => {
-  for (const step of undo.splice(0)) {
-    await step();
-  }
-});
-
-function routeOf(changes: Partial<FleetRoute> = {}): FleetRoute {
-  return {
-    giveUpAfterMs: 0,
-    host: 'a.example',
-    kind: 'streaming',
-    maxAttempts: 2,
-    maxWaitingTokens: 0,
-    name: 'r',
-    objectiveMs: 300,
-    pathPrefix: '/a/',
-    resumable: true,
-    split: [{service: 's', weight: 1}],
-    targetMs: 0,
-    timeoutMs: 2_000,
-    ...changes,
-  };
-}
-
-async function startEngines(count: number): Promise<readonly StreamEngine[]> {
-  const engines = await Promise.all(Array.from({length: count}, () => StreamEngine.start()));
-  engines.forEach((engine) => undo.push(() => engine.stop()));
-  return engines;
-}
-
-function contextOf(engines: readonly StreamEngine[]): RelayContext {
-  const views = engines.map((engine, at) => ({
-    address: engine.address,
-    draining: false,
-    id: `e${at}`,
-    sequence: 0,
-    service: 's',
-    silent: false,
-    slots: 4,
-    startedAtMs: 0,
-    zone: 'z',
-  }));
-  return {
-    clock: systemClock,
-    decide: () => {},
-    engines: () => views,
-    experience: new RelayExperience(systemClock),
-    online: new RelayOnline(systemClock),
-    pace: new RelayPace(),
-    random: seededRandom(1),
-    suspects: new SuspectBoard().view(plainRelay),
-    viewAgeMs: () => 0,
-    wire: plainRelay,
-    zone: 'z',
-  };
-}
-
-/** A relay before engines; counts how its requests ended. */
-async function startRelay(
-  context: RelayContext,
-  route: FleetRoute,
-  spentMs = 0,
-): Promise<{readonly ends: RelayEnd[]; readonly port: number}> {
-  const ends: RelayEnd[] = [];
-  const server: Server = createServer(async (req, res) => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of req) {
-      chunks.push(chunk as Buffer);
-    }
-    const run = new RelayRun(
-      context,
-      {
-        arrivedAt: systemClock.monotonicMs(),
-        body: Buffer.concat(chunks),
-        facts: plainRelay.readCaller(req.headers)!,
-        host: req.headers.host ?? '',
-        method: req.method!,
-        path: req.url!,
-        rawHeaders: req.rawHeaders,
-        route,
-        spentMs,
-      },
-      res,
-    );
-    ends.push(await run.run());
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  undo.push(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return {ends, port: (server.address() as AddressInfo).port};
-}
-
-function ask(
-  port: number,
-  leaveAfterMs?: number,
-  more: Readonly<Record<string, string>> = {},
-): Promise<CallerAnswer> {
-  return new Promise((resolve) => {
-    const req = request({
-      headers: {
-        ...more,
-        host: 'a.example',
-        [PLAIN.request]: 'q1',
-        [PLAIN.timeLeft]: '1500',
-        'x-other': 'kept',
-      },
-      host: '127.0.0.1',
-      method: 'POST',
-      path: '/a/b?c=d',
-      port,
-    });
-    let body = '';
-    const finish = (isWhole: boolean, status = 0, headers = {}): void =>
-      resolve({body, headers, isWhole, status});
-    req.on('response', (res) => {
-      res.on('data', (chunk: Buffer) => (body += chunk.toString()));
-      res.on('error', () => {});
-      res.on('close', () => finish(res.complete, res.statusCode, res.headers));
-    });
-    req.on('error', () => finish(false));
-    req.end('the body');
-    if (leaveAfterMs !== undefined) {
-      setTimeout(() => req.destroy(), leaveAfterMs);
-    }
-  });
-}
+afterEach(stopAll);
 
 describe('RelayRun', () => {
   test('passes request and answer on unchanged', async () => {
@@ -280,7 +145,7 @@
 
   test('ends the run at the engine when the caller leaves', async () => {
     const engine = await StreamEngine.start(200, 5);
-    undo.push(() => engine.stop());
+    registerUndo(() => engine.stop());
     const {ends, port} = await startRelay(contextOf([engine]), routeOf());
     await ask(port, 100);
     await new Promise((resolve) => setTimeout(resolve, 200));
