Soak: requests that end every engine that begins to run them, sent again and again at any VM

Beside all other faults, one request after the other, as a stream and as one that may run once; the checker counts what reaches engines three seconds after the third end, by VMs that nothing troubles, and is tested with histories that break the promise.

--- a/packages/stallpaddle-soak/src/SoakCallers.ts
+++ b/packages/stallpaddle-soak/src/SoakCallers.ts
@@ -11,7 +11,7 @@
 import type {SoakCall, SoakWords} from './SoakWords';
 
 import {makeCall, type SoakReply} from './SoakHttp';
-import {IMPOSSIBLE} from './SoakOutput';
+import {fatalAttempt, fatalContent, IMPOSSIBLE} from './SoakOutput';
 
 /** What callers are made of. */
 export interface SoakCallersOptions {
@@ -45,6 +45,10 @@
 const READ_AGAIN_MS = 150;
 /** Pause between two questions which VMs to use, in milliseconds. */
 const ADDRESSES_AGAIN_MS = 1_000;
+/** Time for which a caller sends one request that ends engines, in milliseconds. */
+const FATAL_FOR_MS = 8_000;
+/** Pause of that caller after an answer, in milliseconds. */
+const FATAL_AGAIN_MS = 120;
 /** Statuses that promise that nothing runs. */
 const REFUSALS: ReadonlySet<number> = new Set([429, 503]);
 
@@ -84,6 +88,7 @@
     this.keep(this.askOn());
     this.keep(this.submitOn());
     this.keep(this.readOn());
+    this.keep(this.askFatallyOn());
   }
 
   /** Sends nothing new, and waits for what is under way. */
@@ -150,12 +155,37 @@
     }
   }
 
-  private async ask(address: string, route: SoakRoute): Promise<void> {
-    const {fleet, history, words} = this.options;
+  /** One request that ends engines after the other: each comes again at once, at any VM, over and over. */
+  private async askFatallyOn(): Promise<void> {
+    for (let number = 1; !this.stopped; number++) {
+      const content = fatalContent(number);
+      const endAt = performance.now() + FATAL_FOR_MS;
+      for (let attempt = 1; performance.now() < endAt && !this.stopped; attempt++) {
+        const address = this.anyAddress();
+        if (address !== null) {
+          const route = number % 2 === 0 ? 'once' : 'stream';
+          await this.askAs(fatalAttempt(content, attempt), content, address, route);
+        }
+        await delay(FATAL_AGAIN_MS);
+      }
+    }
+  }
+
+  private ask(address: string, route: SoakRoute): Promise<void> {
     const id = `q${++this.number}`;
+    return this.askAs(id, id, address, route);
+  }
+
+  private async askAs(
+    id: string,
+    content: string,
+    address: string,
+    route: SoakRoute,
+  ): Promise<void> {
+    const {fleet, history, words} = this.options;
     history.note({id, kind: 'asked', route, vm: fleet.vmAt(address)});
     const mostMs = DEADLINE_MS + PATIENCE_MS;
-    const reply = await makeCall(words.ask(id, route, DEADLINE_MS), {
+    const reply = await makeCall(words.ask(id, route, DEADLINE_MS, content), {
       address,
       agent: this.agent,
       mostMs,
--- a/packages/stallpaddle-soak/src/SoakChecker.ts
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -10,7 +10,7 @@
   SoakResult,
 } from './SoakTypes';
 
-import {IMPOSSIBLE, itemText, onceText, streamText} from './SoakOutput';
+import {fatalOf, IMPOSSIBLE, itemText, onceText, streamText} from './SoakOutput';
 
 /** Statuses that promise that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -20,6 +20,10 @@
 const CALM_MS = 4_000;
 /** Least part of the requests after the recovery that must be served. */
 const SERVED_PART = 0.5;
+/** Engines that a request may end before it must be known for it. */
+const MOST_ENDED = 3;
+/** Times that it may reach an engine once it must be known. */
+const MOST_LATE_RUNS = 3;
 
 type EventOf<Kind extends SoakEvent['kind']> = Extract<SoakEvent, {kind: Kind}>;
 
@@ -56,11 +60,20 @@
   }
 }
 
+/** What is remembered of a request that ends engines. */
+interface SeenFatal {
+  ends: number;
+  /** When it had ended as many engines as it may. */
+  knownAt: number;
+  lateRuns: number;
+}
+
 /** One pass over a history. */
 class Judge {
   private acceptedConfig: {readonly at: number; readonly version: number}[] = [];
   readonly breaks: SoakBreak[] = [];
   private readonly asked = new Map<string, EventOf<'asked'>>();
+  private readonly fatals = new Map<string, SeenFatal>();
   private readonly finishedRuns = new Set<string>();
   private readonly items = new Map<string, string>();
   private readonly jobs = new Map<string, SeenJob>();
@@ -101,6 +114,9 @@
       case 'ended':
         this.onEnd(event.at);
         return;
+      case 'engineEnded':
+        this.onEngineEnded(event);
+        return;
       case 'faultBegan':
         this.onFault(event, 1);
         return;
@@ -179,7 +195,9 @@
 
   private onAnswer({at, id, status, text, whole}: EventOf<'answered'>): void {
     const asked = this.asked.get(id);
-    this.countServed(at, status < FIRST_FAILURE && whole);
+    if (fatalOf(id) === null) {
+      this.countServed(at, status < FIRST_FAILURE && whole);
+    }
     if (asked === undefined) {
       this.fail(at, 'answerIsOwnAndWhole', `an answer to ${id}, which nobody asked`);
       return;
@@ -201,6 +219,9 @@
   }
 
   private onBroken({at, id}: EventOf<'broken'>): void {
+    if (fatalOf(id) !== null) {
+      return;
+    }
     this.countServed(at, false);
     const asked = this.asked.get(id);
     const stoppedAt = asked === undefined ? undefined : this.stops.get(asked.vm);
@@ -234,6 +255,7 @@
     if (this.refused.has(id)) {
       this.fail(at, 'notRunIsTrue', `${id} was refused and ran later at ${engine}`);
     }
+    this.checkFatal(at, engine, id);
     if (jobId !== undefined) {
       this.checkRefusedJob(at, jobId);
       this.checkCancelled(at, id, jobId);
@@ -244,6 +266,29 @@
     }
   }
 
+  private onEngineEnded({at, request}: EventOf<'engineEnded'>): void {
+    const seen = this.fatals.get(request) ?? {ends: 0, knownAt: Infinity, lateRuns: 0};
+    this.fatals.set(request, seen);
+    seen.ends++;
+    if (seen.ends === MOST_ENDED) {
+      seen.knownAt = at;
+    }
+  }
+
+  /** Who has been troubled lately may not know yet; a run that a VM's trouble allows counts for nothing. */
+  private checkFatal(at: number, engine: string, id: string): void {
+    const request = fatalOf(id);
+    const seen = request === null ? undefined : this.fatals.get(request);
+    if (seen === undefined || at - seen.knownAt <= this.bounds.contactMs || !this.isCalm(at)) {
+      return;
+    }
+    seen.lateRuns++;
+    if (seen.lateRuns > MOST_LATE_RUNS) {
+      const detail = `${id} reached ${engine}, its late run ${seen.lateRuns}; ${seen.ends} ended`;
+      this.fail(at, 'requestEndsFewEngines', detail);
+    }
+  }
+
   private checkRefusedJob(at: number, jobId: string): void {
     const ran = this.jobs.get(jobId)?.items.find((item) => this.runs.has(item));
     if (this.refusedJobs.has(jobId) && ran !== undefined) {
--- a/packages/stallpaddle-soak/src/SoakEngine.ts
+++ b/packages/stallpaddle-soak/src/SoakEngine.ts
@@ -12,7 +12,7 @@
 import type {EngineWord, SoakWords} from './SoakWords';
 
 import {makeCall} from './SoakHttp';
-import {eventText, IMPOSSIBLE, onceText, OUTPUT_EVENTS} from './SoakOutput';
+import {eventText, fatalOf, IMPOSSIBLE, onceText, OUTPUT_EVENTS} from './SoakOutput';
 
 /** What an engine is made of. */
 export interface SoakEngineOptions {
@@ -39,6 +39,10 @@
 const SERVE_ON_MS = 2_500;
 /** Most tries to have a word acknowledged. */
 const MOST_TRIES = 12;
+/** Time from the begin of a request that ends the engine to that end, in milliseconds. */
+const FATAL_MS = 30;
+/** Time for which such a request leaves it down, in milliseconds. */
+const FATAL_DOWN_MS = 1_500;
 /** Part of the answers that break off while the engine is told to break some. */
 const BREAKS_PART = 0.4;
 
@@ -213,6 +217,13 @@
       res.writeHead(422, words.engineHeaders(id)).end();
       return;
     }
+    const fatal = fatalOf(id);
+    if (fatal !== null) {
+      await delay(FATAL_MS);
+      history.note({engine: this.incarnation, kind: 'engineEnded', request: fatal});
+      await this.crashFor(FATAL_DOWN_MS, this.options.random() < 0.5);
+      return;
+    }
     await (words.runsOnce(path) ? this.runOnce(id, res) : this.stream(id, resumeAfter, res));
   }
 
--- a/packages/stallpaddle-soak/src/SoakOutput.ts
+++ b/packages/stallpaddle-soak/src/SoakOutput.ts
@@ -46,6 +46,39 @@
   return `done ${id}`;
 }
 
+/** Part of the name of a request that ends every engine which begins to run it. */
+const FATAL = 'fatal';
+/** Stands before the number of an attempt at such a request. */
+const ATTEMPT = '.attempt-';
+
+/**
+ * Name of a request that ends engines.
+ *
+ * @param number its number
+ */
+export function fatalContent(number: number): string {
+  return `${FATAL}${number}`;
+}
+
+/**
+ * Name of one attempt at such a request.
+ *
+ * @param content the request
+ * @param number the attempt
+ */
+export function fatalAttempt(content: string, number: number): string {
+  return `${content}${ATTEMPT}${number}`;
+}
+
+/**
+ * The request that ends engines, by the name of an attempt; null for any other.
+ *
+ * @param id the attempt
+ */
+export function fatalOf(id: string): null | string {
+  return id.startsWith(FATAL) ? id.slice(0, id.indexOf(ATTEMPT)) : null;
+}
+
 /** Part of an item's name that no engine can do anything with. */
 export const IMPOSSIBLE = 'impossible';
 
--- a/packages/stallpaddle-soak/src/SoakTypes.ts
+++ b/packages/stallpaddle-soak/src/SoakTypes.ts
@@ -81,6 +81,8 @@
       readonly kind: 'ran';
       readonly resumeAfter: number;
     }
+  /** A request has ended the engine that began to run it. */
+  | {readonly engine: string; readonly kind: 'engineEnded'; readonly request: string}
   /** An engine brought a request or an item to its end. */
   | {readonly id: string; readonly kind: 'finished'}
   /** A batch job is sent for the first time. */
@@ -123,6 +125,8 @@
 export interface SoakBounds {
   readonly applyMs: number;
   readonly cancelMs: number;
+  /** Time after which a VM that nothing troubles knows what others have seen. */
+  readonly contactMs: number;
   readonly drainMs: number;
   /** Time after which an accepted job must be found everywhere. */
   readonly settleMs: number;
@@ -147,6 +151,7 @@
   | 'notRunIsTrue'
   | 'onceRunsOnce'
   | 'plannedStopCutsNothing'
+  | 'requestEndsFewEngines'
   | 'resultIsWhole'
   | 'resultsStay'
   | 'runsWereAsked';
--- a/packages/stallpaddle-soak/src/SoakWords.ts
+++ b/packages/stallpaddle-soak/src/SoakWords.ts
@@ -45,7 +45,8 @@
   readonly configure: (version: number) => SoakCall;
   readonly readConfiguration: SoakCall;
   readonly readVersion: (body: string) => number;
-  readonly ask: (id: string, route: SoakRoute, deadlineMs: number) => SoakCall;
+  /** An attempt under a name of its own; attempts with the same content are the same request. */
+  readonly ask: (id: string, route: SoakRoute, deadlineMs: number, content: string) => SoakCall;
   /** Whether a request may run once only, by the path at which an engine gets it. */
   readonly runsOnce: (path: string) => boolean;
   readonly submit: (job: string, items: readonly string[]) => SoakCall;
--- a/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
+++ b/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
@@ -7,9 +7,15 @@
 import type {SoakEvent, SoakPromise} from '../../SoakTypes';
 
 import {judgeHistory} from '../../SoakChecker';
-import {itemText, onceText, streamText} from '../../SoakOutput';
+import {fatalAttempt, fatalContent, itemText, onceText, streamText} from '../../SoakOutput';
 
-const BOUNDS = {applyMs: 2_000, cancelMs: 3_000, drainMs: 2_000, settleMs: 1_000};
+const BOUNDS = {
+  applyMs: 2_000,
+  cancelMs: 3_000,
+  contactMs: 3_000,
+  drainMs: 2_000,
+  settleMs: 1_000,
+};
 /** A moment after everything else. */
 const LATE = 60_000;
 
@@ -303,3 +309,36 @@
     expect(judge(...history)).toEqual([]);
   });
 });
+
+describe('a request that ends engines', () => {
+  /** Runs at the given moments, each of which ends an engine. */
+  function fatal(...moments: readonly number[]): readonly Timed[] {
+    const request = fatalContent(1);
+    return moments.flatMap((at, number): readonly Timed[] => {
+      const id = fatalAttempt(request, number);
+      const engine = `e${number}`;
+      return [
+        [at, asked(id)],
+        [at, ran(id, engine)],
+        [at + 30, {engine, kind: 'engineEnded', request}],
+        [at + 30, answered(id, '', 502)],
+      ];
+    });
+  }
+
+  test('may come again while nobody can know, and three times after', () => {
+    expect(judge(...fatal(100, 200, 300, 400, 500, 3_300, 9_000, 9_100, 9_200))).toEqual([]);
+  });
+
+  test('breaks a promise by the fourth late run', () => {
+    const history = fatal(100, 200, 300, 9_000, 9_100, 9_200, 9_300);
+    expect(judge(...history)).toEqual(['requestEndsFewEngines']);
+  });
+
+  test('late runs count for nothing while VMs are troubled', () => {
+    const fault = {forMs: 1, kind: 'freeze', vm: 'v'} as const;
+    const frozen: readonly Timed[] = [[8_900, {fault, kind: 'faultBegan'}]];
+    const late = fatal(9_000, 9_100, 9_200, 9_300);
+    expect(judge(...fatal(100, 200, 300), ...frozen, ...late)).toEqual([]);
+  });
+});
