Tests: the desk records and tells of suspects; an item that ends two engines waits

Both passed at once on the mended code (the second only once the stand-in engine kept its address after its end: the test's view of the fleet asks for it). Not run on the code before the mend.

--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -255,6 +255,23 @@
     expect(resumed).toHaveLength(1);
   });
 
+  test('an item that ends two engines waits, is listed as nothing, and the others are run', async () => {
+    const engines = await startEngines(6, 5, 2);
+    engines.forEach((engine) => engine.fatal.add('body 0'));
+    const group = new Group();
+    const decided: string[] = [];
+    const decide: JobsDispatcherOptions['decide'] = (decision, id) =>
+      decided.push(`${decision} ${id}`);
+    lead(group, () => viewOf(engines), {decide});
+    group.submit(6);
+    await until(() => decided.includes('itemHeld i0') && group.results.length === 5);
+    await delay(1_500);
+    const ended = engines.filter(({seen}) => seen.some(({body}) => body === 'body 0'));
+    expect(ended).toHaveLength(2);
+    expect(group.results.map(({item}) => item).sort()).toEqual([1, 2, 3, 4, 5]);
+    expect(decided.filter((line) => line === 'itemHeld i0')).toHaveLength(1);
+  });
+
   test('makes room for a request in the turn in which it is told, and cuts each run once', async () => {
     const engines = await startEngines(2, 60, 10);
     const group = new Group();
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
@@ -3,11 +3,11 @@
  * group can't bear the losses yet; what it takes of engines' reports.
  */
 import type {Clock, MonotonicMs, ReplicaId} from 'stallpaddle';
-import type {EngineReport, FleetCommand, FleetState, Hello} from 'stallpaddle-fleet';
+import type {EngineReport, FleetCommand, FleetNews, FleetState, Hello} from 'stallpaddle-fleet';
 import type {ReplicaDriver} from 'stallpaddle-replication';
 
 import {decodeValue, delay, systemClock} from 'stallpaddle';
-import {fleetMachine} from 'stallpaddle-fleet';
+import {FIRST_HOLD_MS, fleetMachine} from 'stallpaddle-fleet';
 import {NotLeaderError} from 'stallpaddle-replication';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -187,4 +187,30 @@
     await report('behind', 1_000);
     expect([...at.state.engines.keys()]).toEqual(['behind']);
   });
+
+  test('records ends of engines, tells all of the suspects, and records no clearing of others', async () => {
+    const {desk, kinds} = lead(3, 1);
+    const end = {digest: 'd', kind: 'noteEngineEnd', startedAtMs: 0} as const;
+    await desk.answer({...end, engine: 'e1', known: 0});
+    await desk.answer({...end, engine: 'e2', known: 1});
+    const told = (await watch(desk, [])) as {update: {news: FleetNews}};
+    expect(told.update.news.suspects).toEqual([{digest: 'd', holdMs: FIRST_HOLD_MS, level: 2}]);
+    await desk.answer({digest: 'other', kind: 'releaseRequest'});
+    expect(kinds()).not.toContain('releaseRequest');
+    await desk.answer({digest: 'd', kind: 'releaseRequest'});
+    await delay(LOOK_MS);
+    const later = (await watch(desk, [])) as {update: {news: FleetNews}};
+    expect(later.update.news.suspects).toEqual([]);
+  });
+
+  test('lets its group’s clock run only while there are suspects', async () => {
+    const {desk, kinds} = lead(3, 1);
+    await watch(desk, []);
+    await delay(LOOK_MS);
+    expect(kinds()).not.toContain('tick');
+    const end = {digest: 'd', engine: 'e1', kind: 'noteEngineEnd', known: 0, startedAtMs: 0};
+    await desk.answer(end as Parameters<NodeDesk['answer']>[0]);
+    await delay(LOOK_MS);
+    expect(kinds().filter((kind) => kind === 'tick')).toHaveLength(1);
+  });
 });
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -75,6 +75,8 @@
 
   private constructor(
     private readonly server: Server,
+    /** IP number and port, also once the engine has ended. */
+    readonly address: string,
     private readonly events: number,
     private readonly gapMs: number,
   ) {}
@@ -87,17 +89,13 @@
    */
   static async start(events = 5, gapMs = 2): Promise<StreamEngine> {
     const server = createServer();
-    const engine = new StreamEngine(server, events, gapMs);
-    server.on('request', (req, res) => void engine.answer(req, res));
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const engine = new StreamEngine(server, address, events, gapMs);
+    server.on('request', (req, res) => void engine.answer(req, res));
     return engine;
   }
 
-  /** IP number and port. */
-  get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
   /** Text of a whole answer. */
   get wholeText(): string {
     return Array.from({length: this.events}, (_, at) => eventText(at + 1)).join('');
