An item that may have ended two engines has one trial seconds later; runs that go on are no suspects

Cause: an item that is held is listed by nobody, so who only stood beside two ends broke a promise that a refused caller doesn't: it stays unlisted. Ruled out: holding items for a shorter time (one that ends engines would end one each time), not counting items at all (23 engines in 8 s).

--- a/packages/stallpaddle-fleet/src/FleetSuspects.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspects.ts
@@ -57,6 +57,13 @@
  */
 export const HELD_LEVEL = 2;
 
+/**
+ * Level from which on an item is held. Whoever sent it waits for its listing, so at {@link HELD_LEVEL} it has one more run, some
+ * seconds later: an innocent one would stay unlisted for as long as it is held (seen in a soak), and one that ends engines
+ * has ended three by then, as many as it may.
+ */
+export const ITEM_HELD_LEVEL = HELD_LEVEL + 1;
+
 /** Time for which one end counts, in milliseconds: callers that come again do so within seconds. */
 const SUSPECT_MS = 60_000;
 /**
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -18,6 +18,7 @@
   type FleetSuspect,
   type FleetSuspects,
   HELD_LEVEL,
+  ITEM_HELD_LEVEL,
   type NoteEngineEnd,
   type ReleaseRequest,
   suspectView,
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -6,7 +6,13 @@
 import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {engineOf, type EngineView, type FleetRoute, HELD_LEVEL} from 'stallpaddle-fleet';
+import {
+  engineOf,
+  type EngineView,
+  type FleetRoute,
+  HELD_LEVEL,
+  ITEM_HELD_LEVEL,
+} from 'stallpaddle-fleet';
 import {endedEarly, RelayPace, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
@@ -15,7 +21,7 @@
 import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {DECLINED_PAUSE_MS, HELD_LOOK_MS} from './JobsConstants';
+import {DECLINED_PAUSE_MS, HELD_LOOK_MS, MOST_BEGIN_EVENTS, TRIAL_AFTER_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 
@@ -115,8 +121,7 @@
     } finally {
       task.startsAt = undefined;
     }
-    if (this.levelOf(task) >= HELD_LEVEL) {
-      this.hold(task);
+    if (this.isHeld(task)) {
       return;
     }
     // The disk may have taken long: the engine may leave by now, or another process lead.
@@ -141,15 +146,30 @@
   }
 
   /**
-   * Keeps an item off the engines that it most likely would end. It is not listed for that: an item that can be run when its
-   * hold is over is run, and one that can't is given up by its age like any other.
+   * Whether an item is kept off the engines that it may end: before its one trial for seconds, after it for as long as it is
+   * held. It is not listed for that; its age gives it up like any other.
    */
-  private hold(task: Task): void {
-    if (!task.isHeld) {
-      task.isHeld = true;
-      this.decide('itemHeld', task, {digest: task.digest, level: this.levelOf(task)});
+  private isHeld(task: Task): boolean {
+    const level = this.levelOf(task);
+    if (level < HELD_LEVEL) {
+      return false;
     }
-    task.notBefore = this.needs.clock.monotonicMs() + HELD_LOOK_MS;
+    const now = this.needs.clock.monotonicMs();
+    task.trialAt ??= now + TRIAL_AFTER_MS;
+    if (level < ITEM_HELD_LEVEL && now >= task.trialAt) {
+      return false;
+    }
+    if (task.heldAt !== level) {
+      task.heldAt = level;
+      this.decide('itemHeld', task, {digest: task.digest, level});
+    }
+    task.notBefore = now + HELD_LOOK_MS;
+    return true;
+  }
+
+  private hasOnlyBegun({events, firstEventAt}: TaskRun): boolean {
+    const now = this.needs.clock.monotonicMs();
+    return events <= MOST_BEGIN_EVENTS && endedEarly(firstEventAt, now);
   }
 
   /** Looks whether the engine of a run that broke off has ended; the item waits until that is known. */
@@ -196,7 +216,7 @@
     this.options.urgency.estimates.noteRun(taskRun.events, taskRun.lastEventAt - startedAt);
     if (this.options.tasks.get(task.key) === task) {
       this.onRunEnd(task, engine, end);
-      if (end.kind === 'broken' && endedEarly(taskRun.firstEventAt, clock.monotonicMs())) {
+      if (end.kind === 'broken' && this.hasOnlyBegun(taskRun)) {
         void this.onBreak(task, engine, known);
       }
     }
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -37,8 +37,8 @@
   /** Number of events so far. */
   events: number;
   readonly index: number;
-  /** Whether it was kept off the engines that it would end. */
-  isHeld: boolean;
+  /** Level at which it was kept off the engines last; 0 before. */
+  heldAt: number;
   item: JobItem;
   readonly job: Job;
   readonly key: string;
@@ -50,6 +50,8 @@
   savedData: number;
   /** Events that are recorded. */
   savedEvents: number;
+  /** When it may run once more though it may have ended engines; undefined while it may run anyway. */
+  trialAt: MonotonicMs | undefined;
   /** Engine for which a run is being prepared. */
   startsAt: EngineId | undefined;
 }
@@ -64,8 +66,8 @@
     digest: undefined,
     ending: false,
     events,
+    heldAt: 0,
     index,
-    isHeld: false,
     item,
     job,
     key: `${job.id}/${index}`,
@@ -75,6 +77,7 @@
     savedData: 0,
     savedEvents: events,
     startsAt: undefined,
+    trialAt: undefined,
   };
 }
 
