--- a/packages/stallpaddle-soak/src/SoakChecker.ts
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -10,6 +10,7 @@
   SoakResult,
 } from './SoakTypes';
 
+import {SoakFatals} from './SoakFatals';
 import {fatalOf, IMPOSSIBLE, itemText, onceText, streamText} from './SoakOutput';
 
 /** Statuses that promise that a request has not run and never will. */
@@ -20,10 +21,6 @@
 const CALM_MS = 4_000;
 /** Least part of the requests after the recovery that must be served. */
 const SERVED_PART = 0.5;
-/** Engines that a request may end before it must be known for it. */
-const MOST_ENDED = 3;
-/** Times that it may reach an engine once it must be known. */
-const MOST_LATE_RUNS = 3;
 
 type EventOf<Kind extends SoakEvent['kind']> = Extract<SoakEvent, {kind: Kind}>;
 
@@ -60,20 +57,12 @@
   }
 }
 
-/** What is remembered of a request that ends engines. */
-interface SeenFatal {
-  ends: number;
-  /** When it had ended as many engines as it may. */
-  knownAt: number;
-  lateRuns: number;
-}
-
 /** One pass over a history. */
 class Judge {
   private acceptedConfig: {readonly at: number; readonly version: number}[] = [];
   readonly breaks: SoakBreak[] = [];
   private readonly asked = new Map<string, EventOf<'asked'>>();
-  private readonly fatals = new Map<string, SeenFatal>();
+  private readonly fatals: SoakFatals;
   private readonly finishedRuns = new Set<string>();
   private readonly items = new Map<string, string>();
   private readonly jobs = new Map<string, SeenJob>();
@@ -89,7 +78,9 @@
   private troubledUntil = -Infinity;
   private unservedSince = 0;
 
-  constructor(private readonly bounds: SoakBounds) {}
+  constructor(private readonly bounds: SoakBounds) {
+    this.fatals = new SoakFatals(bounds.contactMs);
+  }
 
   take(event: SoakEvent): void {
     switch (event.kind) {
@@ -115,7 +106,7 @@
         this.onEnd(event.at);
         return;
       case 'engineEnded':
-        this.onEngineEnded(event);
+        this.fatals.noteEnd(event.at, event.request);
         return;
       case 'faultBegan':
         this.onFault(event, 1);
@@ -266,25 +257,10 @@
     }
   }
 
-  private onEngineEnded({at, request}: EventOf<'engineEnded'>): void {
-    const seen = this.fatals.get(request) ?? {ends: 0, knownAt: Infinity, lateRuns: 0};
-    this.fatals.set(request, seen);
-    seen.ends++;
-    if (seen.ends === MOST_ENDED) {
-      seen.knownAt = at;
-    }
-  }
-
-  /** Who has been troubled lately may not know yet; a run that a VM's trouble allows counts for nothing. */
+  /** Who has been troubled lately may not know yet. */
   private checkFatal(at: number, engine: string, id: string): void {
-    const request = fatalOf(id);
-    const seen = request === null ? undefined : this.fatals.get(request);
-    if (seen === undefined || at - seen.knownAt <= this.bounds.contactMs || !this.isCalm(at)) {
-      return;
-    }
-    seen.lateRuns++;
-    if (seen.lateRuns > MOST_LATE_RUNS) {
-      const detail = `${id} reached ${engine}, its late run ${seen.lateRuns}; ${seen.ends} ended`;
+    const detail = this.isCalm(at) ? this.fatals.noteRun(at, engine, id) : null;
+    if (detail !== null) {
       this.fail(at, 'requestEndsFewEngines', detail);
     }
   }
