Suspects: words of ends that overtake each other, or are lost, make the same level

Cause: the level rose only if a sender knew the level held when its word came. Beside 20 busy processes the word of a second end overtook that of the first (both offered by one VM), both made one, and a request ended 8 engines before it was held (trace of EndedEngines: known 1 counted before known 0). Now what senders knew is kept, each once. Tests: any order of five ends makes level 3 (failed before after 4 histories); a lost word.

--- a/packages/stallpaddle-fleet/src/FleetSuspects.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspects.ts
@@ -32,6 +32,8 @@
   readonly ended: readonly string[];
   /** How often it was held so far: each time twice as long. */
   readonly holds: number;
+  /** What senders knew when the runs began, each once: as many ends came one after the other, in whatever order they are told. */
+  readonly knowns: readonly number[];
   /** Ends one after the other; {@link HELD_LEVEL} holds it off the engines. */
   readonly level: number;
   /** When the level is lowered, by the group's clock. */
@@ -99,8 +101,8 @@
 }
 
 /**
- * Suspects after an engine's end. The level rises only by runs whose sender knew of the end before: engines that end
- * at one moment, by whatever cause, hold nobody.
+ * Suspects after an engine's end. The level rises only by runs whose sender knew of more ends than those before: engines that
+ * end at one moment, by whatever cause, hold nobody; and words that overtake each other change nothing.
  *
  * @param suspects suspects before
  * @param end the end
@@ -118,7 +120,10 @@
     return suspects;
   }
   const levelBefore = before?.level ?? 0;
-  const level = known >= levelBefore ? levelBefore + 1 : levelBefore;
+  const knowns = [...new Set([...(before?.knowns ?? []), known])];
+  // The word of an end may be late, then the others count it; or lost, then whoever knew of as many counts.
+  const counted = known >= levelBefore ? levelBefore + 1 : levelBefore;
+  const level = Math.max(counted, knowns.length);
   const isNewHold = level >= HELD_LEVEL && levelBefore < HELD_LEVEL;
   const holds = (before?.holds ?? 0) + (isNewHold ? 1 : 0);
   const lastsMs = level >= HELD_LEVEL ? holdMs(holds) : SUSPECT_MS;
@@ -126,7 +131,7 @@
   const until = Math.max(before?.until ?? 0, now + lastsMs);
   const next = new Map(suspects);
   next.delete(digest);
-  next.set(digest, {digest, ended, holds, level, until});
+  next.set(digest, {digest, ended, holds, knowns, level, until});
   return bounded(next);
 }
 
@@ -134,7 +139,7 @@
 function afterTime(suspect: FleetSuspect): FleetSuspect | undefined {
   const {holds, level, until} = suspect;
   return level >= HELD_LEVEL
-    ? {...suspect, level: HELD_LEVEL - 1, until: until + holdMs(holds)}
+    ? {...suspect, knowns: [0], level: HELD_LEVEL - 1, until: until + holdMs(holds)}
     : undefined;
 }
 
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspects.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspects.test.ts
@@ -54,6 +54,20 @@
     expect(levelOf(after([{}, {known: 1, startedAtMs: 7}]))).toBe(HELD_LEVEL);
   });
 
+  test('the ends make the same level in whatever order they are told', async () => {
+    // Seen beside 20 busy processes: the word of a second end overtook that of the first, and both made one.
+    const ends = [{}, SECOND, {engine: 'e3', known: 2}, {engine: 'e4'}, {engine: 'e5', known: 1}];
+    const orders = fc.shuffledSubarray(ends, {maxLength: 5, minLength: 5});
+    const property = fc.property(orders, (order) => {
+      expect(levelOf(after(order))).toBe(3);
+    });
+    await assertHistories('orders of ends', property, 200);
+  });
+
+  test('the word of an end that is lost keeps later ends from counting no longer than once', () => {
+    expect(levelOf(after([{known: 1}, {engine: 'e2', known: 1}]))).toBe(HELD_LEVEL);
+  });
+
   test('a run to an end clears it; late words of ends from before begin anew', () => {
     const cleared = afterRelease(after([{}]), {digest: 'd', kind: 'releaseRequest'});
     expect(levelOf(cleared)).toBe(0);
