A leader that was held up does not take its own silence for the others’

Cause: silence was counted from the last send that a majority had answered, also over time in which this process did not run and sent nothing; the commands under way got 'the command may still be committed'. Late looks since that send extend the time now, by one election timeout at most; the lease lapses as before, so nothing is answered or decided meanwhile. CHANGED CHECKS: ReplicaWatch wanted the end of leadership at a look 600 ms late; it wants the lapse there and the end at the next such look.

--- a/packages/stallpaddle-replication/src/ReplicationElection.ts
+++ b/packages/stallpaddle-replication/src/ReplicationElection.ts
@@ -58,6 +58,8 @@
   draft.role = {
     countedUntil: since,
     kind: 'leader',
+    lateLooks: [],
+    lookedAt: since,
     progress,
     recordedAt: since,
     since,
--- a/packages/stallpaddle-replication/src/ReplicationLeader.ts
+++ b/packages/stallpaddle-replication/src/ReplicationLeader.ts
@@ -26,6 +26,7 @@
 import {$becomeFollower, $emit, $persist, $send} from './ReplicationDraft';
 import {holdsLease, majorityValue, quorumHeardAt} from './ReplicationLease';
 import {entryBytes} from './ReplicationLog';
+import {afterLook, isQuorumSilent} from './ReplicationSilence';
 
 type AppendReply = Extract<MessageBody, {kind: 'appendReply'}>;
 type LeaderRole = Extract<Role, {kind: 'leader'}>;
@@ -170,12 +171,14 @@
  * @param draft draft of the running step
  */
 export function $leaderTick(draft: ReplicationDraft): void {
-  const {now, role, timing} = draft;
-  if (role.kind !== 'leader') {
+  const {now, timing} = draft;
+  if (draft.role.kind !== 'leader') {
     return;
   }
-  const quorumAt = Math.max(quorumHeardAt(draft, now), role.since);
-  if (now - quorumAt > timing.electionTimeoutMs) {
+  const quorumAt = Math.max(quorumHeardAt(draft, now), draft.role.since);
+  const role = afterLook(draft.role, quorumAt, now, timing);
+  draft.role = role;
+  if (isQuorumSilent(role, quorumAt, now, timing)) {
     $becomeFollower(draft, null);
     return;
   }
--- a/packages/stallpaddle-replication/src/ReplicationTypes.ts
+++ b/packages/stallpaddle-replication/src/ReplicationTypes.ts
@@ -131,6 +131,12 @@
   readonly next: LogIndex;
 }
 
+/** A leader's look at its clock that came late: it sent nothing meanwhile, so nobody could answer. */
+export interface LateLook {
+  readonly at: MonotonicMs;
+  readonly lateMs: number;
+}
+
 /** What a replica does at present. */
 export type Role =
   | {
@@ -143,6 +149,10 @@
       /** Up to when this leader's commands have counted the time. It ends with the role, so no other term's is in it. */
       readonly countedUntil: MonotonicMs;
       readonly kind: 'leader';
+      /** Its late looks since the last send that a majority has answered. */
+      readonly lateLooks: readonly LateLook[];
+      /** When it last looked at its clock. */
+      readonly lookedAt: MonotonicMs;
       /** When a command was last recorded, or none waited for it. */
       readonly recordedAt: MonotonicMs;
       readonly progress: ReadonlyMap<ReplicaId, Progress>;
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicaWatch.test.ts
@@ -96,6 +96,13 @@
   test('tells a turn that came late, and why leadership ended', () => {
     const watched = new Watched();
     watched.lead();
+    // Within two election timeouts it may still lead, once it is answered again.
+    watched.turn(600);
+    expect(watched.lines.map(({message}) => message)).toEqual([
+      'A turn of this replica came late.',
+      'The lease of this replica has lapsed.',
+    ]);
+    watched.lines.length = 0;
     watched.turn(600);
     const [late, end] = watched.lines;
     expect(late).toMatchObject({message: 'A turn of this replica came late.', role: 'leader'});
--- a/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
+++ b/packages/stallpaddle-replication/src/__tests__/unit/ReplicationFaults.test.ts
@@ -294,6 +294,22 @@
     expect(afterLooks(looks).role.kind).toBe('follower');
   });
 
+  test('counts a hold-up that came after the send which is answered last', () => {
+    const {leader, others, world} = settled();
+    const now = world.clockOf(leader);
+    const before = world.replicas.get(leader)!.state!;
+    let state = stepReplica(before, {kind: 'tick'}, now + 20).state;
+    state = stepReplica(state, {kind: 'tick'}, now + 20 + ELECTION_MS * 0.9).state;
+    // The answer to what it sent before comes only now.
+    const body = {kind: 'aliveReply' as const, sentAt: now + 20};
+    const message = {body, from: others[0], group: 'g', term: state.term, to: leader};
+    state = stepReplica(state, {kind: 'message', message}, now + 21 + ELECTION_MS * 0.9).state;
+    for (const ms of looksBetween(20 + ELECTION_MS * 0.9, ELECTION_MS * 1.6)) {
+      state = stepReplica(state, {kind: 'tick'}, now + ms).state;
+    }
+    expect(state.role.kind).toBe('leader');
+  });
+
   test('ends when it was held up for so long that another has surely been elected', () => {
     expect(afterLooks([ELECTION_MS * 2.1]).role.kind).toBe('follower');
   });
