--- a/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeGroup.test.ts
@@ -9,13 +9,12 @@
   decodeValue,
   delay,
   encodeValue,
-  type MonotonicMs,
   type ReplicaId,
   silentLogger,
   systemClock,
 } from 'stallpaddle';
 import {startRpcServer} from 'stallpaddle-rpc';
-import {FakeDisk, SlowLink} from 'stallpaddle-testing';
+import {FakeDisk, SlowLink, UnheldClock} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {GROUP_TIMING} from '../../NodeConstants';
@@ -51,59 +50,11 @@
 /** Distance to the port of a server that stands behind a slow link. */
 const BEHIND = 100;
 
-/** Time between looks of {@link UnheldClock}, in milliseconds. */
-const LOOK_MS = 2;
-/** Most that passes between two looks of a loop that is not held up, in milliseconds. */
-const MOST_LOOK_MS = 2 * LOOK_MS;
 /** Lease of a leader, in milliseconds. */
 const LEASE_MS = GROUP_TIMING.electionTimeoutMs * (1 - GROUP_TIMING.leaseDriftFraction);
 /** Hold-ups of all its processes that a leader's lease must outlive, in milliseconds; `RpcLease.test.ts` has the sum. */
 const LEAST_HELD_MS = 100;
 
-/**
- * A clock that leaves out the time for which this process wanted a core and had none. Beside 56 busy processes on 8 cores
- * the one event loop that all replicas and links of a test share was held up for 360 to 640 of 400 ms, longer than any
- * lease; what the replicas do themselves counts in full.
- */
-class UnheldClock implements Clock {
-  private coreMs = 0;
-  private leftOut: readonly {readonly at: number; readonly ms: number}[] = [];
-  private lookedAt = performance.now();
-  private ms = this.lookedAt;
-  private readonly timer = setInterval(() => this.monotonicMs(), LOOK_MS);
-
-  /** Time that was left out during the last lease, in milliseconds. */
-  get heldMs(): number {
-    this.monotonicMs();
-    const since = this.lookedAt - LEASE_MS;
-    this.leftOut = this.leftOut.filter(({at}) => at > since);
-    return this.leftOut.reduce((sum, {ms}) => sum + ms, 0);
-  }
-
-  monotonicMs(): MonotonicMs {
-    const {system, user} = process.cpuUsage();
-    const coreMs = (system + user) / 1_000;
-    const now = performance.now();
-    const passed = now - this.lookedAt;
-    const counted = Math.min(passed, Math.max(MOST_LOOK_MS, coreMs - this.coreMs));
-    this.ms += counted;
-    this.coreMs = coreMs;
-    this.lookedAt = now;
-    if (passed > counted) {
-      this.leftOut = [...this.leftOut, {at: now, ms: passed - counted}];
-    }
-    return this.ms;
-  }
-
-  stop(): void {
-    clearInterval(this.timer);
-  }
-
-  wallMs(): number {
-    return systemClock.wallMs();
-  }
-}
-
 /** Replicas on addresses of their own. */
 class Fleet {
   readonly groups = new Map<ReplicaId, NodeGroup<ListState>>();
@@ -321,7 +272,7 @@
     const {term} = driver.status;
     let lapses = 0;
     // A word that waits for a core on its way is late by every clock.
-    const isHeld = (): boolean => clock.heldMs >= LEAST_HELD_MS;
+    const isHeld = (): boolean => clock.heldMs(LEASE_MS) >= LEAST_HELD_MS;
     const watch = setInterval(() => (lapses += driver.leads || isHeld() ? 0 : 1), 10);
     undo.push(() => clearInterval(watch));
     for (const letter of ['a', 'b', 'c']) {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspects.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspects.test.ts
@@ -145,6 +145,55 @@
     expect(board.suspects.size).toBe(0);
   });
 
+  /**
+   * Seen with no other load: a stream that had passed several events was broken off. Others with the same body had stood beside
+   * two ends, so its next engine was refused to it, though its own run had shown that it ends no engine.
+   */
+  test('that goes on from event to event is no suspect, and its stream goes on at the next engine', async () => {
+    const board = new SuspectBoard();
+    const engines = await startFatal(6, 2);
+    const {port} = await startRelay(contextAt(board, engines), routeOf());
+    expect(await ask(port, undefined, {}, FATAL)).toMatchObject({isWhole: true, status: 200});
+    expect(endedOf(engines)).toBe(3);
+    await delay(LOOKED_MS);
+    expect(board.suspects.size).toBe(0);
+  });
+
+  test('is cleared once a run of it goes on past its begin, and goes on though it was held meanwhile', async () => {
+    const board = new SuspectBoard();
+    const engines = await startEngines(3);
+    const context = contextAt(board, engines);
+    const {port} = await startRelay(context, routeOf());
+    const others = board.view(plainRelay, context.engines);
+    const digest = requestDigest({
+      body: Buffer.from('the body'),
+      caller: '',
+      host: 'a.example',
+      method: 'POST',
+      path: '/a/b?c=d',
+    });
+    const [gone] = await startEngines(1);
+    const [view] = contextOf([gone!]).engines();
+    await gone!.stop();
+    const suspect = async (known: number): Promise<void> => {
+      const engine = {...view!, id: 'e0', startedAtMs: known + 1};
+      const seen = board.view(plainRelay, () => [engine]);
+      expect(await seen.noteBreak({digest, engine, id: 'q', known})).toBe(true);
+    };
+    await suspect(0);
+    engines.forEach((engine) => (engine.manners = [{after: 2, kind: 'pause'}]));
+    const asked = ask(port);
+    await delay(100);
+    expect(board.suspects.size).toBe(0);
+    await suspect(0);
+    await suspect(1);
+    expect(others.levelOf(digest)).toBe(HELD_LEVEL);
+    engines.forEach((engine) => (engine.manners = []));
+    await engines.find(({seen}) => seen.length > 0)!.stop();
+    expect(await asked).toMatchObject({isWhole: true, status: 200});
+    expect(others.levelOf(digest)).toBe(0);
+  });
+
   test('is no suspect of an engine that said it would end', async () => {
     const board = new SuspectBoard();
     const [engine] = await startEngines(1);
--- a/packages/stallpaddle-testing/src/index.ts
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -6,3 +6,4 @@
 export {SlowLink, type SlowLinkOptions} from './SlowLink';
 export {type EngineManner, type SeenRequest, StreamEngine} from './StreamEngine';
 export {SuspectBoard} from './SuspectBoard';
+export {UnheldClock} from './UnheldClock';
