A run that goes on past its begin speaks for its request; a stream that has done so goes on though others are held

Cause: what stood beside an engine's end was blamed for 250 ms after its first event, however many had come, and cleared only by a run to its end; a stream whose own run had shown that it ends nothing was refused its next engine. Now a run has begun up to its first event, online as for items (one rule, hasOnlyBegun); what goes on clears the request at once, and within an attempt for good. Ruled out: fewer ms for the begin (events say more), no hold for bodies that many send (nobody knows how many do).

--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -51,12 +51,6 @@
  */
 export const TRIAL_AFTER_MS = 3_000;
 
-/**
- * Events of a run up to which the end of its engine speaks against its item. A request that ends engines does so as they
- * begin to run it; an item that goes on from event to event comes to its end.
- */
-export const MOST_BEGIN_EVENTS = 1;
-
 /** Time between looks whether an item that is kept off the engines may run again, in milliseconds: it is kept off for minutes. */
 export const HELD_LOOK_MS = 1_000;
 
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -13,7 +13,7 @@
   HELD_LEVEL,
   ITEM_HELD_LEVEL,
 } from 'stallpaddle-fleet';
-import {endedEarly, RelayPace, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
+import {hasOnlyBegun, RelayPace, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsEngines} from './JobsEngines';
@@ -21,7 +21,7 @@
 import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {DECLINED_PAUSE_MS, HELD_LOOK_MS, MOST_BEGIN_EVENTS, TRIAL_AFTER_MS} from './JobsConstants';
+import {DECLINED_PAUSE_MS, HELD_LOOK_MS, TRIAL_AFTER_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 
@@ -168,8 +168,7 @@
   }
 
   private hasOnlyBegun({events, firstEventAt}: TaskRun): boolean {
-    const now = this.needs.clock.monotonicMs();
-    return events <= MOST_BEGIN_EVENTS && endedEarly(firstEventAt, now);
+    return hasOnlyBegun({events, firstAt: firstEventAt}, this.needs.clock.monotonicMs());
   }
 
   /** Looks whether the engine of a run that broke off has ended; the item waits until that is known. */
@@ -206,6 +205,7 @@
       engineStartMs: engine.startedAtMs,
       events: 0,
       firstEventAt: undefined,
+      isCleared: false,
       isCut: false,
       lastEventAt: startedAt,
       run,
@@ -239,10 +239,15 @@
     task.data.push(data);
     task.events++;
     task.lastEvent = id ?? task.lastEvent;
-    if (task.run !== undefined) {
-      task.run.events++;
-      task.run.firstEventAt ??= this.needs.clock.monotonicMs();
-      task.run.lastEventAt = this.needs.clock.monotonicMs();
+    const {run} = task;
+    if (run !== undefined) {
+      run.events++;
+      run.firstEventAt ??= this.needs.clock.monotonicMs();
+      run.lastEventAt = this.needs.clock.monotonicMs();
+      if (!run.isCleared && !this.hasOnlyBegun(run)) {
+        run.isCleared = true;
+        this.noteServed(task);
+      }
     }
   }
 
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -17,6 +17,8 @@
   events: number;
   /** When its first event came; undefined before it. */
   firstEventAt: MonotonicMs | undefined;
+  /** It has gone on past its begin, which speaks for its item. */
+  isCleared: boolean;
   /** It gives way, and its end is on its way. */
   isCut: boolean;
   /** When its last event came, or its start. */
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -33,6 +33,12 @@
  */
 export const BEGIN_MS = 250;
 
+/**
+ * Events of a run up to which the end of its engine speaks against its request. A request that ends engines does so as they
+ * begin to run it (none of 25 such runs that were seen had an event); one that goes on from event to event comes to its end.
+ */
+export const MOST_BEGIN_EVENTS = 1;
+
 /** Pause before a request looks again for an engine that it may go on at, in milliseconds. */
 export const LOOK_AGAIN_MS = 20;
 
--- a/packages/stallpaddle-relay/src/RelayPass.ts
+++ b/packages/stallpaddle-relay/src/RelayPass.ts
@@ -19,8 +19,8 @@
   readonly lastEvent: string | null;
   /** Called once, before the head of the answer is written. */
   readonly onHead: () => void;
-  /** Called with each arrival of a stream. */
-  readonly onHeard: () => void;
+  /** Called with each arrival of a stream, with the number of events that are whole by it. */
+  readonly onHeard: (events: number) => void;
   /** The caller's response. */
   readonly res: ServerResponse;
 }
@@ -52,8 +52,9 @@
     const splitter = new EventSplitter();
     try {
       for await (const chunk of answer) {
-        this.options.onHeard();
-        if (!(await this.passEvents(answer, splitter.push(chunk as Buffer)))) {
+        const events = splitter.push(chunk as Buffer);
+        this.options.onHeard(events.length);
+        if (!(await this.passEvents(answer, events))) {
           return 'broken';
         }
       }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -3,23 +3,21 @@
  * run twice by them.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {LogFields, MonotonicMs, Verdict} from 'stallpaddle';
+import type {LogFields, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {delay, joinVerdicts, RefusalError} from 'stallpaddle';
-import {HELD_LEVEL} from 'stallpaddle-fleet';
 
 import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
 
 import {sendRefusal} from './RelayAnswers';
 import {RelayChoice} from './RelayChoice';
 import {LOOK_AGAIN_MS, RETRY_AFTER_MS, SERVER_ERROR} from './RelayConstants';
-import {requestDigest} from './RelayDigest';
 import {type EngineCall, type EngineCallStart, startEngineCall} from './RelayEngineCall';
 import {passedHeaders} from './RelayHeaders';
 import {RelayPass} from './RelayPass';
 import {RelaySilence} from './RelaySilence';
-import {endedEarly} from './RelaySuspects';
+import {RelaySuspicion} from './RelaySuspicion';
 
 type Answer = Extract<EngineCallStart, {kind: 'answer'}>;
 
@@ -34,17 +32,12 @@
   private broke = false;
   private call: EngineCall | undefined;
   private readonly choice: RelayChoice;
-  private digestMade: string | undefined;
   private end: RelayEnd | undefined;
-  /** When the first part of a stream came from the engine asked last; undefined before it. */
-  private firstAt: MonotonicMs | undefined;
   private firstMs: number | undefined;
-  private hasBroken = false;
-  /** What was found of the engines that broke off so far: how many of them ended, one after the other. */
-  private found = Promise.resolve(0);
   private readonly pass: RelayPass;
   private reason: string | undefined;
   private readonly silence: RelaySilence;
+  private readonly suspicion: RelaySuspicion;
   private verdict: Verdict = 'notRun';
 
   /**
@@ -57,15 +50,16 @@
     private readonly req: RelayRequest,
     private readonly res: ServerResponse,
   ) {
-    this.choice = new RelayChoice(context, req, () => (this.level > 0 ? this.digest : null));
+    this.suspicion = new RelaySuspicion(context, req);
+    this.choice = new RelayChoice(context, req, () => this.suspicion.suspect);
     this.pass = new RelayPass({
       isOver: () => this.end !== undefined,
       lastEvent: req.facts.resumeAfter,
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
       },
-      onHeard: () => {
-        this.firstAt ??= context.clock.monotonicMs();
+      onHeard: (events) => {
+        this.suspicion.noteHeard(events);
         this.silence.hear();
       },
       res,
@@ -79,19 +73,6 @@
     });
   }
 
-  /** The request, whatever this attempt is called; worked out only while there are suspects, or once an engine broke off. */
-  private get digest(): string {
-    const {body, facts, host, method, path} = this.req;
-    this.digestMade ??= requestDigest({body, caller: facts.caller, host, method, path});
-    return this.digestMade;
-  }
-
-  /** How many engines ended, one after the other, when they began to run the request. */
-  private get level(): number {
-    const {suspects} = this.context;
-    return suspects.isEmpty ? 0 : suspects.levelOf(this.digest);
-  }
-
   private get repeatable(): boolean {
     const {kind, resumable} = this.req.route;
     return kind === 'repeatable' || (kind === 'streaming' && resumable);
@@ -142,7 +123,7 @@
       kind: route.kind,
       ms: Math.round(this.waitedMs),
       reason: this.reason,
-      request: this.digestMade,
+      request: this.suspicion.digestKnown,
       route: route.name,
       verdict: this.verdict,
     });
@@ -156,8 +137,8 @@
         this.verdict = joinVerdicts(this.verdict, 'mayHaveRun');
         this.call.close();
       }
-      if ((end === 'served' || end === 'serverFailure') && this.level > 0) {
-        this.context.suspects.noteServed(this.digest);
+      if (end === 'served' || end === 'serverFailure') {
+        this.suspicion.noteServed();
       }
     }
   }
@@ -201,8 +182,10 @@
       this.refuse('All engines that the request may be sent to have failed.');
       return;
     }
-    if (this.level >= HELD_LEVEL) {
-      this.refuseHeld();
+    const heldMs = this.suspicion.heldMs();
+    if (heldMs !== undefined) {
+      // One more run would most likely end another engine, with all that runs there.
+      this.refuse('Engines ended when they began to run this request.', heldMs);
       return;
     }
     const engine = this.choice.next();
@@ -225,48 +208,12 @@
     }
   }
 
-  /**
-   * Refuses a request that ended the engines before: one more run would most likely end another, with all that runs
-   * there. Nothing of this attempt has run if it was held before its first; the caller is told how long that lasts.
-   */
-  private refuseHeld(): void {
-    const {decide, suspects} = this.context;
-    const {digest, level} = this;
-    const holdMs = suspects.holdMs(digest);
-    decide('held', this.req.facts.requestId, {digest, holdMs, level, verdict: this.verdict});
-    this.refuse('Engines ended when they began to run this request.', holdMs);
-  }
-
-  /**
-   * An engine broke its answer off. Whether it has ended is looked at beside what follows; only a request that has met
-   * this before waits for what is found, since its next run may end another engine.
-   */
-  private async onBreak(engine: EngineView, known: number): Promise<void> {
-    if (!endedEarly(this.firstAt, this.context.clock.monotonicMs())) {
-      return;
-    }
-    const isFirst = !this.hasBroken && known === 0;
-    this.hasBroken = true;
-    this.found = this.found.then((ends) => this.noteBreak(engine, Math.max(known, ends), ends));
-    if (this.end === undefined && !isFirst) {
-      await this.found;
-    }
-  }
-
-  /** Each run of this attempt began after the one before had broken off, whether or not its end was known by then. */
-  private async noteBreak(engine: EngineView, known: number, ends: number): Promise<number> {
-    const id = this.req.facts.requestId;
-    const {digest} = this;
-    return (await this.context.suspects.noteBreak({digest, engine, id, known})) ? ends + 1 : ends;
-  }
-
   private async send(engine: EngineView): Promise<void> {
     const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
     const {body, facts, method, path, rawHeaders} = this.req;
     const resumeAfter = this.pass.lastEvent;
-    const known = this.level;
+    this.suspicion.noteRun();
     this.broke = false;
-    this.firstAt = undefined;
     this.choice.noteSent(engine.id);
     decide(this.res.headersSent ? 'resumed' : 'placed', facts.requestId, {
       attempt: this.choice.attempts,
@@ -312,7 +259,15 @@
       }
     }
     if (this.broke) {
-      await this.onBreak(engine, known);
+      await this.onBreak(engine);
+    }
+  }
+
+  /** The caller of a request that has ended has its answer; no look holds it up. */
+  private async onBreak(engine: EngineView): Promise<void> {
+    const looked = this.suspicion.noteBreak(engine);
+    if (this.end === undefined) {
+      await looked;
     }
   }
 
--- a/packages/stallpaddle-relay/src/RelaySuspects.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspects.ts
@@ -16,7 +16,7 @@
 
 import type {RelayWire} from './RelayWire';
 
-import {BEGIN_MS} from './RelayConstants';
+import {BEGIN_MS, MOST_BEGIN_EVENTS} from './RelayConstants';
 import {hasEnded} from './RelayProbe';
 
 /** What it needs of its process. */
@@ -56,14 +56,22 @@
 /** Tries to record a finding; each lasts half a minute while there is no leader. */
 const RECORD_TRIES = 20;
 
+/** How far a run has come. */
+export interface RunBegin {
+  /** Events that it has brought. */
+  readonly events: number;
+  /** When the first of them, or of an answer's bytes, came; undefined before it. */
+  readonly firstAt: MonotonicMs | undefined;
+}
+
 /**
- * Whether the end of an engine, by the time of its run's first event, speaks against the run's request.
+ * Whether a run has only begun, so that the end of its engine speaks against its request.
  *
- * @param firstAt when the first event came; undefined before it
+ * @param run how far it has come
  * @param now the present moment
  */
-export function endedEarly(firstAt: MonotonicMs | undefined, now: MonotonicMs): boolean {
-  return firstAt === undefined || now - firstAt <= BEGIN_MS;
+export function hasOnlyBegun({events, firstAt}: RunBegin, now: MonotonicMs): boolean {
+  return events <= MOST_BEGIN_EVENTS && (firstAt === undefined || now - firstAt <= BEGIN_MS);
 }
 
 /** See the module's comment. */
@@ -127,7 +135,7 @@
   }
 
   /**
-   * Notes that an engine has run a suspect to an end.
+   * Notes that an engine has run a suspect past its begin, or to an end.
    *
    * @param digest the request
    */
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -17,7 +17,12 @@
 export {RelayPace} from './RelayPace';
 export {type EngineExperience, isSound} from './RelayPlacement';
 export {RelayRun} from './RelayRun';
-export {endedEarly, RelaySuspects, type RelaySuspectsOptions} from './RelaySuspects';
+export {
+  hasOnlyBegun,
+  RelaySuspects,
+  type RelaySuspectsOptions,
+  type RunBegin,
+} from './RelaySuspects';
 export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
 export {RelayUsual} from './RelayUsual';
 export type {
