--- a/packages/stallpaddle-cli/src/__tests__/unit/CliExplain.test.ts
+++ b/packages/stallpaddle-cli/src/__tests__/unit/CliExplain.test.ts
@@ -3,7 +3,7 @@
  */
 import {describe, expect, test} from 'vitest';
 
-import {describeLine, findLines} from '../../CliExplain';
+import {describeLine, digestsOf, findLines} from '../../CliExplain';
 
 async function* linesOf(...lines: readonly string[]): AsyncGenerator<string> {
   yield* lines;
@@ -21,6 +21,22 @@
   });
 }
 
+describe('digestsOf', () => {
+  test('names what the attempts of one request share, so that their lines are found too', async () => {
+    const lines = [
+      lineOf('01', {digest: 'd', engine: 'e1', id: 'first'}),
+      lineOf('02', {id: 'q', request: 'd'}),
+      lineOf('03', {digest: 'd', held: true, id: 'q'}),
+      lineOf('04', {digest: 'other', id: 'x'}),
+    ];
+    const digests = digestsOf(await findLines(linesOf(...lines), 'q'));
+    expect(digests).toEqual(['d']);
+    const all = await findLines(linesOf(...lines), 'q', ...digests);
+    expect(all.map(({time}) => time.slice(17, 19))).toEqual(['01', '02', '03']);
+    expect(describeLine(all[0]!)).toContain('id=first');
+  });
+});
+
 describe('findLines', () => {
   test('gathers what tells of an id, oldest first, and passes over everything else', async () => {
     const lines = linesOf(
--- a/packages/stallpaddle-fleet/src/FleetSuspects.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspects.ts
@@ -19,8 +19,9 @@
   readonly startedAtMs: number;
 }
 
-/** An engine has run a suspect to an end: it doesn't end every engine that begins to run it. */
+/** An engine has run a suspect past its begin, so that it doesn't end every engine; or an operator lets it go. */
 export interface ReleaseRequest {
+  readonly by: 'engine' | 'operator';
   readonly digest: string;
   readonly kind: 'releaseRequest';
 }
@@ -48,24 +49,25 @@
   readonly level: number;
 }
 
+/** A suspect as an operator sees it. */
+export interface SuspectDetails extends SuspectView {
+  /** Starts of engines that have ended, the last ones. */
+  readonly ended: readonly string[];
+  /** Time until its level is lowered, in milliseconds. */
+  readonly leftMs: number;
+}
+
 /** All suspects, those that were changed last behind the others. */
 export type FleetSuspects = ReadonlyMap<string, FleetSuspect>;
 
 /**
  * Level from which on a request is held off the engines. A third run costs an engine for seconds with up to all its slots, and
  * brings one answer at best. The price is who only stood beside two ends: with one request that ends engines every 20 s (a model
- * of 400,000 requests, `npm run blame`) 137 such requests for 363 causes at 6 engines, 2 for 37 at 68, none at 740; with each
- * engine ending once a minute by itself 174, 13 and 17. They were cut off twice already.
+ * of 400,000 requests, `npm run blame`) 44 such requests for 349 causes at 6 engines, 1 for 37 at 68, none at 740; with each
+ * engine ending once a minute by itself 41, 3 and 3. They were cut off twice already.
  */
 export const HELD_LEVEL = 2;
 
-/**
- * Level from which on an item is held. Whoever sent it waits for its listing, so at {@link HELD_LEVEL} it has one more run, some
- * seconds later: an innocent one would stay unlisted for as long as it is held (seen in a soak), and one that ends engines
- * has ended three by then, as many as it may.
- */
-export const ITEM_HELD_LEVEL = HELD_LEVEL + 1;
-
 /** Time for which one end counts, in milliseconds: callers that come again do so within seconds. */
 const SUSPECT_MS = 60_000;
 /**
@@ -184,3 +186,14 @@
 export function suspectView({digest, holds, level}: FleetSuspect): SuspectView {
   return {digest, holdMs: level >= HELD_LEVEL ? holdMs(holds) : 0, level};
 }
+
+/**
+ * What an operator is told of a suspect.
+ *
+ * @param suspect the suspect
+ * @param now the group's clock
+ */
+export function suspectDetails(suspect: FleetSuspect, now: GroupMs): SuspectDetails {
+  const {ended, until} = suspect;
+  return {...suspectView(suspect), ended, leftMs: Math.max(0, until - now)};
+}
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -119,6 +119,7 @@
   | {readonly kind: 'introduce'; readonly replicas: readonly ReplicaId[]}
   /** Asks any replica for what it holds, which may be old; for a process that knows nothing at all. */
   | {readonly kind: 'peek'}
+  | {readonly kind: 'listSuspects'}
   | {readonly kind: 'readConfig'}
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireState'; readonly name: VmId}
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -18,9 +18,10 @@
   type FleetSuspect,
   type FleetSuspects,
   HELD_LEVEL,
-  ITEM_HELD_LEVEL,
   type NoteEngineEnd,
   type ReleaseRequest,
+  suspectDetails,
+  type SuspectDetails,
   suspectView,
   type SuspectView,
 } from './FleetSuspects';
--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -45,13 +45,7 @@
  */
 export const RECORD_BYTES = 65_536;
 
-/**
- * Time until an item that may have ended two engines runs once more, in milliseconds: engines are back, and what ended them is
- * held if it was another request.
- */
-export const TRIAL_AFTER_MS = 3_000;
-
-/** Time between looks whether an item that is kept off the engines may run again, in milliseconds: it is kept off for minutes. */
+/** Time between looks whether an item that is kept off the engines may run again, in milliseconds: it is kept off for seconds or minutes. */
 export const HELD_LOOK_MS = 1_000;
 
 /** Pause before an item that an engine declined is tried again, in milliseconds. */
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -6,13 +6,7 @@
 import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {
-  engineOf,
-  type EngineView,
-  type FleetRoute,
-  HELD_LEVEL,
-  ITEM_HELD_LEVEL,
-} from 'stallpaddle-fleet';
+import {engineOf, type EngineView, type FleetRoute, HELD_LEVEL} from 'stallpaddle-fleet';
 import {hasOnlyBegun, RelayPace, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
@@ -21,9 +15,10 @@
 import type {GiveUpReason, ItemOutcome} from './JobsTypes';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {DECLINED_PAUSE_MS, HELD_LOOK_MS, TRIAL_AFTER_MS} from './JobsConstants';
+import {DECLINED_PAUSE_MS, HELD_LOOK_MS} from './JobsConstants';
 import {JobsEnds} from './JobsEnds';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
+import {nextTrial} from './JobsTrial';
 
 /** Status (RFC 9110) of an item that no engine can take. */
 const UNPROCESSABLE = 422;
@@ -146,8 +141,8 @@
   }
 
   /**
-   * Whether an item is kept off the engines that it may end: before its one trial for seconds, after it for as long as it is
-   * held. It is not listed for that; its age gives it up like any other.
+   * Whether an item is kept off the engines that it may end, until its next trial. It is not listed for that; its age gives it
+   * up like any other.
    */
   private isHeld(task: Task): boolean {
     const level = this.levelOf(task);
@@ -155,13 +150,14 @@
       return false;
     }
     const now = this.needs.clock.monotonicMs();
-    task.trialAt ??= now + TRIAL_AFTER_MS;
-    if (level < ITEM_HELD_LEVEL && now >= task.trialAt) {
+    const before = task.trial;
+    task.trial = nextTrial(before, level, now);
+    if (now >= task.trial.at) {
       return false;
     }
-    if (task.heldAt !== level) {
-      task.heldAt = level;
-      this.decide('itemHeld', task, {digest: task.digest, level});
+    if (task.trial !== before) {
+      const waitMs = Math.round(task.trial.at - now);
+      this.decide('itemHeld', task, {digest: task.digest, level, waitMs});
     }
     task.notBefore = now + HELD_LOOK_MS;
     return true;
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -6,6 +6,7 @@
 import type {GroupMs} from 'stallpaddle-replication';
 
 import type {ItemRun} from './JobsItemRun';
+import type {ItemTrial} from './JobsTrial';
 import type {Job, JobId, JobItem, JobsState} from './JobsTypes';
 
 /** A run under way. */
@@ -39,8 +40,6 @@
   /** Number of events so far. */
   events: number;
   readonly index: number;
-  /** Level at which it was kept off the engines last; 0 before. */
-  heldAt: number;
   item: JobItem;
   readonly job: Job;
   readonly key: string;
@@ -52,8 +51,8 @@
   savedData: number;
   /** Events that are recorded. */
   savedEvents: number;
-  /** When it may run once more though it may have ended engines; undefined while it may run anyway. */
-  trialAt: MonotonicMs | undefined;
+  /** Its next run while it is held off the engines; undefined before. */
+  trial: ItemTrial | undefined;
   /** Engine for which a run is being prepared. */
   startsAt: EngineId | undefined;
 }
@@ -68,7 +67,6 @@
     digest: undefined,
     ending: false,
     events,
-    heldAt: 0,
     index,
     item,
     job,
@@ -79,7 +77,7 @@
     savedData: 0,
     savedEvents: events,
     startsAt: undefined,
-    trialAt: undefined,
+    trial: undefined,
   };
 }
 
--- a/packages/stallpaddle-node/src/NodeControlCalls.ts
+++ b/packages/stallpaddle-node/src/NodeControlCalls.ts
@@ -1,7 +1,13 @@
 /**
  * Calls of engines and the operator, brought to the control group's leader.
  */
-import type {FleetAnswer, FleetConfig, FleetRequest, RetireAnswer} from 'stallpaddle-fleet';
+import type {
+  FleetAnswer,
+  FleetConfig,
+  FleetRequest,
+  RetireAnswer,
+  SuspectDetails,
+} from 'stallpaddle-fleet';
 
 import {errorMessage, RefusalError, unreachable} from 'stallpaddle';
 import {findConfigFault} from 'stallpaddle-fleet';
@@ -52,12 +58,22 @@
     switch (call.kind) {
       case 'bad':
         return {kind: 'refused', message: call.message};
+      case 'listSuspects': {
+        const suspects = await this.ask<readonly SuspectDetails[]>(call);
+        return {kind: 'suspects', suspects};
+      }
       case 'putConfig':
         return this.putConfig(call.config);
       case 'readConfig': {
         const config = await this.ask<FleetConfig | null>({kind: 'readConfig'});
         return config === null ? {kind: 'notFound'} : {config, kind: 'config'};
       }
+      case 'releaseSuspect': {
+        const {digest} = call;
+        await this.order<FleetAnswer>({by: 'operator', digest, kind: 'releaseRequest'});
+        this.log.decide('suspectReleased', digest, {});
+        return {kind: 'done'};
+      }
       case 'removeEngine':
         await this.order<FleetAnswer>(call);
         this.log.decide('engineGone', call.id, {});
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -23,6 +23,8 @@
   type NoteEngineEnd,
   type ReleaseRequest,
   type RetireAnswer,
+  suspectDetails,
+  type SuspectDetails,
   UNPROVEN_TERM,
   type WatchAnswer,
 } from 'stallpaddle-fleet';
@@ -110,6 +112,8 @@
       case 'introduce':
         // A replica knows the others from its log.
         return null;
+      case 'listSuspects':
+        return this.listSuspects();
       case 'noteEngineEnd':
         return this.noteEngineEnd(request);
       case 'peek':
@@ -226,6 +230,13 @@
     return answer;
   }
 
+  private listSuspects(): readonly SuspectDetails[] {
+    const {driver} = this.options.group;
+    const {clockMs, suspects} = driver.read();
+    const now = clockMs + driver.uncountedMs;
+    return [...suspects.values()].map((suspect) => suspectDetails(suspect, now));
+  }
+
   private async releaseRequest(release: ReleaseRequest): Promise<FleetAnswer> {
     const {group, log} = this.options;
     const suspect = group.driver.read().suspects.get(release.digest);
@@ -233,7 +244,7 @@
       return {kind: 'applied'};
     }
     const {digest, level} = suspect;
-    log('An engine has run a suspect to an end; it is one no more.', {digest, level});
+    log('A request is a suspect no more.', {by: release.by, digest, level});
     return this.propose(release);
   }
 
--- a/packages/stallpaddle-node/src/NodeWire.ts
+++ b/packages/stallpaddle-node/src/NodeWire.ts
@@ -10,6 +10,7 @@
   FleetConfig,
   RemoveEngine,
   RetireAnswer,
+  SuspectDetails,
 } from 'stallpaddle-fleet';
 import type {ReadResult, SubmittedItem} from 'stallpaddle-jobs';
 import type {RelayWire} from 'stallpaddle-relay';
@@ -41,7 +42,9 @@
   | BadCall
   | {readonly config: FleetConfig; readonly kind: 'putConfig'}
   | RemoveEngine
+  | {readonly kind: 'listSuspects'}
   | {readonly kind: 'readConfig'}
+  | {readonly digest: string; readonly kind: 'releaseSuspect'}
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireState'; readonly name: VmId}
   | {readonly kind: 'retireStore'; readonly name: VmId}
@@ -55,6 +58,7 @@
   | {readonly kind: 'notFound'}
   | {readonly kind: 'refused'; readonly message: string}
   | {readonly kind: 'retire'; readonly state: RetireAnswer}
+  | {readonly kind: 'suspects'; readonly suspects: readonly SuspectDetails[]}
   | {readonly kind: 'unavailable'; readonly message: string};
 
 /** A call of a caller that isn't a request for an engine. */
--- a/packages/stallpaddle-relay/src/RelayConstants.ts
+++ b/packages/stallpaddle-relay/src/RelayConstants.ts
@@ -27,15 +27,16 @@
 export const RETRY_AFTER_MS = 250;
 
 /**
- * Time after a run's first event up to which the end of its engine speaks against its request, in milliseconds. Engines
- * ended 34 to 95 ms after they began the request that ended them; an answer of the fleets measured takes 800 ms, an item 5 s,
- * so that most of what only stood beside it had run for longer. With 500 ms twice as many of those were held (model, 6 engines: 274 and 137).
+ * Time after a run's first event up to which the end of its engine speaks against its request, in milliseconds, where its
+ * events are few or none. Engines ended 34 to 95 ms after they began the request that ended them; an answer of the fleets
+ * measured takes 800 ms, an item 5 s.
  */
 export const BEGIN_MS = 250;
 
 /**
  * Events of a run up to which the end of its engine speaks against its request. A request that ends engines does so as they
- * begin to run it (none of 25 such runs that were seen had an event); one that goes on from event to event comes to its end.
+ * begin to run it (none of 18 such runs that were seen had an event); one that goes on from event to event comes to its end. Without this
+ * bound three times as many of those that only stood beside are held (model, 6 engines: 137 and 44 of 400,000).
  */
 export const MOST_BEGIN_EVENTS = 1;
 
--- a/packages/stallpaddle-relay/src/RelaySuspects.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspects.ts
@@ -141,7 +141,7 @@
    */
   noteServed(digest: string): void {
     this.own.delete(digest);
-    void this.record({digest, kind: 'releaseRequest'});
+    void this.record({by: 'engine', digest, kind: 'releaseRequest'});
   }
 
   /** Whether an engine said itself that it would end; then no request has ended it. */
