--- a/packages/stallpaddle-fleet/src/FleetConfigs.ts
+++ b/packages/stallpaddle-fleet/src/FleetConfigs.ts
@@ -3,6 +3,8 @@
  */
 import type {FleetConfig, FleetRoute} from './FleetTypes';
 
+import {findCustomerFault} from './FleetCustomers';
+
 /** Why a configuration was not taken. */
 export interface ConfigFault {
   /** One sentence for a person. */
@@ -46,7 +48,10 @@
     }
     places.add(place);
   }
-  return null;
+  const fault = findCustomerFault(config.customers ?? []);
+  return fault === null
+    ? null
+    : {message: `A customer: ${fault.message}.`, path: `customers.${fault.index}`};
 }
 
 /** Routes by host, longest prefix first; made once for each configuration. */
@@ -76,4 +81,14 @@
   find(host: string, path: string): FleetRoute | undefined {
     return this.byHost.get(host)?.find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
+
+  /**
+   * Whether anybody may submit jobs to a host, and so ask for them.
+   *
+   * @param host what a call's Host header names
+   */
+  takesJobsOfAnybody(host: string): boolean {
+    const isOpen = ({isPublic, kind}: FleetRoute): boolean => kind === 'batch' && isPublic === true;
+    return this.byHost.get(host)?.some(isOpen) ?? false;
+  }
 }
--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -22,10 +22,12 @@
   /** Time after which a batch item may be given up, in milliseconds; 0 for other kinds. */
   readonly giveUpAfterMs: number;
   readonly host: string;
+  /** Whether requests need no customer's key; they do where this is left out. */
+  readonly isPublic?: boolean;
   readonly kind: RouteKind;
   /** Most engines that one request may be sent to. */
   readonly maxAttempts: number;
-  /** Most tokens of batch items that may wait; 0 for no limit. */
+  /** Most tokens of batch items that may wait, of each customer where the fleet knows customers; 0 for no limit. */
   readonly maxWaitingTokens: number;
   readonly name: string;
   /** Time to the first byte of an answer that is worth most, in milliseconds. */
@@ -58,17 +60,36 @@
   readonly maxHeaderBytes: number;
 }
 
-/** A whole configuration. */
+/** Who may send requests. */
+export interface FleetCustomer {
+  /** Requests that may come at once beyond the rate. */
+  readonly burst: number;
+  /** Digests of the customer's keys; the keys themselves are kept with the operator's own text only. */
+  readonly keys: readonly string[];
+  readonly name: string;
+  /** Rank before that of the route, 0 the highest; null for the route's. */
+  readonly priority: number | null;
+  /** Requests a second over all VMs; 0 for no limit. */
+  readonly ratePerSecond: number;
+}
+
+/** A whole configuration, as every process needs it. */
 export interface FleetConfig {
+  /** Left out where requests need no key at all. */
+  readonly customers?: readonly FleetCustomer[];
   readonly limits: FleetLimits;
   readonly routes: readonly FleetRoute[];
   readonly services: readonly FleetService[];
-  /** The operator's own text, given back as it came. */
-  readonly source: string;
   /** The highest holds. */
   readonly version: number;
 }
 
+/** A whole configuration, as the control group keeps it. */
+export interface StoredConfig extends FleetConfig {
+  /** The operator's own text, given back as it came. It holds the customers' keys, so it goes to nobody else. */
+  readonly source: string;
+}
+
 /** What an engine says of itself. */
 export interface EngineReport {
   /** IP number and port. */
@@ -111,7 +132,7 @@
 
 /** What changes the state. */
 export type FleetCommand =
-  | {readonly config: FleetConfig; readonly kind: 'putConfig'}
+  | {readonly config: StoredConfig; readonly kind: 'putConfig'}
   | {readonly founders: readonly ReplicaId[]; readonly kind: 'foundJobs'}
   | NoteEngineEnd
   | ReleaseRequest
@@ -133,7 +154,7 @@
 export interface FleetState {
   /** The group's own clock: time that its leaders have counted. */
   readonly clockMs: GroupMs;
-  readonly config: FleetConfig | null;
+  readonly config: StoredConfig | null;
   readonly engines: ReadonlyMap<EngineId, FleetEngine>;
   /** Rises with each change of the engines. */
   readonly enginesRevision: number;
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -6,7 +6,14 @@
 import {unreachable} from 'stallpaddle';
 
 import type {NoteEngineEnd, ReleaseRequest, SuspectView} from './FleetSuspects';
-import type {EngineReport, FleetConfig, FleetEngine, FleetStore, RemoveEngine} from './FleetTypes';
+import type {
+  EngineReport,
+  FleetConfig,
+  FleetEngine,
+  FleetStore,
+  RemoveEngine,
+  StoredConfig,
+} from './FleetTypes';
 
 import {applyNews, type NewsUpdate} from './FleetDelta';
 
@@ -111,7 +118,7 @@
       /** Longest time to hold the answer while there is nothing new, in milliseconds. */
       readonly waitMs: number;
     }
-  | {readonly config: FleetConfig; readonly kind: 'putConfig'}
+  | {readonly config: StoredConfig; readonly kind: 'putConfig'}
   | NoteEngineEnd
   | ReleaseRequest
   | RemoveEngine
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
@@ -28,7 +28,7 @@
 function configOf(routes: readonly FleetRoute[]): FleetConfig {
   const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
   const services = [{maxConnections: 9, name: 's', slots: 8}];
-  return {limits, routes, services, source: '', version: 1};
+  return {limits, routes, services, version: 1};
 }
 
 describe('findConfigFault', () => {
--- /dev/null
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetCustomers.test.ts
@@ -0,0 +1,48 @@
+/**
+ * Customers and their keys.
+ */
+import {describe, expect, test} from 'vitest';
+
+import type {FleetCustomer} from '../../FleetTypes';
+
+import {CustomerTable, findCustomerFault, keyDigest, toldConfig} from '../../FleetCustomers';
+
+function customerOf(name: string, changes: Partial<FleetCustomer> = {}): FleetCustomer {
+  const keys = [keyDigest(`${name} 1`), keyDigest(`${name} 2`)];
+  return {burst: 0, keys, name, priority: null, ratePerSecond: 0, ...changes};
+}
+
+describe('findCustomerFault', () => {
+  test('finds nothing in sound ones, also without any key', () => {
+    expect(findCustomerFault([customerOf('a'), customerOf('b', {keys: []})])).toBeNull();
+  });
+
+  test.each<[string, readonly FleetCustomer[]]>([
+    ['a key of two', [customerOf('a'), customerOf('b', {keys: [keyDigest('a 2')]})]],
+    ['a key twice', [customerOf('a', {keys: [keyDigest('k'), keyDigest('k')]})]],
+    ['a name of two', [customerOf('a'), customerOf('a', {keys: []})]],
+    ['no name', [customerOf('')]],
+    ['a rate below 0', [customerOf('a', {ratePerSecond: -1})]],
+    ['a rate that is no number', [customerOf('a', {ratePerSecond: Number.NaN})]],
+    ['a burst below 0', [customerOf('a', {burst: -1})]],
+  ])('names %s', (_, customers) => {
+    expect(findCustomerFault(customers)).not.toBeNull();
+  });
+});
+
+describe('CustomerTable', () => {
+  test('finds a customer by each of its keys, and nobody by another', () => {
+    const table = new CustomerTable([customerOf('a'), customerOf('b')]);
+    const holders = ['a 1', 'a 2', 'b 2', 'c 1'].map((key) => table.holderOf(keyDigest(key))?.name);
+    expect(holders).toEqual(['a', 'a', 'b', undefined]);
+  });
+});
+
+describe('toldConfig', () => {
+  test('leaves out the text that holds the keys', () => {
+    const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
+    const customers = [customerOf('a')];
+    const config = {customers, limits, routes: [], services: [], source: 'a 1', version: 1};
+    expect(JSON.stringify(toldConfig(config))).not.toContain('a 1');
+  });
+});
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -10,8 +10,8 @@
   EngineReport,
   FleetAnswer,
   FleetCommand,
-  FleetConfig,
   FleetState,
+  StoredConfig,
 } from '../../FleetTypes';
 
 import {fleetMachine, isNews, isOutdated, laterHolders} from '../../FleetMachine';
@@ -37,7 +37,7 @@
   };
 }
 
-function configOf(version: number, source = `v${version}`): FleetConfig {
+function configOf(version: number, source = `v${version}`): StoredConfig {
   const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
   return {limits, routes: [], services: [], source, version};
 }
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetView.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetView.test.ts
@@ -25,7 +25,7 @@
 
 function configOf(version: number): FleetConfig {
   const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
-  return {limits, routes: [], services: [], source: '', version};
+  return {limits, routes: [], services: [], version};
 }
 
 describe('takeAnswer', () => {
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -1,5 +1,6 @@
 /** The control group's state for self-registering engines and whole configurations. */
 export {type ConfigFault, findConfigFault, RouteTable} from './FleetConfigs';
+export {CustomerTable, findCustomerFault, keyDigest, toldConfig} from './FleetCustomers';
 export {
   applyNews,
   diffNews,
@@ -30,6 +31,7 @@
   type FleetAnswer,
   type FleetCommand,
   type FleetConfig,
+  type FleetCustomer,
   type FleetEngine,
   type FleetLimits,
   type FleetRoute,
@@ -39,6 +41,7 @@
   type RemoveEngine,
   type RouteKind,
   type RouteShare,
+  type StoredConfig,
   UNTOLD_START,
 } from './FleetTypes';
 export {
--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -27,6 +27,8 @@
 /** What a run is made of. */
 export interface ItemRunRequest {
   readonly body: Uint8Array;
+  /** The customer in whose name it runs; undefined where the fleet knew none. */
+  readonly customer: string | undefined;
   readonly engine: EngineView;
   readonly headers: readonly (readonly [string, string])[];
   readonly host: string;
@@ -110,6 +112,7 @@
  */
 export function startItemRun(wire: RelayWire, pace: RelayPace, req: ItemRunRequest): ItemRun {
   const set = wire.engineHeaders({
+    customer: req.customer,
     deadlineMs: null,
     engine: req.engine.id,
     requestId: req.id,
@@ -119,7 +122,11 @@
   const call = startEngineCall(wire, pace, {
     address: req.engine.address,
     body: req.body,
-    headers: passedHeaders(raw, [['Host', req.host], ...set]),
+    headers: passedHeaders(
+      raw,
+      [['Host', req.host], ...set],
+      req.customer === undefined ? [] : wire.callerHeaders,
+    ),
     method: 'POST',
     path: req.path,
     requestId: req.id,
--- a/packages/stallpaddle-jobs/src/JobsMachine.ts
+++ b/packages/stallpaddle-jobs/src/JobsMachine.ts
@@ -13,6 +13,7 @@
   Job,
   JobId,
   JobItem,
+  JobName,
   JobsAnswer,
   JobsChange,
   JobsCommand,
@@ -21,6 +22,8 @@
   Submission,
 } from './JobsTypes';
 
+import {findJob, jobIdOf, waitingKey} from './JobsNames';
+
 const EMPTY_JOBS: JobsState = {
   blobEnd: 0,
   clockMs: 0,
@@ -44,12 +47,17 @@
   return ref;
 }
 
-function $addWaiting(draft: Draft, route: string, tokens: number): void {
+function $addWaiting(
+  draft: Draft,
+  {customer, route}: Pick<Job, 'customer' | 'route'>,
+  tokens: number,
+): void {
   const {waitingTokens} = draft.state;
-  const total = (waitingTokens.get(route) ?? 0) + tokens;
+  const key = waitingKey(route, customer);
+  const total = (waitingTokens.get(key) ?? 0) + tokens;
   draft.state = {
     ...draft.state,
-    waitingTokens: total > 0 ? waitingTokens.set(route, total) : waitingTokens.remove(route),
+    waitingTokens: total > 0 ? waitingTokens.set(key, total) : waitingTokens.remove(key),
   };
 }
 
@@ -62,13 +70,15 @@
 }
 
 function $submit(draft: Draft, submission: Submission, maxWaitingTokens: number): JobsAnswer {
-  const {clockMs, jobs, waitingTokens} = draft.state;
-  const {host, id, path, route} = submission;
-  if (jobs.has(id)) {
+  const {clockMs, waitingTokens} = draft.state;
+  const {customer, host, path, route} = submission;
+  const name = {customer, job: submission.id};
+  if (findJob(draft.state, name) !== undefined) {
     return {kind: 'accepted', repeated: true};
   }
   const tokens = tokensOf(submission.items);
-  const waiting = waitingTokens.get(route) ?? 0;
+  const id = jobIdOf(name);
+  const waiting = waitingTokens.get(waitingKey(route, customer)) ?? 0;
   if (maxWaitingTokens > 0 && waiting + tokens > maxWaitingTokens) {
     return {kind: 'overQuota', waitingTokens: waiting};
   }
@@ -81,6 +91,7 @@
   }));
   const job: Job = {
     acceptedAt: clockMs,
+    ...(customer === undefined ? {} : {customer}),
     ended: false,
     host,
     id,
@@ -89,7 +100,7 @@
     results: List(),
     route,
   };
-  $addWaiting(draft, route, tokens);
+  $addWaiting(draft, job, tokens);
   draft.state = {...draft.state, jobs: draft.state.jobs.set(id, job)};
   if (items.length > 0) {
     draft.state = {...draft.state, open: draft.state.open.set(id, true)};
@@ -133,7 +144,7 @@
   const items = job.items.map((other, at) =>
     at === item ? {...known, outcome, progress: null} : other,
   );
-  $addWaiting(draft, job.route, -known.tokens);
+  $addWaiting(draft, job, -known.tokens);
   $replaceJob(draft, {...job, items, results: job.results.push({item, outcome, texts})});
 }
 
@@ -167,13 +178,13 @@
   $replaceJob(draft, {...job, items});
 }
 
-function $endJob(draft: Draft, id: JobId): JobsAnswer {
-  const job = draft.state.jobs.get(id);
+function $endJob(draft: Draft, name: JobName): JobsAnswer {
+  const job = findJob(draft.state, name);
   if (job === undefined) {
     return {kind: 'unknownJob'};
   }
   if (!job.ended) {
-    $addWaiting(draft, job.route, -tokensOf(openItems(job)));
+    $addWaiting(draft, job, -tokensOf(openItems(job)));
     $replaceJob(draft, {...job, ended: true});
   }
   return DONE;
@@ -188,7 +199,7 @@
       change.ends.forEach((end) => $endItem(draft, end));
       return DONE;
     case 'endJob':
-      return $endJob(draft, change.job);
+      return $endJob(draft, change);
     case 'saveProgress':
       change.parts.forEach((part) => $saveProgress(draft, part));
       return DONE;
--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -3,7 +3,9 @@
  */
 import type {BlobRef} from 'stallpaddle-storage';
 
-import type {ItemOutcome, JobId, JobsState, Submission} from './JobsTypes';
+import type {EndJob, ItemOutcome, JobName, JobsState, Submission} from './JobsTypes';
+
+import {findJob} from './JobsNames';
 
 /** How a read may be answered. */
 export interface ReadTerms {
@@ -15,15 +17,15 @@
 
 /** What any process may ask of the group's leader. */
 export type JobsRequest =
-  | (ReadTerms & {readonly item: string; readonly job: JobId; readonly kind: 'readBody'})
-  | {readonly job: JobId; readonly kind: 'endJob'}
-  | (ReadTerms & {
-      readonly from: number;
-      readonly job: JobId;
-      readonly kind: 'readResults';
-      /** Longest time to hold the answer while there is none, in milliseconds. */
-      readonly waitMs: number;
-    })
+  | (JobName & ReadTerms & {readonly item: string; readonly kind: 'readBody'})
+  | EndJob
+  | (JobName &
+      ReadTerms & {
+        readonly from: number;
+        readonly kind: 'readResults';
+        /** Longest time to hold the answer while there is none, in milliseconds. */
+        readonly waitMs: number;
+      })
   | {
       readonly kind: 'submit';
       readonly maxWaitingTokens: number;
@@ -103,18 +105,18 @@
  * Results from a position on.
  *
  * @param state a leader's state
- * @param id the job
+ * @param name the job as its submitter names it
  * @param from first position, from 0
  * @param mostBytes most bytes of texts; one result is returned whatever its size
  * @returns undefined when there is no such job
  */
 export function findResults(
   state: JobsState,
-  id: JobId,
+  name: JobName,
   from: number,
   mostBytes: number,
 ): {readonly results: readonly ResultRef[]; readonly total: number} | undefined {
-  const job = state.jobs.get(id);
+  const job = findJob(state, name);
   if (job === undefined) {
     return undefined;
   }
@@ -134,11 +136,11 @@
  * Where the body of an item lies that has not ended.
  *
  * @param state a leader's state
- * @param id the job
+ * @param name the job as its submitter names it
  * @param item the item's name
  */
-export function findBody(state: JobsState, id: JobId, item: string): BlobRef | undefined {
-  const job = state.jobs.get(id);
+export function findBody(state: JobsState, name: JobName, item: string): BlobRef | undefined {
+  const job = findJob(state, name);
   if (job === undefined || job.ended) {
     return undefined;
   }
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -128,9 +128,9 @@
   }
 
   private digestOf(task: Task): string {
-    const {host} = task.job;
+    const {customer: caller = '', host} = task.job;
     const {path} = task.item;
-    task.digest ??= requestDigest({body: task.body!, caller: '', host, method: 'POST', path});
+    task.digest ??= requestDigest({body: task.body!, caller, host, method: 'POST', path});
     return task.digest;
   }
 
@@ -221,6 +221,7 @@
   private startRun(task: Task, engine: EngineView): ItemRun {
     return startItemRun(this.needs.wire, this.pace, {
       body: task.body!,
+      customer: task.job.customer,
       engine,
       headers: task.item.headers,
       host: task.job.host,
--- a/packages/stallpaddle-jobs/src/JobsTypes.ts
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -68,10 +68,13 @@
 /** A batch job. */
 export interface Job {
   readonly acceptedAt: GroupMs;
+  /** The customer that it belongs to; left out where the fleet knew none. */
+  readonly customer?: string | undefined;
   /** Whether its submitter wants no more of it. */
   readonly ended: boolean;
   /** Host and path that it was submitted to: they choose its route, whatever is configured later. */
   readonly host: string;
+  /** Name within the whole group. */
   readonly id: JobId;
   readonly items: readonly JobItem[];
   readonly path: string;
@@ -87,8 +90,11 @@
 
 /** A job as it is submitted. */
 export interface Submission {
+  /** The customer that submits it; left out where the fleet knows none. */
+  readonly customer?: string | undefined;
   readonly host: string;
-  readonly id: JobId;
+  /** The submitter's own name for it; another customer may use the same. */
+  readonly id: string;
   readonly items: readonly SubmittedItem[];
   readonly path: string;
   readonly route: string;
@@ -105,15 +111,27 @@
   readonly outcome: ItemOutcome;
 }
 
+/** A job, as its submitter names it. */
+export interface JobName {
+  /** The customer that asks; left out where the fleet knows none. */
+  readonly customer?: string | undefined;
+  readonly job: string;
+}
+
+/** A submitter wants no more of its job. */
+export interface EndJob extends JobName {
+  readonly kind: 'endJob';
+}
+
 /** What a command does. */
 export type JobsChange =
   | {readonly ends: readonly ItemEnd[]; readonly kind: 'endItems'}
   | {readonly item: number; readonly job: JobId; readonly kind: 'countFailure'}
-  | {readonly job: JobId; readonly kind: 'endJob'}
+  | EndJob
   | {readonly kind: 'saveProgress'; readonly parts: readonly ProgressPart[]}
   | {
       readonly kind: 'submit';
-      /** Most tokens that may wait on the route; 0 for no limit. */
+      /** Most tokens of the job's customer that may wait on the route; 0 for no limit. */
       readonly maxWaitingTokens: number;
       readonly submission: Submission;
     }
@@ -138,6 +156,6 @@
   readonly jobs: ImmutableMap<JobId, Job>;
   /** Jobs with items that have not ended. */
   readonly open: ImmutableMap<JobId, true>;
-  /** Tokens of items that have not ended, by route. */
+  /** Tokens of items that have not ended, by route and customer. */
   readonly waitingTokens: ImmutableMap<string, number>;
 }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -101,7 +101,7 @@
   return {
     ...EMPTY_VIEW,
     asOf: systemClock.monotonicMs(),
-    config: {limits, routes, services: [], source: '', version: 1},
+    config: {limits, routes, services: [], version: 1},
     news: {
       ...EMPTY_VIEW.news,
       engines: engines.map((engine, at) => ({
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
@@ -51,6 +51,76 @@
   return {answers, state};
 }
 
+function submitAs(customer: string, id: string, items: number): JobsChange {
+  const submission = {...submissionOf(id, items), customer};
+  return {kind: 'submit', maxWaitingTokens: MOST, submission};
+}
+
+describe('jobs of customers', () => {
+  test('are there for their customer alone', () => {
+    const {state} = run(EMPTY, submitAs('one', 'a', 2));
+    const found = ['one', 'two', undefined].map((customer) => [
+      findResults(state, {customer, job: 'a'}, 0, 1)?.total,
+      findBody(state, {customer, job: 'a'}, 'a-0') !== undefined,
+    ]);
+    expect(found).toEqual([
+      [2, true],
+      [undefined, false],
+      [undefined, false],
+    ]);
+  });
+
+  test('are ended by their customer alone, and others hear of no such job', () => {
+    const other = {customer: 'two', job: 'a', kind: 'endJob'} as const;
+    const {answers, state} = run(EMPTY, submitAs('one', 'a', 2), other);
+    expect(answers[1]).toEqual({kind: 'unknownJob'});
+    expect(state.open.size).toBe(1);
+    expect(run(state, {...other, customer: 'one'}).state.open.size).toBe(0);
+  });
+
+  test('may have the same name', () => {
+    const {answers, state} = run(EMPTY, submitAs('one', 'a', 2), submitAs('two', 'a', 3));
+    expect(answers).toEqual([
+      {kind: 'accepted', repeated: false},
+      {kind: 'accepted', repeated: false},
+    ]);
+    expect(findResults(state, {customer: 'two', job: 'a'}, 0, 1)?.total).toBe(3);
+  });
+
+  test('can’t be had under the group’s own name for them', () => {
+    const {state} = run(EMPTY, submitAs('one', 'a', 2));
+    const [name] = state.jobs.keys();
+    expect(findResults(state, {job: name!}, 0, 1)).toBeUndefined();
+    expect(findResults(state, {customer: 'two', job: name!}, 0, 1)).toBeUndefined();
+  });
+
+  test('count their tokens for their customer, and free them as they end', () => {
+    const {answers, state} = run(
+      EMPTY,
+      submitAs('one', 'a', 9),
+      submitAs('two', 'b', 9),
+      submitAs('one', 'c', 2),
+      submitAs('one', 'a', 9),
+    );
+    expect(answers.map((answer) => (answer as JobsAnswer).kind)).toEqual([
+      'accepted',
+      'accepted',
+      'overQuota',
+      'accepted',
+    ]);
+    const ended = run(state, {customer: 'one', job: 'a', kind: 'endJob'}, submitAs('one', 'c', 9));
+    expect(ended.answers[1]).toMatchObject({kind: 'accepted'});
+    expect([...ended.state.waitingTokens.values()]).toEqual([90, 90]);
+  });
+
+  test('that were taken before there were customers are there for whoever names them', () => {
+    const {state} = run(EMPTY, submit('a', 2));
+    expect(findResults(state, {customer: 'one', job: 'a'}, 0, 1)?.total).toBe(2);
+    const {answers} = run(state, submitAs('one', 'a', 2));
+    expect(answers).toEqual([{kind: 'accepted', repeated: true}]);
+  });
+});
+
 describe('updateJobs', () => {
   test('takes a job once, and says so each time', () => {
     const {answers, state} = run(EMPTY, submit('a', 2), submit('a', 2));
@@ -78,7 +148,7 @@
       end('a', 1, 'two'),
       end('a', 0, 'x'),
     );
-    const found = findResults(state, 'a', 0, 1e6)!;
+    const found = findResults(state, {job: 'a'}, 0, 1e6)!;
     expect(found.results.map(({id, texts}) => [id, texts.map(({length}) => length)])).toEqual([
       ['a-1', [3]],
       ['a-0', [1]],
@@ -88,9 +158,9 @@
 
   test('lists nothing more of a job that was ended, and frees its tokens', () => {
     const {state} = run(EMPTY, submit('a', 2), {job: 'a', kind: 'endJob'}, end('a', 0, 'x'));
-    expect(findResults(state, 'a', 0, 1e6)?.results).toEqual([]);
+    expect(findResults(state, {job: 'a'}, 0, 1e6)?.results).toEqual([]);
     expect(state.waitingTokens.get('r')).toBeUndefined();
-    expect(findBody(state, 'a', 'a-0')).toBeUndefined();
+    expect(findBody(state, {job: 'a'}, 'a-0')).toBeUndefined();
   });
 
   test('keeps what runs have brought, each part once and in order', () => {
@@ -146,7 +216,7 @@
       const known = Math.min(told, after);
       const last = {after: known, data: all.slice(known), item: 0, job: 'a'};
       state = apply(state, {ends: [{...last, outcome: 'completed'}], kind: 'endItems'});
-      const [result] = findResults(state, 'a', 0, 1e6)!.results;
+      const [result] = findResults(state, {job: 'a'}, 0, 1e6)!.results;
       const output = joinOutput(result!.texts.map(({offset}) => blobs.get(offset)!));
       expect(Buffer.from(output).toString()).toBe(all.join('\n'));
     });
@@ -156,7 +226,7 @@
   test('takes no end that continues what was never recorded', () => {
     const last = {after: 3, data: ['x'], item: 0, job: 'a', outcome: 'completed'} as const;
     const {state} = run(EMPTY, submit('a', 1), {ends: [last], kind: 'endItems'});
-    expect(findResults(state, 'a', 0, 1e6)!.results).toEqual([]);
+    expect(findResults(state, {job: 'a'}, 0, 1e6)!.results).toEqual([]);
   });
 
   test('agrees with a naive model in any history of repeated commands', async () => {
@@ -195,7 +265,7 @@
         }
         let waiting = 0;
         for (const [id, {ended, listed, open}] of naive) {
-          const found = findResults(state, id, 0, 1e9)!;
+          const found = findResults(state, {job: id}, 0, 1e9)!;
           expect(found.results.map((result) => `${result.id} ${result.texts[0]!.length}`)).toEqual(
             listed,
           );
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -3,6 +3,7 @@
 export type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 export {JobsDispatcher} from './JobsDispatcher';
 export {jobsMachine} from './JobsMachine';
+export {findJob, jobIdOf} from './JobsNames';
 export {JobsOnline} from './JobsOnline';
 export {
   type BodyAnswer,
@@ -17,12 +18,14 @@
   type ResultsAnswer,
 } from './JobsQueries';
 export type {
+  EndJob,
   ItemEnd,
   ItemOutcome,
   ItemProgress,
   Job,
   JobId,
   JobItem,
+  JobName,
   JobsAnswer,
   JobsChange,
   JobsCommand,
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -184,6 +184,18 @@
 /** Age up to which a 404 for a path without a route is believed, in milliseconds. */
 export const ROUTE_FRESH_MS = 700;
 
+/**
+ * Age of what is known from which on a VM asks before it serves by the keys it knows, in milliseconds: older than what is
+ * known while any replica passes on the news, and within the time in which a configuration is in force.
+ */
+export const KEY_AGE_MS = 2_000;
+
+/** Pause before a VM that heard no leader asks again for the latest keys, in milliseconds. */
+export const KEY_ASK_AGAIN_MS = 1_000;
+
+/** Pause after which a caller should come back while the configuration is not known, in milliseconds. */
+export const CONFIG_AGAIN_MS = 500;
+
 /**
  * Time that callers may keep the addresses they were told, in seconds: the most that counts. Each question
  * may meet a lost VM and cost a second; a lost VM that is still named costs as much once.
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -6,6 +6,7 @@
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {LogFields, MonotonicMs, ReplicaId} from 'stallpaddle';
+import type {LimitAsk} from 'stallpaddle-limits';
 import type {ReplicationState} from 'stallpaddle-replication';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
@@ -30,6 +31,7 @@
 import {openDisk} from 'stallpaddle-storage';
 
 import type {NodeFleet} from './NodeFleet';
+import type {NodeLimits} from './NodeLimits';
 import type {NodeOptions} from './NodeTypes';
 
 import {
@@ -82,10 +84,12 @@
   /**
    * @param options what the process is made of
    * @param fleet the process's place in its fleet
+   * @param limits limits that this VM may own
    */
   constructor(
     private readonly options: NodeOptions,
     private readonly fleet: NodeFleet,
+    private readonly limits: NodeLimits,
   ) {
     const {clock, loggers} = options;
     this.log = new NodeLog(loggers('control'), clock, fleet.metrics);
@@ -137,7 +141,7 @@
     const {key} = this.fleet.peers;
     const addService = (router: ConnectRouter) =>
       addNodeService(router, {
-        answer: (value) => this.answer(value as FleetRequest),
+        answer: (value) => this.answerOther(value as FleetRequest | LimitAsk),
         group: CONTROL_GROUP,
         onFailure: (err) =>
           this.log.note('A call of another process broke off.', {error: errorMessage(err)}),
@@ -240,6 +244,13 @@
     });
   }
 
+  /** Limits are asked for at any VM, whether it holds a replica or not. */
+  private answerOther(request: FleetRequest | LimitAsk): Promise<unknown> {
+    return request.kind === 'askLimit' || request.kind === 'returnLimit'
+      ? this.limits.answer(request)
+      : this.answer(request);
+  }
+
   /**
    * Answers other processes: as a leader does, with what the leader told this replica where that is enough, or, without a
    * replica or with an empty one, with what this process was told.
--- a/packages/stallpaddle-node/src/NodeControlCalls.ts
+++ b/packages/stallpaddle-node/src/NodeControlCalls.ts
@@ -3,9 +3,9 @@
  */
 import type {
   FleetAnswer,
-  FleetConfig,
   FleetRequest,
   RetireAnswer,
+  StoredConfig,
   SuspectDetails,
 } from 'stallpaddle-fleet';
 
@@ -65,7 +65,7 @@
       case 'putConfig':
         return this.putConfig(call.config);
       case 'readConfig': {
-        const config = await this.ask<FleetConfig | null>({kind: 'readConfig'});
+        const config = await this.ask<StoredConfig | null>({kind: 'readConfig'});
         return config === null ? {kind: 'notFound'} : {config, kind: 'config'};
       }
       case 'releaseSuspect': {
@@ -97,7 +97,7 @@
     }
   }
 
-  private async putConfig(config: FleetConfig): Promise<ControlReply> {
+  private async putConfig(config: StoredConfig): Promise<ControlReply> {
     const fault = findConfigFault(config);
     if (fault !== null) {
       this.log.decide('configRefused', String(config.version), {...fault});
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -23,8 +23,10 @@
   type NoteEngineEnd,
   type ReleaseRequest,
   type RetireAnswer,
+  type StoredConfig,
   suspectDetails,
   type SuspectDetails,
+  toldConfig,
   UNPROVEN_TERM,
   type WatchAnswer,
 } from 'stallpaddle-fleet';
@@ -71,6 +73,11 @@
   private refreshedAt: MonotonicMs = -Infinity;
   private tickedAt: MonotonicMs = -Infinity;
   private readonly timer: NodeJS.Timeout;
+  /** The configuration that is held here, as others are told of it. */
+  private toldOf: {readonly config: FleetConfig | null; readonly stored: StoredConfig | null} = {
+    config: null,
+    stored: null,
+  };
 
   /**
    * @param options what it needs of its process
@@ -78,7 +85,7 @@
   constructor(private readonly options: NodeDeskOptions) {
     this.board = new NodeNewsBoard(options.clock, () => ({
       ageMs: 0,
-      config: options.group.driver.read().config,
+      config: this.told(options.group.driver.read().config),
     }));
     this.timer = setInterval(() => this.refresh(), REFRESH_MS);
     options.group.registerListener(() => this.refreshSoon());
@@ -141,12 +148,20 @@
 
   /** What this replica holds, without proof that it is the latest. */
   peek(): WatchAnswer {
-    const {config} = this.options.group.driver.localState;
+    const config = this.told(this.options.group.driver.localState.config);
     const update = {kind: 'whole', news: this.makeNews()} as const;
     const term = UNPROVEN_TERM;
     return {ageMs: 0, config, fleet: 0, heldMs: 0, proven: false, term, update};
   }
 
+  /** A configuration without the operator's text; made once for each. */
+  private told(config: StoredConfig | null): FleetConfig | null {
+    if (this.toldOf.stored !== config) {
+      this.toldOf = {config: config === null ? null : toldConfig(config), stored: config};
+    }
+    return this.toldOf.config;
+  }
+
   private propose(command: FleetCommand): Promise<FleetAnswer> {
     return this.options.group.driver.propose(encodeValue(command)) as Promise<FleetAnswer>;
   }
@@ -166,7 +181,7 @@
   }
 
   /** The members are recorded before the configuration: when it is acknowledged, as many have both as must. */
-  private async putConfig(config: FleetConfig): Promise<FleetAnswer> {
+  private async putConfig(config: StoredConfig): Promise<FleetAnswer> {
     if (!this.bearsLosses()) {
       const {group, log, lostDisks} = this.options;
       const voters = group.driver.status.log.members.voters.join(',');
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -8,22 +8,28 @@
 import {drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
 import {type FleetRoute, type FleetView, type Hello, RouteTable} from 'stallpaddle-fleet';
 import {
+  type RelayCaller,
   type RelayContext,
   type RelayDecision,
   RelayExperience,
   RelayOnline,
   RelayPace,
+  type RelayRequest,
   RelayRun,
   RelayUsual,
   sendRefusal,
 } from 'stallpaddle-relay';
 
+import type {NodeCustomers} from './NodeCustomers';
 import type {NodeFleet} from './NodeFleet';
+import type {NodeLimits} from './NodeLimits';
 import type {NodeOptions} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
+import type {JobCall, RawAnswer} from './NodeWire';
 
 import {drawEntries} from './NodeAddresses';
-import {ADDRESSES_MOST, IDLE_MARGIN_MS, ROUTE_FRESH_MS} from './NodeConstants';
+import {NodeAdmission} from './NodeAdmission';
+import {ADDRESSES_MOST, CONFIG_AGAIN_MS, IDLE_MARGIN_MS, ROUTE_FRESH_MS} from './NodeConstants';
 import {countEnd, exposeEntryMetrics} from './NodeEntryMetrics';
 import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
 import {NodeIntake} from './NodeIntake';
@@ -36,13 +42,15 @@
 const FIRST_IDLE_MS = 15_000;
 /** Largest body before the first configuration, in bytes. */
 const FIRST_BODY_BYTES = 4_194_304;
-/** Pause after which a caller should come back while the configuration is not known, in milliseconds. */
-const CONFIG_AGAIN_MS = 500;
 /** Age up to which what is known of the fleet makes a VM ready, in milliseconds. */
 const READY_AGE_MS = 3_000;
 
+/** Status of an answer that there is no such job. */
+const NOT_FOUND = 404;
+
 /** See the module's comment. */
 export class NodeEntry {
+  private readonly admission: NodeAdmission;
   private readonly context: RelayContext;
   private readonly intake: NodeIntake;
   private readonly jobCalls: NodeJobCalls;
@@ -55,15 +63,24 @@
   /**
    * @param options what the process is made of
    * @param fleet the process's place in its fleet
+   * @param customers who may send requests
+   * @param limits how many of them
    */
   constructor(
     private readonly options: NodeOptions,
     private readonly fleet: NodeFleet,
+    private readonly customers: NodeCustomers,
+    limits: NodeLimits,
   ) {
     const {clock, loggers, settings, wire} = options;
     const {jobs, metrics, watch} = fleet;
     this.log = new NodeLog(loggers('entry'), clock, metrics);
     this.intake = new NodeIntake(clock, settings.bounds.grace);
+    this.admission = new NodeAdmission({
+      customers,
+      decide: (id, fields) => this.log.decide('overLimit', id, fields),
+      limits,
+    });
     const online = new RelayOnline(clock);
     this.tells = new NodeTells(jobs, online, drawId('e'), () => watch.view.news.entries.length);
     this.jobCalls = new NodeJobCalls(jobs, wire, this.log, clock);
@@ -104,6 +121,7 @@
   onView(view: FleetView, before: FleetView): void {
     if (view.config !== null && view.config !== before.config) {
       this.routes = new RouteTable(view.config);
+      this.customers.follow(view.config);
       this.followLimits();
       this.log.note('A configuration is in force.', {version: view.config.version});
     }
@@ -221,19 +239,22 @@
     if (this.intake.isRefusing) {
       throw refuse('leaving', 'This VM stops.', {retryAfterMs: 0});
     }
+    await this.customers.catchUp();
     const call = callOf(req);
     const jobCall = wire.readJobCall(call);
     if (jobCall !== null) {
       req.resume();
-      sendAnswer(res, await this.jobCalls.carryOut(jobCall));
+      sendAnswer(res, await this.carryOut(jobCall, req));
       return;
     }
     const most = this.watch.view.config?.limits.maxBodyBytes ?? FIRST_BODY_BYTES;
     const body = await readBody(req, most);
     const route = await this.routeOf(req);
+    const isOpen = (): boolean => (this.findRoute(req) ?? route).isPublic === true;
+    const caller = await this.identify(req, isOpen);
     switch (route.kind) {
       case 'batch':
-        sendAnswer(res, await this.jobCalls.submit(route, {...call, body}));
+        sendAnswer(res, await this.jobCalls.submit(route, {...call, body}, caller));
         return;
       case 'nonRepeatable':
       case 'repeatable':
@@ -249,6 +270,7 @@
         const request = {
           arrivedAt,
           body,
+          caller,
           facts,
           host,
           method,
@@ -257,7 +279,7 @@
           route,
           spentMs,
         };
-        await new RelayRun(this.context, request, res).run();
+        await this.relay(request, res);
         return;
       }
       default:
@@ -265,6 +287,52 @@
     }
   }
 
+  /** Brings a request to an engine, within its customer's limit. */
+  private async relay(request: RelayRequest, res: ServerResponse): Promise<void> {
+    const {caller, facts} = request;
+    await this.admission.admit(caller, facts.requestId);
+    if (res.destroyed) {
+      // Its caller left meanwhile.
+      this.admission.giveBack(caller);
+      return;
+    }
+    const run = new RelayRun(this.context, request, res);
+    await run.run();
+    if (run.ranNowhere) {
+      this.admission.giveBack(caller);
+    }
+  }
+
+  private async identify(req: IncomingMessage, isOpen: () => boolean): Promise<RelayCaller> {
+    try {
+      return await this.customers.identify(this.options.wire.readKey(req.headers), isOpen);
+    } catch (err) {
+      this.log.decide('notIdentified', String(req.headers.host), {
+        reason: errorMessage(err),
+        version: this.watch.view.config?.version,
+        viewAgeMs: Math.round(this.watch.ageMs),
+      });
+      throw err;
+    }
+  }
+
+  /** That a job isn't there is told by the latest keys only: a key may have gone to another customer. */
+  private async carryOut(call: JobCall, req: IncomingMessage): Promise<RawAnswer> {
+    const host = req.headers.host ?? '';
+    const isOpen = (): boolean => this.routes?.takesJobsOfAnybody(host) === true;
+    const caller = await this.identify(req, isOpen);
+    const answer = await this.jobCalls.carryOut(call, caller);
+    if (answer.status !== NOT_FOUND || caller.kind !== 'customer') {
+      return answer;
+    }
+    if (!(await this.watch.confirm())) {
+      throw refuse('stale', 'The latest keys are not known now.', {retryAfterMs: CONFIG_AGAIN_MS});
+    }
+    const latest = await this.identify(req, isOpen);
+    const isSame = latest.kind === 'customer' && latest.name === caller.name;
+    return isSame ? answer : this.jobCalls.carryOut(call, latest);
+  }
+
   private findRoute(req: IncomingMessage): FleetRoute | undefined {
     if (this.routes === undefined) {
       throw refuse('unavailable', 'No configuration is known yet.', {
--- a/packages/stallpaddle-node/src/NodeFront.ts
+++ b/packages/stallpaddle-node/src/NodeFront.ts
@@ -7,10 +7,13 @@
 import type {NodeSettings} from './NodeSettings';
 import type {NodeOptions, RunningNode} from './NodeTypes';
 
+import {rateLimitOf} from './NodeAdmission';
 import {NodeControl} from './NodeControl';
+import {NodeCustomers} from './NodeCustomers';
 import {NodeEntry} from './NodeEntry';
 import {NodeFleet} from './NodeFleet';
 import {startMetricsServer} from './NodeHttp';
+import {NodeLimits} from './NodeLimits';
 
 /** See the module's comment. */
 export class NodeFront implements RunningNode {
@@ -31,8 +34,22 @@
       onView: (view, before) => this.onView(view, before),
       settings,
     });
-    this.control = new NodeControl(options, this.fleet);
-    this.entry = new NodeEntry(options, this.fleet);
+    const {control, watch} = this.fleet;
+    const customers = new NodeCustomers(clock, watch);
+    const limits = new NodeLimits({
+      clock,
+      entries: () => watch.view.news.entries,
+      host: settings.host,
+      limitOf: (name) => {
+        const customer = customers.named(name);
+        return customer === undefined ? undefined : rateLimitOf(customer);
+      },
+      note: (message, fields) => this.control.note(message, fields),
+      tryAt: (host, request, tryMs) => control.tryAt(host, request, tryMs),
+      viewAgeMs: () => watch.ageMs,
+    });
+    this.control = new NodeControl(options, this.fleet, limits);
+    this.entry = new NodeEntry(options, this.fleet, customers, limits);
   }
 
   /**
--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -3,7 +3,8 @@
  */
 import type {Clock} from 'stallpaddle';
 import type {FleetRoute} from 'stallpaddle-fleet';
-import type {JobsAnswer, JobsRequest} from 'stallpaddle-jobs';
+import type {JobsAnswer, JobsRequest, SubmittedItem} from 'stallpaddle-jobs';
+import type {RelayCaller} from 'stallpaddle-relay';
 
 import {RefusalError, refuse, unreachable} from 'stallpaddle';
 
@@ -17,6 +18,11 @@
 /** Pause after which a refused submission should come again, in milliseconds. */
 const SUBMIT_AGAIN_MS = 500;
 
+/** The customer in whose name a call is made; undefined for nobody's. */
+function customerOf(caller: RelayCaller): string | undefined {
+  return caller.kind === 'customer' ? caller.name : undefined;
+}
+
 /** See the module's comment. */
 export class NodeJobCalls {
   private readonly reads: NodeJobReads;
@@ -41,16 +47,19 @@
    *
    * @param route its route
    * @param call the submission
+   * @param caller who submits it
    * @throws {RefusalError} whose verdict tells whether it may have been taken
    */
-  async submit(route: FleetRoute, call: RawCall): Promise<RawAnswer> {
+  async submit(route: FleetRoute, call: RawCall, caller: RelayCaller): Promise<RawAnswer> {
     const read = this.wire.readSubmission(call);
     if ('kind' in read) {
       throw refuse('badRequest', read.message);
     }
     const submission = {
-      ...read,
+      customer: customerOf(caller),
       host: call.headers.host ?? '',
+      id: read.id,
+      items: caller.kind === 'untold' ? read.items : read.items.map((item) => this.owned(item)),
       path: call.url,
       route: route.name,
     };
@@ -62,6 +71,13 @@
     return this.onAnswer(read.id, await this.propose(read.id, request));
   }
 
+  /** An item without what it says of its submitter, of which its route's engines are told in the fleet's own words. */
+  private owned(item: SubmittedItem): SubmittedItem {
+    const dropped = new Set(this.wire.relay.callerHeaders.map((name) => name.toLowerCase()));
+    const headers = item.headers.filter(([name]) => !dropped.has(name.trim().toLowerCase()));
+    return {...item, headers};
+  }
+
   private async propose(id: string, value: JobsRequest): Promise<JobsAnswer> {
     try {
       return await this.caller.call<JobsAnswer>({changes: true, totalMs: JOB_CALL_MS, value});
@@ -80,25 +96,27 @@
    * Reads of a job or ends it.
    *
    * @param call the call
+   * @param caller who makes it
    */
-  async carryOut(call: JobCall): Promise<RawAnswer> {
+  async carryOut(call: JobCall, caller: RelayCaller): Promise<RawAnswer> {
+    const customer = customerOf(caller);
     switch (call.kind) {
       case 'endJob': {
         const answer = await this.caller.call<JobsAnswer>({
           changes: true,
           totalMs: JOB_CALL_MS,
           tryMs: JOB_CALL_MS,
-          value: call,
+          value: {...call, customer},
         });
         this.log.decide('jobEnd', call.job, {outcome: answer.kind});
         return {status: answer.kind === 'unknownJob' ? 404 : 200};
       }
       case 'readBody': {
-        const answer = await this.reads.read(call);
+        const answer = await this.reads.read({...call, customer});
         return answer.kind === 'body' ? {body: answer.body, status: 200} : {status: 404};
       }
       case 'readResults': {
-        const answer = await this.reads.read(call);
+        const answer = await this.reads.read({...call, customer});
         return answer.kind === 'results'
           ? this.wire.encodeResults(answer.total, answer.next, answer.results)
           : {status: 404};
--- a/packages/stallpaddle-node/src/NodeJobReads.ts
+++ b/packages/stallpaddle-node/src/NodeJobReads.ts
@@ -3,7 +3,7 @@
  * leader alone, which also runs the items, was asked for everything at the end of a day and answered nobody.
  */
 import type {Clock, MonotonicMs, Random} from 'stallpaddle';
-import type {BodyAnswer, JobsRequest, ResultsAnswer} from 'stallpaddle-jobs';
+import type {BodyAnswer, JobName, JobsRequest, ResultsAnswer} from 'stallpaddle-jobs';
 
 import {encodeValue, RefusalError} from 'stallpaddle';
 
@@ -15,7 +15,7 @@
 import {NodeHops} from './NodeHops';
 
 /** A call that reads. */
-export type ReadCall = Extract<JobCall, {kind: 'readBody' | 'readResults'}>;
+export type ReadCall = Extract<JobCall, {kind: 'readBody' | 'readResults'}> & JobName;
 
 /** Answer to a read, by its kind. */
 export interface ReadAnswers {
--- a/packages/stallpaddle-node/src/NodeJobsDesk.ts
+++ b/packages/stallpaddle-node/src/NodeJobsDesk.ts
@@ -7,6 +7,7 @@
 import {
   type BodyAnswer,
   findBody,
+  findJob,
   findResults,
   type JobId,
   type JobsAnswer,
@@ -88,14 +89,15 @@
     switch (request.kind) {
       case 'endJob':
         driver.read();
-        return this.proposeTo(driver, {job: request.job, kind: 'endJob'});
+        return this.proposeTo(driver, request);
       case 'readBody':
         return this.readBody(driver, request);
       case 'readResults':
         return this.readResults(driver, request);
       case 'submit': {
         const {maxWaitingTokens, submission} = request;
-        if (driver.read().jobs.has(submission.id)) {
+        const {customer, id} = submission;
+        if (findJob(driver.read(), {customer, job: id}) !== undefined) {
           return {kind: 'accepted', repeated: true} satisfies JobsAnswer;
         }
         return this.submit(driver, {kind: 'submit', maxWaitingTokens, submission});
@@ -134,11 +136,11 @@
   /** Only the leader knows for certain what is not there. */
   private answerNotFound(
     driver: Driver,
-    {job, kind: call}: ReadBody | ReadResults,
+    {customer, job, kind: call}: ReadBody | ReadResults,
   ): {kind: 'notFound'} {
     driver.read();
     const {applied, commit, term} = driver.status;
-    const known = driver.localState.jobs.has(job);
+    const known = findJob(driver.localState, {customer, job}) !== undefined;
     this.decide('jobNotFound', job, {applied, call, commit, known, term});
     return {kind: 'notFound'};
   }
@@ -164,9 +166,9 @@
   }
 
   private async readBody(driver: Driver, request: ReadBody): Promise<BodyAnswer> {
-    const {item, job, mayFollow, patienceMs} = request;
+    const {customer, item, job, mayFollow, patienceMs} = request;
     const endAt = this.clock.monotonicMs() + patienceMs;
-    const ref = findBody(stateFor(driver, mayFollow), job, item);
+    const ref = findBody(stateFor(driver, mayFollow), {customer, job}, item);
     if (ref === undefined) {
       return this.answerNotFound(driver, request);
     }
@@ -175,11 +177,11 @@
   }
 
   private async readResults(driver: Driver, request: ReadResults): Promise<ResultsAnswer> {
-    const {from, job, mayFollow, patienceMs, waitMs} = request;
+    const {customer, from, job, mayFollow, patienceMs, waitMs} = request;
     const askedAt = this.clock.monotonicMs();
     const holdUntil = askedAt + waitMs;
     for (;;) {
-      const found = findResults(stateFor(driver, mayFollow), job, from, RESULT_BYTES);
+      const found = findResults(stateFor(driver, mayFollow), {customer, job}, from, RESULT_BYTES);
       if (found === undefined) {
         return this.answerNotFound(driver, request);
       }
--- a/packages/stallpaddle-node/src/NodePeers.ts
+++ b/packages/stallpaddle-node/src/NodePeers.ts
@@ -20,7 +20,7 @@
  * The platform hands out no secret; its network lets only the fleet's own VMs in. The number is the form of the calls
  * between processes: one that speaks another form is refused, and says so in its log.
  */
-const FLEET_KEY = 'fleet 5';
+const FLEET_KEY = 'fleet 6';
 
 /** Time between two lines about one VM that is refused, in milliseconds. */
 const REFUSED_AGAIN_MS = 10_000;
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -130,6 +130,23 @@
     return this.ageMs <= mostAgeMs;
   }
 
+  /**
+   * Asks the leader itself for whatever may be newer than this moment; calls that come meanwhile make one question more.
+   *
+   * @returns whether what is known now is the latest as of the call or later
+   */
+  async confirm(): Promise<boolean> {
+    const calledAt = this.options.clock.monotonicMs();
+    await this.freshening;
+    if (this.current.asOf < calledAt) {
+      this.freshening ??= this.ask(0).finally(() => {
+        this.freshening = undefined;
+      });
+      await this.freshening;
+    }
+    return this.current.asOf >= calledAt;
+  }
+
   /**
    * Notes replicas that a replica has named.
    *
--- a/packages/stallpaddle-node/src/NodeWire.ts
+++ b/packages/stallpaddle-node/src/NodeWire.ts
@@ -7,9 +7,9 @@
 import type {
   EngineReport,
   EntryView,
-  FleetConfig,
   RemoveEngine,
   RetireAnswer,
+  StoredConfig,
   SuspectDetails,
 } from 'stallpaddle-fleet';
 import type {ReadResult, SubmittedItem} from 'stallpaddle-jobs';
@@ -40,7 +40,7 @@
 /** A call to a process that serves engines and the operator. */
 export type ControlCall =
   | BadCall
-  | {readonly config: FleetConfig; readonly kind: 'putConfig'}
+  | {readonly config: StoredConfig; readonly kind: 'putConfig'}
   | RemoveEngine
   | {readonly kind: 'listSuspects'}
   | {readonly kind: 'readConfig'}
@@ -53,7 +53,7 @@
 /** Answer to a control call. */
 export type ControlReply =
   | {readonly beatsTo: string | null; readonly kind: 'reported'}
-  | {readonly config: FleetConfig; readonly kind: 'config'}
+  | {readonly config: StoredConfig; readonly kind: 'config'}
   | {readonly kind: 'done'}
   | {readonly kind: 'notFound'}
   | {readonly kind: 'refused'; readonly message: string}
@@ -92,6 +92,8 @@
   /** True for the question whether the VM takes callers. */
   readonly isReadyQuestion: (call: Omit<RawCall, 'body'>) => boolean;
   readonly readControl: (call: RawCall) => ControlCall;
+  /** The key that a caller shows, undecoded; null when it shows none. */
+  readonly readKey: (headers: IncomingHttpHeaders) => string | null;
   /** Null for a request that a route must choose the way of. */
   readonly readJobCall: (call: Omit<RawCall, 'body'>) => JobCall | null;
   readonly readSubmission: (call: RawCall) => BadCall | JobSubmission;
--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeCustomers.test.ts
@@ -0,0 +1,106 @@
+/**
+ * Who sends a call, at a VM whose knowledge may be old.
+ */
+import type {Clock, RefusalError} from 'stallpaddle';
+
+import {systemClock} from 'stallpaddle';
+import {type FleetConfig, keyDigest} from 'stallpaddle-fleet';
+import {describe, expect, test} from 'vitest';
+
+import {KEY_AGE_MS} from '../../NodeConstants';
+import {NodeCustomers} from '../../NodeCustomers';
+
+const LIMITS = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
+
+/** Customers by their keys; null for a fleet that knows none. */
+type Holders = null | Readonly<Record<string, readonly string[]>>;
+
+function configOf(holders: Holders): FleetConfig {
+  const customers = Object.entries(holders ?? {}).map(([name, keys]) => ({
+    burst: 0,
+    keys: keys.map(keyDigest),
+    name,
+    priority: null,
+    ratePerSecond: 0,
+  }));
+  const config = {limits: LIMITS, routes: [], services: [], version: 1};
+  return holders === null ? config : {...config, customers};
+}
+
+/** A VM that knows something, and learns the latest when it asks. */
+class Vm {
+  ageMs = 0;
+  asked = 0;
+  readonly customers: NodeCustomers;
+  latest: Holders;
+  now = 0;
+  reachesLeader = true;
+
+  constructor(holders: Holders) {
+    this.latest = holders;
+    const clock: Clock = {...systemClock, monotonicMs: () => this.now};
+    this.customers = new NodeCustomers(clock, this);
+    this.customers.follow(configOf(holders));
+  }
+
+  confirm(): Promise<boolean> {
+    this.asked++;
+    if (this.reachesLeader) {
+      this.ageMs = 0;
+      this.customers.follow(configOf(this.latest));
+    }
+    return Promise.resolve(this.reachesLeader);
+  }
+
+  async freshen(mostAgeMs: number): Promise<boolean> {
+    return this.ageMs <= mostAgeMs || this.confirm();
+  }
+
+  async identify(key: null | string, isOpen = false): Promise<string> {
+    try {
+      const caller = await this.customers.identify(key, () => isOpen);
+      return caller.kind === 'customer' ? caller.name : caller.kind;
+    } catch (err) {
+      return (err as RefusalError).code;
+    }
+  }
+}
+
+describe('NodeCustomers', () => {
+  test('knows a customer by each of its keys, and turns away who shows none', async () => {
+    const vm = new Vm({a: ['k1', 'k2'], b: ['k3']});
+    const found = await Promise.all(['k1', 'k2', 'k3', 'k4', null].map((key) => vm.identify(key)));
+    expect(found).toEqual(['a', 'a', 'b', 'unauthorized', 'unauthorized']);
+  });
+
+  test('lets anybody through where no key is needed, in a customer’s name if it shows one', async () => {
+    const vm = new Vm({a: ['k1']});
+    expect(await vm.identify(null, true)).toBe('anybody');
+    expect(await vm.identify('guess', true)).toBe('anybody');
+    expect(await vm.identify('k1', true)).toBe('a');
+    expect(await new Vm(null).identify(null)).toBe('untold');
+  });
+
+  test('asks for the latest before it turns a key away, and is not certain without it', async () => {
+    const vm = new Vm({a: ['k1']});
+    vm.latest = {a: ['k1', 'new']};
+    expect(await vm.identify('new')).toBe('a');
+    vm.reachesLeader = false;
+    expect(await vm.identify('newer')).toBe('stale');
+    expect(await vm.identify('k1')).toBe('a');
+  });
+
+  test('asks before it serves by keys that it knew long ago, but not again and again', async () => {
+    const vm = new Vm({a: ['k1'], b: ['k2']});
+    vm.ageMs = KEY_AGE_MS + 1;
+    vm.latest = {b: ['k1', 'k2']};
+    vm.reachesLeader = false;
+    await vm.customers.catchUp();
+    await vm.customers.catchUp();
+    expect(vm.asked).toBe(1);
+    vm.now = 2_000;
+    vm.reachesLeader = true;
+    await vm.customers.catchUp();
+    expect(await vm.identify('k1')).toBe('b');
+  });
+});
--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
@@ -0,0 +1,116 @@
+/**
+ * Limits over several VMs, some of them silent, cut off or of another mind on who owns what.
+ */
+import type {VmId} from 'stallpaddle';
+import type {EntryView} from 'stallpaddle-fleet';
+import type {LimitAsk, RateLimit} from 'stallpaddle-limits';
+import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
+
+import {decodeValue, systemClock} from 'stallpaddle';
+import {limitKeepers, limitOwners} from 'stallpaddle-limits';
+import {tryLocal} from 'stallpaddle-rpc';
+import {describe, expect, test} from 'vitest';
+
+import {NodeLimits} from '../../NodeLimits';
+
+const VMS = 24;
+const LIMIT: RateLimit = {burst: 10, customer: 'c', ratePerSecond: 10};
+/** Most requests in a second: rate, burst, what a bucket holds besides, and what the first requests of another owner are. */
+const MOST_IN_A_SECOND = 10 + 10 + 8 + 4;
+
+/** VMs that call each other without a network, on one clock. */
+class Fleet {
+  asks = 0;
+  readonly entries: readonly EntryView[];
+  readonly hosts: readonly VmId[];
+  now = 0;
+  readonly silent = new Set<VmId>();
+  /** Age of what each VM knows; 0 where it is not named. */
+  readonly viewAgeMs = new Map<VmId, number>();
+  private readonly limits = new Map<VmId, NodeLimits>();
+
+  constructor() {
+    this.hosts = Array.from({length: VMS}, (_, at) => `10.0.0.${at}`);
+    this.entries = this.hosts.map((host) => ({address: `${host}:80`, name: host, zone: 'z'}));
+    for (const host of this.hosts) {
+      const limits = new NodeLimits({
+        clock: {...systemClock, monotonicMs: () => this.now},
+        entries: () => this.entries,
+        host,
+        limitOf: () => LIMIT,
+        note: () => {},
+        tryAt: (to, request) => this.tryAt(host, to, request),
+        viewAgeMs: () => this.viewAgeMs.get(host) ?? 0,
+      });
+      this.limits.set(host, limits);
+    }
+  }
+
+  get owners(): readonly VmId[] {
+    return limitOwners(LIMIT.customer, limitKeepers(this.hosts));
+  }
+
+  /** A request at each VM that is heard; returns how many were granted. */
+  async round(): Promise<number> {
+    const heard = this.hosts.filter((host) => !this.silent.has(host));
+    const answers = await Promise.all(heard.map((host) => this.limits.get(host)!.admit(LIMIT)));
+    return answers.filter(({kind}) => kind === 'granted').length;
+  }
+
+  private async tryAt(from: VmId, to: VmId, {encoded}: TryRequest): Promise<TryOutcome> {
+    this.asks++;
+    if (this.silent.has(to) || this.silent.has(from)) {
+      return {kind: 'unknown'};
+    }
+    return tryLocal(() => this.limits.get(to)!.answer(decodeValue<LimitAsk>(encoded)));
+  }
+}
+
+/** Some rounds, one each tenth of a second; returns how many requests were granted. */
+async function rounds(fleet: Fleet, count: number): Promise<number> {
+  let granted = 0;
+  for (let round = 0; round < count; round++) {
+    granted += await fleet.round();
+    fleet.now += 100;
+  }
+  return granted;
+}
+
+describe('NodeLimits', () => {
+  test('one VM counts for all, with one question a request', async () => {
+    const fleet = new Fleet();
+    expect(await rounds(fleet, 10)).toBeLessThanOrEqual(MOST_IN_A_SECOND);
+    expect(await rounds(fleet, 20)).toBeGreaterThanOrEqual(18);
+    expect(fleet.asks).toBeLessThanOrEqual(30 * VMS);
+  });
+
+  test('another VM counts while the owner is silent, and no more than one of them', async () => {
+    const fleet = new Fleet();
+    await rounds(fleet, 20);
+    fleet.silent.add(fleet.owners[0]!);
+    const before = await rounds(fleet, 10);
+    // Until the silence is certain each VM grants its part of the rate.
+    expect(before).toBeLessThanOrEqual(MOST_IN_A_SECOND);
+    const after = await rounds(fleet, 50);
+    expect(after).toBeGreaterThanOrEqual(45);
+    expect(after).toBeLessThanOrEqual(5 * 10 + MOST_IN_A_SECOND);
+  });
+
+  test('an owner that was away for long grants nothing until it knows that it still is one', async () => {
+    const fleet = new Fleet();
+    await rounds(fleet, 20);
+    const [owner] = fleet.owners;
+    fleet.viewAgeMs.set(owner!, 5_000);
+    expect(await rounds(fleet, 10)).toBeLessThanOrEqual(MOST_IN_A_SECOND);
+  });
+
+  test('a VM that is cut off from all others grants its own part', async () => {
+    const fleet = new Fleet();
+    await rounds(fleet, 20);
+    const [, deputy] = fleet.owners;
+    fleet.hosts.filter((host) => host !== deputy).forEach((host) => fleet.silent.add(host));
+    // It would take the owner's place, but hears no news either.
+    fleet.viewAgeMs.set(deputy!, 5_000);
+    expect(await rounds(fleet, 50)).toBeLessThanOrEqual(5);
+  });
+});
--- a/packages/stallpaddle-relay/src/RelayHeaders.ts
+++ b/packages/stallpaddle-relay/src/RelayHeaders.ts
@@ -18,6 +18,10 @@
   'upgrade',
 ]);
 
+function lowerCase(name: string): string {
+  return name.toLowerCase();
+}
+
 function namedByConnection(raw: readonly string[]): ReadonlySet<string> {
   const names = new Set<string>();
   for (let at = 0; at < raw.length; at += 2) {
@@ -33,9 +37,14 @@
  *
  * @param raw header lines as they came
  * @param set lines that replace any of the same name
+ * @param dropped names of further lines that stay here
  */
-export function passedHeaders(raw: readonly string[], set: readonly HeaderLine[] = []): string[] {
-  const replaced = new Set(set.map(([name]) => name.toLowerCase()));
+export function passedHeaders(
+  raw: readonly string[],
+  set: readonly HeaderLine[] = [],
+  dropped: readonly string[] = [],
+): string[] {
+  const replaced = new Set([...set.map(([name]) => name), ...dropped].map(lowerCase));
   const connection = namedByConnection(raw);
   const passed: string[] = [];
   for (let at = 0; at < raw.length; at += 2) {
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -73,6 +73,11 @@
     });
   }
 
+  /** Whether no engine has run the request, nor will. */
+  get ranNowhere(): boolean {
+    return this.verdict === 'notRun';
+  }
+
   private get repeatable(): boolean {
     const {kind, resumable} = this.req.route;
     return kind === 'repeatable' || (kind === 'streaming' && resumable);
@@ -115,8 +120,9 @@
   }
 
   private logEnd(): void {
-    const {facts, route} = this.req;
+    const {caller, facts, route} = this.req;
     this.context.decide('ended', facts.requestId, {
+      customer: caller.kind === 'customer' ? caller.name : undefined,
       end: this.end,
       engines: this.choice.names,
       firstMs: this.firstMs,
@@ -210,7 +216,7 @@
 
   private async send(engine: EngineView): Promise<void> {
     const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
-    const {body, facts, method, path, rawHeaders} = this.req;
+    const {body, caller, facts, method, path, rawHeaders} = this.req;
     const resumeAfter = this.pass.lastEvent;
     this.suspicion.noteRun();
     this.broke = false;
@@ -228,6 +234,7 @@
     const end = online.registerRequest(engine.id);
     try {
       const headers = wire.engineHeaders({
+        customer: caller.kind === 'customer' ? caller.name : undefined,
         deadlineMs: Math.max(1, Math.floor(this.remainingMs)),
         engine: engine.id,
         requestId: facts.requestId,
@@ -236,7 +243,11 @@
       this.call = startEngineCall(wire, pace, {
         address: engine.address,
         body,
-        headers: passedHeaders(rawHeaders, headers),
+        headers: passedHeaders(
+          rawHeaders,
+          headers,
+          caller.kind === 'untold' ? [] : wire.callerHeaders,
+        ),
         method,
         path,
         requestId: facts.requestId,
--- a/packages/stallpaddle-relay/src/RelaySuspicion.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspicion.ts
@@ -39,8 +39,10 @@
 
   /** The request, whatever this attempt is called; worked out only while there are suspects, or once an engine broke off. */
   private get digest(): string {
-    const {body, facts, host, method, path} = this.req;
-    this.digestMade ??= requestDigest({body, caller: facts.caller, host, method, path});
+    const {body, caller, facts, host, method, path} = this.req;
+    // A customer's request is the same with another of its keys.
+    const sender = caller.kind === 'customer' ? caller.name : facts.caller;
+    this.digestMade ??= requestDigest({body, caller: sender, host, method, path});
     return this.digestMade;
   }
 
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -10,10 +10,19 @@
 import type {RelaySuspects} from './RelaySuspects';
 import type {CallerFacts, RelayWire} from './RelayWire';
 
+/** Who sends a request. */
+export type RelayCaller =
+  /** Nobody in particular, where the fleet knows customers: its own words on who it is go nowhere. */
+  | {readonly kind: 'anybody'}
+  | {readonly kind: 'customer'; readonly name: string}
+  /** The fleet knows no customers: what a caller says of itself is passed on. */
+  | {readonly kind: 'untold'};
+
 /** A caller's request, read whole. */
 export interface RelayRequest {
   readonly arrivedAt: MonotonicMs;
   readonly body: Uint8Array;
+  readonly caller: RelayCaller;
   readonly facts: CallerFacts;
   /** Name that the caller gave the server. */
   readonly host: string;
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -19,6 +19,8 @@
 
 /** What an engine must be told with a request. */
 export interface EngineCallFacts {
+  /** The customer in whose name the request runs; left out for none. */
+  readonly customer?: string | undefined;
   /** Time left, in milliseconds; null when the caller named none and the work has none. */
   readonly deadlineMs: number | null;
   /** The engine that is meant: another one at its address must not run the request. */
@@ -60,6 +62,8 @@
 
 /** See the module's comment. */
 export interface RelayWire {
+  /** Names of header lines in which a caller says who it is; where the fleet knows customers, none of them goes to an engine. */
+  readonly callerHeaders: readonly string[];
   /** Header lines that the relay sets in place of any that the caller sent under these names. */
   readonly engineHeaders: (facts: EngineCallFacts) => readonly HeaderLine[];
   /** Where an engine says how many requests it holds. */
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -8,7 +8,7 @@
 import {seededRandom, systemClock} from 'stallpaddle';
 import {PLAIN, plainRelay, StreamEngine, SuspectBoard} from 'stallpaddle-testing';
 
-import type {RelayContext, RelayEnd} from '../RelayTypes';
+import type {RelayCaller, RelayContext, RelayEnd} from '../RelayTypes';
 
 import {RelayExperience} from '../RelayExperience';
 import {RelayOnline} from '../RelayOnline';
@@ -97,6 +97,7 @@
   context: RelayContext,
   route: FleetRoute,
   spentMs = 0,
+  caller: RelayCaller = {kind: 'untold'},
 ): Promise<{readonly ends: RelayEnd[]; readonly port: number}> {
   const ends: RelayEnd[] = [];
   const server: Server = createServer(async (req, res) => {
@@ -109,6 +110,7 @@
       {
         arrivedAt: systemClock.monotonicMs(),
         body: Buffer.concat(chunks),
+        caller,
         facts: plainRelay.readCaller(req.headers)!,
         host: req.headers.host ?? '',
         method: req.method!,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -39,6 +39,39 @@
     expect(ends).toEqual(['served']);
   });
 
+  test('a caller’s own word on who it is goes nowhere; the fleet’s does, on each attempt', async () => {
+    const engines = await startEngines(2);
+    engines.forEach((engine) => (engine.manners = [{after: 2, kind: 'breakOff'}]));
+    const caller = {kind: 'customer', name: 'acme'} as const;
+    const {port} = await startRelay(contextOf(engines), routeOf({maxAttempts: 3}), 0, caller);
+    const own = {
+      Authorization: 'Bearer secret',
+      Connection: 'X-Customer, close',
+      'X-CUSTOMER': 'self-made',
+    };
+    await ask(port, undefined, own);
+    const seen = engines.flatMap((engine) => engine.seen);
+    expect(seen.length).toBeGreaterThan(1);
+    for (const {headers} of seen) {
+      expect(headers).toMatchObject({[PLAIN.customer]: 'acme', 'x-other': 'kept'});
+      expect(JSON.stringify(headers)).not.toMatch(/secret|self-made/);
+    }
+  });
+
+  test('nobody in particular has no name; where there are no customers all lines go on', async () => {
+    const [engine] = await startEngines(1);
+    const own = {authorization: 'Bearer secret', [PLAIN.customer]: 'self'};
+    const anybody = await startRelay(contextOf([engine!]), routeOf(), 0, {kind: 'anybody'});
+    await ask(anybody.port, undefined, own);
+    const untold = await startRelay(contextOf([engine!]), routeOf());
+    await ask(untold.port, undefined, own);
+    const names = engine!.seen.map(({headers}) => [headers.authorization, headers[PLAIN.customer]]);
+    expect(names).toEqual([
+      [undefined, undefined],
+      ['Bearer secret', 'self'],
+    ]);
+  });
+
   test('joins a resumable stream that broke off, with nothing lost or doubled', async () => {
     const engines = await startEngines(2);
     engines.forEach((engine) => (engine.manners = [{after: 2, kind: 'breakOff'}]));
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -23,7 +23,7 @@
   type RelaySuspectsOptions,
   type RunBegin,
 } from './RelaySuspects';
-export type {RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
+export type {RelayCaller, RelayContext, RelayDecision, RelayEnd, RelayRequest} from './RelayTypes';
 export {RelayUsual} from './RelayUsual';
 export type {
   AnswerFacts,
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -5,6 +5,7 @@
 
 /** Header names of the made-up platform. */
 export const PLAIN = {
+  customer: 'x-customer',
   declined: 'x-declined',
   engine: 'x-engine',
   /** Where an engine says how many requests it holds. */
@@ -25,11 +26,15 @@
 
 /** See the module's comment. */
 export const plainRelay: RelayWire = {
-  engineHeaders: ({deadlineMs, engine, requestId, resumeAfter}) => {
+  callerHeaders: ['authorization', PLAIN.customer],
+  engineHeaders: ({customer, deadlineMs, engine, requestId, resumeAfter}) => {
     const lines: HeaderLine[] = [
       [PLAIN.request, requestId],
       [PLAIN.engine, engine],
     ];
+    if (customer !== undefined) {
+      lines.push([PLAIN.customer, customer]);
+    }
     if (deadlineMs !== null) {
       lines.push([PLAIN.timeLeft, String(deadlineMs)]);
     }
