Tests: engines that have just ended, and a process that was held up, deny requests; four fail

Traced from the test that failed once beside load (EndedEngines, "others are served"): one of the others had 503, not run, come back after 0.25 s. Two ways there, each brought about without load: - a connection's time was over while the process was held up: the timer runs before the sockets are read, so an engine that had taken the connection counted as one that can't be reached (fails: notRun instead of answer); - four engines that had ended in turn counted as four that are full, and the request was refused though others were idle (fails with 4 and with 7 ended engines; with 1 it passes); with none to be reached for 0.1 s it was refused at once.

--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
@@ -66,7 +66,30 @@
   return whole;
 }
 
+/** Keeps this process from its event loop. */
+function holdUp(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
 describe('startEngineCall', () => {
+  test('a process that was held up does not take its own lateness for an engine that can’t be reached', async () => {
+    const address = await startEngine('end');
+    const pace = new RelayPace();
+    Array.from({length: 20}, () => pace.connect.note(1));
+    const call = startEngineCall(plainRelay, pace, {
+      address,
+      body: Buffer.from('b'),
+      headers: ['Host', 'h', PLAIN.request, 'q'],
+      method: 'POST',
+      path: '/',
+      requestId: 'q',
+    });
+    await new Promise((resolve) => process.nextTick(resolve));
+    holdUp(2 * pace.connect.limitMs);
+    expect((await call.started).kind).toBe('answer');
+  });
+
   test('never takes an answer for whole whose connection was reset', async () => {
     expect(await countWhole(await startEngine('reset'), RESETS)).toBe(0);
   }, 30_000);
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -226,6 +226,46 @@
     }
   });
 
+  /** Engines that have ended, and are known as ready still, before one that serves and has more to do. */
+  async function contextAfterEnds(ended: number): Promise<RelayContext> {
+    const engines = await startEngines(ended + 1);
+    const context = contextOf(engines);
+    await Promise.all(engines.slice(0, ended).map((engine) => engine.stop()));
+    context.online.registerRequest(`e${ended}`);
+    context.online.registerRequest(`e${ended}`);
+    return context;
+  }
+
+  test.each([1, 4, 7])(
+    'is served when %i engines have just ended and nobody has told',
+    async (ended) => {
+      const {port} = await startRelay(await contextAfterEnds(ended), routeOf({maxAttempts: 1}));
+      expect(await ask(port)).toMatchObject({isWhole: true, status: 200});
+    },
+  );
+
+  test('waits while it can be in time when no engine can be reached for a moment', async () => {
+    const [ended, next] = await startEngines(2);
+    await ended!.stop();
+    const context = contextOf([ended!]);
+    const views = contextOf([ended!, next!]).engines();
+    const backAt = performance.now() + 100;
+    const engines = () => (performance.now() < backAt ? views.slice(0, 1) : views);
+    const {port} = await startRelay({...context, engines}, routeOf());
+    expect(await ask(port)).toMatchObject({isWhole: true, status: 200});
+  });
+
+  test('is refused soon when no engine can be reached and none comes back', async () => {
+    const [ended] = await startEngines(1);
+    await ended!.stop();
+    const {port} = await startRelay(contextOf([ended!]), routeOf());
+    const startedAt = performance.now();
+    const answer = await ask(port);
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+  });
+
   test('refuses after a wait what no engine may even queue', async () => {
     const [engine] = await startEngines(1);
     const context = contextOf([engine!]);
