A late timer lets what has come be read first; engines that have ended don't count as full ones

Ruled out: a suspicion (its Retry-After is minutes), the 1.5 s wait for a slot (the test's others ended sooner). Change: registerTimeout (a timer that calls back after the sockets were read) for connections, silences, looks at engines and items' pauses. RelayChoice counts refusals by full engines apart from engines that can't be reached; what can't reach any of those it tried looks again every 20 ms while its answer can be in time, and is refused with a time to come back after that. An engine that is found ended when it is asked again still counts as no attempt.

--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -10,7 +10,7 @@
   RelayWire,
 } from 'stallpaddle-relay';
 
-import {errorMessage} from 'stallpaddle';
+import {errorMessage, registerTimeout} from 'stallpaddle';
 import {
   continues,
   EventSplitter,
@@ -131,14 +131,14 @@
     path: req.path,
     requestId: req.id,
   });
-  let timer = setTimeout(call.close, FIRST_EVENT_WAIT_MS);
+  let endWait = registerTimeout(FIRST_EVENT_WAIT_MS, call.close);
   const alive = (): void => {
-    clearTimeout(timer);
-    timer = setTimeout(call.close, EVENT_GAP_MS);
+    endWait();
+    endWait = registerTimeout(EVENT_GAP_MS, call.close);
   };
   let wasCut = false;
   const ended = follow(call, req, alive).then((end): ItemRunEnd => {
-    clearTimeout(timer);
+    endWait();
     call.close();
     return wasCut && end.kind !== 'whole' ? {kind: 'cut'} : end;
   });
--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -4,6 +4,9 @@
 import type {EngineId} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
+import {unreachable} from 'stallpaddle';
+
+import type {NotRunReason} from './RelayEngineCall';
 import type {RelayContext, RelayRequest} from './RelayTypes';
 
 import {
@@ -20,8 +23,14 @@
 /** See the module's comment. */
 export class RelayChoice {
   private declines = 0;
+  /** Engines that count as attempts: they may have run the request, and have not been found ended since. */
+  private readonly counted = new Set<EngineId>();
+  /** Engines that could not be reached, or whose address another one has. */
+  private readonly unreached = new Set<EngineId>();
   /** The engine that was sent the request last. */
   private last: EngineId | undefined;
+  /** Whether that engine counted before, when it was sent the request another time. */
+  private countedBefore = false;
   private sends = 0;
   private readonly sentTo = new Set<EngineId>();
 
@@ -43,7 +52,7 @@
 
   /** Whether the request may be sent to one more engine, those left out that have not run it. */
   get hasAttemptLeft(): boolean {
-    return this.sentTo.size - this.declines < this.req.route.maxAttempts;
+    return this.counted.size < this.req.route.maxAttempts;
   }
 
   /** Whether the request may be sent again at all, to another engine or to one that was sent it before. */
@@ -51,7 +60,7 @@
     return this.hasAttemptLeft || this.sends < MOST_SENDS;
   }
 
-  /** Whether so many engines have declined that no further one is asked. */
+  /** Whether so many engines have said that they are full that no further one is asked. */
   get isDeclined(): boolean {
     return this.declines >= MAX_DECLINES;
   }
@@ -84,9 +93,26 @@
     return waitedMs >= Math.min(LATE_WAIT_MS, allowedMs * LATE_WAIT_PART);
   }
 
+  /**
+   * Whether a request that no engine could be reached for may wait for one: some are back soon, and while its answer can be in
+   * time it is served sooner than if its caller came again.
+   *
+   * @param waitedMs time since the request came, in milliseconds
+   */
+  mayWaitForEngine(waitedMs: number): boolean {
+    return this.unreached.size > 0 && this.isInTime(waitedMs);
+  }
+
   /** Lets the request go again to engines that it was sent to. */
   forget(): void {
     this.sentTo.clear();
+    this.counted.clear();
+  }
+
+  /** Lets the request go again to engines that could not be reached. */
+  forgetUnreached(): void {
+    this.unreached.forEach((id) => this.sentTo.delete(id));
+    this.unreached.clear();
   }
 
   /**
@@ -130,9 +156,31 @@
     });
   }
 
-  /** Notes that the engine asked last has not run the request. */
-  noteDeclined(): void {
-    this.declines++;
+  /**
+   * Notes that the engine that was sent the request last has not run it.
+   *
+   * @param reason why
+   */
+  noteNotRun(reason: NotRunReason): void {
+    if (this.last === undefined) {
+      return;
+    }
+    switch (reason) {
+      case 'declined':
+        this.declines++;
+        if (!this.countedBefore) {
+          this.counted.delete(this.last);
+        }
+        return;
+      case 'noConnection':
+      case 'otherEngine':
+        // One that has ended says nothing of the others' room.
+        this.unreached.add(this.last);
+        this.counted.delete(this.last);
+        return;
+      default:
+        unreachable(reason);
+    }
   }
 
   /**
@@ -146,6 +194,8 @@
     // The engine that was asked last stands last.
     this.sentTo.delete(id);
     this.sentTo.add(id);
+    this.countedBefore = this.counted.has(id);
+    this.counted.add(id);
   }
 
   /** Engines that were sent the request before; the last of them only when there is no other. */
@@ -160,13 +210,16 @@
    * be in time goes before those that can't: these wait for a free slot, and queue only at last.
    */
   private queuedPart(waitedMs: number): number {
-    const {objectiveMs} = this.req.route;
     if (this.hasWaited(waitedMs)) {
       // A longer queue would make late what comes next, too.
       return QUEUED_IN_TIME;
     }
+    return this.isInTime(waitedMs) || this.req.route.objectiveMs === 0 ? QUEUED_IN_TIME : 0;
+  }
+
+  /** Whether an answer that an engine begins now can be in time. */
+  private isInTime(waitedMs: number): boolean {
     const firstMs = this.context.pace.firstEvent.meanMs;
-    const isInTime = this.req.spentMs + waitedMs + firstMs < objectiveMs;
-    return isInTime || objectiveMs === 0 ? QUEUED_IN_TIME : 0;
+    return this.req.spentMs + waitedMs + firstMs < this.req.route.objectiveMs;
   }
 }
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -5,7 +5,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 
 import {request} from 'node:http';
-import {registerResetWatch} from 'stallpaddle';
+import {registerResetWatch, registerTimeout} from 'stallpaddle';
 
 import type {RelayPace} from './RelayPace';
 import type {AnswerFacts, RelayWire} from './RelayWire';
@@ -94,12 +94,15 @@
     });
     registerResetWatch(out);
     const openedAt = performance.now();
-    const timer = setTimeout(() => out?.destroy(new Error('no connection')), pace.connect.limitMs);
+    const giveUp = (): void => {
+      out?.destroy(new Error('no connection'));
+    };
+    const endWait = registerTimeout(pace.connect.limitMs, giveUp);
     out.on('socket', (socket) => {
       socket.setNoDelay(true);
       socket.once('connect', () => {
         connected = true;
-        clearTimeout(timer);
+        endWait();
         pace.connect.note(performance.now() - openedAt);
       });
     });
@@ -113,7 +116,7 @@
       resolve(start);
     });
     out.on('error', (err) => {
-      clearTimeout(timer);
+      endWait();
       resolve(
         connected
           ? {kind: 'mayHaveRun', reason: err.message}
@@ -121,7 +124,7 @@
       );
     });
     out.on('close', () => {
-      clearTimeout(timer);
+      endWait();
       resolve(
         connected
           ? {kind: 'mayHaveRun', reason: 'the connection was closed'}
--- a/packages/stallpaddle-relay/src/RelayProbe.ts
+++ b/packages/stallpaddle-relay/src/RelayProbe.ts
@@ -5,7 +5,7 @@
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {request} from 'node:http';
-import {delay} from 'stallpaddle';
+import {delay, registerTimeout} from 'stallpaddle';
 
 import type {RelayWire} from './RelayWire';
 
@@ -48,10 +48,10 @@
       path: wire.occupancyPath,
       ...splitAddress(address),
     });
-    const timer = setTimeout(() => {
+    const endWait = registerTimeout(LOOK_MS, () => {
       resolve('unknown');
       req.destroy();
-    }, LOOK_MS);
+    });
     req.on('socket', (socket) => socket.once('connect', () => (connected = true)));
     req.on('response', (res) => {
       const {otherEngine} = wire.readAnswer(res.statusCode ?? 0, res.headers);
@@ -60,7 +60,7 @@
     });
     // A connection that came up and broke off is no sign of life, and none of an end.
     req.on('error', () => resolve(connected ? 'unknown' : 'refused'));
-    req.on('close', () => clearTimeout(timer));
+    req.on('close', endWait);
     req.end();
   });
 }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -196,13 +196,7 @@
     }
     const engine = this.choice.next();
     if (engine === undefined) {
-      // A stream that has begun is worth a wait; a request that has not is better refused at once.
-      if (this.res.headersSent) {
-        this.choice.forget();
-        await delay(LOOK_AGAIN_MS);
-      } else {
-        this.refuse('No engine of the service can take the request.');
-      }
+      await this.onNoEngine();
       return;
     }
     if (this.res.headersSent || this.choice.mayQueue(engine, this.waitedMs)) {
@@ -214,6 +208,19 @@
     }
   }
 
+  /** A stream that has begun is worth a wait, and so is a request that can still be in time. */
+  private async onNoEngine(): Promise<void> {
+    if (this.res.headersSent) {
+      this.choice.forget();
+    } else if (this.verdict === 'notRun' && this.choice.mayWaitForEngine(this.waitedMs)) {
+      this.choice.forgetUnreached();
+    } else {
+      this.refuse('No engine of the service can take the request.');
+      return;
+    }
+    await delay(LOOK_AGAIN_MS);
+  }
+
   private async send(engine: EngineView): Promise<void> {
     const {decide, experience, online, pace, viewAgeMs, wire} = this.context;
     const {body, caller, facts, method, path, rawHeaders} = this.req;
@@ -291,7 +298,7 @@
   private async onStart(engine: EngineView, start: EngineCallStart): Promise<void> {
     switch (start.kind) {
       case 'notRun':
-        this.choice.noteDeclined();
+        this.choice.noteNotRun(start.reason);
         this.context.decide('declined', this.req.facts.requestId, {
           engine: engine.id,
           reason: start.reason,
--- a/packages/stallpaddle-relay/src/RelaySilence.ts
+++ b/packages/stallpaddle-relay/src/RelaySilence.ts
@@ -5,6 +5,8 @@
  */
 import type {Clock, LearnedLimit, LogFields, MonotonicMs} from 'stallpaddle';
 
+import {registerTimeout} from 'stallpaddle';
+
 import type {RelayPace} from './RelayPace';
 
 import {LOOK_AGAIN_MS, SILENT_FIRST_MS, SILENT_STREAM_MS} from './RelayConstants';
@@ -29,7 +31,7 @@
   /** When the request was sent, or its engine last heard. */
   private lastAt: MonotonicMs = 0;
   private left = false;
-  private timer: NodeJS.Timeout | undefined;
+  private endWait: () => void = () => {};
 
   /**
    * @param options what it needs of its request
@@ -75,7 +77,7 @@
 
   /** Listens no more. */
   stop(): void {
-    clearTimeout(this.timer);
+    this.endWait();
   }
 
   private get silentMs(): number {
@@ -89,8 +91,8 @@
   }
 
   private lookAfter(ms: number, worstMs: number): void {
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.look(worstMs), ms);
+    this.endWait();
+    this.endWait = registerTimeout(ms, () => this.look(worstMs));
   }
 
   private look(worstMs: number): void {
--- a/packages/stallpaddle/src/Clock.ts
+++ b/packages/stallpaddle/src/Clock.ts
@@ -40,6 +40,25 @@
   });
 }
 
+/**
+ * Calls back after a time, once what had come by then was taken in. Timers run before sockets are read, so a process that was
+ * held up would else take its own lateness for others' silence.
+ *
+ * @param ms time in milliseconds
+ * @param listener what to call
+ * @returns ends the wait
+ */
+export function registerTimeout(ms: number, listener: () => void): () => void {
+  let looked: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    looked = setImmediate(listener);
+  }, ms);
+  return () => {
+    clearTimeout(timer);
+    clearImmediate(looked);
+  };
+}
+
 /** A signal that fires after a time, unless it is disposed of first. */
 export interface Deadline {
   /** Must be called once the work has ended, so that no timer is left. */
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -5,6 +5,7 @@
   type Deadline,
   delay,
   type MonotonicMs,
+  registerTimeout,
   startDeadline,
   systemClock,
 } from './Clock';
