Limits: a VM that hears no news grants its part at once, and an owner counts on while the control group has no leader

Change: news count for 6 s, longer than a leader's replacement; without any a VM asks nobody and grants its part; whoever is over a part is told to come back after 0.5 s at most, since the limit itself may have room.

--- a/packages/stallpaddle-limits/src/LimitKeeper.ts
+++ b/packages/stallpaddle-limits/src/LimitKeeper.ts
@@ -5,7 +5,7 @@
  */
 import type {MonotonicMs} from 'stallpaddle';
 
-import type {LimitAnswer, RateLimit} from './LimitTypes';
+import type {LimitDecision, RateLimit} from './LimitTypes';
 
 import {type LimitBucket, type LimitTerms, returnToken, takeToken} from './LimitBucket';
 
@@ -46,7 +46,7 @@
    * @param limit the customer's limit
    * @param now the present moment
    */
-  ask(limit: RateLimit, now: MonotonicMs): LimitAnswer {
+  ask(limit: RateLimit, now: MonotonicMs): LimitDecision {
     const terms = termsOf(limit);
     const before = this.buckets.get(limit.customer) ?? this.firstBucket(limit, now);
     const answer = takeToken(before, terms, now, AHEAD_MS);
--- a/packages/stallpaddle-limits/src/LimitShare.ts
+++ b/packages/stallpaddle-limits/src/LimitShare.ts
@@ -4,7 +4,7 @@
  */
 import type {MonotonicMs} from 'stallpaddle';
 
-import type {LimitAnswer, RateLimit} from './LimitTypes';
+import type {LimitAnswer, LimitDecision, RateLimit} from './LimitTypes';
 
 import {type LimitBucket, type LimitTerms, takeToken} from './LimitBucket';
 
@@ -41,7 +41,7 @@
    * @param vms number of VMs that share it
    * @param now the present moment
    */
-  ask(limit: RateLimit, vms: number, now: MonotonicMs): LimitAnswer {
+  ask(limit: RateLimit, vms: number, now: MonotonicMs): LimitDecision {
     const {burst, customer, ratePerSecond} = limit;
     const terms: LimitTerms = {
       capacity: Math.max(1, burst / vms),
--- a/packages/stallpaddle-limits/src/LimitTypes.ts
+++ b/packages/stallpaddle-limits/src/LimitTypes.ts
@@ -29,8 +29,8 @@
 /** What a VM says to the owner of a customer's limit. */
 export type LimitAsk = AskLimit | ReturnLimit;
 
-/** Answer to a request that asks whether it may go on. */
-export type LimitAnswer =
+/** Whether a request may go on. */
+export type LimitDecision =
   /** It may, after a short wait. */
   | {
       readonly kind: 'granted';
@@ -38,6 +38,7 @@
       readonly isCalm: boolean;
       readonly waitMs: number;
     }
-  /** Whoever was asked can't tell. */
-  | {readonly kind: 'unsure'}
   | {readonly kind: 'over'; readonly retryAfterMs: number};
+
+/** Answer of another VM; whoever isn't the owner can't tell. */
+export type LimitAnswer = LimitDecision | {readonly kind: 'unsure'};
--- a/packages/stallpaddle-limits/src/index.ts
+++ b/packages/stallpaddle-limits/src/index.ts
@@ -10,4 +10,11 @@
 export {LimitKeeper} from './LimitKeeper';
 export {limitKeepers, limitOwners} from './LimitOwners';
 export {LimitShare} from './LimitShare';
-export type {AskLimit, LimitAnswer, LimitAsk, RateLimit, ReturnLimit} from './LimitTypes';
+export type {
+  AskLimit,
+  LimitAnswer,
+  LimitAsk,
+  LimitDecision,
+  RateLimit,
+  ReturnLimit,
+} from './LimitTypes';
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -12,6 +12,7 @@
   type AskLimit,
   type LimitAnswer,
   type LimitAsk,
+  type LimitDecision,
   LimitKeeper,
   limitKeepers,
   limitOwners,
@@ -19,7 +20,7 @@
   type RateLimit,
 } from 'stallpaddle-limits';
 
-import {CONTROL_GROUP, ENTRY_SILENT_MS} from './NodeConstants';
+import {CONTROL_GROUP, SECOND_MS} from './NodeConstants';
 import {hostOf} from './NodeSettings';
 
 /** Longest wait for an owner, in milliseconds: a turn of a busy VM, and half of what a caller's first event may take. */
@@ -34,6 +35,15 @@
  */
 const OWNER_SILENT_MS = 1_000;
 
+/**
+ * Age of news beyond which a VM neither owns a limit nor asks who does, in milliseconds. Leaders are replaced sooner, and without
+ * one nobody's limits move; who hears nothing for so long is alone.
+ */
+const OLD_NEWS_MS = 6 * SECOND_MS;
+
+/** Longest time after which a caller is told to come back by a VM that knows its own part of a limit only, in milliseconds. */
+const PART_AGAIN_MS = 500;
+
 /** What it needs of its process. */
 export interface NodeLimitsOptions {
   readonly clock: Clock;
@@ -83,15 +93,18 @@
    *
    * @param limit the customer's limit, above 0
    */
-  async admit(limit: RateLimit): Promise<Exclude<LimitAnswer, {kind: 'unsure'}>> {
-    const {clock, entries} = this.options;
-    const answer = await this.askOwners(limit.customer);
+  async admit(limit: RateLimit): Promise<LimitDecision> {
+    const {clock, entries, viewAgeMs} = this.options;
+    const isAlone = viewAgeMs() > OLD_NEWS_MS;
+    const answer = isAlone ? UNSURE : await this.askOwners(limit.customer);
     this.share.note(limit.customer, answer);
     if (answer.kind !== 'unsure') {
       return answer;
     }
     const own = this.share.ask(limit, Math.max(1, entries().length), clock.monotonicMs());
-    return own.kind === 'unsure' ? {isCalm: true, kind: 'granted', waitMs: 0} : own;
+    return own.kind === 'over'
+      ? {...own, retryAfterMs: Math.min(PART_AGAIN_MS, own.retryAfterMs)}
+      : own;
   }
 
   /**
@@ -116,7 +129,7 @@
     const {customer} = ask;
     const limit = limitOf(customer);
     // Who knows only old news may have been replaced by now.
-    if (limit === undefined || viewAgeMs() > ENTRY_SILENT_MS) {
+    if (limit === undefined || viewAgeMs() > OLD_NEWS_MS) {
       return UNSURE;
     }
     const [owner] = this.ownersOf(customer);
