After a loss of all processes, replicas that are back tell the entry VMs they remember what they hold

Ruled out: the seeds' own load (their processes start late by themselves), the election (serving needs no leader). Change: NodeRemembered keeps the hosts of entry VMs in a file of the replica's disk, written when they change, every 5 s at most. A replica that has heard of no leader since its start tells each of them once, two replicas each (rendezvous), with the introduction that seeds get already and what it holds; the entry VM takes it in as it does a seed's answer.

--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -123,7 +123,12 @@
   | ReleaseRequest
   | RemoveEngine
   /** Tells a process without a replica where replicas are: it may know nobody, and be asked by others. */
-  | {readonly kind: 'introduce'; readonly replicas: readonly ReplicaId[]}
+  | {
+      readonly kind: 'introduce';
+      readonly replicas: readonly ReplicaId[];
+      /** What the sender holds, which may be old; null when it tells no more than where replicas are. */
+      readonly told: null | WatchAnswer;
+    }
   /** Asks any replica for what it holds, which may be old; for a process that knows nothing at all. */
   | {readonly kind: 'peek'}
   | {readonly kind: 'listSuspects'}
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -5,7 +5,7 @@
 
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {LogFields, MonotonicMs, ReplicaId} from 'stallpaddle';
+import type {LogFields, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
 import type {LimitAsk} from 'stallpaddle-limits';
 import type {ReplicationState} from 'stallpaddle-replication';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
@@ -25,6 +25,7 @@
   type FleetState,
   type FleetView,
   type Hello,
+  type WatchAnswer,
 } from 'stallpaddle-fleet';
 import {loadIdentity, NotLeaderError} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer, tryLocal} from 'stallpaddle-rpc';
@@ -47,6 +48,7 @@
 import {NodeGroup} from './NodeGroup';
 import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
 import {NodeLog} from './NodeLog';
+import {NodeRemembered, tells} from './NodeRemembered';
 import {addNodeService} from './NodeService';
 import {hostOf, lostDisksOf, portOf} from './NodeSettings';
 
@@ -70,6 +72,12 @@
   return [...voters, ...learners].filter((replica) => !isSilent(replica));
 }
 
+/** Tells a process where replicas are, and perhaps what one of them holds. */
+function introduction(replicas: readonly ReplicaId[], told: null | WatchAnswer): TryRequest {
+  const request: FleetRequest = {kind: 'introduce', replicas, told};
+  return {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
+}
+
 /** See the module's comment. */
 export class NodeControl {
   private desk: NodeDesk | undefined;
@@ -77,9 +85,12 @@
   private group: NodeGroup<FleetState> | undefined;
   private readonly log: NodeLog;
   private rpc: RpcServer | undefined;
+  private remembered: NodeRemembered | undefined;
   private self: ReplicaId | undefined;
   private server: Server | undefined;
   private stopIntroducing: () => Promise<void> = () => Promise.resolve();
+  /** Remembered entry VMs that have taken in what this replica holds. */
+  private readonly toldEntries = new Set<VmId>();
 
   /**
    * @param options what the process is made of
@@ -212,6 +223,9 @@
     this.group = group;
     this.self = self;
     this.exposeMetrics(group);
+    this.remembered = await NodeRemembered.open(root, (message, fields) =>
+      this.log.note(message, fields),
+    );
     this.stopIntroducing = registerLoop(INTRODUCE_MS, () => this.introduce(group));
     this.fleet.watch.offer(this.desk.peek());
   }
@@ -224,11 +238,41 @@
     const {control} = this.fleet;
     const {status} = group.driver;
     const {learners, voters} = status.log.members;
-    const request: FleetRequest = {kind: 'introduce', replicas: [...voters, ...learners]};
-    const call = {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
-    const informed = informedReplicas(status, this.options.clock.monotonicMs());
-    const hosts = this.fleet.seedsWithout([...informed, status.self]);
-    await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)));
+    const replicas = [...voters, ...learners];
+    const now = this.options.clock.monotonicMs();
+    const {view} = this.fleet.watch;
+    this.remembered?.follow(view.news.entriesComplete ? view.news.entries : [], now);
+    const hosts = this.fleet.seedsWithout([...informedReplicas(status, now), status.self]);
+    const call = introduction(replicas, null);
+    await Promise.all([
+      ...hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)),
+      this.tellEntries(replicas),
+    ]);
+  }
+
+  /** Tells remembered entry VMs what this replica holds, until it hears of a leader: then they have heard too. */
+  private async tellEntries(replicas: readonly ReplicaId[]): Promise<void> {
+    const {control, watch} = this.fleet;
+    const {remembered, toldEntries} = this;
+    if (remembered === undefined || this.desk === undefined || watch.ageMs < Infinity) {
+      return;
+    }
+    const {host: self} = this.options.settings;
+    const replicaHosts = replicas.map(vmOfReplica);
+    const isMine = (host: VmId): boolean =>
+      !replicaHosts.includes(host) && !toldEntries.has(host) && tells(host, self, replicaHosts);
+    const hosts = remembered.hosts.filter(isMine);
+    if (hosts.length === 0) {
+      return;
+    }
+    const call = introduction(replicas, this.desk.peek());
+    const tell = async (host: VmId): Promise<void> => {
+      const outcome = await control.tryAt(host, call, INTRODUCE_TRY_MS);
+      if (outcome.kind === 'answered') {
+        toldEntries.add(host);
+      }
+    };
+    await Promise.all(hosts.map(tell));
   }
 
   /** Whether the replica knows the members of its group; an empty disk does once the group has taken it in. */
@@ -267,6 +311,9 @@
     const {control, watch} = this.fleet;
     if (request.kind === 'introduce') {
       watch.noteReplicas(request.replicas);
+      if (request.told !== null) {
+        watch.offer(request.told);
+      }
       return Promise.resolve(null);
     }
     if (request.kind === 'peek') {
