After a loss of many VMs, requests that can't be in time wait until the others' requests are known

Change: while nothing is known of the others, a request that can't be in time waits for it, 0.5 s at most (RelayChoice).

--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -265,7 +265,7 @@
         }
         const {method, url} = call;
         const {rawHeaders} = req;
-        const spentMs = this.usual.spentMs(route.name, facts.deadlineMs);
+        const spentMs = this.usual.spentMs(route, facts.deadlineMs);
         const host = req.headers.host ?? '';
         const request = {
           arrivedAt,
--- a/packages/stallpaddle-relay/src/RelayChoice.ts
+++ b/packages/stallpaddle-relay/src/RelayChoice.ts
@@ -15,6 +15,7 @@
   MAX_DECLINES,
   MOST_SENDS,
   QUEUED_IN_TIME,
+  UNTOLD_WAIT_MS,
 } from './RelayConstants';
 import {drawService, isSound, placeRequest} from './RelayPlacement';
 
@@ -131,7 +132,11 @@
    * @param waitedMs time since the request came, in milliseconds
    */
   mayQueue({id, slots}: EngineView, waitedMs: number): boolean {
-    return this.context.online.at(id) < slots * (1 + this.queuedPart(waitedMs));
+    const {online} = this.context;
+    if (!online.knowsOthers && waitedMs < UNTOLD_WAIT_MS && !this.isHurried(waitedMs)) {
+      return false;
+    }
+    return online.at(id) < slots * (1 + this.queuedPart(waitedMs));
   }
 
   /** The best engine that the request was not sent to; undefined when there is none. */
@@ -214,7 +219,12 @@
       // A longer queue would make late what comes next, too.
       return QUEUED_IN_TIME;
     }
-    return this.isInTime(waitedMs) || this.req.route.objectiveMs === 0 ? QUEUED_IN_TIME : 0;
+    return this.isHurried(waitedMs) ? QUEUED_IN_TIME : 0;
+  }
+
+  /** Whether the request goes before others: it can still be in time, or nobody says when it should be answered. */
+  private isHurried(waitedMs: number): boolean {
+    return this.isInTime(waitedMs) || this.req.route.objectiveMs === 0;
   }
 
   /** Whether an answer that an engine begins now can be in time. */
--- a/packages/stallpaddle-relay/src/RelayOnline.ts
+++ b/packages/stallpaddle-relay/src/RelayOnline.ts
@@ -63,6 +63,11 @@
     return this.isTold && this.suspects.has(id);
   }
 
+  /** Whether the others' requests are known; else engines may be fuller than they seem. */
+  get knowsOthers(): boolean {
+    return this.isTold;
+  }
+
   /** Requests that other VMs begin between two answers on average, so that nobody knows of them when it chooses. */
   get unseen(): number {
     return this.newOnes;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -266,6 +266,32 @@
     expect(performance.now() - startedAt).toBeLessThan(1_000);
   });
 
+  test.each([
+    [0, true],
+    [1_000, false],
+  ])(
+    'while the other VMs’ requests are unknown: spent %i ms before, begins at once: %s',
+    async (spentMs, atOnce) => {
+      // Callers of VMs that were lost come again, all at the moment at which the first VMs are back.
+      const [engine] = await startEngines(1);
+      const context = contextOf([engine!]);
+      const {port} = await startRelay(context, routeOf(), spentMs);
+      const startedAt = performance.now();
+      expect(await ask(port)).toMatchObject({isWhole: true, status: 200});
+      expect(performance.now() - startedAt < 250).toBe(atOnce);
+    },
+  );
+
+  test('a request that can’t be in time goes on as soon as the others’ requests are known', async () => {
+    const [engine] = await startEngines(1);
+    const context = contextOf([engine!]);
+    const {port} = await startRelay(context, routeOf(), 1_000);
+    const startedAt = performance.now();
+    setTimeout(() => context.online.learn({}, true, []), 100);
+    expect((await ask(port)).status).toBe(200);
+    expect(performance.now() - startedAt).toBeLessThan(400);
+  });
+
   test('refuses after a wait what no engine may even queue', async () => {
     const [engine] = await startEngines(1);
     const context = contextOf([engine!]);
