A VM asks for the latest keys until the leader has answered, for 0.6 s

Traced: the question went to one host, once; a host that doesn't lead only names the leader. Test first (with two questions that bring nothing: false instead of true), then the mend; the check stays. 404 for routes asks once, as before.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -184,6 +184,12 @@
 /** Age up to which a 404 for a path without a route is believed, in milliseconds. */
 export const ROUTE_FRESH_MS = 700;
 
+/**
+ * Longest time for which the leader is asked whether a key is unknown, in milliseconds: whoever is asked first may only name
+ * the leader, and callers give a VM a second.
+ */
+export const CONFIRM_MS = 600;
+
 /**
  * Age of what is known from which on a VM asks before it serves by the keys it knows, in milliseconds: older than what is
  * known while any replica passes on the news, and within the time in which a configuration is in force.
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -24,6 +24,7 @@
 import {NodeBackoff} from './NodeBackoff';
 import {
   CALL_AGAIN_MS,
+  CONFIRM_MS,
   CONTROL_GROUP,
   INTRODUCED_COUNTS_MS,
   PEEK_AGAIN_MS,
@@ -122,10 +123,7 @@
    */
   async freshen(mostAgeMs: number): Promise<boolean> {
     if (this.ageMs > mostAgeMs) {
-      this.freshening ??= this.ask(0).finally(() => {
-        this.freshening = undefined;
-      });
-      await this.freshening;
+      await this.askForAll();
     }
     return this.ageMs <= mostAgeMs;
   }
@@ -136,17 +134,26 @@
    * @returns whether what is known now is the latest as of the call or later
    */
   async confirm(): Promise<boolean> {
-    const calledAt = this.options.clock.monotonicMs();
+    const {clock} = this.options;
+    const calledAt = clock.monotonicMs();
+    // A question that is under way may have been answered before this call came.
     await this.freshening;
-    if (this.current.asOf < calledAt) {
-      this.freshening ??= this.ask(0).finally(() => {
-        this.freshening = undefined;
-      });
-      await this.freshening;
+    while (this.current.asOf < calledAt && clock.monotonicMs() - calledAt < CONFIRM_MS) {
+      if (!(await this.askForAll())) {
+        await delay(CALL_AGAIN_MS);
+      }
     }
     return this.current.asOf >= calledAt;
   }
 
+  /** Asks the leader itself; whoever comes meanwhile waits for the same answer. */
+  private askForAll(): Promise<boolean> {
+    this.freshening ??= this.ask(0).finally(() => {
+      this.freshening = undefined;
+    });
+    return this.freshening;
+  }
+
   /**
    * Notes replicas that a replica has named.
    *
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
@@ -223,6 +223,32 @@
   });
 });
 
+describe('confirm', () => {
+  test.each([
+    [0, true],
+    [2, true],
+    [100, false],
+  ])('with %i questions that bring nothing: %s', async (failures, isConfirmed) => {
+    const network = new Network();
+    const answer = {ageMs: 0, config: null, fleet: 1, heldMs: 0, proven: true, term: 1};
+    const update = {kind: 'whole', news: EMPTY_VIEW.news} as const;
+    let left = failures;
+    // A VM that knows no leader is told where it is by whoever it asks first.
+    network.serve('leader', () => {
+      if (left-- > 0) {
+        throw new NotLeaderError(null);
+      }
+      return Promise.resolve({...answer, update});
+    });
+    const {watch} = processOf(network);
+    const startedAt = performance.now();
+    const calls = await Promise.all([watch.confirm(), watch.confirm(), watch.confirm()]);
+    expect(calls).toEqual([isConfirmed, isConfirmed, isConfirmed]);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+    expect(network.asked.length).toBeLessThanOrEqual(60);
+  });
+});
+
 describe('NodeNewsBoard', () => {
   test('holds a question for its time, and tells for how long', async () => {
     const board = new NodeNewsBoard(systemClock, () => ({ageMs: 5, config: null}));
