Node: routes, introductions and suspects in modules of their own; a replica introduces itself as it opens

Nothing decided anew but the first round of introductions, which comes at once instead of 250 ms after the start.

--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -5,27 +5,18 @@
 
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {LogFields, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
+import type {LogFields, ReplicaId} from 'stallpaddle';
 import type {LimitAsk} from 'stallpaddle-limits';
-import type {ReplicationState} from 'stallpaddle-replication';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import path from 'node:path';
-import {
-  decodeValue,
-  delay,
-  encodeValue,
-  errorMessage,
-  registerLoop,
-  vmOfReplica,
-} from 'stallpaddle';
+import {decodeValue, delay, errorMessage, registerLoop, vmOfReplica} from 'stallpaddle';
 import {
   fleetMachine,
   type FleetRequest,
   type FleetState,
   type FleetView,
   type Hello,
-  type WatchAnswer,
 } from 'stallpaddle-fleet';
 import {loadIdentity, NotLeaderError} from 'stallpaddle-replication';
 import {type RpcServer, startRpcServer, tryLocal} from 'stallpaddle-rpc';
@@ -35,20 +26,15 @@
 import type {NodeLimits} from './NodeLimits';
 import type {NodeOptions} from './NodeTypes';
 
-import {
-  CANDIDATE_SILENT_MS,
-  CONTROL_GROUP,
-  HAND_OVER_MS,
-  INTRODUCE_MS,
-  INTRODUCE_TRY_MS,
-} from './NodeConstants';
+import {CONTROL_GROUP, HAND_OVER_MS, INTRODUCE_MS} from './NodeConstants';
 import {NodeControlCalls} from './NodeControlCalls';
 import {NodeDesk} from './NodeDesk';
 import {NodeFollowerDesk} from './NodeFollowerDesk';
 import {NodeGroup} from './NodeGroup';
 import {callOf, readBody, sendAnswer, startServer} from './NodeHttp';
+import {NodeIntroducer} from './NodeIntroducer';
 import {NodeLog} from './NodeLog';
-import {NodeRemembered, tells} from './NodeRemembered';
+import {NodeRemembered} from './NodeRemembered';
 import {addNodeService} from './NodeService';
 import {hostOf, lostDisksOf, portOf} from './NodeSettings';
 
@@ -59,25 +45,6 @@
 /** Name of the first disk of a founder, known to all founders beforehand. */
 const FOUNDER = 'first';
 
-/**
- * Replicas that know their group: a leader leaves out those that answer nothing. A VM that has lost its disk is still
- * counted among the members, and knows nobody.
- */
-function informedReplicas({log, role}: ReplicationState, now: MonotonicMs): readonly ReplicaId[] {
-  const {learners, voters} = log.members;
-  const isSilent = (replica: ReplicaId): boolean => {
-    const heardAt = role.kind === 'leader' ? role.progress.get(replica)?.ackedSentAt : undefined;
-    return heardAt !== undefined && now - heardAt >= CANDIDATE_SILENT_MS;
-  };
-  return [...voters, ...learners].filter((replica) => !isSilent(replica));
-}
-
-/** Tells a process where replicas are, and perhaps what one of them holds. */
-function introduction(replicas: readonly ReplicaId[], told: null | WatchAnswer): TryRequest {
-  const request: FleetRequest = {kind: 'introduce', replicas, told};
-  return {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
-}
-
 /** See the module's comment. */
 export class NodeControl {
   private desk: NodeDesk | undefined;
@@ -85,12 +52,9 @@
   private group: NodeGroup<FleetState> | undefined;
   private readonly log: NodeLog;
   private rpc: RpcServer | undefined;
-  private remembered: NodeRemembered | undefined;
   private self: ReplicaId | undefined;
   private server: Server | undefined;
   private stopIntroducing: () => Promise<void> = () => Promise.resolve();
-  /** Remembered entry VMs that have taken in what this replica holds. */
-  private readonly toldEntries = new Set<VmId>();
 
   /**
    * @param options what the process is made of
@@ -223,56 +187,21 @@
     this.group = group;
     this.self = self;
     this.exposeMetrics(group);
-    this.remembered = await NodeRemembered.open(root, (message, fields) =>
-      this.log.note(message, fields),
-    );
-    this.stopIntroducing = registerLoop(INTRODUCE_MS, () => this.introduce(group));
-    this.fleet.watch.offer(this.desk.peek());
-  }
-
-  /**
-   * Tells seeds without a replica, or with one that answers nothing, where replicas are. After a loss of all processes
-   * such a seed may know nobody, and whoever has only such seeds would never find the group.
-   */
-  private async introduce(group: NodeGroup<FleetState>): Promise<void> {
-    const {control} = this.fleet;
-    const {status} = group.driver;
-    const {learners, voters} = status.log.members;
-    const replicas = [...voters, ...learners];
-    const now = this.options.clock.monotonicMs();
-    const {view} = this.fleet.watch;
-    this.remembered?.follow(view.news.entriesComplete ? view.news.entries : [], now);
-    const hosts = this.fleet.seedsWithout([...informedReplicas(status, now), status.self]);
-    const call = introduction(replicas, null);
-    await Promise.all([
-      ...hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)),
-      this.tellEntries(replicas),
-    ]);
-  }
-
-  /** Tells remembered entry VMs what this replica holds, until it hears of a leader: then they have heard too. */
-  private async tellEntries(replicas: readonly ReplicaId[]): Promise<void> {
-    const {control, watch} = this.fleet;
-    const {remembered, toldEntries} = this;
-    if (remembered === undefined || this.desk === undefined || watch.ageMs < Infinity) {
-      return;
-    }
-    const {host: self} = this.options.settings;
-    const replicaHosts = replicas.map(vmOfReplica);
-    const isMine = (host: VmId): boolean =>
-      !replicaHosts.includes(host) && !toldEntries.has(host) && tells(host, self, replicaHosts);
-    const hosts = remembered.hosts.filter(isMine);
-    if (hosts.length === 0) {
-      return;
-    }
-    const call = introduction(replicas, this.desk.peek());
-    const tell = async (host: VmId): Promise<void> => {
-      const outcome = await control.tryAt(host, call, INTRODUCE_TRY_MS);
-      if (outcome.kind === 'answered') {
-        toldEntries.add(host);
-      }
-    };
-    await Promise.all(hosts.map(tell));
+    const {desk, fleet} = this;
+    fleet.watch.offer(desk.peek());
+    const introducer = new NodeIntroducer({
+      clock,
+      fleet,
+      group,
+      host,
+      peek: () => desk.peek(),
+      remembered: await NodeRemembered.open(root, (message, fields) =>
+        this.log.note(message, fields),
+      ),
+    });
+    // Whoever is back knows nothing until the first round.
+    void introducer.introduce();
+    this.stopIntroducing = registerLoop(INTRODUCE_MS, () => introducer.introduce());
   }
 
   /** Whether the replica knows the members of its group; an empty disk does once the group has taken it in. */
--- a/packages/stallpaddle-node/src/NodeDesk.ts
+++ b/packages/stallpaddle-node/src/NodeDesk.ts
@@ -14,18 +14,13 @@
   type FleetNews,
   type FleetRequest,
   type FleetState,
-  HELD_LEVEL,
   type Hello,
   isEmptyDelta,
   isNews,
   isOutdated,
   laterHolders,
-  type NoteEngineEnd,
-  type ReleaseRequest,
   type RetireAnswer,
   type StoredConfig,
-  suspectDetails,
-  type SuspectDetails,
   toldConfig,
   UNPROVEN_TERM,
   type WatchAnswer,
@@ -39,6 +34,7 @@
 import {isSilent, makeNews} from './NodeNews';
 import {NodeNewsBoard} from './NodeNewsBoard';
 import {chooseFounders, isEmptied, stayingReplicas} from './NodeStorePlan';
+import {NodeSuspectsDesk} from './NodeSuspectsDesk';
 
 /**
  * Time between looks at what has changed, in milliseconds. News go out as often at most: while a fleet of 200 processes
@@ -46,9 +42,6 @@
  */
 const REFRESH_MS = 100;
 
-/** Time between ticks of the group's clock while it has suspects, in milliseconds: a sixth of the shortest time that it measures. */
-const TICK_MS = 10_000;
-
 /** What the desk needs of its process. */
 export interface NodeDeskOptions {
   readonly clock: Clock;
@@ -71,7 +64,7 @@
   private founding = false;
   private heard = new NodeHeard(-1, -Infinity);
   private refreshedAt: MonotonicMs = -Infinity;
-  private tickedAt: MonotonicMs = -Infinity;
+  private readonly suspects: NodeSuspectsDesk;
   private readonly timer: NodeJS.Timeout;
   /** The configuration that is held here, as others are told of it. */
   private toldOf: {readonly config: FleetConfig | null; readonly stored: StoredConfig | null} = {
@@ -87,6 +80,12 @@
       ageMs: 0,
       config: this.told(options.group.driver.read().config),
     }));
+    this.suspects = new NodeSuspectsDesk({
+      clock: options.clock,
+      group: options.group,
+      log: options.log,
+      propose: (command) => this.propose(command),
+    });
     this.timer = setInterval(() => this.refresh(), REFRESH_MS);
     options.group.registerListener(() => this.refreshSoon());
   }
@@ -120,9 +119,9 @@
         // A replica knows the others from its log.
         return null;
       case 'listSuspects':
-        return this.listSuspects();
+        return this.suspects.list();
       case 'noteEngineEnd':
-        return this.noteEngineEnd(request);
+        return this.suspects.noteEngineEnd(request);
       case 'peek':
         return this.peek();
       case 'putConfig':
@@ -130,7 +129,7 @@
       case 'readConfig':
         return this.options.group.driver.read().config;
       case 'releaseRequest':
-        return this.releaseRequest(request);
+        return this.suspects.release(request);
       case 'removeEngine':
         return this.propose(request);
       case 'reportEngine':
@@ -228,52 +227,6 @@
     return this.board.answer(request.known, request.waitMs);
   }
 
-  private async noteEngineEnd(end: NoteEngineEnd): Promise<FleetAnswer> {
-    const {group, log} = this.options;
-    const answer = await this.propose(end);
-    const {digest, engine, known, startedAtMs} = end;
-    const suspect = group.driver.localState.suspects.get(digest);
-    log('An engine ended while it began to run a request.', {
-      digest,
-      ended: suspect?.ended.join(','),
-      engine,
-      held: (suspect?.level ?? 0) >= HELD_LEVEL,
-      known,
-      level: suspect?.level,
-      startedAtMs,
-    });
-    return answer;
-  }
-
-  private listSuspects(): readonly SuspectDetails[] {
-    const {driver} = this.options.group;
-    const {clockMs, suspects} = driver.read();
-    const now = clockMs + driver.uncountedMs;
-    return [...suspects.values()].map((suspect) => suspectDetails(suspect, now));
-  }
-
-  private async releaseRequest(release: ReleaseRequest): Promise<FleetAnswer> {
-    const {group, log} = this.options;
-    const suspect = group.driver.read().suspects.get(release.digest);
-    if (suspect === undefined) {
-      return {kind: 'applied'};
-    }
-    const {digest, level} = suspect;
-    log('A request is a suspect no more.', {by: release.by, digest, level});
-    return this.propose(release);
-  }
-
-  /** Suspects are let go by the group's clock, which runs with commands only. */
-  private tickSoon(): void {
-    const {clock, group} = this.options;
-    const now = clock.monotonicMs();
-    if (group.driver.localState.suspects.size > 0 && now - this.tickedAt >= TICK_MS) {
-      this.tickedAt = now;
-      // Without a leader the next look tries again.
-      this.propose({kind: 'tick'}).catch(() => {});
-    }
-  }
-
   /** What this leader has heard; begins anew with each term. */
   private current(): NodeHeard {
     const {clock, group} = this.options;
@@ -324,7 +277,7 @@
       return;
     }
     this.foundJobs();
-    this.tickSoon();
+    this.suspects.tickSoon();
     const isPut = this.putNews();
     const version = driver.localState.config?.version;
     if (!isPut && version !== this.configTold) {
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -4,9 +4,9 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {LogFields} from 'stallpaddle';
+import type {FleetView, Hello} from 'stallpaddle-fleet';
 
 import {drawId, errorMessage, RefusalError, refuse, unreachable} from 'stallpaddle';
-import {type FleetRoute, type FleetView, type Hello, RouteTable} from 'stallpaddle-fleet';
 import {
   type RelayCaller,
   type RelayContext,
@@ -29,12 +29,13 @@
 
 import {drawEntries} from './NodeAddresses';
 import {NodeAdmission} from './NodeAdmission';
-import {ADDRESSES_MOST, CONFIG_AGAIN_MS, IDLE_MARGIN_MS, ROUTE_FRESH_MS} from './NodeConstants';
+import {ADDRESSES_MOST, CONFIG_AGAIN_MS, IDLE_MARGIN_MS} from './NodeConstants';
 import {countEnd, exposeEntryMetrics} from './NodeEntryMetrics';
 import {BodyTooLargeError, callOf, readBody, sendAnswer, startServer} from './NodeHttp';
 import {NodeIntake} from './NodeIntake';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
+import {NodeRoutes} from './NodeRoutes';
 import {makeSuspects} from './NodeSuspects';
 import {NodeTells} from './NodeTells';
 
@@ -55,7 +56,7 @@
   private readonly intake: NodeIntake;
   private readonly jobCalls: NodeJobCalls;
   private readonly log: NodeLog;
-  private routes: RouteTable | undefined;
+  private readonly routes: NodeRoutes;
   private servers: readonly Server[] = [];
   private readonly tells: NodeTells;
   private readonly usual = new RelayUsual();
@@ -76,6 +77,7 @@
     const {jobs, metrics, watch} = fleet;
     this.log = new NodeLog(loggers('entry'), clock, metrics);
     this.intake = new NodeIntake(clock, settings.bounds.grace);
+    this.routes = new NodeRoutes(watch, this.log);
     this.admission = new NodeAdmission({
       customers,
       decide: (id, fields) => this.log.decide('overLimit', id, fields),
@@ -120,7 +122,7 @@
    */
   onView(view: FleetView, before: FleetView): void {
     if (view.config !== null && view.config !== before.config) {
-      this.routes = new RouteTable(view.config);
+      this.routes.follow(view.config);
       this.customers.follow(view.config);
       this.followLimits();
       this.log.note('A configuration is in force.', {version: view.config.version});
@@ -249,8 +251,9 @@
     }
     const most = this.watch.view.config?.limits.maxBodyBytes ?? FIRST_BODY_BYTES;
     const body = await readBody(req, most);
-    const route = await this.routeOf(req);
-    const isOpen = (): boolean => (this.findRoute(req) ?? route).isPublic === true;
+    const host = req.headers.host ?? '';
+    const route = await this.routes.routeOf(host, call.url);
+    const isOpen = (): boolean => (this.routes.find(host, call.url) ?? route).isPublic === true;
     const caller = await this.identify(req, isOpen);
     switch (route.kind) {
       case 'batch':
@@ -266,7 +269,6 @@
         const {method, url} = call;
         const {rawHeaders} = req;
         const spentMs = this.usual.spentMs(route, facts.deadlineMs);
-        const host = req.headers.host ?? '';
         const request = {
           arrivedAt,
           body,
@@ -319,7 +321,7 @@
   /** That a job isn't there is told by the latest keys only: a key may have gone to another customer. */
   private async carryOut(call: JobCall, req: IncomingMessage): Promise<RawAnswer> {
     const host = req.headers.host ?? '';
-    const isOpen = (): boolean => this.routes?.takesJobsOfAnybody(host) === true;
+    const isOpen = (): boolean => this.routes.takesJobsOfAnybody(host);
     const caller = await this.identify(req, isOpen);
     const answer = await this.jobCalls.carryOut(call, caller);
     if (answer.status !== NOT_FOUND || caller.kind !== 'customer') {
@@ -332,37 +334,4 @@
     const isSame = latest.kind === 'customer' && latest.name === caller.name;
     return isSame ? answer : this.jobCalls.carryOut(call, latest);
   }
-
-  private findRoute(req: IncomingMessage): FleetRoute | undefined {
-    if (this.routes === undefined) {
-      throw refuse('unavailable', 'No configuration is known yet.', {
-        retryAfterMs: CONFIG_AGAIN_MS,
-      });
-    }
-    return this.routes.find(req.headers.host ?? '', req.url ?? '/');
-  }
-
-  /** Only a path without a route needs the latest configuration: the leader is asked for it then. */
-  private async routeOf(req: IncomingMessage): Promise<FleetRoute> {
-    const known = this.findRoute(req);
-    if (known !== undefined) {
-      return known;
-    }
-    const isFresh = await this.watch.freshen(ROUTE_FRESH_MS);
-    const found = this.findRoute(req);
-    if (found !== undefined) {
-      return found;
-    }
-    if (!isFresh) {
-      throw refuse('stale', 'The latest configuration is not known now.', {
-        retryAfterMs: CONFIG_AGAIN_MS,
-      });
-    }
-    this.log.decide('noRoute', String(req.headers.host), {
-      path: req.url,
-      version: this.watch.view.config?.version,
-      viewAgeMs: Math.round(this.watch.ageMs),
-    });
-    throw refuse('notFound', 'No route leads there.');
-  }
 }
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeIntroducer.ts
@@ -0,0 +1,111 @@
+/**
+ * Tells processes that may know nobody where replicas of the control group are: seeds without one, and after a loss of all
+ * processes the entry VMs that a replica remembers.
+ */
+import type {Clock, MonotonicMs, ReplicaId, VmId} from 'stallpaddle';
+import type {FleetRequest, FleetState, WatchAnswer} from 'stallpaddle-fleet';
+import type {ReplicationState} from 'stallpaddle-replication';
+import type {TryRequest} from 'stallpaddle-rpc';
+
+import {encodeValue, vmOfReplica} from 'stallpaddle';
+
+import type {NodeFleet} from './NodeFleet';
+import type {NodeGroup} from './NodeGroup';
+import type {NodeRemembered} from './NodeRemembered';
+
+import {CANDIDATE_SILENT_MS, CONTROL_GROUP, INTRODUCE_TRY_MS} from './NodeConstants';
+import {tells} from './NodeRemembered';
+
+/** What it needs of its process. */
+export interface NodeIntroducerOptions {
+  readonly clock: Clock;
+  readonly fleet: Pick<NodeFleet, 'control' | 'seedsWithout' | 'watch'>;
+  readonly group: Pick<NodeGroup<FleetState>, 'driver'>;
+  /** This VM. */
+  readonly host: VmId;
+  /** What the replica holds, without proof that it is the latest. */
+  readonly peek: () => WatchAnswer;
+  readonly remembered: NodeRemembered;
+}
+
+/**
+ * Replicas that know their group: a leader leaves out those that answer nothing. A VM that has lost its disk is still
+ * counted among the members, and knows nobody.
+ */
+function informedReplicas({log, role}: ReplicationState, now: MonotonicMs): readonly ReplicaId[] {
+  const {learners, voters} = log.members;
+  const isSilent = (replica: ReplicaId): boolean => {
+    const heardAt = role.kind === 'leader' ? role.progress.get(replica)?.ackedSentAt : undefined;
+    return heardAt !== undefined && now - heardAt >= CANDIDATE_SILENT_MS;
+  };
+  return [...voters, ...learners].filter((replica) => !isSilent(replica));
+}
+
+/** Tells a process where replicas are, and perhaps what one of them holds. */
+function introduction(replicas: readonly ReplicaId[], told: null | WatchAnswer): TryRequest {
+  const request: FleetRequest = {kind: 'introduce', replicas, told};
+  return {encoded: encodeValue(request), group: CONTROL_GROUP, query: true};
+}
+
+/** See the module's comment. */
+export class NodeIntroducer {
+  /** Remembered entry VMs that have taken in what this replica holds. */
+  private readonly told = new Set<VmId>();
+
+  /**
+   * @param options what it needs of its process
+   */
+  constructor(private readonly options: NodeIntroducerOptions) {}
+
+  /** One round; what is lost of it is made good by the next. */
+  async introduce(): Promise<void> {
+    const {clock, fleet, group, remembered} = this.options;
+    const {status} = group.driver;
+    const {learners, voters} = status.log.members;
+    const replicas = [...voters, ...learners];
+    const now = clock.monotonicMs();
+    const {entries, entriesComplete} = fleet.watch.view.news;
+    remembered.follow(entriesComplete ? entries : [], now);
+    const informed = [...informedReplicas(status, now), status.self];
+    await Promise.all([this.tellSeeds(replicas, informed), this.tellEntries(replicas)]);
+  }
+
+  /**
+   * Tells seeds without a replica, or with one that answers nothing, where replicas are. After a loss of all processes
+   * such a seed may know nobody, and whoever has only such seeds would never find the group.
+   */
+  private async tellSeeds(
+    replicas: readonly ReplicaId[],
+    informed: readonly ReplicaId[],
+  ): Promise<void> {
+    const {fleet} = this.options;
+    const {control} = fleet;
+    const call = introduction(replicas, null);
+    const hosts = fleet.seedsWithout(informed);
+    await Promise.all(hosts.map((host) => control.tryAt(host, call, INTRODUCE_TRY_MS)));
+  }
+
+  /** Tells remembered entry VMs what this replica holds, until it hears of a leader: then they have heard too. */
+  private async tellEntries(replicas: readonly ReplicaId[]): Promise<void> {
+    const {fleet, host: self, peek, remembered} = this.options;
+    if (fleet.watch.ageMs < Infinity) {
+      return;
+    }
+    const replicaHosts = replicas.map(vmOfReplica);
+    const isMine = (host: VmId): boolean =>
+      !replicaHosts.includes(host) && !this.told.has(host) && tells(host, self, replicaHosts);
+    const hosts = remembered.hosts.filter(isMine);
+    if (hosts.length === 0) {
+      return;
+    }
+    const call = introduction(replicas, peek());
+    await Promise.all(hosts.map((host) => this.tellEntry(host, call)));
+  }
+
+  private async tellEntry(host: VmId, call: TryRequest): Promise<void> {
+    const outcome = await this.options.fleet.control.tryAt(host, call, INTRODUCE_TRY_MS);
+    if (outcome.kind === 'answered') {
+      this.told.add(host);
+    }
+  }
+}
