--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -2,11 +2,7 @@
  * Fixed numbers of the batch dispatcher.
  */
 
-/**
- * Slots of each engine that items never get, so that an online request finds one free at once. With one,
- * trials of the policy served 100% of online requests in time; with two, items came too late; without any,
- * nearly twice as many runs were cut and no more items were in time (`docs/design/POLICY.md`).
- */
+/** Slots of each engine that items never get, so that an online request finds one free at once (`docs/design/POLICY.md`). */
 export const SPARE_SLOTS = 1;
 
 /**
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -75,10 +75,7 @@
 /** Longest single try of any other call, in milliseconds. */
 export const CALL_TRY_MS = 700;
 
-/**
- * What the slowest links that were seen carry, in bytes a millisecond (800 KB took half a second): a large call may take
- * as much longer, or it would never arrive.
- */
+/** What slow links carry, in bytes a millisecond: a large call may take as much longer, or it would never arrive. */
 export const SLOW_BYTES_PER_MS = 1_600;
 
 /** Longest time that a call of an engine or the operator is tried: they give up after a second. */
@@ -151,11 +148,7 @@
 /** Time between words to the dispatcher when nothing has changed, in milliseconds. */
 export const TELL_AGAIN_MS = 1_000;
 
-/**
- * Time between words of a VM that serves requests, for each entry VM of the fleet, in milliseconds: 250 words a second in
- * all. With counts as old as its own last begin, a VM of a small fleet chose among fewer engines, and a quarter more items
- * were cut (single plays).
- */
+/** Time between words of a VM that serves requests, for each entry VM of the fleet, in milliseconds: 250 words a second in all. */
 const ASK_MS_PER_VM = 4;
 
 /** Age of counts beyond which asking for them without a word to tell buys less than it costs, in milliseconds. */
@@ -172,10 +165,7 @@
   return isServing && askMs <= ASK_WITHIN_MS ? askMs : TELL_AGAIN_MS;
 }
 
-/**
- * Shortest time between two words to the dispatcher, in milliseconds: about a round trip. Longer pauses were tried (20 ms)
- * and showed no gain at 200 VMs, where words come 60 ms apart by themselves.
- */
+/** Shortest time between two words to the dispatcher, in milliseconds: about a round trip. */
 export const TELL_GATHER_MS = 5;
 
 /** Longest wait for the dispatcher's answer, in milliseconds. */
