Limits: a VM forgets its counts when another one owns them, not when a stray question comes

Cause, found by reading: a VM that is asked in vain for a customer forgot its bucket, so while news differ between VMs each stray question gave a stand-in four requests anew; and an owner that was out of the list for a while and came back granted the whole burst that it had filled meanwhile, on top of what the stand-in had granted. Change: counts are dropped when the list of entry VMs says that another VM owns the limit. Property tests of owners that are away for a while and come back (300 histories), and of callers at even times.

--- a/packages/stallpaddle-limits/src/LimitKeeper.ts
+++ b/packages/stallpaddle-limits/src/LimitKeeper.ts
@@ -31,15 +31,14 @@
   return {capacity: burst + MARGIN_REQUESTS, ratePerSecond};
 }
 
+function firstBucket({burst}: RateLimit, now: MonotonicMs): LimitBucket {
+  return {at: now, tokens: Math.min(burst + MARGIN_REQUESTS, FIRST_REQUESTS)};
+}
+
 /** See the module's comment. */
 export class LimitKeeper {
   private readonly buckets = new Map<string, LimitBucket>();
 
-  /** Number of customers whose requests are counted here. */
-  get size(): number {
-    return this.buckets.size;
-  }
-
   /**
    * Asks for one request.
    *
@@ -48,7 +47,7 @@
    */
   ask(limit: RateLimit, now: MonotonicMs): LimitDecision {
     const terms = termsOf(limit);
-    const before = this.buckets.get(limit.customer) ?? this.firstBucket(limit, now);
+    const before = this.buckets.get(limit.customer) ?? firstBucket(limit, now);
     const answer = takeToken(before, terms, now, AHEAD_MS);
     this.keep(limit.customer, answer.bucket);
     if (answer.kind === 'empty') {
@@ -70,13 +69,17 @@
     }
   }
 
-  /** Forgets all counts: this VM was not the owner for a while. */
-  forget(customer: string): void {
-    this.buckets.delete(customer);
-  }
-
-  private firstBucket({burst}: RateLimit, now: MonotonicMs): LimitBucket {
-    return {at: now, tokens: Math.min(burst + MARGIN_REQUESTS, FIRST_REQUESTS)};
+  /**
+   * Forgets what was counted for customers that another VM counts for now.
+   *
+   * @param isOwn whether this VM owns a customer's limit
+   */
+  keepOnly(isOwn: (customer: string) => boolean): void {
+    for (const customer of this.buckets.keys()) {
+      if (!isOwn(customer)) {
+        this.buckets.delete(customer);
+      }
+    }
   }
 
   private keep(customer: string, bucket: LimitBucket): void {
--- a/packages/stallpaddle-limits/src/__tests__/unit/LimitKeeper.test.ts
+++ b/packages/stallpaddle-limits/src/__tests__/unit/LimitKeeper.test.ts
@@ -84,6 +84,45 @@
     fuzzTimeoutMs(),
   );
 
+  test(
+    'grants no more than the limit in any span when another owner stands in, and the first one comes back',
+    async () => {
+      const property = fc.property(
+        fc.integer({max: 200, min: 1}),
+        fc.double({max: 10, min: 0.5, noNaN: true}),
+        fc.integer({max: LENGTH_MS - 8_000, min: 0}),
+        fc.integer({max: 5_000, min: 500}),
+        fc.integer(),
+        (rate, pressure, away, awayMs, seed) => {
+          // An owner that was suspended, or whose VM was out of the list for a while, keeps its counts of before.
+          const limit = limitOf(rate);
+          const owner = new LimitKeeper();
+          const standIn = new LimitKeeper();
+          const granted: number[] = [];
+          for (const at of arrivals(rate * pressure, seededRandom(seed))) {
+            const keeper = at >= away && at < away + awayMs ? standIn : owner;
+            const answer = keeper.ask(limit, at);
+            if (answer.kind === 'granted') {
+              granted.push(at + answer.waitMs);
+            }
+          }
+          granted.sort((a, b) => a - b);
+          expect(busiestWindow(granted)).toBeLessThanOrEqual(mostInWindow(limit));
+        },
+      );
+      await assertHistories('owners that come back', property, 300);
+    },
+    fuzzTimeoutMs(),
+  );
+
+  test.each([0.2, 1, 5])('refuses nobody who comes at even times, %f a second', (rate) => {
+    const limit = {...limitOf(rate), burst: 0};
+    const keeper = new LimitKeeper();
+    const gapMs = 1_000 / rate;
+    const answers = Array.from({length: 100}, (_, at) => keeper.ask(limit, at * gapMs).kind);
+    expect(answers.filter((kind) => kind === 'over')).toEqual([]);
+  });
+
   test.each([2, 10, 67])('refuses nobody who uses six tenths of %i a second', (rate) => {
     const limit = limitOf(rate);
     const keeper = new LimitKeeper();
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -83,11 +83,6 @@
    */
   constructor(private readonly options: NodeLimitsOptions) {}
 
-  /** Customers whose limits this VM keeps. */
-  get kept(): number {
-    return this.keeper.size;
-  }
-
   /**
    * Asks for one request of a customer.
    *
@@ -141,7 +136,6 @@
       return this.keeper.ask(limit, clock.monotonicMs());
     }
     if (ask.insteadOf === null || ask.insteadOf !== owner) {
-      this.keeper.forget(customer);
       return UNSURE;
     }
     return this.answerFor(owner, limit);
@@ -223,6 +217,7 @@
     if (entries !== this.keepersOf) {
       this.keepersOf = entries;
       this.keepers = limitKeepers(entries.map(({address}) => hostOf(address)));
+      this.keeper.keepOnly((other) => limitOwners(other, this.keepers)[0] === this.options.host);
     }
     return limitOwners(customer, this.keepers);
   }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
@@ -21,7 +21,7 @@
 /** VMs that call each other without a network, on one clock. */
 class Fleet {
   asks = 0;
-  readonly entries: readonly EntryView[];
+  entries: readonly EntryView[];
   readonly hosts: readonly VmId[];
   now = 0;
   /** Whether a call is lost on its way. */
@@ -117,6 +117,17 @@
     expect(granted).toBeLessThanOrEqual((10 * 5 + 10) * 1.1 + 20);
   });
 
+  test('an owner that another VM stood in for grants no whole burst when it is back', async () => {
+    const fleet = new Fleet();
+    await rounds(fleet, 20);
+    const {entries, owners} = fleet;
+    fleet.entries = entries.filter(({name}) => name !== owners[0]);
+    await rounds(fleet, 30);
+    fleet.entries = entries;
+    // The rate, and the first requests.
+    expect(await rounds(fleet, 10)).toBeLessThanOrEqual(10 + 4 + 1);
+  });
+
   test('an owner that was away for long grants nothing until it knows that it still is one', async () => {
     const fleet = new Fleet();
     await rounds(fleet, 20);
