--- a/packages/stallpaddle-limits/src/__tests__/unit/LimitKeeper.test.ts
+++ b/packages/stallpaddle-limits/src/__tests__/unit/LimitKeeper.test.ts
@@ -50,6 +50,19 @@
   return moments.slice(1);
 }
 
+/** Moments at which requests run that come at some moments, in order; who counts may change. */
+function grantsOf(
+  limit: RateLimit,
+  moments: readonly number[],
+  keeperAt: (at: number) => LimitKeeper,
+): readonly number[] {
+  const granted = moments.flatMap((at) => {
+    const answer = keeperAt(at).ask(limit, at);
+    return answer.kind === 'granted' ? [at + answer.waitMs] : [];
+  });
+  return granted.sort((a, b) => a - b);
+}
+
 describe('LimitKeeper', () => {
   test(
     'grants no more than the limit in any span, whatever comes and however often the owner changes',
@@ -64,18 +77,13 @@
           const random = seededRandom(seed);
           const owners = [...changes].sort((a, b) => a - b);
           let keeper = new LimitKeeper();
-          const granted: number[] = [];
-          for (const at of arrivals(rate * pressure, random)) {
+          const granted = grantsOf(limit, arrivals(rate * pressure, random), (at) => {
             while (owners[0] !== undefined && owners[0] <= at) {
               owners.shift();
               keeper = new LimitKeeper();
             }
-            const answer = keeper.ask(limit, at);
-            if (answer.kind === 'granted') {
-              granted.push(at + answer.waitMs);
-            }
-          }
-          granted.sort((a, b) => a - b);
+            return keeper;
+          });
           expect(busiestWindow(granted)).toBeLessThanOrEqual(mostInWindow(limit));
         },
       );
@@ -98,15 +106,9 @@
           const limit = limitOf(rate);
           const owner = new LimitKeeper();
           const standIn = new LimitKeeper();
-          const granted: number[] = [];
-          for (const at of arrivals(rate * pressure, seededRandom(seed))) {
-            const keeper = at >= away && at < away + awayMs ? standIn : owner;
-            const answer = keeper.ask(limit, at);
-            if (answer.kind === 'granted') {
-              granted.push(at + answer.waitMs);
-            }
-          }
-          granted.sort((a, b) => a - b);
+          const moments = arrivals(rate * pressure, seededRandom(seed));
+          const isAway = (at: number): boolean => at >= away && at < away + awayMs;
+          const granted = grantsOf(limit, moments, (at) => (isAway(at) ? standIn : owner));
           expect(busiestWindow(granted)).toBeLessThanOrEqual(mostInWindow(limit));
         },
       );
