--- a/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeDesk.test.ts
@@ -15,7 +15,7 @@
 
 import {NodeDesk} from '../../NodeDesk';
 
-const CONFIG = {routes: [], services: [], tenants: [], version: 7};
+const CONFIG = {customers: [], routes: [], services: [], version: 7};
 const desks: NodeDesk[] = [];
 
 afterEach(() => desks.splice(0).forEach((desk) => desk.stop()));
