Observability: software version of engines, first attempt of resumed streams

Why nothing showed it: neither the logs nor the metrics name the software version of an engine, and a caller that takes a stream up again names the attempt that brought its first event (`Resumes`), which was not read. Whether a stream changed its version inside one answer, on a caller's return or as a batch item could only be told by joining our logs with the operator's. Change, no decision uses it yet: `version` of a heartbeat is decoded and kept as `softwareVersion` of the engine; `Resumes` is decoded as `firstAttempt`. `placed`, `resumed` and `itemPlaced` name the version, `placed` the first attempt; the leader logs an engine's version as it registers; the gauge `stallpaddle_engines` counts engines by service and version; `explain` with the id of the first attempt prints the attempts that take it up. Tests: an expectation of all log lines has the new line; the decoded report has the new field.

--- a/packages/stallpaddle-cli/src/CliExplain.ts
+++ b/packages/stallpaddle-cli/src/CliExplain.ts
@@ -16,8 +16,11 @@
   readonly vm: string;
 }
 
-/** Log fields that identify a request, an item or a job; all attempts of a request share its digest. */
-const ID_FIELDS = ['id', 'job', 'digest', 'request'] as const;
+/**
+ * Log fields that identify a request, an item or a job; all attempts of a request share its digest, and those that resume
+ * a stream name its first attempt.
+ */
+const ID_FIELDS = ['id', 'job', 'digest', 'firstAttempt', 'request'] as const;
 
 /** Range of an ISO timestamp that holds the time of day, from hours to milliseconds. */
 const TIME_OF_DAY = [11, 23] as const;
--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -17,7 +17,7 @@
 } from './FleetTypes';
 
 import {afterEngineEnd, afterRelease, afterTick} from './FleetSuspects';
-import {UNKNOWN_START} from './FleetTypes';
+import {UNKNOWN_SOFTWARE, UNKNOWN_START} from './FleetTypes';
 
 /** Bounds the memory of ended incarnations, which rejects late reports of removed engines. */
 const MAX_GONE_ENGINES = 4_096;
@@ -62,6 +62,7 @@
     known.address === report.address &&
     known.service === report.service &&
     known.slots === report.slots &&
+    known.softwareVersion === report.softwareVersion &&
     known.draining === report.draining
   );
 }
@@ -211,15 +212,13 @@
   readonly suspects?: readonly FleetSuspect[];
 }
 
-/** Form written by earlier releases, whose engines did not report start times. */
-type WithOptionalStart<Report extends {readonly startedAtMs: number | null}> = Omit<
-  Report,
-  'startedAtMs'
-> &
-  Partial<Pick<Report, 'startedAtMs'>>;
+/** Form written by earlier releases, whose engines reported neither start times nor software versions. */
+type EarlierReport = Omit<FleetEngine, 'softwareVersion' | 'startedAtMs'> &
+  Partial<Pick<FleetEngine, 'softwareVersion' | 'startedAtMs'>>;
 
-function withStart(engine: WithOptionalStart<FleetEngine>): FleetEngine {
-  return {...engine, startedAtMs: engine.startedAtMs ?? UNKNOWN_START};
+function completeReport(report: EarlierReport): FleetEngine {
+  const {softwareVersion = UNKNOWN_SOFTWARE, startedAtMs = UNKNOWN_START} = report;
+  return {...report, softwareVersion, startedAtMs};
 }
 
 function decodeCommand(bytes: Uint8Array): FleetCommand {
@@ -228,7 +227,7 @@
     return {...command, startedAtMs: command.startedAtMs ?? null};
   }
   return command.kind === 'reportEngine'
-    ? {...command, report: withStart(command.report)}
+    ? {...command, report: completeReport(command.report)}
     : command;
 }
 
@@ -246,7 +245,7 @@
     return {
       ...encoded,
       clockMs: encoded.clockMs ?? 0,
-      engines: new Map(encoded.engines.map((engine) => [engine.id, withStart(engine)])),
+      engines: new Map(encoded.engines.map((engine) => [engine.id, completeReport(engine)])),
       goneEngines: new Map(
         encoded.goneEngines.map((end) => (typeof end === 'string' ? [end, UNKNOWN_START] : end)),
       ),
--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -101,6 +101,8 @@
   readonly sequence: number;
   readonly service: string;
   readonly slots: number;
+  /** Version of the engine's software, not of its weights; {@link UNKNOWN_SOFTWARE} when not reported. */
+  readonly softwareVersion: string;
   /**
    * Start time by the engine's own wall clock, in Unix milliseconds; {@link UNKNOWN_START} when not reported. It
    * identifies the incarnation: an engine that restarts under its name has lost its state and restarts its sequence.
@@ -112,6 +114,9 @@
 /** Start time of an engine that doesn't report one; earlier than every reported start time. */
 export const UNKNOWN_START = 0;
 
+/** Software version of an engine that doesn't report one. */
+export const UNKNOWN_SOFTWARE = '';
+
 /** The latest accepted report of an engine. */
 export type FleetEngine = EngineReport;
 
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -31,6 +31,7 @@
     sequence: 1,
     service: 's',
     slots: 8,
+    softwareVersion: 'v1',
     startedAtMs: 0,
     zone: 'z',
     ...changes,
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -43,6 +43,7 @@
   type RouteKind,
   type RouteShare,
   type StoredConfig,
+  UNKNOWN_SOFTWARE,
   UNKNOWN_START,
 } from './FleetTypes';
 export {
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -191,6 +191,7 @@
     this.decide('itemPlaced', task, {
       engine: engine.id,
       resumeAfter: task.lastEvent ?? undefined,
+      softwareVersion: engine.softwareVersion,
       viewAgeMs: Math.round(clock.monotonicMs() - this.runtime.view().asOf),
     });
     const known = this.suspectLevelOf(task);
--- a/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
@@ -152,6 +152,7 @@
       service: 's',
       silent: false,
       slots: SLOTS,
+      softwareVersion: 'v1',
       startedAtMs: 0,
       zone: 'z',
     }));
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -110,6 +110,7 @@
         service: 's',
         silent: false,
         slots: 2,
+        softwareVersion: 'v1',
         startedAtMs: 0,
         zone: 'z',
       })),
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsSpeeds.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsSpeeds.test.ts
@@ -17,6 +17,7 @@
     service: 's',
     silent: false,
     slots: 8,
+    softwareVersion: 'v1',
     startedAtMs,
     zone: 'z',
   };
--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -218,11 +218,24 @@
       return {kind: 'applied'};
     }
     this.current().engines.set(report.id, this.options.clock.monotonicMs());
+    this.logVersion(state, report);
     return changesEngine(state, report)
       ? this.propose({kind: 'reportEngine', report})
       : {kind: 'applied'};
   }
 
+  /** Logs an engine whose software version is new to the fleet's state: a new engine, or one that reports another. */
+  private logVersion(state: FleetState, report: EngineReport): void {
+    const {address, id, service, softwareVersion} = report;
+    if (
+      changesEngine(state, report) &&
+      state.engines.get(id)?.softwareVersion !== softwareVersion
+    ) {
+      const fields = {address, engine: id, service, softwareVersion};
+      this.options.log('An engine has registered with its software version.', fields);
+    }
+  }
+
   /** Whether a live engine that started later has the report's address. */
   private isAddressReused(state: FleetState, report: EngineReport): boolean {
     const {clock, reportMs} = this.options;
--- a/packages/stallpaddle-node/src/NodeEntryMetrics.ts
+++ b/packages/stallpaddle-node/src/NodeEntryMetrics.ts
@@ -28,6 +28,16 @@
   return slots === 0 ? 0 : requests / slots;
 }
 
+/** Number of engines that still report, by service and software version. */
+function enginesByVersion({watch}: EntryGauges): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const {service, silent, softwareVersion} of watch.view.news.engines) {
+    const name = `${service}@${softwareVersion}`;
+    counts.set(name, (counts.get(name) ?? 0) + (silent ? 0 : 1));
+  }
+  return counts;
+}
+
 /**
  * Adds the gauges.
  *
@@ -46,6 +56,10 @@
   metrics.exposeGauge('stallpaddle_engines_silent', 'Engines that report no more.', () => {
     return watch.view.news.engines.filter(({silent}) => silent).length;
   });
+  const versionsHelp = 'Engines that report, by service and software version.';
+  metrics.exposeLabelledGauge('stallpaddle_engines', versionsHelp, 'service_version', () =>
+    enginesByVersion(gauges),
+  );
   metrics.exposeGauge('stallpaddle_admission_waiting', 'Requests that wait for a slot.', () => {
     return admission.length;
   });
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -144,6 +144,7 @@
     sequence: 1,
     service: 's',
     slots: 8,
+    softwareVersion: 'v1',
     startedAtMs,
     zone: 'z',
   };
@@ -194,6 +195,7 @@
     await report('old', 1_000);
     expect([...at.state.engines.keys()]).toEqual(['new']);
     expect(logged).toEqual([
+      'An engine has registered with its software version.',
       'An outdated report of an earlier incarnation of an engine was ignored.',
     ]);
   });
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeEngineSpeeds.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeEngineSpeeds.test.ts
@@ -22,6 +22,7 @@
   service: 's',
   silent: false,
   slots: 8,
+  softwareVersion: 'v1',
   startedAtMs: 0,
   zone: 'z',
 }));
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -270,8 +270,10 @@
     decide(this.res.headersSent ? 'resumed' : 'placed', metadata.requestId, {
       attempt: this.selector.attempts,
       engine: engine.id,
+      firstAttempt: metadata.firstAttempt ?? undefined,
       online: online.requestsAt(engine.id),
       resumeAfter: resumeAfter ?? undefined,
+      softwareVersion: engine.softwareVersion,
       spentMs: Math.round(this.req.spentMs),
       viewAgeMs: Math.round(viewAgeMs()),
       waitedMs: Math.round(this.waitedMs),
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -11,6 +11,8 @@
   readonly caller: string;
   /** Time that the caller will wait, in milliseconds; null when it is not given. */
   readonly deadlineMs: number | null;
+  /** Id of the attempt that brought the first event, when the caller resumes a stream; null when it is not given. */
+  readonly firstAttempt: null | string;
   /** The caller's id for this attempt. */
   readonly requestId: string;
   /** Id of the last event that the caller already has, when it resumes a stream. */
--- a/packages/stallpaddle-relay/src/__tests__/AdmissionFleet.ts
+++ b/packages/stallpaddle-relay/src/__tests__/AdmissionFleet.ts
@@ -190,7 +190,13 @@
   private request(arrivedAt: number, spentMs: number): RelayRequest {
     return requestOf({
       arrivedAt,
-      metadata: {caller: '', deadlineMs: DEADLINE_MS - spentMs, requestId: '', resumeAfter: null},
+      metadata: {
+        caller: '',
+        deadlineMs: DEADLINE_MS - spentMs,
+        firstAttempt: null,
+        requestId: '',
+        resumeAfter: null,
+      },
       route: routeOf({objectiveMs: OBJECTIVE_MS, timeoutMs: DEADLINE_MS}),
       spentMs,
     });
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -67,7 +67,7 @@
     body: new Uint8Array(),
     caller: {kind: 'untold'},
     host: '',
-    metadata: {caller: '', deadlineMs: null, requestId: '', resumeAfter: null},
+    metadata: {caller: '', deadlineMs: null, firstAttempt: null, requestId: '', resumeAfter: null},
     method: 'POST',
     path: '/',
     rawHeaders: [],
@@ -94,6 +94,7 @@
     service: 's',
     silent: false,
     slots: 4,
+    softwareVersion: 'v1',
     startedAtMs: 0,
     zone: 'z',
   }));
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -24,6 +24,7 @@
     service: 's',
     silent: false,
     slots: 8,
+    softwareVersion: 'v1',
     startedAtMs: 0,
     zone: 'z',
     ...changes,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySlotPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySlotPlacement.test.ts
@@ -29,6 +29,7 @@
     service: 's',
     silent: false,
     slots: 8,
+    softwareVersion: 'v1',
     startedAtMs: 0,
     zone: at % 2 === 0 ? 'own' : 'other',
   }));
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -6,6 +6,7 @@
   customer: 'x-customer',
   declined: 'x-declined',
   engine: 'x-engine',
+  firstAttempt: 'x-first-attempt',
   /** Path of an engine's occupancy. */
   occupancy: '/occupancy',
   request: 'x-request',
@@ -50,6 +51,7 @@
       : {
           caller: text(headers.authorization) ?? '',
           deadlineMs: deadline === null ? null : Number(deadline),
+          firstAttempt: text(headers[PLAIN.firstAttempt]),
           requestId,
           resumeAfter: text(headers[PLAIN.resumeAfter]),
         };
