--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -94,6 +94,7 @@
 function viewOf(
   engines: readonly StreamEngine[],
   routes: readonly FleetRoute[] = [ROUTE],
+  versions: readonly string[] = [],
 ): FleetView {
   const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
   return {
@@ -110,7 +111,7 @@
         service: 's',
         silent: false,
         slots: 2,
-        softwareVersion: 'v1',
+        softwareVersion: versions[at] ?? 'v1',
         startedAtMs: 0,
         zone: 'z',
       })),
@@ -197,6 +198,21 @@
     expect(first.headers[PLAIN.request]).toBe('i0');
   });
 
+  // Guards against an item whose text is of two software versions.
+  test('an item is resumed only at an engine of the software version that began it', async () => {
+    const engines = await startEngines(2, 20, 5);
+    engines.forEach((engine) => (engine.behaviors = [{after: 5, kind: 'breakOff'}]));
+    const group = new FakeGroup();
+    startLeader(group, () => viewOf(engines, [ROUTE], ['v1', 'v2']));
+    group.submit(1);
+    await waitUntil(() => group.results.length === 1);
+    expect(group.textOf(0)).toBe(expectedOutput(20));
+    const seen = engines.map((engine) => engine.seen.map(({headers}) => headers));
+    const began = seen.findIndex((all) => all.some((one) => !(PLAIN.resumeAfter in one)));
+    expect(seen[began]).toMatchObject([{}, {[PLAIN.resumeAfter]: '5'}]);
+    expect(seen[1 - began]).toEqual([]);
+  });
+
   test('counts items whose bodies are still being read, so no engine gets more than its free slots', async () => {
     const engines = await startEngines(2, 20, 5);
     const group = new FakeGroup();
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -84,8 +84,15 @@
   return engines;
 }
 
-/** Context of a relay; isLoadKnown says whether a report on the other VMs' requests (there are none) was received. */
-export function contextOf(engines: readonly StreamEngine[], isLoadKnown = true): RelayContext {
+/**
+ * Context of a relay; isLoadKnown says whether a report on the other VMs' requests (there are none) was received, and
+ * versions lists the engines' software versions.
+ */
+export function contextOf(
+  engines: readonly StreamEngine[],
+  isLoadKnown = true,
+  versions: readonly string[] = [],
+): RelayContext {
   const views = engines.map((engine, at) => ({
     address: engine.address,
     draining: false,
@@ -94,7 +101,7 @@
     service: 's',
     silent: false,
     slots: 4,
-    softwareVersion: 'v1',
+    softwareVersion: versions[at] ?? 'v1',
     startedAtMs: 0,
     zone: 'z',
   }));
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -88,6 +88,27 @@
     expect(resumed.map(({headers}) => headers[PLAIN.resumeAfter])).toEqual(['2']);
   });
 
+  // Guards against a stream with events of two software versions in one answer.
+  test('a stream is resumed only at an engine of the software version that began it', async () => {
+    const engines = await startEngines(3);
+    engines.forEach((engine) => (engine.behaviors = [{after: 2, kind: 'breakOff'}]));
+    const context = contextOf(engines, true, ['v1', 'v2', 'v1']);
+    const {port} = await startRelay(context, routeOf({maxAttempts: 3}));
+    for (let round = 0; round < 6; round++) {
+      const before = engines.map(({seen}) => seen.length);
+      engines.forEach((engine) => (engine.behaviors = [{after: 2, kind: 'breakOff'}]));
+      expect(await sendRequest(port)).toMatchObject({
+        body: engines[0]!.wholeText,
+        isComplete: true,
+      });
+      const began = engines.findIndex(({seen}, at) =>
+        seen.slice(before[at]).some(({headers}) => headers[PLAIN.resumeAfter] === undefined),
+      );
+      const other = began === 1 ? [0, 2] : [1];
+      other.forEach((at) => expect(engines[at]!.seen).toHaveLength(before[at]!));
+    }
+  });
+
   test.each(['breakOff', 'endWithin'] as const)(
     'a stream that is not resumable is incomplete for the caller after %s',
     async (kind) => {
