Streams go on only at the software version that began them

Cause: a property of an engine binds work that outlives one send, was told on the wire and never kept. Each send of a stream chose among all engines of the service: the resumption inside one answer, and the one for a caller that takes its stream up again. Ruled out: a stale or wrong version by reuse of addresses (the engines that got crossings had their addresses for seconds), and returns alone. Change: the first event binds a request to service and software version; `selectEngine` takes the version as a required input beside service, draining and health. Which software began a stream is kept by its first attempt: in the VM that began it and, only while a service has engines of several versions (or had, for as long as their streams may return), in two other VMs of different zones, chosen by rendezvous hashing of the first attempt. A return is looked up in the VM's own records, then by the only version that the control group's state names, then at up to four VMs. An unknown version is rejected, never guessed. When a second version appears, the records of all streams that may still return are copied. A stream whose version has left ends at once. Replicated: versions whose last engine has left (`formerSoftware`), by the group's clock, so that a VM that has just started knows whether a version follows from the route alone. Why it works: no send of a stream after its first event can choose another version, since all go through `selectEngine`; and without a record of the version nothing is sent.

--- a/packages/stallpaddle-fleet/src/FleetDelta.ts
+++ b/packages/stallpaddle-fleet/src/FleetDelta.ts
@@ -43,7 +43,13 @@
 };
 
 /** Fields of the fleet status that are not lists of named items. */
-const PLAIN_FIELDS = ['controls', 'entriesComplete', 'jobsFounders', 'jobsReplicas'] as const;
+const PLAIN_FIELDS = [
+  'controls',
+  'entriesComplete',
+  'formerSoftware',
+  'jobsFounders',
+  'jobsReplicas',
+] as const;
 
 const NO_CHANGES: ListDelta<never> = {gone: [], put: []};
 
--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -6,6 +6,7 @@
 
 import {decodeValue, encodeValue, unreachable} from 'stallpaddle';
 
+import type {FormerSoftware} from './FleetSoftware';
 import type {FleetSuspect, FleetSuspects} from './FleetSuspects';
 import type {
   EngineReport,
@@ -16,6 +17,7 @@
   RemoveEngine,
 } from './FleetTypes';
 
+import {afterEngineChange, afterExpiry, streamLifeMs} from './FleetSoftware';
 import {afterEngineEnd, afterRelease, afterTick} from './FleetSuspects';
 import {UNKNOWN_SOFTWARE, UNKNOWN_START} from './FleetTypes';
 
@@ -27,6 +29,7 @@
   config: null,
   engines: new Map(),
   enginesRevision: 0,
+  formerSoftware: new Map(),
   goneEngines: new Map(),
   jobsFounders: null,
   stores: new Map(),
@@ -197,13 +200,33 @@
   }
 }
 
+/** Remembers the software versions that a change of the engines has removed. */
+function withFormerSoftware(before: FleetState, {answer, state}: FleetStep): FleetStep {
+  const {clockMs, config, engines, formerSoftware} = state;
+  if (engines === before.engines) {
+    return {answer, state};
+  }
+  const until = clockMs + streamLifeMs(config);
+  const former = afterEngineChange(
+    formerSoftware,
+    before.engines.values(),
+    engines.values(),
+    until,
+  );
+  return {answer, state: {...state, formerSoftware: former}};
+}
+
 interface EncodedFleet extends Omit<
   FleetState,
-  'clockMs' | 'engines' | 'goneEngines' | 'stores' | 'suspects'
+  'clockMs' | 'engines' | 'formerSoftware' | 'goneEngines' | 'stores' | 'suspects'
 > {
   /** Earlier releases wrote neither this nor suspects. */
   readonly clockMs?: GroupMs;
   readonly engines: readonly FleetEngine[];
+  /** Not written by earlier releases. */
+  readonly formerSoftware?: readonly (FormerSoftware extends ReadonlyMap<infer K, infer V>
+    ? readonly [K, V]
+    : never)[];
   /** With their latest ended incarnations; earlier releases wrote only the IDs. */
   readonly goneEngines: readonly (EngineId | readonly [EngineId, number])[];
   readonly stores: readonly (FleetState['stores'] extends ReadonlyMap<string, infer S>
@@ -236,7 +259,9 @@
   apply: (state, command, elapsedMs): MachineResult<FleetState> => {
     const clockMs = state.clockMs + elapsedMs;
     const suspects = afterTick(state.suspects, clockMs);
-    const {answer, state: next} = step({...state, clockMs, suspects}, decodeCommand(command));
+    const formerSoftware = afterExpiry(state.formerSoftware, clockMs);
+    const before = {...state, clockMs, formerSoftware, suspects};
+    const {answer, state: next} = withFormerSoftware(before, step(before, decodeCommand(command)));
     return {blobs: [], result: answer, state: next};
   },
   blobEnd: () => 0,
@@ -246,6 +271,7 @@
       ...encoded,
       clockMs: encoded.clockMs ?? 0,
       engines: new Map(encoded.engines.map((engine) => [engine.id, completeReport(engine)])),
+      formerSoftware: new Map(encoded.formerSoftware ?? []),
       goneEngines: new Map(
         encoded.goneEngines.map((end) => (typeof end === 'string' ? [end, UNKNOWN_START] : end)),
       ),
@@ -257,6 +283,7 @@
     const encoded: EncodedFleet = {
       ...state,
       engines: [...state.engines.values()],
+      formerSoftware: [...state.formerSoftware],
       goneEngines: [...state.goneEngines],
       stores: [...state.stores.values()],
       suspects: [...state.suspects.values()],
--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -4,6 +4,7 @@
 import type {EngineId, ReplicaId, VmId, ZoneId} from 'stallpaddle';
 import type {GroupMs} from 'stallpaddle-replication';
 
+import type {FormerSoftware} from './FleetSoftware';
 import type {FleetSuspects, NoteEngineEnd, ReleaseRequest} from './FleetSuspects';
 
 /** How the requests of a route are retried when an attempt fails. */
@@ -164,6 +165,8 @@
   readonly engines: ReadonlyMap<EngineId, FleetEngine>;
   /** Increases with each change of the engines. */
   readonly enginesRevision: number;
+  /** Software versions that may have begun streams which can still come back, though no engine has them any more. */
+  readonly formerSoftware: FormerSoftware;
   /** Latest ended incarnation of each removed engine, oldest first; only a later incarnation may register again. */
   readonly goneEngines: ReadonlyMap<EngineId, number>;
   /** Initial members of the group that stores batch jobs; null until it is created. */
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -101,6 +101,8 @@
   readonly entries: readonly EntryView[];
   /** False while a new leader is still collecting heartbeats of entry VMs. */
   readonly entriesComplete: boolean;
+  /** Software versions without engines that may have begun streams which can still come back, by `softwareKey`. */
+  readonly formerSoftware: readonly string[];
   readonly jobsFounders: readonly ReplicaId[] | null;
   /** Replicas of the group that stores batch jobs; without a known member, the founders followed by all stores. */
   readonly jobsReplicas: readonly ReplicaId[];
@@ -180,6 +182,7 @@
   engines: [],
   entries: [],
   entriesComplete: false,
+  formerSoftware: [],
   jobsFounders: null,
   jobsReplicas: [],
   stores: [],
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
@@ -36,6 +36,7 @@
   })),
   entries: listOf((name, bit): EntryView => ({address: `${name}:2`, name, zone: bit ? 'y' : 'z'})),
   entriesComplete: fc.constant(true),
+  formerSoftware: fc.subarray(['["s","v0"]', '["s","v2"]']),
   jobsFounders: fc.constantFrom(null, ['s1']),
   jobsReplicas: fc.subarray(['s1', 's2']),
   stores: listOf((name, heard): StoreView => ({
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -12,6 +12,17 @@
 export {type Feature, FEATURES, type FeatureSwitches, isFeatureOn} from './FleetFeatures';
 export {FleetHistory, type NumberedStatus} from './FleetHistory';
 export {changesEngine, fleetMachine, isOutdated, laterHolders} from './FleetMachine';
+export {
+  type EngineSoftware,
+  hasMixedSoftware,
+  mayContinue,
+  recentSoftware,
+  servedSoftware,
+  type SoftwareByService,
+  softwareKey,
+  streamLifeMs,
+  versionsOfRoute,
+} from './FleetSoftware';
 export {
   afterEngineEnd,
   afterRelease,
--- a/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
@@ -166,6 +166,7 @@
       onlineAt: (id) => known?.get(id)?.online ?? 0,
       random: this.random,
       service: 's',
+      softwareVersion: undefined,
       suspectDigest: null,
       tried: new Set(),
       unreported,
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -23,6 +23,7 @@
 
 import type {NodeFleet} from './NodeFleet';
 import type {NodeLimits} from './NodeLimits';
+import type {NodeStreams, StreamAsk} from './NodeStreams';
 import type {NodeOptions} from './NodeTypes';
 
 import {NodeBootstrapper} from './NodeBootstrapper';
@@ -62,11 +63,13 @@
    * @param options the process's clock, settings and other dependencies
    * @param fleet connections to the other processes and the fleet status
    * @param limits answers requests for limits that this VM owns
+   * @param streams keeps records of streams for other VMs
    */
   constructor(
     private readonly options: NodeOptions,
     private readonly fleet: NodeFleet,
     private readonly limits: NodeLimits,
+    private readonly streams: NodeStreams,
   ) {
     const {clock, loggers} = options;
     this.log = new NodeLog(loggers('control'), clock, fleet.metrics);
@@ -118,7 +121,7 @@
     const {key} = this.fleet.peers;
     const addService = (router: ConnectRouter) =>
       addNodeService(router, {
-        answer: (value) => this.answerPeer(value as FleetRequest | LimitAsk),
+        answer: (value) => this.answerPeer(value as FleetRequest | LimitAsk | StreamAsk),
         group: CONTROL_GROUP,
         onFailure: (err) =>
           this.log.note('A call of another process failed.', {error: errorMessage(err)}),
@@ -219,11 +222,15 @@
     });
   }
 
-  /** Answers another process. Any VM may own a limit, with or without a replica. */
-  private answerPeer(request: FleetRequest | LimitAsk): Promise<unknown> {
-    return request.kind === 'askLimit' || request.kind === 'returnLimit'
-      ? this.limits.answer(request)
-      : this.answer(request);
+  /** Answers another process. Any VM may own a limit or hold records of streams, with or without a replica. */
+  private answerPeer(request: FleetRequest | LimitAsk | StreamAsk): Promise<unknown> {
+    if (request.kind === 'askLimit' || request.kind === 'returnLimit') {
+      return this.limits.answer(request);
+    }
+    if (request.kind === 'findStream' || request.kind === 'recordStreams') {
+      return Promise.resolve(this.streams.answer(request));
+    }
+    return this.answer(request);
   }
 
   /**
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -25,6 +25,7 @@
 import type {NodeCustomers} from './NodeCustomers';
 import type {NodeFleet} from './NodeFleet';
 import type {NodeLimits} from './NodeLimits';
+import type {NodeStreams} from './NodeStreams';
 import type {NodeOptions} from './NodeTypes';
 import type {NodeWatch} from './NodeWatch';
 import type {JobCall, RawResponse} from './NodeWire';
@@ -34,7 +35,7 @@
 import {NodeConnections} from './NodeConnections';
 import {CONFIG_RETRY_AFTER_MS, IDLE_MARGIN_MS} from './NodeConstants';
 import {NodeDrainState} from './NodeDrainState';
-import {countEnd, countWait, exposeEntryMetrics} from './NodeEntryMetrics';
+import {countEnd, countNotResumed, countWait, exposeEntryMetrics} from './NodeEntryMetrics';
 import {BodyTooLargeError, readBody, requestHead, sendResponse, startServer} from './NodeHttp';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
@@ -74,12 +75,14 @@
    * @param fleet connections to the fleet and its status
    * @param customers identifies callers
    * @param limits the customers' rate limits
+   * @param streams remembers the software that began streams
    */
   constructor(
     private readonly options: NodeOptions,
     private readonly fleet: NodeFleet,
     private readonly customers: NodeCustomers,
     limits: NodeLimits,
+    private readonly streams: NodeStreams,
   ) {
     const {clock, current, loggers, settings, wire} = options;
     const {jobs, metrics, watch} = fleet;
@@ -149,6 +152,7 @@
       online,
       random: Math.random,
       speeds,
+      streams,
       suspects: makeSuspects({
         clock,
         decide: (id, fields) => this.decide('suspected', id, fields),
@@ -161,6 +165,16 @@
     };
   }
 
+  /**
+   * Writes a line to the log of this component.
+   *
+   * @param message one sentence
+   * @param fields structured fields of the line
+   */
+  note(message: string, fields: LogFields): void {
+    this.log.note(message, fields);
+  }
+
   /** Heartbeats of this component. */
   heartbeats(): readonly FleetHeartbeat[] {
     const {callers, name, zone} = this.options.settings;
@@ -211,7 +225,14 @@
     }
     const {drainState, watch} = this;
     const {admission, latencies, online} = this.context;
-    exposeEntryMetrics(this.fleet.metrics, {admission, drainState, latencies, online, watch});
+    exposeEntryMetrics(this.fleet.metrics, {
+      admission,
+      drainState,
+      latencies,
+      online,
+      streamRecords: () => this.streams.size,
+      watch,
+    });
     this.capacity.exposeMetrics(this.fleet.metrics);
     const help = 'Requests rejected because their customer was above its share.';
     this.fleet.metrics.exposeLabelledGauge('stallpaddle_share_rejections', help, 'customer', () =>
@@ -246,6 +267,9 @@
 
   private decide(decision: RelayDecision, id: string, fields: LogFields): void {
     this.log.decide(decision, id, fields);
+    if (decision === 'notResumed') {
+      countNotResumed(this.fleet.metrics, fields);
+    }
     if (decision === 'ended') {
       countEnd(this.fleet.metrics, fields);
     } else if (decision === 'rejected' || decision === 'waited') {
--- a/packages/stallpaddle-node/src/NodeEntryMetrics.ts
+++ b/packages/stallpaddle-node/src/NodeEntryMetrics.ts
@@ -17,6 +17,8 @@
   readonly online: RelayOnlineLoad;
   /** Learned limits on the engines' response times. */
   readonly latencies: RelayLatencies;
+  /** Number of streams whose software this VM remembers. */
+  readonly streamRecords: () => number;
   readonly watch: NodeWatch;
 }
 
@@ -60,6 +62,8 @@
   metrics.exposeLabelledGauge('stallpaddle_engines', versionsHelp, 'service_version', () =>
     enginesByVersion(gauges),
   );
+  const recordsHelp = 'Streams whose software version is remembered here.';
+  metrics.exposeGauge('stallpaddle_stream_records', recordsHelp, gauges.streamRecords);
   metrics.exposeGauge('stallpaddle_admission_waiting', 'Requests that wait for a slot.', () => {
     return admission.length;
   });
@@ -100,6 +104,22 @@
   }
 }
 
+/**
+ * Counts a stream that can't go on for its software version.
+ *
+ * @param metrics the process's metrics
+ * @param fields log fields of the relay's decision `notResumed`
+ */
+export function countNotResumed(
+  metrics: NodeMetrics,
+  {reason, service = '', softwareVersion = ''}: LogFields,
+): void {
+  const help = 'Streams that can’t go on for their software version.';
+  const labels = {reason, service, version: softwareVersion};
+  const texts = Object.entries(labels).map(([name, value]) => [name, String(value)] as const);
+  metrics.count('stallpaddle_streams_not_resumed_total', help, Object.fromEntries(texts));
+}
+
 /**
  * Counts a wait for a slot that has ended, or a rejection.
  *
--- a/packages/stallpaddle-node/src/NodeFleetStatus.ts
+++ b/packages/stallpaddle-node/src/NodeFleetStatus.ts
@@ -108,6 +108,7 @@
     engines: engineViews(input),
     entries: entryViews(input),
     entriesComplete: now - lastSeen.since > NEW_LEADER_SETTLE_MS,
+    formerSoftware: [...state.formerSoftware.keys()].sort(),
     jobsFounders,
     jobsReplicas: jobsReplicas(input),
     stores: storeViews(input),
--- a/packages/stallpaddle-node/src/NodeFront.ts
+++ b/packages/stallpaddle-node/src/NodeFront.ts
@@ -11,12 +11,14 @@
 import {NodeFleet} from './NodeFleet';
 import {startMetricsServer} from './NodeHttp';
 import {NodeLimits} from './NodeLimits';
+import {NodeStreams} from './NodeStreams';
 
 /** Serves callers, engines and the operator, and runs a replica of the control group if the VM has a disk. */
 export class NodeFront implements RunningNode {
   private readonly control: NodeControl;
   private readonly entry: NodeEntry;
   private readonly fleet: NodeFleet;
+  private readonly streams: NodeStreams;
 
   private constructor(private readonly options: NodeOptions) {
     const {clock, settings} = options;
@@ -47,8 +49,15 @@
       tryAt: (host, request, tryMs) => control.tryAt(host, request, tryMs),
       viewAgeMs: () => watch.ageMs,
     });
-    this.control = new NodeControl(options, this.fleet, limits);
-    this.entry = new NodeEntry(options, this.fleet, customers, limits);
+    this.streams = new NodeStreams({
+      clock,
+      host: settings.host,
+      note: (message, fields) => this.entry.note(message, fields),
+      tryAt: (host, request, tryMs) => control.tryAt(host, request, tryMs),
+      watch,
+    });
+    this.control = new NodeControl(options, this.fleet, limits, this.streams);
+    this.entry = new NodeEntry(options, this.fleet, customers, limits, this.streams);
   }
 
   /**
@@ -85,6 +94,7 @@
   }
 
   private onView(view: FleetView, before: FleetView): void {
+    this.streams.onView(view, before);
     this.entry.onView(view, before);
     this.control.onView(view, before);
   }
--- /dev/null
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -0,0 +1,258 @@
+/** Software versions that began streams, shared between the entry VMs. */
+import type {Clock, LogFields, VmId} from 'stallpaddle';
+import type {EntryView, FleetRoute, FleetView} from 'stallpaddle-fleet';
+import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
+
+import {delay, encodeValue, errorMessage} from 'stallpaddle';
+import {
+  type EngineSoftware,
+  hasMixedSoftware,
+  recentSoftware,
+  streamLifeMs,
+  versionsOfRoute,
+} from 'stallpaddle-fleet';
+import {RelayStreamRecords, type RelayStreams, type StreamRecord} from 'stallpaddle-relay';
+
+import type {NodeWatch} from './NodeWatch';
+
+import {CONTROL_GROUP} from './NodeConstants';
+import {hostOf} from './NodeSettings';
+import {streamHolders} from './NodeStreamHolders';
+
+/** Other VMs that keep a copy of each record. */
+const COPIES = 2;
+/** VMs that are asked for a record; more than hold it, as the list of VMs may have changed since. */
+const MAX_ASKED = 4;
+/** Timeout of a call to another VM, in milliseconds; it delays a caller that takes a stream up again. */
+const CALL_TIMEOUT_MS = 120;
+/** Age of the fleet status up to which it names all software versions without a call to the leader, in milliseconds. */
+const CURRENT_AGE_MS = 100;
+/**
+ * Age up to which it does so while the leader does not answer, in milliseconds: no engine registers without a leader, so
+ * only versions that registered shortly before it was lost may be missing.
+ */
+const LEADERLESS_AGE_MS = 1_500;
+
+/** Calls between entry VMs on the software that began streams. */
+export type StreamAsk =
+  /** Answered with the software, or null if the VM doesn't know the stream. */
+  | {readonly firstAttempt: string; readonly kind: 'findStream'}
+  | {readonly kind: 'recordStreams'; readonly records: readonly StreamRecord[]};
+
+/** Dependencies of {@link NodeStreams}. */
+export interface NodeStreamsOptions {
+  readonly clock: Clock;
+  /** This VM. */
+  readonly host: VmId;
+  readonly note: (message: string, fields: LogFields) => void;
+  readonly tryAt: (host: VmId, request: TryRequest, tryMs: number) => Promise<TryOutcome>;
+  readonly watch: Pick<NodeWatch, 'ageMs' | 'refresh' | 'view'>;
+}
+
+/** A record on its way to other VMs. */
+interface Sending {
+  readonly record: StreamRecord;
+  /** VMs that were not tried yet, in order. */
+  readonly untried: VmId[];
+}
+
+/**
+ * Remembers which software began each stream. While all engines have one version, nothing is sent; otherwise each record
+ * is copied to two other VMs, chosen by the stream's first attempt, so that any VM finds it when the caller returns there.
+ */
+export class NodeStreams implements RelayStreams {
+  private isMixed = false;
+  /** Records to send at the end of this turn of the event loop, by VM. */
+  private readonly queues = new Map<VmId, Sending[]>();
+  private readonly records: RelayStreamRecords;
+
+  /**
+   * @param options its dependencies
+   */
+  constructor(private readonly options: NodeStreamsOptions) {
+    this.records = new RelayStreamRecords(() => streamLifeMs(options.watch.view.config));
+  }
+
+  /** Number of streams that this VM remembers, its own and those of other VMs. */
+  get size(): number {
+    return this.records.size;
+  }
+
+  /**
+   * Applies a change of the fleet status. When a second version appears, the streams that began before are copied, too.
+   *
+   * @param view the new status
+   * @param before the previous status
+   */
+  onView(view: FleetView, before: FleetView): void {
+    const isSame =
+      view.config === before.config &&
+      view.news.engines === before.news.engines &&
+      view.news.formerSoftware === before.news.formerSoftware;
+    if (isSame) {
+      return;
+    }
+    const wasMixed = this.isMixed;
+    this.isMixed = hasMixedSoftware(view);
+    if (this.isMixed !== wasMixed) {
+      this.noteMixed(view);
+    }
+    if (this.isMixed && !wasMixed) {
+      this.records.all(this.now).forEach((record) => this.send(record));
+    }
+  }
+
+  /**
+   * Records a stream whose first event is about to be forwarded.
+   *
+   * @param record the stream
+   */
+  record(record: StreamRecord): void {
+    this.records.add(record, this.now);
+    if (this.isMixed) {
+      this.send(record);
+    }
+  }
+
+  /**
+   * Finds the software that began a stream: in this VM's records, by the only version that the route's services had, or
+   * in the records of other VMs.
+   *
+   * @param firstAttempt attempt that brought its first event; null if the caller doesn't name it
+   * @param route route of the stream
+   * @returns undefined when it is unknown
+   */
+  async find(firstAttempt: null | string, route: FleetRoute): Promise<EngineSoftware | undefined> {
+    const own = this.findOwn(firstAttempt);
+    if (own !== undefined) {
+      return own;
+    }
+    const isCurrent = await this.isStatusCurrent();
+    const only = isCurrent ? this.onlySoftware(route) : undefined;
+    if (only !== undefined || firstAttempt === null) {
+      return only;
+    }
+    return this.askHolders(firstAttempt);
+  }
+
+  /**
+   * Answers another VM.
+   *
+   * @param ask the VM's call
+   */
+  answer(ask: StreamAsk): EngineSoftware | null {
+    switch (ask.kind) {
+      case 'findStream':
+        return this.findOwn(ask.firstAttempt) ?? null;
+      case 'recordStreams':
+        ask.records.forEach((record) => this.records.add(record, this.now));
+        return null;
+    }
+  }
+
+  private get now(): number {
+    return this.options.clock.monotonicMs();
+  }
+
+  private findOwn(firstAttempt: null | string): EngineSoftware | undefined {
+    return firstAttempt === null ? undefined : this.records.find(firstAttempt, this.now);
+  }
+
+  private noteMixed({news}: FleetView): void {
+    const versions = [...recentSoftware(news)].map(
+      ([service, of]) => `${service}: ${[...of].sort().join(' ')}`,
+    );
+    const message = this.isMixed
+      ? 'Engines of several software versions serve.'
+      : 'All engines of a service have one software version.';
+    this.options.note(message, {records: this.size, versions: versions.join(', ')});
+  }
+
+  /** Whether the fleet status names all software versions that may have begun a stream. */
+  private async isStatusCurrent(): Promise<boolean> {
+    const {watch} = this.options;
+    const refreshed = watch.refresh(CURRENT_AGE_MS);
+    await Promise.race([refreshed, delay(CALL_TIMEOUT_MS)]);
+    return watch.ageMs <= LEADERLESS_AGE_MS;
+  }
+
+  /** The software that began all streams of a route which may come back; undefined if there are several. */
+  private onlySoftware(route: FleetRoute): EngineSoftware | undefined {
+    const recent = recentSoftware(this.options.watch.view.news);
+    const [softwareVersion, ...others] = versionsOfRoute(route, recent);
+    const open = route.split.find(({weight}) => weight > 0);
+    return softwareVersion === undefined || others.length > 0 || open === undefined
+      ? undefined
+      : {service: open.service, softwareVersion};
+  }
+
+  /** Other VMs in the order in which they are to hold a record. */
+  private holdersOf(firstAttempt: string): readonly VmId[] {
+    const {host, watch} = this.options;
+    const vms = watch.view.news.entries.map(({address, zone}: EntryView) => ({
+      host: hostOf(address),
+      zone,
+    }));
+    return streamHolders(firstAttempt, vms).filter((other) => other !== host);
+  }
+
+  /** Asks the VMs that hold a record; the first one that knows the stream answers. */
+  private async askHolders(firstAttempt: string): Promise<EngineSoftware | undefined> {
+    const asked = this.holdersOf(firstAttempt).slice(0, MAX_ASKED);
+    const ask = async (host: VmId): Promise<EngineSoftware> => {
+      const outcome = await this.call(host, {firstAttempt, kind: 'findStream'});
+      const found = outcome.kind === 'answered' ? (outcome.result as EngineSoftware | null) : null;
+      if (found === null) {
+        throw new Error(`unknown at ${host}`);
+      }
+      return found;
+    };
+    try {
+      const software = await Promise.any(asked.map(ask));
+      this.records.add({firstAttempt, software}, this.now);
+      return software;
+    } catch (err) {
+      const why = err instanceof AggregateError ? err.errors.map(errorMessage).join(', ') : '';
+      this.options.note('No VM knows the software that began a stream.', {firstAttempt, why});
+      return undefined;
+    }
+  }
+
+  private send(record: StreamRecord): void {
+    const untried = this.holdersOf(record.firstAttempt).slice(0, MAX_ASKED);
+    const sending = {record, untried};
+    for (let copies = 0; copies < COPIES; copies++) {
+      this.sendToNext(sending);
+    }
+  }
+
+  private sendToNext(sending: Sending): void {
+    const host = sending.untried.shift();
+    if (host === undefined) {
+      return;
+    }
+    const queue = this.queues.get(host);
+    if (queue !== undefined) {
+      queue.push(sending);
+      return;
+    }
+    this.queues.set(host, [sending]);
+    setImmediate(() => void this.flush(host));
+  }
+
+  /** Sends all queued records to a VM; if it doesn't confirm them, the next one gets each. */
+  private async flush(host: VmId): Promise<void> {
+    const sent = this.queues.get(host) ?? [];
+    this.queues.delete(host);
+    const records = sent.map(({record}) => record);
+    const outcome = await this.call(host, {kind: 'recordStreams', records});
+    if (outcome.kind !== 'answered') {
+      sent.forEach((sending) => this.sendToNext(sending));
+    }
+  }
+
+  private call(host: VmId, ask: StreamAsk): Promise<TryOutcome> {
+    const request = {encoded: encodeValue(ask), group: CONTROL_GROUP, query: true};
+    return this.options.tryAt(host, request, CALL_TIMEOUT_MS);
+  }
+}
--- a/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
+++ b/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
@@ -15,7 +15,7 @@
 
 import type {NodeGroup} from './NodeGroup';
 
-/** Time between ticks of the group's clock while there are suspects, in milliseconds. */
+/** Time between ticks of the group's clock while something expires by it, in milliseconds. */
 const TICK_MS = 10_000;
 
 /** Dependencies of {@link NodeSuspectsHandler}. */
@@ -86,11 +86,12 @@
     return propose(release);
   }
 
-  /** Advances the group's clock while there are suspects: it only advances with commands, and quarantines end by it. */
+  /** Advances the group's clock, which only advances with commands: quarantines and former software expire by it. */
   tickIfDue(): void {
     const {clock, group, propose} = this.options;
     const now = clock.monotonicMs();
-    if (group.driver.localState.suspects.size > 0 && now - this.tickedAt >= TICK_MS) {
+    const {formerSoftware, suspects} = group.driver.localState;
+    if (formerSoftware.size + suspects.size > 0 && now - this.tickedAt >= TICK_MS) {
       this.tickedAt = now;
       // Without a leader the next check retries.
       propose({kind: 'tick'}).catch(() => {});
--- a/packages/stallpaddle-relay/src/RelayEngineSelector.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineSelector.ts
@@ -2,10 +2,11 @@
  * Selection of the next engine for one request.
  */
 import type {EngineId} from 'stallpaddle';
-import type {EngineView} from 'stallpaddle-fleet';
+import type {EngineSoftware, EngineView} from 'stallpaddle-fleet';
 
 import {unreachable} from 'stallpaddle';
 import {waitLimitMs} from 'stallpaddle-admission';
+import {servedSoftware} from 'stallpaddle-fleet';
 
 import type {NotRunReason} from './RelayEngineCall';
 import type {EngineLoads} from './RelaySlotPlacement';
@@ -28,6 +29,8 @@
   /** Whether that engine was an attempt already before the request was sent to it again. */
   private wasAttempted = false;
   private sends = 0;
+  /** Software that began the stream; undefined before its first event. */
+  private software: EngineSoftware | undefined;
   private readonly sentTo = new Set<EngineId>();
 
   /**
@@ -75,11 +78,30 @@
     );
   }
 
+  /** Software that began the stream; undefined before its first event. */
+  get begunBy(): EngineSoftware | undefined {
+    return this.software;
+  }
+
+  /** Whether some engine that takes requests has the software that began the stream. */
+  get isVersionServed(): boolean {
+    return this.software === undefined || this.serviceOfVersion() !== undefined;
+  }
+
   /** Names of all engines that the request was sent to, for the log. */
   get engineNames(): string {
     return [...this.sentTo].join(',');
   }
 
+  /**
+   * Binds the request to the software that began its stream.
+   *
+   * @param software the software
+   */
+  bindTo(software: EngineSoftware): void {
+    this.software = software;
+  }
+
   /**
    * Whether the request has waited for a free slot as long as it may.
    *
@@ -161,7 +183,7 @@
    */
   next(queued?: string): EngineView | undefined {
     const {clock, engineHealth, engines, online, random, zone} = this.context;
-    const service = queued ?? selectService(this.req.route, random);
+    const service = this.serviceOfVersion() ?? queued ?? selectService(this.req.route, random);
     if (service === undefined) {
       return undefined;
     }
@@ -174,6 +196,7 @@
       onlineAt: (id) => online.requestsAt(id),
       random,
       service,
+      softwareVersion: this.software?.softwareVersion,
       suspectDigest: this.suspectDigest(),
       tried: this.hasAttemptLeft ? this.sentTo : NONE,
       unreported: online.unreported,
@@ -233,6 +256,26 @@
     return last !== undefined && online.requestsAt(last.id) > last.slots;
   }
 
+  /** Services of the route at which the stream may go on: the one that began it, unless the route has left it since. */
+  private services(): readonly string[] {
+    const {software} = this;
+    const open = this.req.route.split.filter(({weight}) => weight > 0);
+    const services = open.map(({service}) => service);
+    return software !== undefined && services.includes(software.service)
+      ? [software.service]
+      : services;
+  }
+
+  /** Service at which a stream that has begun goes on; undefined if none has engines of its software version. */
+  private serviceOfVersion(): string | undefined {
+    const {software} = this;
+    if (software === undefined) {
+      return undefined;
+    }
+    const served = servedSoftware(this.context.engines());
+    return this.services().find((service) => served.get(service)?.has(software.softwareVersion));
+  }
+
   /** What the dispatcher tells of engines; undefined while it is unknown, or batch items are not packed. */
   private get loads(): EngineLoads | undefined {
     const {fleetLoad, isOn} = this.context;
--- a/packages/stallpaddle-relay/src/RelayPlacement.ts
+++ b/packages/stallpaddle-relay/src/RelayPlacement.ts
@@ -5,6 +5,7 @@
 import type {EngineView, FleetRoute} from 'stallpaddle-fleet';
 
 import {rendezvousOwner} from 'stallpaddle';
+import {mayContinue} from 'stallpaddle-fleet';
 
 import {type EngineLoads, selectBySlots} from './RelaySlotPlacement';
 
@@ -99,6 +100,8 @@
   readonly onlineAt: (id: EngineId) => number;
   readonly random: Random;
   readonly service: string;
+  /** Software version that began the stream; undefined before its first event, when any version may begin it. */
+  readonly softwareVersion: string | undefined;
   /** Digest of a suspect request, which is placed apart from other suspects; null for any other request. */
   readonly suspectDigest: null | string;
   /** Engines that the request was already sent to; they are excluded. */
@@ -167,15 +170,20 @@
 
 /**
  * Selects the engine with the lowest load per slot, preferring the own availability zone at low load; ties are broken
- * at random. Where the runs of batch items are known, {@link selectBySlots} selects instead. Draining engines are never
- * selected, unhealthy or unresponsive ones only when there is no other.
+ * at random. Where the runs of batch items are known, {@link selectBySlots} selects instead. Draining engines, and those of
+ * another software version than the stream's, are never selected, unhealthy or unresponsive ones only when there is no other.
  *
  * @param input the state to select from
  */
 export function selectEngine(input: PlacementInput): EngineView | undefined {
-  const {engines, healthOf, isUnresponsive, now, service, suspectDigest, tried} = input;
+  const {engines, healthOf, isUnresponsive, now, service, softwareVersion, suspectDigest, tried} =
+    input;
   const open = engines.filter(
-    (engine) => engine.service === service && !engine.draining && !tried.has(engine.id),
+    (engine) =>
+      engine.service === service &&
+      mayContinue(engine, softwareVersion) &&
+      !engine.draining &&
+      !tried.has(engine.id),
   );
   const healthy = open.filter(
     (engine) => isHealthy(engine, healthOf(engine), now) && !isUnresponsive(engine.id),
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -39,6 +39,8 @@
   /** Whether the last attempt was interrupted by the engine, not by this side. */
   private wasInterrupted = false;
   private call: EngineCall | undefined;
+  /** Engine whose response is being forwarded as a stream. */
+  private streamEngine: EngineView | undefined;
   private readonly selector: RelayEngineSelector;
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
@@ -74,6 +76,7 @@
       },
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
+        this.noteStreamBegan();
       },
       res,
     });
@@ -123,6 +126,7 @@
     res.on('close', onClose);
     const timer = setTimeout(() => this.timeOut(), Math.max(0, this.remainingMs));
     try {
+      await this.bindReturn();
       while (this.end === undefined) {
         await this.attempt();
       }
@@ -135,6 +139,54 @@
     return this.end;
   }
 
+  /** Binds a stream that its caller takes up again to the software that began it. */
+  private async bindReturn(): Promise<void> {
+    const {metadata, route} = this.req;
+    if (route.kind !== 'streaming' || metadata.resumeAfter === null) {
+      return;
+    }
+    const software = await this.context.streams.find(metadata.firstAttempt, route);
+    if (software === undefined) {
+      this.refuseToResume(
+        'unknownVersion',
+        'The software version that began the stream is unknown.',
+      );
+    } else {
+      this.selector.bindTo(software);
+    }
+  }
+
+  /** Binds a stream to the software of the engine that brings its first event, before the caller gets the event. */
+  private noteStreamBegan(): void {
+    const {metadata, route} = this.req;
+    const {streamEngine} = this;
+    if (streamEngine === undefined || !route.resumable) {
+      return;
+    }
+    const {service, softwareVersion} = streamEngine;
+    const software = {service, softwareVersion};
+    const {firstAttempt, requestId, resumeAfter} = metadata;
+    this.selector.bindTo(software);
+    this.context.streams.record({
+      firstAttempt: resumeAfter === null ? requestId : (firstAttempt ?? requestId),
+      software,
+    });
+  }
+
+  private refuseToResume(reason: 'noEngine' | 'unknownVersion', message: string): void {
+    const {metadata, route} = this.req;
+    const {lastEventId} = this.forwarder;
+    this.context.decide('notResumed', metadata.requestId, {
+      firstAttempt: metadata.firstAttempt ?? undefined,
+      reason,
+      resumeAfter: lastEventId ?? undefined,
+      route: route.name,
+      service: this.selector.begunBy?.service,
+      softwareVersion: this.selector.begunBy?.softwareVersion,
+    });
+    this.refuse(message);
+  }
+
   private logEnd(): void {
     const {caller, metadata, route} = this.req;
     this.context.decide('ended', metadata.requestId, {
@@ -245,9 +297,13 @@
 
   /**
    * Waits for an engine if the response has started, or if engines were unreachable and the objective can still be
-   * met; otherwise refuses the request.
+   * met; otherwise refuses the request. A stream whose software version has left can't go on, so it doesn't wait.
    */
   private async onNoEngine(): Promise<void> {
+    if (!this.selector.isVersionServed) {
+      this.refuseToResume('noEngine', 'No engine has the software version that began the stream.');
+      return;
+    }
     if (this.res.headersSent) {
       this.selector.allowAllEngines();
     } else if (this.verdict === 'notRun' && this.selector.mayWaitForEngine(this.waitedMs)) {
@@ -357,10 +413,11 @@
     }
     this.verdict = 'ran';
     const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
-    const read =
-      isStream && status < REDIRECTION
-        ? this.forwarder.forwardStream(res)
-        : this.forwarder.forwardResponse(res);
+    const isForwardedByEvents = isStream && status < REDIRECTION;
+    this.streamEngine = isForwardedByEvents ? engine : undefined;
+    const read = isForwardedByEvents
+      ? this.forwarder.forwardStream(res)
+      : this.forwarder.forwardResponse(res);
     const end = await read;
     if (this.end !== undefined) {
       return;
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -11,6 +11,7 @@
 import type {RelayLatencies} from './RelayLatencies';
 import type {RelayOnlineLoad} from './RelayOnlineLoad';
 import type {RelaySpeeds} from './RelaySpeeds';
+import type {RelayStreams} from './RelayStreams';
 import type {RelaySuspects} from './RelaySuspects';
 import type {CallerMetadata, RelayWire} from './RelayWire';
 
@@ -57,6 +58,8 @@
   | 'declined'
   | 'ended'
   | 'held'
+  /** A stream can't go on for its software version: it is unknown, or no engine has it any more. */
+  | 'notResumed'
   | 'placed'
   /** Not sent to an engine for lack of slots; only with admission. */
   | 'rejected'
@@ -87,6 +90,8 @@
   readonly random: Random;
   /** What this VM observes of the speeds of engines; left out where nobody is told. */
   readonly speeds?: RelaySpeeds;
+  /** Software that began the streams that callers take up again. */
+  readonly streams: RelayStreams;
   readonly suspects: RelaySuspects;
   /** Age of this process's fleet view, in milliseconds. */
   readonly viewAgeMs: () => number;
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -1,13 +1,14 @@
 /**
  * Starts a relay with simulated engines and sends it requests.
  */
-import type {FleetRoute} from 'stallpaddle-fleet';
+import type {EngineSoftware, FleetRoute} from 'stallpaddle-fleet';
 
 import {createServer, request, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {seededRandom, systemClock} from 'stallpaddle';
 import {FakeSuspectStore, PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
 
+import type {RelayStreams} from '../RelayStreams';
 import type {RelayCaller, RelayContext, RelayEnd, RelayRequest} from '../RelayTypes';
 
 import {RelayAdmission} from '../RelayAdmission';
@@ -77,6 +78,20 @@
   };
 }
 
+/** Remembers streams in memory; without a record, the only version of the engines began the stream. */
+function streamsOf(versions: ReadonlySet<string>): RelayStreams {
+  const records = new Map<string, EngineSoftware>();
+  const [only] = versions.size === 1 ? versions : [];
+  return {
+    find: (firstAttempt) =>
+      Promise.resolve(
+        records.get(firstAttempt ?? '') ??
+          (only === undefined ? undefined : {service: 's', softwareVersion: only}),
+      ),
+    record: ({firstAttempt, software}) => records.set(firstAttempt, software),
+  };
+}
+
 /** Starts simulated engines. */
 export async function startEngines(count: number): Promise<readonly StreamEngine[]> {
   const engines = await Promise.all(Array.from({length: count}, () => StreamEngine.start()));
@@ -130,6 +145,7 @@
     latencies: new RelayLatencies(),
     online,
     random: seededRandom(1),
+    streams: streamsOf(new Set(views.map(({softwareVersion}) => softwareVersion))),
     suspects: new FakeSuspectStore().view(plainRelay, () => views),
     viewAgeMs: () => 0,
     wire: plainRelay,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayPlacement.test.ts
@@ -40,6 +40,7 @@
     onlineAt: () => 0,
     random: seededRandom(7),
     service: 's',
+    softwareVersion: undefined,
     suspectDigest: null,
     tried: new Set(),
     unreported: 0,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySlotPlacement.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySlotPlacement.test.ts
@@ -141,6 +141,7 @@
       isUnresponsive: (id) => id === 'e2',
       now: 1_000,
       service: 's',
+      softwareVersion: undefined,
       suspectDigest: null,
     });
     expect(selected?.id).toBe('e3');
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -23,6 +23,7 @@
 export {sendRefusal} from './RelayRefusals';
 export {RelayRun} from './RelayRun';
 export {RelaySpeeds, type RelaySpeedsOptions, type SpeedsDetails} from './RelaySpeeds';
+export {RelayStreamRecords, type RelayStreams, type StreamRecord} from './RelayStreams';
 export {
   isStarting,
   RelaySuspects,
