Batch items go on only at the software version that began them

Cause: as for streams: the run of an item was resumed at any engine of its service. Change: an item's recorded output names the version that wrote it; the plans place such an item only at engines of that version, and preempt late runs for it only there. If no engine that reports has the version any more, the item begins anew: its output is discarded (`itemRestarted`), and the number of restarts in parts and ends keeps a late record of the old output from joining the new one. Records of earlier releases name no version, so their items begin anew when they are resumed. The survey of abandoned runs offers their state to an engine of the same version first. Ruled out: to wait for a version that has left (an item would never end), and to check only in the plan (the runner checks as well, so no way of starting a run can join two versions). Changed fixture: a record made by hand names its version.

--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -17,6 +17,8 @@
   | 'itemEnded'
   | 'itemHeld'
   | 'itemPlaced'
+  /** An item begins anew at another software version. */
+  | 'itemRestarted'
   | 'itemReturned'
   | 'progressNotSaved'
   | 'tickFailed';
--- a/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
@@ -46,6 +46,7 @@
   readonly online: number;
   readonly service: string;
   readonly slots: number;
+  readonly softwareVersion: string;
   readonly speed: number;
   /** False while the engine is draining, failing or unreachable. */
   readonly usable: boolean;
@@ -215,13 +216,14 @@
    *
    * @param engine the engine
    */
-  slotsAt({id, service, slots}: EngineView): Omit<EngineSlots, 'usable'> {
+  slotsAt({id, service, slots, softwareVersion}: EngineView): Omit<EngineSlots, 'usable'> {
     return {
       id,
       items: this.runCounts().get(id) ?? 0,
       online: this.online.at(id),
       service,
       slots,
+      softwareVersion,
       speed: this.options.speedOf(id),
     };
   }
--- a/packages/stallpaddle-jobs/src/JobsMachine.ts
+++ b/packages/stallpaddle-jobs/src/JobsMachine.ts
@@ -7,6 +7,7 @@
 
 import type {
   ItemEnd,
+  ItemProgress,
   Job,
   JobId,
   JobItem,
@@ -115,12 +116,31 @@
   };
 }
 
+/**
+ * Recorded output that a part or an end continues: none if the item has restarted since.
+ *
+ * @returns undefined for a part or an end from before a restart
+ */
+function continuedProgress(
+  {progress}: JobItem,
+  {restarts = 0}: Pick<ProgressPart, 'restarts'>,
+): Pick<ItemProgress, 'events' | 'parts'> | undefined {
+  const recorded = progress?.restarts ?? 0;
+  if (restarts < recorded) {
+    return undefined;
+  }
+  return restarts === recorded && progress !== null ? progress : {events: 0, parts: []};
+}
+
 /**
  * Parts of a completed item's output: the recorded ones and the rest from its end. The end may repeat events that a
  * progress record of unknown outcome has already stored; these are skipped.
  */
-function $placeOutput(draft: Draft, {after, data}: ItemEnd, {progress}: JobItem): BlobRef[] {
-  const {events, parts} = progress ?? {events: 0, parts: []};
+function $placeOutput(
+  draft: Draft,
+  {after, data}: ItemEnd,
+  {events, parts}: Pick<ItemProgress, 'events' | 'parts'>,
+): BlobRef[] {
   const rest = data.slice(events - after);
   return rest.length === 0 ? [...parts] : [...parts, $place(draft, Buffer.from(rest.join('\n')))];
 }
@@ -133,11 +153,13 @@
   if (job === undefined || known === undefined || known.outcome !== null || job.ended) {
     return;
   }
+  const progress = continuedProgress(known, end);
   // Without a record of all earlier events the output would have a gap.
-  if (outcome === 'completed' && after > (known.progress?.events ?? 0)) {
+  if (outcome === 'completed' && (progress === undefined || after > progress.events)) {
     return;
   }
-  const texts = outcome === 'completed' ? $placeOutput(draft, end, known) : [];
+  const texts =
+    outcome === 'completed' && progress !== undefined ? $placeOutput(draft, end, progress) : [];
   const items = job.items.map((other, at) =>
     at === item ? {...known, outcome, progress: null} : other,
   );
@@ -161,15 +183,17 @@
   if (job === undefined || job.ended || known === undefined || known.outcome !== null) {
     return;
   }
-  const {events: before, parts} = known.progress ?? {events: 0, parts: []};
-  if (part.after !== before) {
+  const continued = continuedProgress(known, part);
+  if (continued === undefined || part.after !== continued.events) {
     return;
   }
-  const {events, lastEvent} = part;
+  const {events, lastEvent, restarts, softwareVersion} = part;
   const progress = {
-    events: before + events,
+    events: continued.events + events,
     lastEvent,
-    parts: [...parts, $place(draft, part.text)],
+    parts: [...continued.parts, $place(draft, part.text)],
+    ...(restarts === undefined ? {} : {restarts}),
+    ...(softwareVersion === undefined ? {} : {softwareVersion}),
   };
   const items = job.items.map((other, at) => (at === part.item ? {...known, progress} : other));
   $replaceJob(draft, {...job, items});
--- a/packages/stallpaddle-jobs/src/JobsPacking.ts
+++ b/packages/stallpaddle-jobs/src/JobsPacking.ts
@@ -5,6 +5,7 @@
 import type {EngineId} from 'stallpaddle';
 
 import {SET_APART_SPEED} from 'stallpaddle-capacity';
+import {mayContinue} from 'stallpaddle-fleet';
 
 import {
   type ItemPlan,
@@ -159,10 +160,15 @@
   return a.items === b.items ? a.free > b.free : a.items > b.items;
 }
 
-function bestEngine(plans: readonly EnginePlan[], urgent: boolean): EnginePlan | undefined {
+function bestEngine(
+  plans: readonly EnginePlan[],
+  softwareVersion: string | undefined,
+  urgent: boolean,
+): EnginePlan | undefined {
   let best: EnginePlan | undefined;
   for (const plan of plans) {
-    if (plan.free > 0 && (best === undefined || isBetter(plan, best, urgent))) {
+    const isOpen = plan.free > 0 && mayContinue(plan.engine, softwareVersion);
+    if (isOpen && (best === undefined || isBetter(plan, best, urgent))) {
       best = plan;
     }
   }
@@ -201,11 +207,15 @@
 /** Places an item; an idle engine that is set apart takes one that isn't urgent, so that its recovery is noticed. */
 function placeItem(service: ServicePlan, item: PlannedItem): EngineId | undefined {
   const urgent = isUrgent(item);
-  const apart = urgent ? undefined : service.apart.pop();
-  if (apart !== undefined) {
-    return apart.engine.id;
+  const {softwareVersion} = item;
+  const at = urgent
+    ? -1
+    : service.apart.findLastIndex(({engine}) => mayContinue(engine, softwareVersion));
+  if (at >= 0) {
+    const [apart] = service.apart.splice(at, 1);
+    return apart!.engine.id;
   }
-  const best = service.budget > 0 ? bestEngine(service.plans, urgent) : undefined;
+  const best = service.budget > 0 ? bestEngine(service.plans, softwareVersion, urgent) : undefined;
   if (best === undefined) {
     return undefined;
   }
--- a/packages/stallpaddle-jobs/src/JobsPlan.ts
+++ b/packages/stallpaddle-jobs/src/JobsPlan.ts
@@ -1,6 +1,8 @@
 /** Placement and preemption of batch items: pure functions. */
 import type {EngineId} from 'stallpaddle';
 
+import {mayContinue} from 'stallpaddle-fleet';
+
 /** A running item. */
 export interface PlannedRun {
   /** Expected time to its end, in milliseconds; undefined while it is unknown. */
@@ -33,6 +35,7 @@
   readonly runs: readonly PlannedRun[];
   readonly service: string;
   readonly slots: number;
+  readonly softwareVersion: string;
   /** False while the engine is draining, failing or unreachable: no items start there. */
   readonly usable: boolean;
 }
@@ -47,6 +50,8 @@
   readonly service: string;
   /** Time until the item is due, in milliseconds. */
   readonly slackMs?: number;
+  /** Software version that the item's engine must have; undefined for any. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** Items to preempt and to start. */
@@ -68,12 +73,12 @@
 function freestEngine(
   engines: readonly PlannedEngine[],
   freeSlots: ReadonlyMap<EngineId, number>,
-  service: string,
+  {service, softwareVersion}: PlannedItem,
 ): PlannedEngine | undefined {
   let best: PlannedEngine | undefined;
   for (const engine of engines) {
     const isFreer = freeSlots.get(engine.id)! > (best === undefined ? 0 : freeSlots.get(best.id)!);
-    if (engine.service === service && isFreer) {
+    if (engine.service === service && isFreer && mayContinue(engine, softwareVersion)) {
       best = engine;
     }
   }
@@ -93,15 +98,21 @@
   preempted: ReadonlySet<string>,
 ): readonly string[] {
   const preemptions: string[] = [];
-  const urgent = new Map<string, number>();
-  for (const {late, service} of unplaced) {
-    urgent.set(service, (urgent.get(service) ?? 0) + (late ? 0 : 1));
-  }
-  for (const {runs, service, usable} of engines) {
-    for (const {key, late} of usable ? runs : []) {
-      const wanted = urgent.get(service) ?? 0;
-      if (late && wanted > 0 && !preempted.has(key)) {
-        urgent.set(service, wanted - 1);
+  const urgent = unplaced.filter(({late}) => !late);
+  for (const engine of engines) {
+    for (const {key, late} of engine.usable ? engine.runs : []) {
+      if (urgent.length === 0) {
+        return preemptions;
+      }
+      const at =
+        late && !preempted.has(key)
+          ? urgent.findIndex(
+              ({service, softwareVersion}) =>
+                service === engine.service && mayContinue(engine, softwareVersion),
+            )
+          : -1;
+      if (at >= 0) {
+        urgent.splice(at, 1);
         preemptions.push(key);
       }
     }
@@ -132,11 +143,12 @@
     engines.filter(({id}) => freeSlots.get(id)! > 0).map(({service}) => service),
   );
   for (const item of waiting) {
-    const best = services.has(item.service)
-      ? freestEngine(engines, freeSlots, item.service)
-      : undefined;
+    const best = services.has(item.service) ? freestEngine(engines, freeSlots, item) : undefined;
     if (best === undefined) {
-      services.delete(item.service);
+      // Without a slot at one software version there may be slots at others.
+      if (item.softwareVersion === undefined) {
+        services.delete(item.service);
+      }
       unplaced.push(item);
     } else {
       freeSlots.set(best.id, freeSlots.get(best.id)! - 1);
--- a/packages/stallpaddle-jobs/src/JobsProgress.ts
+++ b/packages/stallpaddle-jobs/src/JobsProgress.ts
@@ -8,20 +8,26 @@
 import {TARGET_COMMAND_BYTES} from './JobsConstants';
 
 function partOf(task: Task): ProgressPart {
-  const {data, events, index, job, lastEvent, savedData, savedEvents} = task;
+  const {data, events, index, job, lastEvent, restarts, savedData, savedEvents, softwareVersion} =
+    task;
   return {
     after: savedEvents,
     events: events - savedEvents,
     item: index,
     job: job.id,
     lastEvent,
+    restarts: restarts === 0 ? undefined : restarts,
+    softwareVersion,
     text: Buffer.from(data.slice(savedData).join('\n')),
   };
 }
 
 /** Skips events of a record whose outcome was unknown but that was committed. */
 function skipRecorded(task: Task): void {
-  const recorded = task.item.progress?.events ?? 0;
+  const {events: recorded = 0, restarts = 0} = task.item.progress ?? {};
+  if (restarts !== task.restarts) {
+    return;
+  }
   if (recorded > task.savedEvents) {
     // Entries of `data` after the recorded parts hold one event each.
     task.savedData += recorded - task.savedEvents;
@@ -98,11 +104,18 @@
 
   private async record(tasks: readonly Task[]): Promise<void> {
     // Runs continue during the proposal: only the output that it holds counts as saved.
-    const saved = tasks.map((task) => ({data: task.data.length, events: task.events, task}));
+    const saved = tasks.map((task) => ({
+      data: task.data.length,
+      events: task.events,
+      restarts: task.restarts,
+      task,
+    }));
     await this.options.propose({kind: 'saveProgress', parts: tasks.map(partOf)});
-    saved.forEach(({data, events, task}) => {
-      task.savedData = data;
-      task.savedEvents = events;
+    saved.forEach(({data, events, restarts, task}) => {
+      if (restarts === task.restarts) {
+        task.savedData = data;
+        task.savedEvents = events;
+      }
     });
   }
 }
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -3,7 +3,14 @@
 import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
-import {engineOf, type EngineView, type FleetRoute, QUARANTINE_LEVEL} from 'stallpaddle-fleet';
+import {
+  engineOf,
+  type EngineView,
+  type FleetRoute,
+  mayContinue,
+  QUARANTINE_LEVEL,
+  UNKNOWN_SOFTWARE,
+} from 'stallpaddle-fleet';
 import {isStarting, RelayLatencies, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
@@ -15,6 +22,7 @@
 import {QUARANTINE_CHECK_MS, RETRY_DELAY_MS} from './JobsConstants';
 import {JobsEndRecorder} from './JobsEndRecorder';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
+import {restartTask} from './JobsTasks';
 import {nextTrial} from './JobsTrial';
 
 /** Status (RFC 9110) of an item that no engine can process. */
@@ -186,8 +194,23 @@
     }
   }
 
+  /** Discards the output of an item that begins anew because no engine has the software version that wrote it. */
+  private restartAt(engine: EngineView, task: Task): void {
+    const {events, softwareVersion} = task;
+    restartTask(task);
+    this.decide('itemRestarted', task, {
+      engine: engine.id,
+      events,
+      from: softwareVersion,
+      softwareVersion: engine.softwareVersion,
+    });
+  }
+
   private async run(task: Task, engine: EngineView): Promise<void> {
     const {clock} = this.runtime;
+    if (task.events > 0 && !mayContinue(engine, task.softwareVersion ?? UNKNOWN_SOFTWARE)) {
+      this.restartAt(engine, task);
+    }
     this.decide('itemPlaced', task, {
       engine: engine.id,
       resumeAfter: task.lastEvent ?? undefined,
@@ -206,6 +229,7 @@
       isPreempted: false,
       lastEventAt: startedAt,
       run,
+      softwareVersion: engine.softwareVersion,
     };
     task.run = taskRun;
     const end = await run.ended;
@@ -243,6 +267,7 @@
     task.lastEvent = id ?? task.lastEvent;
     const {run} = task;
     if (run !== undefined) {
+      task.softwareVersion = run.softwareVersion;
       const now = this.runtime.clock.monotonicMs();
       this.noteGap(run, now);
       run.events++;
@@ -343,9 +368,16 @@
       return;
     }
     task.ending = true;
-    const {index, job, savedData, savedEvents} = task;
+    const {index, job, restarts, savedData, savedEvents} = task;
     const data = outcome === 'completed' ? task.data.slice(savedData) : [];
-    const end = {after: savedEvents, data, item: index, job: job.id, outcome};
+    const end = {
+      after: savedEvents,
+      data,
+      item: index,
+      job: job.id,
+      outcome,
+      restarts: restarts === 0 ? undefined : restarts,
+    };
     this.decide('itemEnded', task, {events: task.events, outcome, ...fields});
     this.ends.add(end, term);
   }
--- a/packages/stallpaddle-jobs/src/JobsSurvey.ts
+++ b/packages/stallpaddle-jobs/src/JobsSurvey.ts
@@ -5,6 +5,7 @@
 
 import {request} from 'node:http';
 import {delay, type LogFields} from 'stallpaddle';
+import {mayContinue} from 'stallpaddle-fleet';
 import {splitAddress} from 'stallpaddle-relay';
 
 import type {JobsOnlineCounts} from './JobsOnlineCounts';
@@ -128,7 +129,11 @@
     if (!isLeading()) {
       return;
     }
-    const other = engines.find(({id, service}) => id !== engine.id && service === engine.service);
+    const others = engines.filter(
+      ({id, service}) => id !== engine.id && service === engine.service,
+    );
+    // The state that the run has in memory fits only engines of the same software version.
+    const other = others.find((one) => mayContinue(one, engine.softwareVersion)) ?? others[0];
     const abandoned = running.filter((id) => isAbandoned(id, engine.id));
     if (other !== undefined) {
       await Promise.all(abandoned.map((id) => this.stopRun(engine, id, other.address)));
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -22,6 +22,8 @@
   /** Time of the last event, or of the start. */
   lastEventAt: MonotonicMs;
   readonly run: ItemRun;
+  /** Version of the engine's software. */
+  readonly softwareVersion: string;
 }
 
 /** An open item with its output so far; unsaved output is lost with the process. */
@@ -43,11 +45,15 @@
   lastEvent: string | null;
   /** Earliest time of the next run. */
   notBefore: MonotonicMs;
+  /** Number of times that the output was discarded. */
+  restarts: number;
   run: TaskRun | undefined;
   /** Number of entries of `data` that are recorded. */
   savedData: number;
   /** Number of events that are recorded. */
   savedEvents: number;
+  /** Version of the engine software that wrote the output; undefined before the first event, and where it is unknown. */
+  softwareVersion: string | undefined;
   /** Its next trial run; undefined if it was never quarantined. */
   trial: ItemTrial | undefined;
   /** Engine on which it is starting, while its body is read. */
@@ -56,7 +62,7 @@
 
 function taskOf(job: Job, index: number): Task {
   const item = job.items[index]!;
-  const {events = 0, lastEvent = null} = item.progress ?? {};
+  const {events = 0, lastEvent = null, restarts = 0, softwareVersion} = item.progress ?? {};
   return {
     acceptedAt: job.acceptedAt,
     body: undefined,
@@ -70,14 +76,31 @@
     key: `${job.id}/${index}`,
     lastEvent,
     notBefore: -Infinity,
+    restarts,
     run: undefined,
     savedData: 0,
     savedEvents: events,
+    softwareVersion,
     startingOn: undefined,
     trial: undefined,
   };
 }
 
+/**
+ * Discards an item's output, so that its next run begins anew.
+ *
+ * @param task the item, not running
+ */
+export function restartTask(task: Task): void {
+  task.data = [];
+  task.events = 0;
+  task.lastEvent = null;
+  task.restarts++;
+  task.savedData = 0;
+  task.savedEvents = 0;
+  task.softwareVersion = undefined;
+}
+
 /** Keeps the open items of the group in step with its state, and which engine each one runs on. */
 export class JobsTasks {
   /** Items that run or start, by engine. */
--- a/packages/stallpaddle-jobs/src/JobsTypes.ts
+++ b/packages/stallpaddle-jobs/src/JobsTypes.ts
@@ -26,6 +26,10 @@
   readonly lastEvent: string | null;
   /** Data of its events, joined by line feeds within and between parts. */
   readonly parts: readonly BlobRef[];
+  /** Number of times that the item's output was discarded; omitted before the first time. */
+  readonly restarts?: number | undefined;
+  /** Version of the engine software that wrote the output; missing in records of earlier releases. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** A part of an item's output to record. */
@@ -36,6 +40,9 @@
   readonly item: number;
   readonly job: JobId;
   readonly lastEvent: string | null;
+  /** As in {@link ItemProgress}; the first part after a restart replaces the recorded output. */
+  readonly restarts?: number | undefined;
+  readonly softwareVersion?: string | undefined;
   readonly text: Uint8Array;
 }
 
@@ -107,6 +114,8 @@
   readonly item: number;
   readonly job: JobId;
   readonly outcome: ItemOutcome;
+  /** As in {@link ItemProgress}. */
+  readonly restarts?: number | undefined;
 }
 
 /** Names a job. */
--- a/packages/stallpaddle-jobs/src/JobsUrgency.ts
+++ b/packages/stallpaddle-jobs/src/JobsUrgency.ts
@@ -3,7 +3,15 @@
 import type {GroupMs} from 'stallpaddle-replication';
 
 import {shareWeight} from 'stallpaddle-admission';
-import {type FleetRoute, type FleetView, RouteTable} from 'stallpaddle-fleet';
+import {
+  type EngineView,
+  type FleetRoute,
+  type FleetView,
+  RouteTable,
+  servedSoftware,
+  type SoftwareByService,
+  UNKNOWN_SOFTWARE,
+} from 'stallpaddle-fleet';
 
 import type {PlannedItem} from './JobsPlan';
 import type {Task} from './JobsTasks';
@@ -46,6 +54,8 @@
   readonly estimates = new JobsEstimates();
   private weights:
     {readonly of: ReadonlyMap<string, number>; readonly version: number | undefined} | undefined;
+  private served:
+    {readonly engines: readonly EngineView[]; readonly of: SoftwareByService} | undefined;
   private routes: {readonly table: RouteTable; readonly version: number} | undefined;
 
   /**
@@ -123,7 +133,10 @@
       return [];
     }
     const slackMs = this.slackMs(view, task);
-    const remainingMs = this.estimates.remainingMs(route.name, task.events);
+    const softwareVersion = this.boundVersion(view, service, task);
+    // Without an engine of its version the item begins anew.
+    const events = softwareVersion === undefined ? 0 : task.events;
+    const remainingMs = this.estimates.remainingMs(route.name, events);
     const late = slackMs < remainingMs;
     const dueMs = task.acceptedAt + route.targetMs;
     return [
@@ -134,11 +147,24 @@
         remainingMs,
         service,
         slackMs,
+        softwareVersion,
         urgency: late ? LATE : Math.floor(dueMs / EQUAL_URGENCY_MS),
       },
     ];
   }
 
+  /** Software version at which an item goes on; undefined before its first event, and if no engine has the version. */
+  private boundVersion({news}: FleetView, service: string, task: Task): string | undefined {
+    if (task.events === 0) {
+      return undefined;
+    }
+    if (this.served?.engines !== news.engines) {
+      this.served = {engines: news.engines, of: servedSoftware(news.engines)};
+    }
+    const version = task.softwareVersion ?? UNKNOWN_SOFTWARE;
+    return this.served.of.get(service)?.has(version) === true ? version : undefined;
+  }
+
   private weightsOf({config}: FleetView): ReadonlyMap<string, number> {
     if (this.weights?.version !== config?.version) {
       const of = (config?.customers ?? []).map(
--- a/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
@@ -188,6 +188,7 @@
       })),
       service: 's',
       slots: SLOTS,
+      softwareVersion: 'v1',
       speed: 1,
       usable: true,
     }));
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -513,7 +513,15 @@
     startLeader(group, () => viewOf(engines), {mayLead: () => mayLead});
     await delay(100);
     const text = Buffer.from(['piece 1', 'piece 2', 'piece 3'].join('\n'));
-    const part = {after: 0, events: 3, item: 0, job: 'job', lastEvent: '3', text};
+    const part = {
+      after: 0,
+      events: 3,
+      item: 0,
+      job: 'job',
+      lastEvent: '3',
+      softwareVersion: 'v1',
+      text,
+    };
     await group.propose({kind: 'saveProgress', parts: [part]});
     mayLead = true;
     await waitUntil(() => group.results.length === 1);
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsPacking.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsPacking.test.ts
@@ -21,7 +21,17 @@
     id,
     Array.from({length: items}, () => ({})),
   );
-  return {id, online, runs, service: 's', slots: 8, speed: 1, usable: true, ...changes};
+  return {
+    id,
+    online,
+    runs,
+    service: 's',
+    slots: 8,
+    softwareVersion: 'v1',
+    speed: 1,
+    usable: true,
+    ...changes,
+  };
 }
 
 function itemsOf(count: number, changes: Partial<PlannedItem> = {}): readonly PlannedItem[] {
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsPlan.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsPlan.test.ts
@@ -17,6 +17,7 @@
     runs: runs.map((events, at) => ({events, key: `${id}${at}`, late: false})),
     service: 's',
     slots: 4,
+    softwareVersion: 'v1',
     usable,
   };
 }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsRoom.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsRoom.test.ts
@@ -5,7 +5,16 @@
 import {JobsRoom} from '../../JobsRoom';
 
 test('sums usable engines at most every 20 ms, and averages starts over the last second', () => {
-  const engine = {id: 'e', items: 2, online: 4, service: 's', slots: 8, speed: 1, usable: true};
+  const engine = {
+    id: 'e',
+    items: 2,
+    online: 4,
+    service: 's',
+    slots: 8,
+    softwareVersion: 'v1',
+    speed: 1,
+    usable: true,
+  };
   const engines = [
     engine,
     {...engine, items: 0, online: 10},
