The version of a stream is confirmed, never guessed; a VM that has just started waits for its first status

Cause: a status of up to 1.5 s counted as current, and a process without any status did not wait for one. The model of six VMs found the first: a VM is cut off, a second version registers, a stream of it returns there. Change: a return is decided by the only known version just if the leader confirms the status after the call; while the leader does not answer, only if a VM that would hold the stream's record has answered that it has none. A process without a status waits for the first one, a second at most. Ruled out: to use the unproven status of a replica after a loss of all VMs, since a replica that lagged may lack versions. Tests: NodeStreams, a model with lost messages, VMs that are cut off, lost one by one and all at once, versions that come, go and come back: a version is unknown or right in 150 random histories; none of its messages is sent while there is one version.

--- a/packages/stallpaddle-node/src/NodeStreams.ts
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -3,7 +3,7 @@
 import type {EntryView, FleetRoute, FleetView} from 'stallpaddle-fleet';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
-import {delay, encodeValue, errorMessage} from 'stallpaddle';
+import {delay, encodeValue} from 'stallpaddle';
 import {
   type EngineSoftware,
   hasMixedSoftware,
@@ -15,7 +15,7 @@
 
 import type {NodeWatch} from './NodeWatch';
 
-import {CONTROL_GROUP} from './NodeConstants';
+import {CONTROL_GROUP, RETRY_PAUSE_MS} from './NodeConstants';
 import {hostOf} from './NodeSettings';
 import {streamHolders} from './NodeStreamHolders';
 
@@ -25,14 +25,18 @@
 const MAX_ASKED = 4;
 /** Timeout of a call to another VM, in milliseconds; it delays a caller that takes a stream up again. */
 const CALL_TIMEOUT_MS = 120;
-/** Age of the fleet status up to which it names all software versions without a call to the leader, in milliseconds. */
-const CURRENT_AGE_MS = 100;
 /**
- * Age up to which it does so while the leader does not answer, in milliseconds: no engine registers without a leader, so
- * only versions that registered shortly before it was lost may be missing.
+ * Age up to which the fleet status names all software versions while the leader does not answer but other VMs do, in
+ * milliseconds: an election is shorter, and no engine registers without a leader.
  */
 const LEADERLESS_AGE_MS = 1_500;
 
+/**
+ * Longest wait of a process that has just started for its first status from a leader, in milliseconds. After all processes
+ * were lost it takes an election, and callers give a stream up after a pause of two seconds.
+ */
+const STARTING_WAIT_MS = 1_000;
+
 /** Calls between entry VMs on the software that began streams. */
 export type StreamAsk =
   /** Answered with the software, or null if the VM doesn't know the stream. */
@@ -46,7 +50,15 @@
   readonly host: VmId;
   readonly note: (message: string, fields: LogFields) => void;
   readonly tryAt: (host: VmId, request: TryRequest, tryMs: number) => Promise<TryOutcome>;
-  readonly watch: Pick<NodeWatch, 'ageMs' | 'refresh' | 'view'>;
+  readonly watch: Pick<NodeWatch, 'ageMs' | 'confirm' | 'view'>;
+}
+
+/** What the VMs that were asked for a record know. */
+interface HoldersAnswer {
+  /** Number of VMs that have answered. */
+  readonly answers: number;
+  /** Undefined if none knows the stream. */
+  readonly software: EngineSoftware | undefined;
 }
 
 /** A record on its way to other VMs. */
@@ -116,7 +128,7 @@
 
   /**
    * Finds the software that began a stream: in this VM's records, by the only version that the route's services had, or
-   * in the records of other VMs.
+   * in the records of other VMs. It is never guessed: without an answer of the leader or of a VM it stays unknown.
    *
    * @param firstAttempt attempt that brought its first event; null if the caller doesn't name it
    * @param route route of the stream
@@ -127,12 +139,18 @@
     if (own !== undefined) {
       return own;
     }
-    const isCurrent = await this.isStatusCurrent();
-    const only = isCurrent ? this.onlySoftware(route) : undefined;
-    if (only !== undefined || firstAttempt === null) {
+    const isConfirmed = await this.confirmStatus();
+    const only = this.onlySoftware(route);
+    if (only !== undefined && isConfirmed) {
       return only;
     }
-    return this.askHolders(firstAttempt);
+    const told = firstAttempt === null ? undefined : await this.askHolders(firstAttempt);
+    if (told?.software !== undefined) {
+      return told.software;
+    }
+    // VMs that know of a second version would have told one of those that answered.
+    const isTold = told !== undefined && told.answers > 0;
+    return isTold && this.options.watch.ageMs <= LEADERLESS_AGE_MS ? only : undefined;
   }
 
   /**
@@ -168,12 +186,19 @@
     this.options.note(message, {records: this.size, versions: versions.join(', ')});
   }
 
-  /** Whether the fleet status names all software versions that may have begun a stream. */
-  private async isStatusCurrent(): Promise<boolean> {
+  /** Whether the leader confirms that the fleet status names all software versions that have begun streams until now. */
+  private async confirmStatus(): Promise<boolean> {
     const {watch} = this.options;
-    const refreshed = watch.refresh(CURRENT_AGE_MS);
-    await Promise.race([refreshed, delay(CALL_TIMEOUT_MS)]);
-    return watch.ageMs <= LEADERLESS_AGE_MS;
+    const calledAt = this.now;
+    const confirm = (): Promise<boolean> =>
+      Promise.race([watch.confirm(), delay(CALL_TIMEOUT_MS).then(() => false)]);
+    let isConfirmed = await confirm();
+    // A process that has had a status before is cut off, and a wait would not help it.
+    while (!isConfirmed && watch.ageMs === Infinity && this.now - calledAt < STARTING_WAIT_MS) {
+      await delay(RETRY_PAUSE_MS);
+      isConfirmed = await confirm();
+    }
+    return isConfirmed;
   }
 
   /** The software that began all streams of a route which may come back; undefined if there are several. */
@@ -196,26 +221,27 @@
     return streamHolders(firstAttempt, vms).filter((other) => other !== host);
   }
 
-  /** Asks the VMs that hold a record; the first one that knows the stream answers. */
-  private async askHolders(firstAttempt: string): Promise<EngineSoftware | undefined> {
+  /** Asks the VMs that hold a record, until one knows the stream. */
+  private async askHolders(firstAttempt: string): Promise<HoldersAnswer> {
     const asked = this.holdersOf(firstAttempt).slice(0, MAX_ASKED);
+    let answers = 0;
     const ask = async (host: VmId): Promise<EngineSoftware> => {
       const outcome = await this.call(host, {firstAttempt, kind: 'findStream'});
+      answers += Number(outcome.kind === 'answered');
       const found = outcome.kind === 'answered' ? (outcome.result as EngineSoftware | null) : null;
       if (found === null) {
-        throw new Error(`unknown at ${host}`);
+        throw new Error(`${host} doesn’t know the stream`);
       }
       return found;
     };
-    try {
-      const software = await Promise.any(asked.map(ask));
+    const software = await Promise.any(asked.map(ask)).catch(() => undefined);
+    if (software === undefined) {
+      const fields = {answers, asked: asked.join(','), firstAttempt};
+      this.options.note('No other VM knows the software that began a stream.', fields);
+    } else {
       this.records.add({firstAttempt, software}, this.now);
-      return software;
-    } catch (err) {
-      const why = err instanceof AggregateError ? err.errors.map(errorMessage).join(', ') : '';
-      this.options.note('No VM knows the software that began a stream.', {firstAttempt, why});
-      return undefined;
     }
+    return {answers, software};
   }
 
   private send(record: StreamRecord): void {
--- /dev/null
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -0,0 +1,320 @@
+/**
+ * Guards against streams that are taken up at a wrong software version, against records that are lost with a VM, and against
+ * messages between VMs while all engines have one version. A model of several VMs, with lost messages and a clock that the
+ * test sets.
+ */
+import type {FleetCommand, FleetState, FleetView} from 'stallpaddle-fleet';
+import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
+
+import fc from 'fast-check';
+import {decodeValue, encodeValue} from 'stallpaddle';
+import {EMPTY_VIEW, fleetMachine} from 'stallpaddle-fleet';
+import {expect, test} from 'vitest';
+
+import {NodeStreams, type StreamAsk} from '../../NodeStreams';
+
+const ROUTE = {
+  giveUpAfterMs: 0,
+  host: 'h',
+  kind: 'streaming',
+  maxAttempts: 2,
+  maxWaitingTokens: 0,
+  name: 'r',
+  objectiveMs: 300,
+  pathPrefix: '/a/',
+  resumable: true,
+  split: [{service: 's', weight: 1}],
+  targetMs: 0,
+  timeoutMs: 5_000,
+} as const;
+const LIMITS = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
+const VMS = 6;
+/** Time for which a version stays remembered after its last engine has left, in milliseconds. */
+const LIFE_MS = 30_000;
+/** Time after which the messages of one step have arrived, in milliseconds. */
+const SETTLE_MS = 5;
+
+interface ModelVm {
+  /** Whether it is cut off from all other VMs. */
+  isCut: boolean;
+  streams: NodeStreams;
+  view: FleetView;
+}
+
+/** Several VMs, and the state of their control group. */
+class Fleet {
+  readonly messages: StreamAsk[] = [];
+  readonly notes: string[] = [];
+  readonly vms: ModelVm[];
+  /** Number of messages that are lost next. */
+  lost = 0;
+  private engines = 0;
+  private now = 0;
+  private state: FleetState = fleetMachine.initial();
+
+  constructor() {
+    const config = {limits: LIMITS, routes: [ROUTE], services: [], source: '', version: 1};
+    this.apply({config, kind: 'putConfig'});
+    this.vms = Array.from({length: VMS}, (_, at) => this.startVm(at));
+    this.publish();
+  }
+
+  /** Registers an engine; its name is returned. */
+  addEngine(softwareVersion: string): string {
+    const id = `e${++this.engines}`;
+    const report = {
+      address: `${id}:1`,
+      draining: false,
+      id,
+      sequence: 1,
+      service: 's',
+      slots: 8,
+      softwareVersion,
+      startedAtMs: 0,
+      zone: 'z',
+    };
+    this.apply({kind: 'reportEngine', report});
+    this.publish();
+    return id;
+  }
+
+  removeEngine(id: string): void {
+    this.apply({id, kind: 'removeEngine', startedAtMs: null});
+    this.publish();
+  }
+
+  /** Advances the clocks. */
+  advance(ms: number): void {
+    this.now += ms;
+    const {state} = fleetMachine.apply(this.state, encodeValue({kind: 'tick'}), ms);
+    this.state = state;
+    this.publish();
+  }
+
+  /** Kills a VM and starts it anew. */
+  restart(at: number): void {
+    this.vms[at] = {...this.startVm(at), isCut: this.vms[at]!.isCut};
+    this.publish();
+  }
+
+  async settle(): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+  }
+
+  async begin(at: number, firstAttempt: string, softwareVersion: string): Promise<void> {
+    this.vms[at]!.streams.record({firstAttempt, software: {service: 's', softwareVersion}});
+    await this.settle();
+  }
+
+  async versionAt(at: number, firstAttempt: string): Promise<string | undefined> {
+    return (await this.vms[at]!.streams.find(firstAttempt, ROUTE))?.softwareVersion;
+  }
+
+  /** Versions that the VM could send a stream to. */
+  versionsAt(at: number): readonly string[] {
+    const {engines} = this.vms[at]!.view.news;
+    return [...new Set(engines.map(({softwareVersion}) => softwareVersion))];
+  }
+
+  private apply(command: FleetCommand): void {
+    this.state = fleetMachine.apply(this.state, encodeValue(command), 0).state;
+  }
+
+  /** Sends the status to all VMs that are not cut off. */
+  private publish(): void {
+    this.vms?.forEach((vm) => this.update(vm));
+  }
+
+  private update(vm: ModelVm): void {
+    if (vm.isCut) {
+      return;
+    }
+    const before = vm.view;
+    const news = {
+      ...before.news,
+      engines: [...this.state.engines.values()].map((engine) => ({...engine, silent: false})),
+      entries: Array.from({length: VMS}, (_, at) => ({
+        address: `10.0.0.${at}:1`,
+        name: `vm${at}`,
+        zone: `z${at % 3}`,
+      })),
+      formerSoftware: [...this.state.formerSoftware.keys()],
+    };
+    vm.view = {...before, asOf: this.now, config: this.state.config, news};
+    vm.streams.onView(vm.view, before);
+  }
+
+  private startVm(at: number): ModelVm {
+    const vm: ModelVm = {isCut: false, streams: undefined as never, view: EMPTY_VIEW};
+    const ageMs = (): number => this.now - vm.view.asOf;
+    const watch = {
+      get ageMs(): number {
+        return ageMs();
+      },
+      confirm: () => {
+        this.update(vm);
+        return Promise.resolve(!vm.isCut);
+      },
+      get view(): FleetView {
+        return vm.view;
+      },
+    };
+    vm.streams = new NodeStreams({
+      clock: {monotonicMs: () => this.now, wallMs: () => 0},
+      host: `10.0.0.${at}`,
+      note: (message) => this.notes.push(message),
+      tryAt: (host, request) => this.deliver(vm, host, request),
+      watch,
+    });
+    return vm;
+  }
+
+  private deliver(from: ModelVm, host: string, {encoded}: TryRequest): Promise<TryOutcome> {
+    const ask = decodeValue<StreamAsk>(encoded);
+    const to = this.vms[Number(host.split('.')[3])]!;
+    this.messages.push(ask);
+    if (from.isCut || to.isCut || this.lost > 0) {
+      this.lost = Math.max(0, this.lost - 1);
+      return Promise.resolve({kind: 'unknown'});
+    }
+    return Promise.resolve({kind: 'answered', result: to.streams.answer(ask)});
+  }
+}
+
+const OTHERS = Array.from({length: VMS - 1}, (_, at) => at + 1);
+
+test('while all engines have one version, no VM sends anything, and any VM knows the version', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  await fleet.begin(0, 'q', 'v1');
+  fleet.restart(0);
+  for (const at of [0, ...OTHERS]) {
+    expect(await fleet.versionAt(at, 'q')).toBe('v1');
+  }
+  expect(fleet.messages).toEqual([]);
+});
+
+test('each VM finds the version of a stream, also after the VM that began it is lost', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.addEngine('v2');
+  await fleet.begin(0, 'q', 'v2');
+  fleet.restart(0);
+  for (const at of [0, ...OTHERS]) {
+    expect(await fleet.versionAt(at, 'q')).toBe('v2');
+  }
+});
+
+test('a VM that does not confirm a record is replaced by the next one', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.addEngine('v2');
+  fleet.lost = 2;
+  await fleet.begin(0, 'q', 'v2');
+  fleet.restart(0);
+  expect(await fleet.versionAt(0, 'q')).toBe('v2');
+});
+
+test('streams that began before a second version appeared are copied then', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  await fleet.begin(0, 'q', 'v1');
+  fleet.addEngine('v2');
+  await fleet.settle();
+  fleet.restart(0);
+  expect(await fleet.versionAt(3, 'q')).toBe('v1');
+});
+
+test('a version is remembered until its streams can’t return after its last engine has left', async () => {
+  const fleet = new Fleet();
+  const old = fleet.addEngine('v1');
+  fleet.addEngine('v2');
+  await fleet.begin(0, 'q', 'v1');
+  fleet.removeEngine(old);
+  expect(await fleet.versionAt(3, 'q')).toBe('v1');
+  fleet.vms.forEach((_, at) => fleet.restart(at));
+  expect(await fleet.versionAt(3, 'q')).toBeUndefined();
+  fleet.advance(LIFE_MS);
+  expect(await fleet.versionAt(3, 'late')).toBe('v2');
+});
+
+test('a VM that is cut off does not guess the version', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.vms[1]!.isCut = true;
+  fleet.addEngine('v2');
+  await fleet.begin(0, 'q', 'v2');
+  expect(await fleet.versionAt(1, 'q')).toBeUndefined();
+});
+
+/** A step of a random history; numbers select among VMs, engines and streams. */
+const STEP = fc.record({
+  kind: fc.constantFrom(
+    'add',
+    'advance',
+    'begin',
+    'begin',
+    'begin',
+    'cut',
+    'find',
+    'find',
+    'lose',
+    'remove',
+    'restart',
+    'restartAll',
+  ),
+  of: fc.nat(1_000),
+  vm: fc.nat(VMS - 1),
+});
+
+test('in random histories a version is unknown or right', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(STEP, {maxLength: 40, minLength: 10}), async (steps) => {
+      const fleet = new Fleet();
+      const engines = [fleet.addEngine('v1')];
+      const began = new Map<string, string>();
+      for (const {kind, of, vm} of steps) {
+        switch (kind) {
+          case 'add':
+            engines.push(fleet.addEngine(`v${of % 3}`));
+            break;
+          case 'advance':
+            fleet.advance(of);
+            break;
+          case 'begin': {
+            const versions = fleet.versionsAt(vm);
+            const version = versions[of % Math.max(1, versions.length)];
+            if (version !== undefined) {
+              began.set(`q${began.size}`, version);
+              await fleet.begin(vm, `q${began.size - 1}`, version);
+            }
+            break;
+          }
+          case 'cut':
+            fleet.vms[vm]!.isCut = !fleet.vms[vm]!.isCut;
+            break;
+          case 'find':
+            for (const [stream, version] of [...began].slice(-1 - (of % 2))) {
+              expect([undefined, version]).toContain(await fleet.versionAt(vm, stream));
+            }
+            break;
+          case 'lose':
+            fleet.lost = of % 4;
+            break;
+          case 'remove':
+            if (engines.length > 1) {
+              fleet.removeEngine(engines.splice(of % engines.length, 1)[0]!);
+            }
+            break;
+          case 'restart':
+            fleet.restart(vm);
+            break;
+          case 'restartAll':
+            fleet.vms.forEach((_, at) => fleet.restart(at));
+            break;
+        }
+      }
+    }),
+    {numRuns: 150},
+  );
+});
