Soak: engines of two software versions, callers that take streams up again at other VMs

Cause: the soak's engines all had one version and its callers never came back, so it could not see the incident's fault. Change: every event names the version that wrote it; engines start with two versions, and one that leaves starts again with the other. A quarter of the callers of streams disconnect midway, and all whose stream ends early take it up at another VM with its first attempt. The checker reports `outputKeepsVersion` (a response, a stream over all attempts, an item) and `streamsGoOn` (of 12 returns in calm times under half as many go on as new streams begin). What answers must look like is checked as strictly as before, now with the version.

--- a/packages/stallpaddle-soak/src/SoakCallers.ts
+++ b/packages/stallpaddle-soak/src/SoakCallers.ts
@@ -4,11 +4,12 @@
 
 import type {SoakFleet} from './SoakFleet';
 import type {SoakHistory} from './SoakHistory';
+import type {TakenUpStream} from './SoakStreams';
 import type {SoakRoute} from './SoakTypes';
 import type {SoakCall, SoakWire} from './SoakWire';
 
 import {makeCall, type SoakReply} from './SoakHttp';
-import {fatalAttempt, fatalContent, IMPOSSIBLE} from './SoakOutput';
+import {eventCount, fatalAttempt, fatalContent, IMPOSSIBLE, OUTPUT_EVENTS} from './SoakOutput';
 
 /** Options of the callers. */
 export interface SoakCallersOptions {
@@ -46,9 +47,26 @@
 const FATAL_DURATION_MS = 8_000;
 /** Pause between two attempts at a fatal request, in milliseconds. */
 const FATAL_PAUSE_MS = 120;
+/** Fraction of the callers of streams that disconnect midway. */
+const LEAVING_FRACTION = 0.25;
+/** Most events after which such a caller disconnects. */
+const MAX_LEAVE_EVENTS = 8;
+/** Number of times that a caller takes a stream up again. */
+const MAX_RETURNS = 2;
+/** Longest pause before a caller takes a stream up again, in milliseconds. */
+const MAX_RETURN_PAUSE_MS = 100;
 /** Statuses that guarantee that nothing of a job runs. */
 const REFUSALS: ReadonlySet<number> = new Set([429, 503]);
 
+interface AttemptOptions {
+  /** Time that the caller waits, in milliseconds. */
+  readonly deadlineMs?: number;
+  /** Number of events after which the caller disconnects; never if omitted. */
+  readonly leaveAfter?: number | undefined;
+  /** Stream that the attempt takes up again. */
+  readonly resumes?: TakenUpStream;
+}
+
 interface AcceptedJob {
   readonly id: string;
   readonly items: readonly string[];
@@ -168,9 +186,28 @@
     }
   }
 
-  private ask(address: string, route: SoakRoute): Promise<void> {
+  /** Sends a request; a stream that ends early is taken up again at other VMs. */
+  private async ask(address: string, route: SoakRoute): Promise<void> {
     const id = `q${++this.number}`;
-    return this.sendAttempt(id, id, address, route);
+    const endAt = performance.now() + DEADLINE_MS;
+    const isLeaving = route === 'stream' && this.random() < LEAVING_FRACTION;
+    const leaveAfter = isLeaving ? 1 + Math.floor(this.random() * MAX_LEAVE_EVENTS) : undefined;
+    const first = await this.sendAttempt(id, id, address, route, {leaveAfter});
+    let after = eventsOf(first);
+    for (let again = 1; again <= MAX_RETURNS && canTakeUp(route, after); again++) {
+      await delay(this.random() * MAX_RETURN_PAUSE_MS);
+      const next = this.randomAddress();
+      const deadlineMs = Math.round(endAt - performance.now());
+      if (next === null || deadlineMs <= 0) {
+        return;
+      }
+      const resumes = {after, firstAttempt: id};
+      const reply = await this.sendAttempt(`${id}.again${again}`, id, next, route, {
+        deadlineMs,
+        resumes,
+      });
+      after += eventsOf(reply);
+    }
   }
 
   private async sendAttempt(
@@ -178,21 +215,25 @@
     content: string,
     address: string,
     route: SoakRoute,
-  ): Promise<void> {
+    {deadlineMs = DEADLINE_MS, leaveAfter, resumes}: AttemptOptions = {},
+  ): Promise<SoakReply> {
     const {fleet, history, wire} = this.options;
-    history.note({id, kind: 'asked', route, vm: fleet.vmAt(address)});
-    const timeoutMs = DEADLINE_MS + DEADLINE_MARGIN_MS;
-    const reply = await makeCall(wire.ask(id, route, DEADLINE_MS, content), {
+    history.note({id, kind: 'asked', resumes, route, vm: fleet.vmAt(address)});
+    const timeoutMs = deadlineMs + DEADLINE_MARGIN_MS;
+    const reply = await makeCall(wire.ask(id, route, deadlineMs, content, resumes), {
       address,
       agent: this.agent,
+      leaveAfter,
       timeoutMs,
     });
     if (reply.kind === 'broken') {
       history.note({id, kind: 'broken'});
     } else {
       const {status, text, whole} = reply;
-      history.note({id, kind: 'answered', status, text, whole});
+      const left = !whole && leaveAfter !== undefined && eventsOf(reply) >= leaveAfter;
+      history.note({id, kind: 'answered', left, status, text, whole});
     }
+    return reply;
   }
 
   private async submitJobs(): Promise<void> {
@@ -279,6 +320,15 @@
   }
 }
 
+/** Number of complete events that a response brought. */
+function eventsOf(reply: SoakReply): number {
+  return reply.kind === 'answer' && reply.status === 200 ? eventCount(reply.text) : 0;
+}
+
+function canTakeUp(route: SoakRoute, after: number): boolean {
+  return route === 'stream' && after > 0 && after < OUTPUT_EVENTS;
+}
+
 function isRefusal(reply: SoakReply): boolean {
   return reply.kind === 'answer' && REFUSALS.has(reply.status);
 }
--- a/packages/stallpaddle-soak/src/SoakChecker.ts
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -1,22 +1,23 @@
 /** Checks the history of a soak against the product's promises. Pure: uses only events observed from outside. */
-import type {
-  SoakBounds,
-  SoakBreak,
-  SoakEvent,
-  SoakFault,
-  SoakPromise,
-  SoakResult,
-} from './SoakTypes';
+import type {SoakBounds, SoakBreak, SoakEvent, SoakPromise, SoakResult} from './SoakTypes';
 
+import {SETTLE_AFTER_FAULT_MS, SoakDisturbances} from './SoakDisturbances';
 import {SoakFatals} from './SoakFatals';
-import {fatalOf, IMPOSSIBLE, itemText, onceText, streamText} from './SoakOutput';
+import {
+  eventCount,
+  fatalOf,
+  IMPOSSIBLE,
+  itemText,
+  onceText,
+  SOFTWARE_VERSIONS,
+  withoutVersion,
+} from './SoakOutput';
+import {SoakStreams} from './SoakStreams';
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Lowest status that is not a success. */
 const FIRST_FAILURE = 300;
-/** Time after a disturbance during which time bounds are not checked, in milliseconds. */
-const SETTLE_AFTER_FAULT_MS = 4_000;
 /** Least fraction of the requests after the recovery that must succeed. */
 const MIN_SERVED_FRACTION = 0.5;
 
@@ -34,46 +35,25 @@
   return a.id === b.id && a.outcome === b.outcome && a.text === b.text;
 }
 
-/** Whether a fault disturbs processes or links: time bounds are not checked during it and shortly after. */
-function disturbsFleet({kind}: SoakFault): boolean {
-  switch (kind) {
-    case 'cut':
-    case 'freeze':
-    case 'kill':
-    case 'killAll':
-    case 'reset':
-    case 'slow':
-    case 'wipe':
-      return true;
-    case 'configure':
-    case 'engineBreaks':
-    case 'engineCrash':
-    case 'engineLeaves':
-    case 'engineSilent':
-    case 'stop':
-      return false;
-  }
-}
-
 /** Checks one history, event by event. */
 class HistoryCheck {
   private acceptedConfig: {readonly at: number; readonly version: number}[] = [];
   readonly breaks: SoakBreak[] = [];
   private readonly asked = new Map<string, EventOf<'asked'>>();
+  private readonly disturbances = new SoakDisturbances();
   private readonly fatals: SoakFatals;
   private readonly finishedRuns = new Set<string>();
   private readonly items = new Map<string, string>();
   private readonly jobs = new Map<string, SeenJob>();
   private readonly leftAt = new Map<string, number>();
-  private openDisturbances = 0;
   private recoveredAt = Infinity;
   private readonly refused = new Set<string>();
   private readonly refusedJobs = new Set<string>();
   private readonly runs = new Map<string, number>();
   private sentConfig = 0;
   private servedSince = 0;
+  private readonly streams = new SoakStreams();
   private stops = new Map<string, number>();
-  private disturbedUntil = -Infinity;
   private unservedSince = 0;
 
   constructor(private readonly bounds: SoakBounds) {
@@ -105,6 +85,7 @@
         return;
       case 'engineEnded':
         this.fatals.noteCrash(event.at, event.request);
+        this.disturbances.noteEngineEnd(event.at);
         return;
       case 'faultBegan':
         this.onFault(event, 1);
@@ -163,11 +144,6 @@
     this.breaks.push({at, detail, promise});
   }
 
-  /** Whether processes and links have been undisturbed long enough for time bounds to apply. */
-  private isUndisturbed(at: number): boolean {
-    return this.openDisturbances === 0 && at - this.disturbedUntil > SETTLE_AFTER_FAULT_MS;
-  }
-
   private onFault({at, fault}: EventOf<'faultBegan' | 'faultEnded'>, change: 1 | -1): void {
     if (fault.kind === 'stop') {
       if (change > 0) {
@@ -176,32 +152,24 @@
         this.stops.delete(fault.vm);
       }
     }
-    if (disturbsFleet(fault)) {
-      this.openDisturbances += change;
-      this.disturbedUntil = at;
-    }
+    this.disturbances.noteFault(at, fault, change);
   }
 
-  private onAnswer({at, id, status, text, whole}: EventOf<'answered'>): void {
+  private onAnswer({at, id, left = false, status, text, whole}: EventOf<'answered'>): void {
     const asked = this.asked.get(id);
-    if (fatalOf(id) === null) {
+    if (fatalOf(id) === null && !left) {
       this.countServed(at, status < FIRST_FAILURE && whole);
     }
     if (asked === undefined) {
       this.fail(at, 'answerIsOwnAndWhole', `response to ${id}, which was never sent`);
       return;
     }
-    const expected = asked.route === 'once' ? onceText(id) : streamText(id);
-    if (status < FIRST_FAILURE && whole && text !== expected) {
-      this.fail(at, 'answerIsOwnAndWhole', `${id} got ${JSON.stringify(text.slice(0, 200))}`);
+    if (status < FIRST_FAILURE) {
+      this.checkText(at, asked, text, whole);
     }
-    // An incomplete response must be a prefix of the expected one.
-    if (status < FIRST_FAILURE && !whole && !expected.startsWith(text)) {
-      this.fail(
-        at,
-        'answerIsOwnAndWhole',
-        `${id} got incomplete ${JSON.stringify(text.slice(0, 200))}`,
-      );
+    if (asked.route === 'stream' && fatalOf(id) === null && this.disturbances.isCalm(asked.at)) {
+      const hasBegun = status < FIRST_FAILURE && eventCount(text) > 0;
+      this.streams.count(asked.resumes !== undefined, hasBegun);
     }
     if (NOT_RUN.has(status) && asked.route === 'once') {
       this.refused.add(id);
@@ -211,6 +179,33 @@
     }
   }
 
+  /** An incomplete response must be a prefix of the expected one. */
+  private checkText(
+    at: number,
+    {id, resumes, route}: EventOf<'asked'>,
+    text: string,
+    whole: boolean,
+  ): void {
+    const detail = `${id} got ${whole ? '' : 'incomplete '}${JSON.stringify(text.slice(0, 200))}`;
+    if (route === 'once') {
+      const expected = onceText(id);
+      if (whole ? text !== expected : !expected.startsWith(text)) {
+        this.fail(at, 'answerIsOwnAndWhole', detail);
+      }
+      return;
+    }
+    switch (this.streams.check({id, resumes, text, whole})) {
+      case 'otherContent':
+        this.fail(at, 'answerIsOwnAndWhole', detail);
+        return;
+      case 'otherVersion':
+        this.fail(at, 'outputKeepsVersion', detail);
+        return;
+      case undefined:
+        return;
+    }
+  }
+
   private onBroken({at, id}: EventOf<'broken'>): void {
     if (fatalOf(id) !== null) {
       return;
@@ -219,7 +214,7 @@
     const asked = this.asked.get(id);
     const stoppedAt = asked === undefined ? undefined : this.stops.get(asked.vm);
     const duringStop = stoppedAt !== undefined && asked!.at >= stoppedAt - SETTLE_AFTER_FAULT_MS;
-    if (duringStop && this.isUndisturbed(at) && this.runs.has(id)) {
+    if (duringStop && this.disturbances.isUndisturbed(at) && this.runs.has(id)) {
       this.fail(at, 'plannedStopCutsNothing', `${id} at ${asked!.vm}`);
     }
   }
@@ -254,14 +249,18 @@
       this.checkCancelled(at, id, jobId);
     }
     const leftAt = this.leftAt.get(engine);
-    if (leftAt !== undefined && at - leftAt > this.bounds.drainMs && this.isUndisturbed(at)) {
+    if (
+      leftAt !== undefined &&
+      at - leftAt > this.bounds.drainMs &&
+      this.disturbances.isUndisturbed(at)
+    ) {
       this.fail(at, 'leavingEngineGetsNothing', `${id} at ${engine}, which left at ${leftAt}`);
     }
   }
 
   /** Skipped after a disturbance: VMs may not have received the evidence yet. */
   private checkFatal(at: number, engine: string, id: string): void {
-    const detail = this.isUndisturbed(at) ? this.fatals.noteRun(at, engine, id) : null;
+    const detail = this.disturbances.isUndisturbed(at) ? this.fatals.noteRun(at, engine, id) : null;
     if (detail !== null) {
       this.fail(at, 'requestEndsFewEngines', detail);
     }
@@ -276,7 +275,11 @@
 
   private checkCancelled(at: number, item: string, jobId: string): void {
     const endedAt = this.jobs.get(jobId)?.endAcceptedAt;
-    if (endedAt !== undefined && at - endedAt > this.bounds.cancelMs && this.isUndisturbed(at)) {
+    if (
+      endedAt !== undefined &&
+      at - endedAt > this.bounds.cancelMs &&
+      this.disturbances.isUndisturbed(at)
+    ) {
       this.fail(
         at,
         'cancelledJobStops',
@@ -346,9 +349,12 @@
 
   private checkOutcome(at: number, job: string, seen: SeenJob, result: SoakResult): void {
     const isImpossible = result.id.includes(IMPOSSIBLE);
-    if (result.outcome === 'completed' && (isImpossible || result.text !== itemText(result.id))) {
+    const expected = SOFTWARE_VERSIONS.map((version) => itemText(result.id, version));
+    if (result.outcome === 'completed' && (isImpossible || !expected.includes(result.text))) {
       const text = JSON.stringify(result.text.slice(0, 200));
-      this.fail(at, 'resultIsWhole', `item ${result.id} of ${job}: ${text}`);
+      const isWhole = withoutVersion(result.text) === withoutVersion(expected[0]!);
+      const promise = isWhole && !isImpossible ? 'outputKeepsVersion' : 'resultIsWhole';
+      this.fail(at, promise, `item ${result.id} of ${job}: ${text}`);
     }
     // Items of a cancelled job may be given up.
     if (result.outcome === 'givenUp' && !isImpossible && seen.endAcceptedAt === undefined) {
@@ -380,6 +386,10 @@
         this.fail(at, 'acceptedJobIsFound', `job ${id}, accepted at ${acceptedAt}: ${missing}`);
       }
     }
+    const lostReturns = this.streams.describeLostReturns();
+    if (lostReturns !== undefined) {
+      this.fail(at, 'streamsGoOn', lostReturns);
+    }
     const asked = this.servedSince + this.unservedSince;
     if (this.recoveredAt < Infinity && this.servedSince < asked * MIN_SERVED_FRACTION) {
       this.fail(at, 'fleetRecovers', `${this.servedSince} of ${asked} requests served`);
--- a/packages/stallpaddle-soak/src/SoakEngine.ts
+++ b/packages/stallpaddle-soak/src/SoakEngine.ts
@@ -9,7 +9,15 @@
 import type {EngineReport, SoakWire} from './SoakWire';
 
 import {makeCall} from './SoakHttp';
-import {eventText, fatalOf, IMPOSSIBLE, onceText, OUTPUT_EVENTS} from './SoakOutput';
+import {
+  eventText,
+  fatalOf,
+  IMPOSSIBLE,
+  onceText,
+  OUTPUT_EVENTS,
+  SOFTWARE_VERSIONS,
+  type SoftwareVersion,
+} from './SoakOutput';
 
 /** Options of an engine. */
 export interface SoakEngineOptions {
@@ -20,6 +28,8 @@
   readonly name: string;
   readonly port: number;
   readonly random: Random;
+  /** Software version at the first start. */
+  readonly softwareVersion: SoftwareVersion;
   readonly wire: SoakWire;
   readonly zone: string;
 }
@@ -56,6 +66,7 @@
   private readonly running = new Map<string, ServerResponse>();
   private sequence = 0;
   private server: Server | undefined;
+  private softwareVersion: SoftwareVersion;
   private startedAt = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -64,6 +75,7 @@
    */
   constructor(private readonly options: SoakEngineOptions) {
     this.name = options.name;
+    this.softwareVersion = options.softwareVersion;
   }
 
   /** Starts the engine and its reports. */
@@ -110,13 +122,15 @@
   }
 
   /**
-   * Drains the engine, deregisters it and restarts it.
+   * Drains the engine, deregisters it and restarts it with the other software version.
    *
    * @param sameName whether it keeps its name
    */
   drainAndRestart(sameName: boolean): Promise<void> {
     return this.restarts.add(async () => {
       await this.drain();
+      const {softwareVersion} = this;
+      this.softwareVersion = SOFTWARE_VERSIONS.find((other) => other !== softwareVersion)!;
       await this.restart(sameName);
     });
   }
@@ -154,6 +168,7 @@
       name: this.name,
       sequence: ++this.sequence,
       slots: ENGINE_SLOTS,
+      softwareVersion: this.softwareVersion,
       startedAt: this.startedAt,
       zone,
     };
@@ -234,6 +249,7 @@
 
   private async stream(id: string, resumeAfter: number, res: ServerResponse): Promise<void> {
     const {history, random, wire} = this.options;
+    const {softwareVersion} = this;
     const breaksAt =
       this.breaks && random() < BREAKS_FRACTION
         ? resumeAfter + 1 + Math.floor(random() * (OUTPUT_EVENTS - resumeAfter))
@@ -244,7 +260,7 @@
       if (res.destroyed) {
         return;
       }
-      const text = eventText(id, number);
+      const text = eventText(id, number, softwareVersion);
       if (number >= breaksAt) {
         res.write(text.slice(0, Math.floor(random() * text.length)));
         await delay(GAP_MS);
--- a/packages/stallpaddle-soak/src/SoakFleet.ts
+++ b/packages/stallpaddle-soak/src/SoakFleet.ts
@@ -11,6 +11,7 @@
 import {SoakEngine} from './SoakEngine';
 import {makeCall} from './SoakHttp';
 import {SoakLink} from './SoakLink';
+import {SOFTWARE_VERSIONS} from './SoakOutput';
 import {SoakProcess} from './SoakProcess';
 
 /** A VM, as its settings describe it. */
@@ -107,6 +108,7 @@
           name: `engine-${at}`,
           port: ENGINE_PORT,
           random,
+          softwareVersion: SOFTWARE_VERSIONS[at % SOFTWARE_VERSIONS.length]!,
           wire,
           zone: `z${at % ZONES}`,
         }),
--- a/packages/stallpaddle-soak/src/SoakHttp.ts
+++ b/packages/stallpaddle-soak/src/SoakHttp.ts
@@ -3,6 +3,8 @@
 
 import type {SoakCall} from './SoakWire';
 
+import {eventCount} from './SoakOutput';
+
 /** Outcome of a call: a response, which `whole` marks as complete, or a failed connection. */
 export type SoakReply =
   | {
@@ -19,6 +21,8 @@
   readonly address: string;
   /** Connection pool; false for a separate connection. */
   readonly agent: Agent | false;
+  /** Number of events after which the caller closes the connection; never if omitted. */
+  readonly leaveAfter?: number | undefined;
   /** Timeout of the call, in milliseconds; then its connection is closed. */
   readonly timeoutMs: number;
 }
@@ -31,7 +35,7 @@
  */
 export function makeCall(
   {body, headers, method, path}: SoakCall,
-  {address, agent, timeoutMs}: SoakCallOptions,
+  {address, agent, leaveAfter = Infinity, timeoutMs}: SoakCallOptions,
 ): Promise<SoakReply> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
@@ -57,7 +61,12 @@
       const answer = (): void =>
         end({kind: 'answer', status: res.statusCode ?? 0, text, whole: res.complete});
       res.setEncoding('utf8');
-      res.on('data', (chunk: string) => (text += chunk));
+      res.on('data', (chunk: string) => {
+        text += chunk;
+        if (eventCount(text) >= leaveAfter) {
+          req.destroy();
+        }
+      });
       res.on('error', () => {});
       res.on('close', answer);
     });
--- a/packages/stallpaddle-soak/src/SoakOutput.ts
+++ b/packages/stallpaddle-soak/src/SoakOutput.ts
@@ -1,26 +1,43 @@
-/** Deterministic output of the fake engines: shows which request it belongs to and whether it is complete. */
+/**
+ * Deterministic output of the fake engines: shows which request it belongs to, which software version wrote it and whether
+ * it is complete.
+ */
 
 /** Number of events in each stream and item. */
 export const OUTPUT_EVENTS = 12;
 
+/** Versions of the engines' software; what they write does not fit together. */
+export const SOFTWARE_VERSIONS = ['v1', 'v2'] as const;
+
+/** Version of an engine's software. */
+export type SoftwareVersion = (typeof SOFTWARE_VERSIONS)[number];
+
+const VERSION_MARKS = new RegExp(` (${SOFTWARE_VERSIONS.join('|')})$`, 'gm');
+/** End of an event. */
+const EVENT_END = '\n\n';
+
 /**
  * Returns one event of a stream.
  *
  * @param id request id
  * @param number number of the event, from 1
+ * @param version software version that writes it
  */
-export function eventText(id: string, number: number): string {
-  return `id: ${number}\ndata: ${id} ${number}\n\n`;
+export function eventText(id: string, number: number, version: SoftwareVersion): string {
+  return `id: ${number}\ndata: ${id} ${number} ${version}${EVENT_END}`;
 }
 
 /**
- * Returns a complete stream.
+ * Returns a complete stream, or the rest of one.
  *
  * @param id request id
+ * @param version software version that writes it
+ * @param after last event that the caller has
  */
-export function streamText(id: string): string {
+export function streamText(id: string, version: SoftwareVersion = 'v1', after = 0): string {
   return numbers()
-    .map((number) => eventText(id, number))
+    .slice(after)
+    .map((number) => eventText(id, number, version))
     .join('');
 }
 
@@ -28,13 +45,32 @@
  * Returns the complete output of a batch item, as it appears in the job's results.
  *
  * @param id item id
+ * @param version software version that writes it
  */
-export function itemText(id: string): string {
+export function itemText(id: string, version: SoftwareVersion = 'v1'): string {
   return numbers()
-    .map((number) => `${id} ${number}`)
+    .map((number) => `${id} ${number} ${version}`)
     .join('\n');
 }
 
+/**
+ * Removes the software versions from an output.
+ *
+ * @param text the output
+ */
+export function withoutVersion(text: string): string {
+  return text.replaceAll(VERSION_MARKS, '');
+}
+
+/**
+ * Number of complete events in a response.
+ *
+ * @param text the response
+ */
+export function eventCount(text: string): number {
+  return text.split(EVENT_END).length - 1;
+}
+
 /**
  * Returns the response body of a request that may run only once.
  *
--- a/packages/stallpaddle-soak/src/SoakTypes.ts
+++ b/packages/stallpaddle-soak/src/SoakTypes.ts
@@ -1,5 +1,7 @@
 /** Faults, events and promises of a soak. Times are in milliseconds since the start of the history. */
 
+import type {TakenUpStream} from './SoakStreams';
+
 /** Routes in the configuration of a soak: a request on `once` may run only once, one on `stream` is retried. */
 export type SoakRoute = 'once' | 'stream';
 
@@ -61,11 +63,20 @@
   | {readonly fault: SoakFault; readonly kind: 'faultBegan'}
   | {readonly fault: SoakFault; readonly kind: 'faultEnded'}
   /** A caller sent a request to a VM. */
-  | {readonly id: string; readonly kind: 'asked'; readonly route: SoakRoute; readonly vm: string}
+  | {
+      readonly id: string;
+      readonly kind: 'asked';
+      /** Set when it takes a stream up again. */
+      readonly resumes?: TakenUpStream | undefined;
+      readonly route: SoakRoute;
+      readonly vm: string;
+    }
   /** A caller received a response; `whole` says whether its body was complete by HTTP framing. */
   | {
       readonly id: string;
       readonly kind: 'answered';
+      /** Whether the caller closed the connection. */
+      readonly left?: boolean | undefined;
       readonly status: number;
       readonly text: string;
       readonly whole: boolean;
@@ -148,8 +159,10 @@
   | 'leavingEngineGetsNothing'
   | 'notRunIsTrue'
   | 'onceRunsOnce'
+  | 'outputKeepsVersion'
   | 'plannedStopCutsNothing'
   | 'requestEndsFewEngines'
   | 'resultIsWhole'
   | 'resultsStay'
-  | 'runsWereAsked';
+  | 'runsWereAsked'
+  | 'streamsGoOn';
--- a/packages/stallpaddle-soak/src/SoakWire.ts
+++ b/packages/stallpaddle-soak/src/SoakWire.ts
@@ -1,6 +1,7 @@
 /** Wire format between a soak and the fleet; the soak itself is independent of it. */
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 
+import type {TakenUpStream} from './SoakStreams';
 import type {SoakResult, SoakRoute} from './SoakTypes';
 
 /** An HTTP request. */
@@ -18,6 +19,7 @@
   readonly name: string;
   readonly sequence: number;
   readonly slots: number;
+  readonly softwareVersion: string;
   /** Time of the engine's start, in Unix milliseconds. */
   readonly startedAt: number;
   readonly zone: string;
@@ -43,7 +45,13 @@
   readonly readConfiguration: SoakCall;
   readonly readVersion: (body: string) => number;
   /** Sends an attempt with its own id; attempts with the same content belong to the same request. */
-  readonly ask: (id: string, route: SoakRoute, deadlineMs: number, content: string) => SoakCall;
+  readonly ask: (
+    id: string,
+    route: SoakRoute,
+    deadlineMs: number,
+    content: string,
+    resumes?: TakenUpStream,
+  ) => SoakCall;
   /** Whether a request may run only once, given the path at which an engine receives it. */
   readonly runsOnce: (path: string) => boolean;
   readonly submit: (job: string, items: readonly string[]) => SoakCall;
--- a/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
+++ b/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
@@ -84,6 +84,52 @@
 });
 
 describe('a violation is reported', () => {
+  test('a stream of two software versions, in one response or over the attempts of its caller', () => {
+    const start = streamText('q1').replace(streamText('q1', 'v1', 6), '');
+    const halves = [start, streamText('q1', 'v2', 6)];
+    const mixed = violations(
+      [1, asked('q1')],
+      [1, ran('q1')],
+      [2, answered('q1', halves.join(''))],
+    );
+    expect(mixed).toContain('outputKeepsVersion');
+    const resumes = {after: 6, firstAttempt: 'q1'};
+    const again = (version: 'v1' | 'v2'): readonly Timed[] => [
+      [1, asked('q1')],
+      [1, ran('q1')],
+      [2, answered('q1', halves[0]!, 200, false)],
+      [3, {...asked('q2'), resumes} as SoakEventDetails],
+      [3, ran('q2')],
+      [4, answered('q2', streamText('q2', version, 6))],
+    ];
+    expect(violations(...again('v1'))).toEqual([]);
+    expect(violations(...again('v2'))).toEqual(['outputKeepsVersion']);
+  });
+
+  test('an item of two software versions', () => {
+    const text = itemText('j-0').replace('j-0 12 v1', 'j-0 12 v2');
+    const results = [completed('j-0', text)];
+    expect(
+      violations(
+        ...JOB,
+        [300, ran('j-0')],
+        [900, {from: 0, job: 'j', kind: 'jobRead', results, total: 2, vm: 'v'}],
+      ),
+    ).toContain('outputKeepsVersion');
+  });
+
+  test('streams that do not go on although new ones begin', () => {
+    const resumes = {after: 6, firstAttempt: 'q0'};
+    const history = Array.from({length: 12}, (_, at): readonly Timed[] => [
+      [LATE, asked(`n${at}`)],
+      [LATE, ran(`n${at}`)],
+      [LATE, answered(`n${at}`, streamText(`n${at}`))],
+      [LATE, {...asked(`r${at}`), resumes} as SoakEventDetails],
+      [LATE, answered(`r${at}`, '', 503)],
+    ]).flat();
+    expect(violations(...history, [LATE + 1, {kind: 'ended'}])).toEqual(['streamsGoOn']);
+  });
+
   test.each<readonly [string, SoakPromise, readonly Timed[]]>([
     [
       'a response that belongs to another request',
@@ -198,7 +244,7 @@
             from: 0,
             job: 'j',
             kind: 'jobRead',
-            results: [completed('j-0', itemText('j-0').replace('j-0 4\n', ''))],
+            results: [completed('j-0', itemText('j-0').replace('j-0 4 v1\n', ''))],
             total: 2,
             vm: 'v',
           },
