--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -213,6 +213,32 @@
     expect(seen[1 - began]).toEqual([]);
   });
 
+  test('an item begins anew when its software version has left, and a late record does not join it', async () => {
+    const engines = await startEngines(2, 60, 5);
+    const group = new FakeGroup();
+    let view = viewOf(engines.slice(0, 1), [ROUTE], ['v1']);
+    const dispatcher = startLeader(group, () => ({...view, asOf: systemClock.monotonicMs()}));
+    group.submit(1);
+    await waitUntil(() => engines[0]!.seen.length > 0);
+    await delay(100);
+    await dispatcher.saveProgress();
+    expect(group.state.jobs.get('job')!.items[0]!.progress).toMatchObject({softwareVersion: 'v1'});
+    const [, other] = viewOf(engines, [ROUTE], ['v1', 'v2']).news.engines;
+    view = {...view, news: {...view.news, engines: [other!]}};
+    await engines[0]!.stop();
+    dispatcher.schedulePass();
+    await waitUntil(() => engines[1]!.seen.length > 0);
+    await delay(50);
+    await dispatcher.saveProgress();
+    expect(group.state.jobs.get('job')!.items[0]!.progress).toMatchObject({
+      restarts: 1,
+      softwareVersion: 'v2',
+    });
+    await waitUntil(() => group.results.length === 1);
+    expect(engines[1]!.seen.map(({headers}) => headers[PLAIN.resumeAfter])).toEqual([undefined]);
+    expect(group.textOf(0)).toBe(expectedOutput(60));
+  });
+
   test('counts items whose bodies are still being read, so no engine gets more than its free slots', async () => {
     const engines = await startEngines(2, 20, 5);
     const group = new FakeGroup();
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsMachine.test.ts
@@ -195,6 +195,26 @@
     expect(ended.state.jobs.get('a')!.items[0]!.progress).toBeNull();
   });
 
+  test('an output that begins anew replaces the recorded one, and what is late of that is dropped', () => {
+    const save = (after: number, events: number, restarts: number): JobsChange => {
+      const part = {after, events, item: 0, job: 'a', lastEvent: '', restarts};
+      return {kind: 'saveProgress', parts: [{...part, text: Buffer.from('x'.repeat(events))}]};
+    };
+    const finish = (after: number, restarts: number, data: readonly string[]): JobsChange => ({
+      ends: [{after, data, item: 0, job: 'a', outcome: 'completed', restarts}],
+      kind: 'endItems',
+    });
+    const before = run(EMPTY, submit('a', 1), save(0, 4, 0)).state;
+    const anew = run(before, save(0, 2, 1), save(4, 1, 0), save(2, 1, 0), finish(4, 0, ['old']));
+    const {outcome, progress} = anew.state.jobs.get('a')!.items[0]!;
+    expect(outcome).toBeNull();
+    expect(progress).toMatchObject({events: 2, restarts: 1});
+    expect(progress!.parts.map(({length}) => length)).toEqual([2]);
+    const ended = run(before, finish(0, 1, ['n', 'e', 'w'])).state;
+    const [result] = findResults(ended, {job: 'a'}, 0, 1e6)!.results;
+    expect(result!.texts.map(({length}) => length)).toEqual(['n\ne\nw'.length]);
+  });
+
   test('joins recorded progress and the end of an item without gaps or repeats, whatever progress the end assumed', () => {
     const events = fc.array(fc.stringMatching(/^[a-z\n]{0,3}$/), {maxLength: 12});
     const property = fc.property(
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -3,7 +3,7 @@
  */
 import type {LogFields} from 'stallpaddle';
 
-import {seededRandom} from 'stallpaddle';
+import {delay, seededRandom} from 'stallpaddle';
 import {PLAIN, StreamEngine} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -109,6 +109,50 @@
     }
   });
 
+  test('a stream that its caller takes up again goes on at the version that began it', async () => {
+    const engines = await startEngines(3);
+    const context = contextOf(engines, true, ['v1', 'v2', 'v1']);
+    context.streams.record({
+      firstAttempt: 'first',
+      software: {service: 's', softwareVersion: 'v2'},
+    });
+    const {port} = await startRelay(context, routeOf());
+    const again = {[PLAIN.firstAttempt]: 'first', [PLAIN.resumeAfter]: '2'};
+    for (let round = 0; round < 4; round++) {
+      expect(await sendRequest(port, undefined, again)).toMatchObject({isComplete: true});
+    }
+    expect(engines.map(({seen}) => seen.length)).toEqual([0, 4, 0]);
+  });
+
+  test('a stream of an unknown version is rejected at once, and has not run', async () => {
+    const engines = await startEngines(2);
+    const {ends, port} = await startRelay(contextOf(engines, true, ['v1', 'v2']), routeOf());
+    const again = {[PLAIN.firstAttempt]: 'first', [PLAIN.resumeAfter]: '2'};
+    const response = await sendRequest(port, undefined, again);
+    expect(response.status).toBe(503);
+    expect(Number(response.headers['retry-after'])).toBeGreaterThan(0);
+    expect(engines.flatMap(({seen}) => seen)).toEqual([]);
+    expect(ends).toEqual(['refused']);
+  });
+
+  test('a stream whose version has left is broken off at once', async () => {
+    const engines = await startEngines(2);
+    const context = contextOf(engines, true, ['v1', 'v2']);
+    const [old, other] = context.engines();
+    let views = [old!];
+    const {ends, port} = await startRelay({...context, engines: () => views}, routeOf());
+    engines[0]!.behaviors = [{after: 2, kind: 'pause'}];
+    const response = sendRequest(port);
+    await delay(50);
+    views = [{...old!, draining: true}, other!];
+    const startedAt = performance.now();
+    await engines[0]!.stop();
+    expect(await response).toMatchObject({isComplete: false, status: 200});
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    expect(engines[1]!.seen).toEqual([]);
+    expect(ends).toEqual(['broken']);
+  });
+
   test.each(['breakOff', 'endWithin'] as const)(
     'a stream that is not resumable is incomplete for the caller after %s',
     async (kind) => {
