Streams: records of other VMs are asked first while several versions serve

Cause: a return asked the leader for a confirmed status before the VMs that hold its record, also where the status could not tell the version: a round trip more, and 120 ms while the leader is lost. Change: while engines of several versions serve, the holders are asked first.

--- a/packages/stallpaddle-node/src/NodeStreams.ts
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -139,18 +139,19 @@
     if (own !== undefined) {
       return own;
     }
+    const early = this.isMixed ? await this.askHolders(firstAttempt) : undefined;
+    if (early?.software !== undefined) {
+      return early.software;
+    }
     const isConfirmed = await this.confirmStatus();
     const only = this.onlySoftware(route);
     if (only !== undefined && isConfirmed) {
       return only;
     }
-    const told = firstAttempt === null ? undefined : await this.askHolders(firstAttempt);
-    if (told?.software !== undefined) {
-      return told.software;
-    }
+    const {answers, software} = early ?? (await this.askHolders(firstAttempt));
     // VMs that know of a second version would have told one of those that answered.
-    const isTold = told !== undefined && told.answers > 0;
-    return isTold && this.options.watch.ageMs <= LEADERLESS_AGE_MS ? only : undefined;
+    const mayBeOnly = answers > 0 && this.options.watch.ageMs <= LEADERLESS_AGE_MS;
+    return software ?? (mayBeOnly ? only : undefined);
   }
 
   /**
@@ -222,7 +223,10 @@
   }
 
   /** Asks the VMs that hold a record, until one knows the stream. */
-  private async askHolders(firstAttempt: string): Promise<HoldersAnswer> {
+  private async askHolders(firstAttempt: null | string): Promise<HoldersAnswer> {
+    if (firstAttempt === null) {
+      return {answers: 0, software: undefined};
+    }
     const asked = this.holdersOf(firstAttempt).slice(0, MAX_ASKED);
     let answers = 0;
     const ask = async (host: VmId): Promise<EngineSoftware> => {
