--- a/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -93,7 +93,7 @@
 
   /** Kills a VM and starts it anew. */
   restart(at: number): void {
-    this.vms[at] = {...this.startVm(at), isCut: this.vms[at]!.isCut};
+    this.vms[at] = this.startVm(at, this.vms[at]!.isCut);
     this.publish();
   }
 
@@ -144,8 +144,8 @@
     vm.streams.onView(vm.view, before);
   }
 
-  private startVm(at: number): ModelVm {
-    const vm: ModelVm = {isCut: false, streams: undefined as never, view: EMPTY_VIEW};
+  private startVm(at: number, isCut = false): ModelVm {
+    const vm: ModelVm = {isCut, streams: undefined as never, view: EMPTY_VIEW};
     const ageMs = (): number => this.now - vm.view.asOf;
     const watch = {
       get ageMs(): number {
