--- a/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -31,6 +31,8 @@
 const VMS = 6;
 /** Time for which a version stays remembered after its last engine has left, in milliseconds. */
 const LIFE_MS = 30_000;
+/** Time for which a VM that is cut off waits for the leader, in milliseconds. */
+const TIMEOUT_MS = 120;
 /** Time after which the messages of one step have arrived, in milliseconds. */
 const SETTLE_MS = 5;
 
@@ -153,6 +155,7 @@
       },
       confirm: () => {
         this.update(vm);
+        this.now += vm.isCut ? TIMEOUT_MS : 0;
         return Promise.resolve(!vm.isCut);
       },
       get view(): FleetView {
