Relay: the binding of a stream to its software version is a class of its own

Change: RelayStreamBinding holds the return's lookup, the record at the first event and the check whether the version is still served; no behaviour changes. The log of a newly registered version compares versions before it asks for the whole change.

--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -227,10 +227,8 @@
   /** Logs an engine whose software version is new to the fleet's state: a new engine, or one that reports another. */
   private logVersion(state: FleetState, report: EngineReport): void {
     const {address, id, service, softwareVersion} = report;
-    if (
-      changesEngine(state, report) &&
-      state.engines.get(id)?.softwareVersion !== softwareVersion
-    ) {
+    const isNew = state.engines.get(id)?.softwareVersion !== softwareVersion;
+    if (isNew && changesEngine(state, report)) {
       const fields = {address, engine: id, service, softwareVersion};
       this.options.log('An engine has registered with its software version.', fields);
     }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -22,6 +22,7 @@
 import {RelayForwarder} from './RelayForwarder';
 import {endWithRefusal, endWithTimeOut} from './RelayRefusals';
 import {RelayStallDetector} from './RelayStallDetector';
+import {RelayStreamBinding} from './RelayStreamBinding';
 import {REJECTION_MESSAGES, RelayTurn} from './RelayTurn';
 
 type EngineResponse = Extract<EngineCallStart, {kind: 'answer'}>;
@@ -39,14 +40,13 @@
   /** Whether the last attempt was interrupted by the engine, not by this side. */
   private wasInterrupted = false;
   private call: EngineCall | undefined;
-  /** Engine whose response is being forwarded as a stream. */
-  private streamEngine: EngineView | undefined;
   private readonly selector: RelayEngineSelector;
   private end: RelayEnd | undefined;
   private firstMs: number | undefined;
   private readonly forwarder: RelayForwarder;
   private reason: string | undefined;
   private readonly stallDetector: RelayStallDetector;
+  private readonly streamBinding: RelayStreamBinding;
   private readonly crashEvidence: RelayCrashEvidence;
   /** Undefined where the feature `admission` is off. */
   private readonly turn: RelayTurn | undefined;
@@ -65,6 +65,7 @@
     this.crashEvidence = new RelayCrashEvidence(context, req);
     this.turn = context.isOn('admission') ? new RelayTurn(context, req) : undefined;
     this.selector = new RelayEngineSelector(context, req, () => this.crashEvidence.suspectDigest);
+    this.streamBinding = new RelayStreamBinding(context, req, this.selector);
     this.forwarder = new RelayForwarder({
       held: context.held,
       isOver: () => this.end !== undefined,
@@ -76,7 +77,7 @@
       },
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
-        this.noteStreamBegan();
+        this.streamBinding.noteFirstEvent();
       },
       res,
     });
@@ -126,7 +127,7 @@
     res.on('close', onClose);
     const timer = setTimeout(() => this.timeOut(), Math.max(0, this.remainingMs));
     try {
-      await this.bindReturn();
+      this.refuseIfLost(await this.streamBinding.bindReturn());
       while (this.end === undefined) {
         await this.attempt();
       }
@@ -139,54 +140,6 @@
     return this.end;
   }
 
-  /** Binds a stream that its caller takes up again to the software that began it. */
-  private async bindReturn(): Promise<void> {
-    const {metadata, route} = this.req;
-    if (route.kind !== 'streaming' || metadata.resumeAfter === null) {
-      return;
-    }
-    const software = await this.context.streams.find(metadata.firstAttempt, route);
-    if (software === undefined) {
-      this.refuseToResume(
-        'unknownVersion',
-        'The software version that began the stream is unknown.',
-      );
-    } else {
-      this.selector.bindTo(software);
-    }
-  }
-
-  /** Binds a stream to the software of the engine that brings its first event, before the caller gets the event. */
-  private noteStreamBegan(): void {
-    const {metadata, route} = this.req;
-    const {streamEngine} = this;
-    if (streamEngine === undefined || !route.resumable) {
-      return;
-    }
-    const {service, softwareVersion} = streamEngine;
-    const software = {service, softwareVersion};
-    const {firstAttempt, requestId, resumeAfter} = metadata;
-    this.selector.bindTo(software);
-    this.context.streams.record({
-      firstAttempt: resumeAfter === null ? requestId : (firstAttempt ?? requestId),
-      software,
-    });
-  }
-
-  private refuseToResume(reason: 'noEngine' | 'unknownVersion', message: string): void {
-    const {metadata, route} = this.req;
-    const {lastEventId} = this.forwarder;
-    this.context.decide('notResumed', metadata.requestId, {
-      firstAttempt: metadata.firstAttempt ?? undefined,
-      reason,
-      resumeAfter: lastEventId ?? undefined,
-      route: route.name,
-      service: this.selector.begunBy?.service,
-      softwareVersion: this.selector.begunBy?.softwareVersion,
-    });
-    this.refuse(message);
-  }
-
   private logEnd(): void {
     const {caller, metadata, route} = this.req;
     this.context.decide('ended', metadata.requestId, {
@@ -229,6 +182,13 @@
     });
   }
 
+  /** Refuses a stream that can't go on, if a reason is given. */
+  private refuseIfLost(reason: string | undefined): void {
+    if (reason !== undefined) {
+      this.refuse(reason);
+    }
+  }
+
   private timeOut(): void {
     if (this.end !== undefined) {
       return;
@@ -300,8 +260,8 @@
    * met; otherwise refuses the request. A stream whose software version has left can't go on, so it doesn't wait.
    */
   private async onNoEngine(): Promise<void> {
-    if (!this.selector.isVersionServed) {
-      this.refuseToResume('noEngine', 'No engine has the software version that began the stream.');
+    this.refuseIfLost(this.streamBinding.checkServed(this.forwarder.lastEventId));
+    if (this.end !== undefined) {
       return;
     }
     if (this.res.headersSent) {
@@ -414,7 +374,7 @@
     this.verdict = 'ran';
     const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
     const isForwardedByEvents = isStream && status < REDIRECTION;
-    this.streamEngine = isForwardedByEvents ? engine : undefined;
+    this.streamBinding.noteForwarding(isForwardedByEvents ? engine : undefined);
     const read = isForwardedByEvents
       ? this.forwarder.forwardStream(res)
       : this.forwarder.forwardResponse(res);
