Log: shared parts of the prompts of requests that engines interrupted

The adapter now decodes the shared parts (all but the last) of a prompt; `suspected` and the `ended` line of an interrupted run name them, and `explain` finds lines by a part. No decision reads them yet.

--- a/packages/stallpaddle-cli/src/CliExplain.ts
+++ b/packages/stallpaddle-cli/src/CliExplain.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Log fields that identify a request, an item or a job; all attempts of a request share its digest, and those that resume
+ * Log fields that identify a request, an item or a job, beside the shared parts of its prompt; all attempts of a request share its digest, and those that resume
  * a stream name its first attempt.
  */
 const ID_FIELDS = ['id', 'job', 'digest', 'firstAttempt', 'request'] as const;
@@ -52,8 +52,11 @@
   }
 }
 
-function mentionsAny(line: ExplainedLine, ids: readonly string[]): boolean {
-  return ID_FIELDS.some((field) => ids.includes(String(line.fields[field])));
+function mentionsAny({fields}: ExplainedLine, ids: readonly string[]): boolean {
+  const parts = String(fields['parts'] ?? '').split(',');
+  return [...ID_FIELDS.map((field) => String(fields[field])), ...parts].some((id) =>
+    ids.includes(id),
+  );
 }
 
 /**
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -142,6 +142,14 @@
     return task.digest;
   }
 
+  /** Parts of the item's prompt that other requests may share. */
+  private sharedPartsOf(task: Task): readonly string[] {
+    task.sharedParts ??= this.runtime.wire.readSharedParts(
+      Object.fromEntries(task.item.headers.map(([name, value]) => [name.toLowerCase(), value])),
+    );
+    return task.sharedParts;
+  }
+
   /** Number of engines that ended, one after the other, while they began to run an item. */
   private suspectLevelOf(task: Task): number {
     const {suspects} = this.runtime;
@@ -179,9 +187,16 @@
   private async onBrokenRun(task: Task, engine: EngineView, known: number): Promise<void> {
     const {clock, suspects} = this.runtime;
     task.notBefore = Infinity;
-    const digest = this.digestOf(task);
+    const {id} = task.item;
+    const run = {
+      digest: this.digestOf(task),
+      engine,
+      id,
+      known,
+      sharedParts: this.sharedPartsOf(task),
+    };
     try {
-      await suspects.noteInterruption({digest, engine, id: task.item.id, known});
+      await suspects.noteInterruption(run);
     } finally {
       task.notBefore = clock.monotonicMs();
       this.options.schedulePass();
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -52,6 +52,8 @@
   savedData: number;
   /** Number of events that are recorded. */
   savedEvents: number;
+  /** Parts of its prompt that other requests may share; read only while there are suspects. */
+  sharedParts: readonly string[] | undefined;
   /** Version of the engine software that wrote the output; undefined before the first event, and where it is unknown. */
   softwareVersion: string | undefined;
   /** Its next trial run; undefined if it was never quarantined. */
@@ -80,6 +82,7 @@
     run: undefined,
     savedData: 0,
     savedEvents: events,
+    sharedParts: undefined,
     softwareVersion,
     startingOn: undefined,
     trial: undefined,
--- a/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
+++ b/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
@@ -143,10 +143,8 @@
    * not yet known.
    */
   private async checkEngine(engine: EngineView, known: number, exits: number): Promise<number> {
-    const id = this.req.metadata.requestId;
-    const {digest} = this;
-    return (await this.dependencies.suspects.noteInterruption({digest, engine, id, known}))
-      ? exits + 1
-      : exits;
+    const {requestId: id, sharedParts} = this.req.metadata;
+    const run = {digest: this.digest, engine, id, known, sharedParts};
+    return (await this.dependencies.suspects.noteInterruption(run)) ? exits + 1 : exits;
   }
 }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -149,6 +149,8 @@
       firstMs: this.firstMs,
       kind: route.kind,
       ms: Math.round(this.waitedMs),
+      // Only for runs that an engine interrupted: every request would add these bytes to the log otherwise.
+      parts: this.wasInterrupted ? metadata.sharedParts.join(',') : undefined,
       reason: this.reason,
       request: this.crashEvidence.computedDigest,
       route: route.name,
--- a/packages/stallpaddle-relay/src/RelaySuspects.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspects.ts
@@ -40,6 +40,8 @@
   readonly id: string;
   /** Suspicion level of the request when the run started. */
   readonly known: number;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Suspicion level that this process has found itself. */
@@ -122,14 +124,16 @@
    */
   async noteInterruption(run: InterruptedRun): Promise<boolean> {
     const {clock, decide, wire} = this.options;
-    const {digest, engine, id, known} = run;
+    const {digest, engine, id, known, sharedParts} = run;
     if (this.isDraining(engine) || !(await hasExited(wire, engine))) {
       return false;
     }
     const before = this.levelOf(digest);
     const level = known >= before ? before + 1 : before;
     const held = level >= QUARANTINE_LEVEL;
-    decide(id, {digest, engine: engine.id, held, known, level, startedAtMs: engine.startedAtMs});
+    const parts = sharedParts.join(',');
+    const {startedAtMs: engineStartMs} = engine;
+    decide(id, {digest, engine: engine.id, held, known, level, parts, startedAtMs: engineStartMs});
     const local: LocalLevel = {level, until: Infinity};
     this.localLevels.set(digest, local);
     const {id: name, startedAtMs} = engine;
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -17,6 +17,8 @@
   readonly requestId: string;
   /** Id of the last event that the caller already has, when it resumes a stream. */
   readonly resumeAfter: string | null;
+  /** Ids of the parts of the prompt that other requests may share, in order; empty where a request names none. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Metadata that is sent to an engine with a request. */
@@ -79,6 +81,8 @@
   readonly readResponse: (status: number, headers: IncomingHttpHeaders) => ResponseMetadata;
   /** Reads from the response to a stop request which state the stopped run has left at its engine; null for none. */
   readonly readRetainedState: (text: string) => null | string;
+  /** Reads which parts of a request's prompt other requests may share, for a request that is stored as an item. */
+  readonly readSharedParts: (headers: IncomingHttpHeaders) => readonly string[];
   /** Control request that releases the state of a stopped run. */
   readonly releaseRetainedState: (state: string) => EngineControlRequest;
   /**
--- a/packages/stallpaddle-relay/src/__tests__/AdmissionFleet.ts
+++ b/packages/stallpaddle-relay/src/__tests__/AdmissionFleet.ts
@@ -196,6 +196,7 @@
         firstAttempt: null,
         requestId: '',
         resumeAfter: null,
+        sharedParts: [],
       },
       route: routeOf({objectiveMs: OBJECTIVE_MS, timeoutMs: DEADLINE_MS}),
       spentMs,
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -1,4 +1,5 @@
 /** Wire format of a fictitious platform, for tests of the relay and the dispatcher. */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {HeaderLine, RelayWire} from 'stallpaddle-relay';
 
 /** Header names and paths of the fictitious platform. */
@@ -11,6 +12,8 @@
   occupancy: '/occupancy',
   request: 'x-request',
   resumeAfter: 'x-resume-after',
+  /** Ids of the shared parts of the prompt, separated by spaces. */
+  sharedParts: 'x-shared-parts',
   signature: 'x-signature',
   /** Path prefix for stopping a run or releasing its retained state. */
   stop: '/stop',
@@ -19,6 +22,10 @@
   wanted: 'x-wanted-type',
 } as const;
 
+function sharedParts(headers: IncomingHttpHeaders): readonly string[] {
+  return (text(headers[PLAIN.sharedParts]) ?? '').split(' ').filter((part) => part !== '');
+}
+
 function text(value: string | string[] | undefined): string | null {
   return typeof value === 'string' ? value : null;
 }
@@ -54,6 +61,7 @@
           firstAttempt: text(headers[PLAIN.firstAttempt]),
           requestId,
           resumeAfter: text(headers[PLAIN.resumeAfter]),
+          sharedParts: sharedParts(headers),
         };
   },
   readOccupancy: (body) => {
@@ -67,6 +75,7 @@
     signed: headers[PLAIN.signature] !== undefined,
   }),
   readRetainedState: (body) => (body === '' ? null : body),
+  readSharedParts: sharedParts,
   releaseRetainedState: (requestId) => ({
     body: '',
     method: 'DELETE',
