--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -4,7 +4,7 @@
 
 import {createServer} from 'node:http';
 
-import {PLAIN} from './PlainWire';
+import {PLAIN, plainRelay} from './PlainWire';
 
 /** How an engine handles a request. */
 export type EngineBehavior =
@@ -63,6 +63,8 @@
   eventsBeforeCrash = 0;
   /** Bodies of the requests that crash the engine. */
   readonly fatal = new Set<string>();
+  /** Shared parts of prompts that crash the engine, whatever else the request holds. */
+  readonly fatalParts = new Set<string>();
   /** Called after a fatal request has crashed the engine. */
   onCrashed: (body: string) => void = () => {};
   /** Whether the engine responds to occupancy queries. */
@@ -139,13 +141,18 @@
       seen.aborted = !res.writableFinished;
       seen.open = false;
     });
-    if (this.fatal.has(body)) {
+    if (this.isFatal(body, req)) {
       await this.crashBy(body, req, res);
       return;
     }
     await this.respond(this.behaviors.shift() ?? SERVE, req, res);
   }
 
+  private isFatal(body: string, {headers}: IncomingMessage): boolean {
+    const parts = plainRelay.readSharedParts(headers);
+    return this.fatal.has(body) || parts.some((part) => this.fatalParts.has(part));
+  }
+
   /** Starts a request and then crashes: closes all connections and refuses new ones. */
   private async crashBy(body: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this.eventsBeforeCrash > 0) {
