Soak: requests that share a fatal part, beside others that share their other parts

By turns with one request that returns, the soak now sends families of fatal requests: each shares a part of its prompt and differs in all else. The checker counts their crashes and late runs by family (`requestEndsFewEngines`, bounds as before), and a new promise `sharersAreServed`: while a family is quarantined and still sent, harmless streams with its other part begin at least half as often as otherwise. Streams are counted by kind of attempt.

--- a/packages/stallpaddle-soak/src/SoakCallers.ts
+++ b/packages/stallpaddle-soak/src/SoakCallers.ts
@@ -9,7 +9,14 @@
 import type {SoakCall, SoakWire} from './SoakWire';
 
 import {makeCall, type SoakReply} from './SoakHttp';
-import {eventCount, fatalAttempt, fatalContent, IMPOSSIBLE, OUTPUT_EVENTS} from './SoakOutput';
+import {
+  eventCount,
+  fatalAttempt,
+  fatalContent,
+  fatalMember,
+  IMPOSSIBLE,
+  OUTPUT_EVENTS,
+} from './SoakOutput';
 
 /** Options of the callers. */
 export interface SoakCallersOptions {
@@ -45,6 +52,8 @@
 const ADDRESSES_INTERVAL_MS = 1_000;
 /** Time for which a caller repeats one fatal request, in milliseconds. */
 const FATAL_DURATION_MS = 8_000;
+/** Time for which a caller sends requests of one fatal family: long enough to see whether others are served meanwhile. */
+const FAMILY_DURATION_MS = 14_000;
 /** Pause between two attempts at a fatal request, in milliseconds. */
 const FATAL_PAUSE_MS = 120;
 /** Fraction of the callers of streams that disconnect midway. */
@@ -170,15 +179,19 @@
     }
   }
 
-  /** Sends fatal requests, one after the other, each of them repeatedly and at random VMs. */
+  /**
+   * Sends fatal requests at random VMs, one after the other: by turns one request repeatedly, and requests that share a part of
+   * their prompts and differ in all else.
+   */
   private async sendFatalRequests(): Promise<void> {
     for (let number = 1; !this.stopped; number++) {
-      const content = fatalContent(number);
-      const endAt = performance.now() + FATAL_DURATION_MS;
+      const isFamily = number % 2 === 0;
+      const endAt = performance.now() + (isFamily ? FAMILY_DURATION_MS : FATAL_DURATION_MS);
       for (let attempt = 1; performance.now() < endAt && !this.stopped; attempt++) {
+        const content = isFamily ? fatalMember(number, attempt) : fatalContent(number);
         const address = this.randomAddress();
         if (address !== null) {
-          const route = number % 2 === 0 ? 'once' : 'stream';
+          const route = number % 4 < 2 ? 'once' : 'stream';
           await this.sendAttempt(fatalAttempt(content, attempt), content, address, route);
         }
         await delay(FATAL_PAUSE_MS);
--- a/packages/stallpaddle-soak/src/SoakChecker.ts
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -67,6 +67,7 @@
         return;
       case 'asked':
         this.asked.set(event.id, event);
+        this.fatals.noteAsked(event.at, event.id);
         return;
       case 'broken':
         this.onBroken(event);
@@ -167,9 +168,8 @@
     if (status < FIRST_FAILURE) {
       this.checkText(at, asked, text, whole);
     }
-    if (asked.route === 'stream' && fatalOf(id) === null && this.disturbances.isCalm(asked.at)) {
-      const hasBegun = status < FIRST_FAILURE && eventCount(text) > 0;
-      this.streams.count(asked.resumes !== undefined, hasBegun);
+    if (asked.route === 'stream' && fatalOf(id) === null) {
+      this.countStream(asked, status < FIRST_FAILURE && eventCount(text) > 0);
     }
     if (NOT_RUN.has(status) && asked.route === 'once') {
       this.refused.add(id);
@@ -179,6 +179,19 @@
     }
   }
 
+  private countStream({at, resumes}: EventOf<'asked'>, hasBegun: boolean): void {
+    if (this.disturbances.isCalm(at)) {
+      this.streams.count(resumes === undefined ? 'fresh' : 'return', hasBegun);
+    }
+    if (
+      resumes === undefined &&
+      this.disturbances.isUndisturbed(at) &&
+      this.fatals.isFamilyHeld(at)
+    ) {
+      this.streams.count('sharer', hasBegun);
+    }
+  }
+
   /** An incomplete response must be a prefix of the expected one. */
   private checkText(
     at: number,
@@ -386,10 +399,14 @@
         this.fail(at, 'acceptedJobIsFound', `job ${id}, accepted at ${acceptedAt}: ${missing}`);
       }
     }
-    const lostReturns = this.streams.describeLostReturns();
+    const lostReturns = this.streams.describeLost('return');
     if (lostReturns !== undefined) {
       this.fail(at, 'streamsGoOn', lostReturns);
     }
+    const lostSharers = this.streams.describeLost('sharer');
+    if (lostSharers !== undefined) {
+      this.fail(at, 'sharersAreServed', lostSharers);
+    }
     const asked = this.servedSince + this.unservedSince;
     if (this.recoveredAt < Infinity && this.servedSince < asked * MIN_SERVED_FRACTION) {
       this.fail(at, 'fleetRecovers', `${this.servedSince} of ${asked} requests served`);
--- a/packages/stallpaddle-soak/src/SoakFatals.ts
+++ b/packages/stallpaddle-soak/src/SoakFatals.ts
@@ -1,5 +1,5 @@
 /** Check of fatal requests, which crash every engine that runs them. */
-import {fatalOf} from './SoakOutput';
+import {fatalOf, isFatalMember} from './SoakOutput';
 
 /** Number of engines that a request may crash before it must be quarantined. */
 const MAX_CRASHES = 3;
@@ -14,9 +14,14 @@
   lateRuns: number;
 }
 
+/** Time after an attempt during which its family is still being sent, in milliseconds. */
+const STILL_SENT_MS = 1_000;
+
 /** Counts how many engines each fatal request crashes, and how often it still runs afterwards. */
 export class SoakFatals {
   private readonly seen = new Map<string, SeenFatal>();
+  /** When a caller last sent a request of a family. */
+  private readonly sentAt = new Map<string, number>();
 
   /**
    * @param contactMs time after which a VM knows what other VMs have reported, in milliseconds
@@ -38,6 +43,31 @@
     }
   }
 
+  /**
+   * Records that a caller has sent an attempt.
+   *
+   * @param at the time
+   * @param id id of the attempt
+   */
+  noteAsked(at: number, id: string): void {
+    if (isFatalMember(id)) {
+      this.sentAt.set(fatalOf(id)!, at);
+    }
+  }
+
+  /**
+   * Whether a family that all VMs must know by now is still being sent, so that a harmless request is one that shares only its
+   * other parts with a quarantined one.
+   *
+   * @param at the time
+   */
+  isFamilyHeld(at: number): boolean {
+    return [...this.sentAt].some(([family, sentAt]) => {
+      const detectedAt = this.seen.get(family)?.detectedAt ?? Infinity;
+      return at - sentAt <= STILL_SENT_MS && at - detectedAt > 2 * this.contactMs;
+    });
+  }
+
   /**
    * Records that an attempt has reached an engine while the VMs were undisturbed.
    *
--- a/packages/stallpaddle-soak/src/SoakOutput.ts
+++ b/packages/stallpaddle-soak/src/SoakOutput.ts
@@ -80,13 +80,21 @@
   return `done ${id}`;
 }
 
-/** Prefix of the name of a request that crashes every engine that runs it. */
+/** Prefix of the name of a request, or of a family of requests, that crash every engine that runs them. */
 const FATAL = 'fatal';
 /** Separates the name of a fatal request from the number of an attempt. */
 const ATTEMPT = '.attempt-';
+/** Separates the name of a family of fatal requests from the number of a request. */
+const MEMBER = '~';
+/** Ends the name of a fatal request or family in an id. */
+const NAME_END = /[~.]/;
+/** Part that the prompts of all requests share. */
+const COMMON_PART = 'c0';
+/** Number of second parts that harmless requests share among themselves. */
+const HARMLESS_PARTS = 7;
 
 /**
- * Returns the name of a fatal request.
+ * Returns the content of a fatal request.
  *
  * @param number number of the request
  */
@@ -94,6 +102,16 @@
   return `${FATAL}${number}`;
 }
 
+/**
+ * Returns the content of one request of a family: its requests share a part of their prompts and differ in all else.
+ *
+ * @param number number of the family
+ * @param member number of the request
+ */
+export function fatalMember(number: number, member: number): string {
+  return `${fatalContent(number)}${MEMBER}${member}`;
+}
+
 /**
  * Returns the id of one attempt at a fatal request.
  *
@@ -105,12 +123,34 @@
 }
 
 /**
- * Returns the name of the fatal request that an attempt belongs to; null for any other request.
+ * Returns the name of the fatal request or family that an attempt belongs to; null for any other request.
  *
  * @param id id of the attempt
  */
 export function fatalOf(id: string): null | string {
-  return id.startsWith(FATAL) ? id.slice(0, id.indexOf(ATTEMPT)) : null;
+  return id.startsWith(FATAL) ? id.slice(0, id.search(NAME_END)) : null;
+}
+
+/**
+ * Whether an attempt belongs to a family of fatal requests.
+ *
+ * @param id id of the attempt
+ */
+export function isFatalMember(id: string): boolean {
+  return id.startsWith(FATAL) && id.includes(MEMBER);
+}
+
+/**
+ * Returns the ids of the parts of a request's prompt that other requests share, in hexadecimal.
+ *
+ * @param content content of the request
+ */
+export function sharedParts(content: string): readonly string[] {
+  const number = Number(/\d+/.exec(content)?.[0] ?? 0);
+  if (content.startsWith(FATAL)) {
+    return content.includes(MEMBER) ? [COMMON_PART, `f${number}`] : [COMMON_PART];
+  }
+  return [COMMON_PART, `a${number % HARMLESS_PARTS}`];
 }
 
 /** Marks the ids of items that every engine rejects. */
--- a/packages/stallpaddle-soak/src/SoakStreams.ts
+++ b/packages/stallpaddle-soak/src/SoakStreams.ts
@@ -1,10 +1,18 @@
 /** Check of streams: each is of one software version, also over the attempts of its caller. */
 import {eventCount, SOFTWARE_VERSIONS, streamText, withoutVersion} from './SoakOutput';
 
-/** Smallest number of returns of which a share is checked. */
-const MIN_RETURNS = 12;
-/** Least share of the returns that go on, relative to the share of the new streams that begin. */
-const MIN_RETURN_RATIO = 0.5;
+/** Smallest number of attempts of which a share is checked. */
+const MIN_ATTEMPTS = 12;
+/** Least share of the attempts that begin, relative to the share of the new streams that do. */
+const MIN_RATIO = 0.5;
+
+/** Kind of an attempt at a stream. */
+export type StreamAttempt =
+  | 'fresh'
+  /** Takes a stream up again. */
+  | 'return'
+  /** Shares a part of its prompt with requests that are quarantined for another part. */
+  | 'sharer';
 
 /** Stream that an attempt takes up again. */
 export interface TakenUpStream {
@@ -46,8 +54,7 @@
 
 /** Tracks which software version wrote each stream, and how many of those that callers take up again go on. */
 export class SoakStreams {
-  private readonly fresh = new Share();
-  private readonly returns = new Share();
+  private readonly shares = {fresh: new Share(), return: new Share(), sharer: new Share()};
   private readonly versions = new Map<string, string>();
 
   /**
@@ -72,18 +79,22 @@
   /**
    * Counts an attempt at an undisturbed fleet.
    *
-   * @param isReturn whether it takes a stream up again
+   * @param kind kind of the attempt
    * @param hasBegun whether it brought events
    */
-  count(isReturn: boolean, hasBegun: boolean): void {
-    (isReturn ? this.returns : this.fresh).note(hasBegun);
+  count(kind: StreamAttempt, hasBegun: boolean): void {
+    this.shares[kind].note(hasBegun);
   }
 
-  /** Describes a share of returns that is too small; undefined if there is none. */
-  describeLostReturns(): string | undefined {
-    const {fresh, returns} = this;
-    return returns.count >= MIN_RETURNS && returns.value < fresh.value * MIN_RETURN_RATIO
-      ? `${returns.value.toFixed(2)} of ${returns.count} returns went on, ${fresh.value.toFixed(2)} of ${fresh.count} new streams began`
+  /**
+   * Describes a share of attempts that is too small; undefined if it is not.
+   *
+   * @param kind kind of the attempts
+   */
+  describeLost(kind: Exclude<StreamAttempt, 'fresh'>): string | undefined {
+    const {fresh, [kind]: share} = this.shares;
+    return share.count >= MIN_ATTEMPTS && share.value < fresh.value * MIN_RATIO
+      ? `${share.value.toFixed(2)} of ${share.count} attempts (${kind}) began, ${fresh.value.toFixed(2)} of ${fresh.count} new streams did`
       : undefined;
   }
 
--- a/packages/stallpaddle-soak/src/SoakTypes.ts
+++ b/packages/stallpaddle-soak/src/SoakTypes.ts
@@ -165,4 +165,6 @@
   | 'resultIsWhole'
   | 'resultsStay'
   | 'runsWereAsked'
+  /** Requests that share a part with quarantined ones, but not the cause, are served. */
+  | 'sharersAreServed'
   | 'streamsGoOn';
--- a/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
+++ b/packages/stallpaddle-soak/src/__tests__/unit/SoakChecker.test.ts
@@ -5,7 +5,14 @@
 import type {SoakEvent, SoakPromise} from '../../SoakTypes';
 
 import {checkHistory} from '../../SoakChecker';
-import {fatalAttempt, fatalContent, itemText, onceText, streamText} from '../../SoakOutput';
+import {
+  fatalAttempt,
+  fatalContent,
+  fatalMember,
+  itemText,
+  onceText,
+  streamText,
+} from '../../SoakOutput';
 
 const BOUNDS = {
   applyMs: 2_000,
@@ -390,3 +397,56 @@
     expect(violations(...fatal(100, 200, 300), ...frozen, ...late)).toEqual([]);
   });
 });
+
+describe('requests that share a fatal part', () => {
+  /** Requests of one family at the given times, each of which crashes an engine if it ran. */
+  function family(hasRun: boolean, ...times: readonly number[]): readonly Timed[] {
+    return times.flatMap((at): readonly Timed[] => {
+      const id = fatalAttempt(fatalMember(2, at), at);
+      const engine = `e${at}`;
+      const crash: readonly Timed[] = [
+        [at, ran(id, engine)],
+        [at + 30, {engine, kind: 'engineEnded', request: fatalContent(2)}],
+      ];
+      return [[at, asked(id)], ...(hasRun ? crash : []), [at + 30, answered(id, '', 503)]];
+    });
+  }
+
+  /** Harmless streams, each preceded by a refused request of the family. */
+  function beside(from: number, count: number, isServed: boolean): readonly Timed[] {
+    return Array.from({length: count}, (_, at) => from + at * 100).flatMap((at) => [
+      ...family(false, at),
+      [at + 1, asked(`q${at}`)] as const,
+      [
+        at + 2,
+        answered(`q${at}`, isServed ? streamText(`q${at}`) : '', isServed ? 200 : 503),
+      ] as const,
+    ]);
+  }
+
+  const CRASHES = family(true, 100, 200, 300);
+  /** Harmless streams in calm time. */
+  const CALM = Array.from({length: 20}, (_, at) => 30_000 + at * 100).flatMap(
+    (at): readonly Timed[] => [
+      [at, asked(`q${at}`)],
+      [at + 1, answered(`q${at}`, streamText(`q${at}`))],
+    ],
+  );
+
+  test('violate the promise with the fourth late run, although no two are alike', () => {
+    expect(violations(...CRASHES, ...family(true, 9_000, 9_100, 9_200))).toEqual([]);
+    expect(violations(...CRASHES, ...family(true, 9_000, 9_100, 9_200, 9_300))).toEqual([
+      'requestEndsFewEngines',
+    ]);
+  });
+
+  test('leave those served that share only their other parts', () => {
+    const end: Timed = [LATE, {kind: 'ended'}];
+    expect(violations(...CRASHES, ...beside(10_000, 20, true), ...CALM, end)).toEqual([]);
+    expect(violations(...CRASHES, ...beside(10_000, 20, false), ...CALM, end)).toEqual([
+      'sharersAreServed',
+    ]);
+    // Before all VMs must know of the crashes nothing is promised.
+    expect(violations(...CRASHES, ...beside(3_000, 20, false), ...CALM, end)).toEqual([]);
+  });
+});
--- a/packages/stallpaddle-soak/src/index.ts
+++ b/packages/stallpaddle-soak/src/index.ts
@@ -2,7 +2,7 @@
 export {readSoakArguments, shapeOf, type SoakArguments, SoakArgumentsError} from './SoakArguments';
 export {checkHistory} from './SoakChecker';
 export type {SoakPorts, SoakProgram, SoakVm} from './SoakFleet';
-export {eventText, itemText, onceText, OUTPUT_EVENTS, streamText} from './SoakOutput';
+export {eventText, itemText, onceText, OUTPUT_EVENTS, sharedParts, streamText} from './SoakOutput';
 export {planFaults, type SoakPlanInput, type SoakShape} from './SoakPlan';
 export {describeFault, reportSoak} from './SoakReport';
 export {runSoak, type SoakOptions, type SoakOutcome} from './SoakRun';
