Parts that only occurred beside a request that returns are not quarantined

One request that returned crashed three engines within 0.4 s; two requests with the rare part `a1` were starting beside it, so the part reached level 2 by exits of different requests and was quarantined. Its trial was granted to an item whose run was cut short, and the next one was due after 60 s.

Cause: the exits of a request that is quarantined itself were not counted as explained; and a trial without an outcome counted as one after which an engine exited.

Change: quarantined requests are candidates of the same greedy cover, before parts with as many exits; a part whose requests all crashed engines by themselves still explains more. An exit keeps all requests that reported it, and a part is no candidate while one request has all its exits. The delay of trials grows only with those after which an engine exited. The selection is a module of its own, FleetPartCauses.

Two tests in FleetSuspectParts show both cases.

--- a/packages/stallpaddle-fleet/src/FleetSuspectParts.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspectParts.ts
@@ -41,11 +41,11 @@
   readonly trials: number;
 }
 
-/** An engine that exited while it was starting a request with the part. */
-interface PartExit {
+/** An engine that exited while it was starting requests with the part. */
+export interface PartExit {
   readonly incarnation: string;
-  /** Digest of the request. */
-  readonly request: string;
+  /** Digests of the requests. */
+  readonly requests: readonly string[];
 }
 
 /** A suspect part as stored in the replicated state. */
@@ -63,6 +63,8 @@
   readonly since: GroupMs;
   /** Number of trials since it became a suspect. */
   readonly trials: number;
+  /** Number of those after which an engine exited; one that ended otherwise shows nothing. */
+  readonly failedTrials: number;
   /** When it is dropped, by the group's clock. */
   readonly until: GroupMs;
 }
@@ -76,6 +78,8 @@
   readonly group: null | string;
   readonly level: number;
   readonly part: string;
+  /** Delay of the next trial after the latest one or after the quarantine, in milliseconds. */
+  readonly trialDelayMs: number;
   readonly trials: number;
 }
 
@@ -94,6 +98,8 @@
 const MAX_PARTS = 4_096;
 /** Exits kept for each part. */
 const MAX_EXITS_KEPT = 16;
+/** Requests kept for each exit. */
+const MAX_REQUESTS_KEPT = 8;
 
 /**
  * Delays before the first trials, in milliseconds; later ones take as long as the quarantine of a request. Each trial of a
@@ -105,19 +111,20 @@
  * Delay of the next trial of quarantined parts, in milliseconds. A part that is quarantined by mistake is cleared by its
  * first trial; one that crashes engines crashes one more with each.
  *
- * @param trials number of trials so far
+ * @param failedTrials number of trials after which an engine exited
  */
-export function partTrialDelayMs(trials: number): number {
-  const later = trials - FIRST_TRIAL_DELAYS_MS.length;
+export function partTrialDelayMs(failedTrials: number): number {
+  const later = failedTrials - FIRST_TRIAL_DELAYS_MS.length;
   return (
-    FIRST_TRIAL_DELAYS_MS[trials] ?? Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** later)
+    FIRST_TRIAL_DELAYS_MS[failedTrials] ??
+    Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** later)
   );
 }
 
 /** A quarantined part outlasts its next trial, and is dropped when nobody asks for that. */
-function lifeMs({level, trials}: Pick<FleetSuspectPart, 'level' | 'trials'>): number {
+function lifeMs({failedTrials, level}: Pick<FleetSuspectPart, 'failedTrials' | 'level'>): number {
   return level >= QUARANTINE_LEVEL
-    ? partTrialDelayMs(trials) + FIRST_QUARANTINE_MS
+    ? partTrialDelayMs(failedTrials) + FIRST_QUARANTINE_MS
     : SUSPECT_TTL_MS;
 }
 
@@ -139,26 +146,43 @@
   return evictBeyondLimit(next.set(suspect.part, suspect));
 }
 
+/** Adds a request to an exit that another one has reported. */
+function withRequest(suspect: FleetSuspectPart, incarnation: string, request: string) {
+  const exits = suspect.exits.map((exit) =>
+    exit.incarnation === incarnation && !exit.requests.includes(request)
+      ? {...exit, requests: [...exit.requests, request].slice(0, MAX_REQUESTS_KEPT)}
+      : exit,
+  );
+  return {...suspect, exits};
+}
+
+/** A suspect that no exit has been counted against yet. */
+function newSuspect(part: string): FleetSuspectPart {
+  const counts = {failedTrials: 0, level: 0, since: 0, trials: 0, until: 0};
+  return {...counts, exits: [], knowns: [], part, served: false};
+}
+
 function afterExitWith(
   suspects: FleetSuspectParts,
   {known, part, served}: KnownPart,
-  exit: PartExit,
+  {digest, ...end}: NoteEngineEnd,
   now: GroupMs,
 ): FleetSuspectParts {
-  const before = suspects.get(part);
-  const {exits = [], knowns = [], level: levelBefore = 0, trials = 0} = before ?? {};
-  if (exits.some(({incarnation}) => incarnation === exit.incarnation)) {
-    return suspects;
+  const incarnation = incarnationName(end);
+  const before = suspects.get(part) ?? newSuspect(part);
+  if (before.exits.some((exit) => exit.incarnation === incarnation)) {
+    return new Map(suspects).set(part, withRequest(before, incarnation, digest));
   }
+  const {failedTrials, trials} = before;
   const next = {
-    ...levelAfterExit({knowns, level: levelBefore}, known),
-    exits: [...exits, exit].slice(-MAX_EXITS_KEPT),
-    part,
-    served: served || before?.served === true,
+    ...before,
+    ...levelAfterExit(before, known),
+    exits: [...before.exits, {incarnation, requests: [digest]}].slice(-MAX_EXITS_KEPT),
+    failedTrials: Math.min(trials, failedTrials + 1),
+    served: served || before.served,
     since: now,
-    trials,
   };
-  return withPart(suspects, {...next, until: Math.max(before?.until ?? 0, now + lifeMs(next))});
+  return withPart(suspects, {...next, until: Math.max(before.until, now + lifeMs(next))});
 }
 
 /**
@@ -173,8 +197,7 @@
   end: NoteEngineEnd,
   now: GroupMs,
 ): FleetSuspectParts {
-  const exit = {incarnation: incarnationName(end), request: end.digest};
-  return (end.parts ?? []).reduce((next, known) => afterExitWith(next, known, exit, now), suspects);
+  return (end.parts ?? []).reduce((next, known) => afterExitWith(next, known, end, now), suspects);
 }
 
 /**
@@ -212,7 +235,8 @@
   const known = Math.max(...tried.map((suspect) => suspect.trials));
   const since = Math.max(...tried.map((suspect) => suspect.since));
   const isQuarantined = tried.every(({level}) => level >= QUARANTINE_LEVEL);
-  const isDue = now >= since + partTrialDelayMs(trials);
+  const failed = Math.max(...tried.map(({failedTrials}) => failedTrials));
+  const isDue = now >= since + partTrialDelayMs(failed);
   if (tried.length !== parts.length || !isQuarantined || known !== trials || !isDue) {
     return undefined;
   }
@@ -232,101 +256,3 @@
   const kept = [...suspects].filter(([, {until}]) => now < until);
   return kept.length === suspects.size ? suspects : new Map(kept);
 }
-
-/** A part that may be quarantined, with the exits that no selected group explains yet. */
-type Candidate = Pick<FleetSuspectPart, 'exits' | 'part' | 'served'>;
-
-function requestCount({exits}: Candidate): number {
-  return new Set(exits.map(({request}) => request)).size;
-}
-
-/** Whether different requests have the exits in common; one that returns is itself the likelier cause of its exits. */
-function isSharedCause(candidate: Candidate): boolean {
-  return requestCount(candidate) >= QUARANTINE_LEVEL;
-}
-
-function exitsKey({exits}: Candidate): string {
-  return exits
-    .map(({incarnation}) => incarnation)
-    .sort()
-    .join(' ');
-}
-
-/** The likeliest cause: a part that was never run before, then the one with most requests, then with most exits. */
-function likeliest(candidates: readonly Candidate[]): Candidate | undefined {
-  const [best] = [...candidates].sort(
-    (a, b) =>
-      Number(a.served) - Number(b.served) ||
-      requestCount(b) - requestCount(a) ||
-      b.exits.length - a.exits.length ||
-      (a.part < b.part ? -1 : 1),
-  );
-  return best;
-}
-
-/**
- * Selects the fewest parts that explain the exits, greedily: the likeliest cause of unexplained exits first. Parts that are as
- * likely, with exactly the same exits, form one group.
- *
- * @param suspects suspect parts
- * @returns the groups
- */
-export function quarantinedGroups(suspects: FleetSuspectParts): readonly (readonly string[])[] {
-  const groups: (readonly string[])[] = [];
-  let candidates: readonly Candidate[] = [...suspects.values()].filter(
-    (suspect) => suspect.level >= QUARANTINE_LEVEL && isSharedCause(suspect),
-  );
-  for (;;) {
-    const best = likeliest(candidates);
-    if (best === undefined) {
-      return groups;
-    }
-    const key = exitsKey(best);
-    const group = candidates.filter(
-      (candidate) => candidate.served === best.served && exitsKey(candidate) === key,
-    );
-    groups.push(group.map(({part}) => part).sort());
-    const explained = new Set(best.exits.map(({incarnation}) => incarnation));
-    candidates = candidates
-      .filter((candidate) => !group.includes(candidate))
-      .map((candidate) => ({
-        ...candidate,
-        exits: candidate.exits.filter(({incarnation}) => !explained.has(incarnation)),
-      }))
-      .filter(isSharedCause);
-  }
-}
-
-/**
- * The form of the suspect parts that is published to all processes.
- *
- * @param suspects suspect parts
- */
-export function suspectPartViews(suspects: FleetSuspectParts): readonly SuspectPartView[] {
-  const groups = new Map(
-    quarantinedGroups(suspects).flatMap((group) => group.map((part) => [part, group[0]!])),
-  );
-  return [...suspects.values()].map(({level, part, trials}) => ({
-    group: groups.get(part) ?? null,
-    level,
-    part,
-    trials,
-  }));
-}
-
-/**
- * The form of the suspect parts that is shown to an operator.
- *
- * @param suspects suspect parts
- * @param now the group's clock
- */
-export function suspectPartDetails(
-  suspects: FleetSuspectParts,
-  now: GroupMs,
-): readonly SuspectPartDetails[] {
-  return suspectPartViews(suspects).map((view) => {
-    const {exits, until} = suspects.get(view.part)!;
-    const ended = exits.map(({incarnation}) => incarnation);
-    return {...view, ended, leftMs: Math.max(0, until - now)};
-  });
-}
--- a/packages/stallpaddle-fleet/src/FleetSuspects.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspects.ts
@@ -96,7 +96,10 @@
  *
  * @param end the exit
  */
-export function incarnationName({engine, startedAtMs}: NoteEngineEnd): string {
+export function incarnationName({
+  engine,
+  startedAtMs,
+}: Pick<NoteEngineEnd, 'engine' | 'startedAtMs'>): string {
   return `${engine}@${startedAtMs}`;
 }
 
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetHistory.test.ts
@@ -50,6 +50,7 @@
     group: held ? part : null,
     level: held ? 2 : 1,
     part,
+    trialDelayMs: 10_000,
     trials: 0,
   })),
   suspects: listOf((digest, held): SuspectView => ({
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspectParts.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspectParts.test.ts
@@ -6,9 +6,10 @@
 import {assertHistories} from 'stallpaddle-testing';
 import {describe, expect, test} from 'vitest';
 
-import type {NoteEngineEnd} from '../../FleetSuspects';
+import type {FleetSuspects, NoteEngineEnd} from '../../FleetSuspects';
 
 import {fleetMachine} from '../../FleetMachine';
+import {quarantinedGroups, suspectPartViews} from '../../FleetPartCauses';
 import {
   afterPartsEnd,
   afterPartsRelease,
@@ -17,12 +18,11 @@
   type FleetSuspectParts,
   type KnownPart,
   partTrialDelayMs,
-  quarantinedGroups,
-  suspectPartViews,
 } from '../../FleetSuspectParts';
-import {FIRST_QUARANTINE_MS, QUARANTINE_LEVEL} from '../../FleetSuspects';
+import {afterEngineEnd, FIRST_QUARANTINE_MS, QUARANTINE_LEVEL} from '../../FleetSuspects';
 
 const NONE: FleetSuspectParts = new Map();
+const NO_REQUESTS: FleetSuspects = new Map();
 
 /** An exit of engine `e<at>` while it was starting request `r<at>` with the given parts. */
 function exitOf(
@@ -59,6 +59,11 @@
   return afterPartsRelease(suspects, {by: 'engine', kind: 'releaseParts', parts});
 }
 
+/** The groups while no request is quarantined by itself. */
+function groupsOf(suspects: FleetSuspectParts): readonly (readonly string[])[] {
+  return quarantinedGroups(suspects, NO_REQUESTS);
+}
+
 function levelOf(suspects: FleetSuspectParts, part: string): number {
   return suspects.get(part)?.level ?? 0;
 }
@@ -72,9 +77,9 @@
 
   test('quarantine nothing while one request returns: its own quarantine covers that', () => {
     const ends = consecutive(0, 5, 'x').map((end) => ({...end, digest: 'same'}));
-    expect(quarantinedGroups(after(ends))).toEqual([]);
+    expect(groupsOf(after(ends))).toEqual([]);
     const other = exitOf(7, [{known: 5, part: 'x'}]);
-    expect(quarantinedGroups(after([...ends, other]))).toEqual([['x']]);
+    expect(groupsOf(after([...ends, other]))).toEqual([['x']]);
   });
 
   test('rise when requests return that crashed engines at the same moment', () => {
@@ -84,7 +89,7 @@
       engine: `f${at}`,
       parts: [{known: 1, part: 'x', served: false}],
     }));
-    expect(quarantinedGroups(after([...together, ...again]))).toEqual([['x']]);
+    expect(groupsOf(after([...together, ...again]))).toEqual([['x']]);
   });
 
   test('do not rise when several requests report the same exit', () => {
@@ -117,16 +122,14 @@
         {known: at, part: 'x'},
       ]),
     );
-    expect(quarantinedGroups(after(ends))).toEqual([['x']]);
+    expect(groupsOf(after(ends))).toEqual([['x']]);
   });
 
   test('parts that always occurred together are held together, until one occurs without the other', () => {
     const suspects = after(consecutive(0, 2, 'a', 'x'));
-    expect(quarantinedGroups(suspects)).toEqual([['a', 'x']]);
-    expect(quarantinedGroups(after([exitOf(5, [{known: 2, part: 'x'}])], suspects))).toEqual([
-      ['x'],
-    ]);
-    expect(quarantinedGroups(released(suspects, 'a'))).toEqual([['x']]);
+    expect(groupsOf(suspects)).toEqual([['a', 'x']]);
+    expect(groupsOf(after([exitOf(5, [{known: 2, part: 'x'}])], suspects))).toEqual([['x']]);
+    expect(groupsOf(released(suspects, 'a'))).toEqual([['x']]);
   });
 
   test('a part that two others explain is not held', () => {
@@ -134,19 +137,44 @@
     const second = consecutive(2, 2, 'y', 'a');
     // All exits of the shared part, while it was never run: it explains more than either.
     const unknown = after([...first, ...second]);
-    expect(quarantinedGroups(unknown)).toEqual([['a']]);
+    expect(groupsOf(unknown)).toEqual([['a']]);
     const served = after([exitOf(9, [{known: 4, part: 'a', served: true}, {part: 'z'}])], unknown);
-    expect(quarantinedGroups(served)).toEqual([['x'], ['y']]);
+    expect(groupsOf(served)).toEqual([['x'], ['y']]);
   });
 
   test('a part that was served before is held when nothing else explains its exits', () => {
     const ends = [0, 1, 2].map((at) =>
       exitOf(at, [{known: at, part: 'a', served: true}, {part: `own ${at}`}]),
     );
-    expect(quarantinedGroups(after(ends))).toEqual([['a']]);
+    expect(groupsOf(after(ends))).toEqual([['a']]);
+  });
+
+  test('a part whose requests only ran beside one that returns is not held', () => {
+    // The request crashes three engines; two requests with a rare part were starting beside it.
+    const fatal = [0, 1, 2].map((at) =>
+      exitOf(at, [{known: at, part: 'a'}], {digest: 'd', known: at}),
+    );
+    const beside = [1, 2].map((at) =>
+      exitOf(at, [{known: at - 1, part: 'rare'}], {digest: `beside ${at}`}),
+    );
+    const ends = [...fatal, ...beside];
+    const requests = ends.reduce((all, end) => afterEngineEnd(all, end, 0), NO_REQUESTS);
+    const parts = after(ends);
+    expect(levelOf(parts, 'rare')).toBe(QUARANTINE_LEVEL);
+    expect(quarantinedGroups(parts, requests)).toEqual([]);
   });
 
-  test('whatever the exits and releases, each group explains exits of two requests that no other does', async () => {
+  test('a part is held although each request that has it crashed two engines by itself', () => {
+    const ends = [0, 1, 2, 3].map((at) => {
+      const known = Math.floor(at / 2);
+      return exitOf(at, [{known, part: 'x'}], {digest: `r${known}`, known: at % 2});
+    });
+    const requests = ends.reduce((all, end) => afterEngineEnd(all, end, 0), NO_REQUESTS);
+    expect([...requests.values()].map(({level}) => level)).toEqual([2, 2]);
+    expect(quarantinedGroups(after(ends), requests)).toEqual([['x']]);
+  });
+
+  test('whatever the exits and releases, each group explains two exits that no other does', async () => {
     const part = fc.constantFrom('a', 'b', 'x', 'y');
     const step = fc.oneof(
       {
@@ -172,10 +200,10 @@
           suspects = after([exitOf(at, knownParts, {digest: request, engine})], suspects);
         }
         const explained = new Set<string>();
-        for (const group of quarantinedGroups(suspects)) {
+        for (const group of groupsOf(suspects)) {
           const {exits} = suspects.get(group[0]!)!;
           const own = exits.filter(({incarnation}) => !explained.has(incarnation));
-          expect(new Set(own.map(({request}) => request)).size).toBeGreaterThanOrEqual(2);
+          expect(own.length).toBeGreaterThanOrEqual(2);
           own.forEach(({incarnation}) => explained.add(incarnation));
         }
         const last = 'release' in next ? next.release : undefined;
@@ -194,12 +222,14 @@
     const dueAt = partTrialDelayMs(0);
     expect(afterPartsTrial(HELD, TRY, dueAt - 1)).toBeUndefined();
     const tried = afterPartsTrial(HELD, TRY, dueAt)!;
-    expect(suspectPartViews(tried)).toMatchObject([{group: 'x', part: 'x', trials: 1}]);
+    expect(suspectPartViews(tried, NO_REQUESTS)).toMatchObject([
+      {group: 'x', part: 'x', trials: 1},
+    ]);
     // Another VM that knows of no trial yet.
     expect(afterPartsTrial(tried, TRY, dueAt)).toBeUndefined();
     const next = {...TRY, trials: 1};
-    expect(afterPartsTrial(tried, next, dueAt + partTrialDelayMs(1) - 1)).toBeUndefined();
-    expect(afterPartsTrial(tried, next, dueAt + partTrialDelayMs(1))).toBeDefined();
+    expect(afterPartsTrial(tried, next, 2 * dueAt - 1)).toBeUndefined();
+    expect(afterPartsTrial(tried, next, 2 * dueAt)).toBeDefined();
   });
 
   test('are denied for parts that are not quarantined or no longer suspects', () => {
@@ -209,6 +239,17 @@
     expect(afterPartsTrial(HELD, {...TRY, parts: ['x', 'gone']}, later)).toBeUndefined();
   });
 
+  test('come again after the same delay while no engine exits: a trial may be cut short', () => {
+    let suspects = HELD;
+    for (const trials of [0, 1, 2]) {
+      const now = (trials + 1) * partTrialDelayMs(0);
+      suspects = afterPartsTrial(suspects, {...TRY, trials}, now)!;
+    }
+    const failed = after([exitOf(9, [{known: 2, part: 'x'}])], suspects, 3 * partTrialDelayMs(0));
+    const [view] = suspectPartViews(failed, NO_REQUESTS);
+    expect(view!.trialDelayMs).toBe(partTrialDelayMs(1));
+  });
+
   test('crash few engines in an hour, while a crashed one postpones the next', () => {
     let suspects = HELD;
     let crashes = 0;
@@ -238,7 +279,7 @@
       suspects = after([exitOf(at, [{part: `other ${at}`}])], suspects);
     }
     expect(suspects.size).toBeLessThanOrEqual(4_096);
-    expect(quarantinedGroups(suspects)).toEqual([['x']]);
+    expect(groupsOf(suspects)).toEqual([['x']]);
   });
 
   test('are part of the snapshot', () => {
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -12,6 +12,7 @@
 export {type Feature, FEATURES, type FeatureSwitches, isFeatureOn} from './FleetFeatures';
 export {FleetHistory, type NumberedStatus} from './FleetHistory';
 export {changesEngine, fleetMachine, isOutdated, laterHolders} from './FleetMachine';
+export {quarantinedGroups, suspectPartDetails, suspectPartViews} from './FleetPartCauses';
 export {
   type EngineSoftware,
   hasMixedSoftware,
@@ -31,12 +32,9 @@
   type FleetSuspectParts,
   type KnownPart,
   partTrialDelayMs,
-  quarantinedGroups,
   type ReleaseParts,
   type SuspectPartDetails,
-  suspectPartDetails,
   type SuspectPartView,
-  suspectPartViews,
   type TryParts,
 } from './FleetSuspectParts';
 export {
--- a/packages/stallpaddle-node/src/NodeFleetStatus.ts
+++ b/packages/stallpaddle-node/src/NodeFleetStatus.ts
@@ -112,7 +112,10 @@
     jobsFounders,
     jobsReplicas: jobsReplicas(input),
     stores: storeViews(input),
-    suspectParts: sortByName(suspectPartViews(state.suspectParts), ({part}) => part),
+    suspectParts: sortByName(
+      suspectPartViews(state.suspectParts, state.suspects),
+      ({part}) => part,
+    ),
     suspects: suspectViews(input),
   };
 }
--- a/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
+++ b/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
@@ -62,7 +62,7 @@
     const {clockMs, suspectParts, suspects} = driver.read();
     const now = clockMs + driver.uncountedMs;
     return {
-      parts: suspectPartDetails(suspectParts, now),
+      parts: suspectPartDetails(suspectParts, suspects, now),
       suspects: [...suspects.values()].map((suspect) => suspectDetails(suspect, now)),
     };
   }
@@ -87,7 +87,7 @@
       known,
       level: suspect?.level,
       parts: parts.map(({part}) => part).join(),
-      partsHeld: quarantinedGroups(suspectParts)
+      partsHeld: quarantinedGroups(suspectParts, suspects)
         .map((group) => group.join('+'))
         .join(),
       partsLevels: parts.map(({part}) => suspectParts.get(part)?.level ?? 0).join(),
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -219,7 +219,7 @@
       {digest: 'd', holdMs: FIRST_QUARANTINE_MS, level: 2},
     ]);
     expect(published.update.news.suspectParts).toEqual([
-      {group: null, level: 1, part: 'p', trials: 0},
+      {group: null, level: 1, part: 'p', trialDelayMs: 10_000, trials: 0},
     ]);
     expect(await handler.answer({kind: 'listSuspects'})).toMatchObject({
       parts: [{ended: ['e1@0'], group: null, level: 1, part: 'p', trials: 0}],
--- a/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
+++ b/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
@@ -3,7 +3,7 @@
  */
 import type {EngineView, KnownPart} from 'stallpaddle-fleet';
 
-import {partTrialDelayMs, QUARANTINE_LEVEL} from 'stallpaddle-fleet';
+import {QUARANTINE_LEVEL} from 'stallpaddle-fleet';
 
 import type {PartsVerdict, QuarantinedGroup} from './RelaySuspectParts';
 import type {RelayContext, RelayRequest} from './RelayTypes';
@@ -107,7 +107,7 @@
     if (verdict.kind === 'allowed') {
       return undefined;
     }
-    const {parts, trials} = verdict.group;
+    const {parts, trialDelayMs, trials} = verdict.group;
     const fields = {parts: parts.join(), trials};
     if (verdict.kind === 'trialDue' && (await suspects.parts.requestTrial(verdict.group))) {
       this.triedParts = verdict.group;
@@ -116,7 +116,7 @@
     if (this.triedParts !== undefined && isSameGroup(this.triedParts, verdict.group)) {
       return undefined;
     }
-    const retryAfterMs = verdict.kind === 'held' ? verdict.retryAfterMs : partTrialDelayMs(trials);
+    const retryAfterMs = verdict.kind === 'held' ? verdict.retryAfterMs : trialDelayMs;
     decide('held', requestId, {...fields, retryAfterMs: Math.round(retryAfterMs)});
     return retryAfterMs;
   }
--- a/packages/stallpaddle-relay/src/RelaySuspectParts.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspectParts.ts
@@ -6,7 +6,6 @@
 import {
   type FleetAnswer,
   type KnownPart,
-  partTrialDelayMs,
   QUARANTINE_LEVEL,
   type ReleaseParts,
   type SuspectPartView,
@@ -27,6 +26,8 @@
 /** Parts that are quarantined together: a request is held if it has all of them. */
 export interface QuarantinedGroup {
   readonly parts: readonly string[];
+  /** Delay of the next trial, in milliseconds. */
+  readonly trialDelayMs: number;
   /** Number of trials so far. */
   readonly trials: number;
 }
@@ -69,6 +70,7 @@
   }
   return [...groups.values()].map((views) => ({
     parts: views.map(({part}) => part),
+    trialDelayMs: Math.max(...views.map(({trialDelayMs}) => trialDelayMs)),
     trials: Math.max(...views.map(({trials}) => trials)),
   }));
 }
@@ -122,8 +124,7 @@
     if (held === undefined) {
       return ALLOWED;
     }
-    const dueAt =
-      held.dueAt + (this.hasOtherSuspect(parts, held) ? partTrialDelayMs(held.trials) : 0);
+    const dueAt = held.dueAt + (this.hasOtherSuspect(parts, held) ? held.trialDelayMs : 0);
     const now = this.options.clock.monotonicMs();
     return now >= dueAt
       ? {group: held, kind: 'trialDue'}
@@ -143,7 +144,10 @@
    * @param group the group
    * @returns whether it was granted
    */
-  async requestTrial({parts, trials}: QuarantinedGroup): Promise<boolean> {
+  async requestTrial({
+    parts,
+    trials,
+  }: Pick<QuarantinedGroup, 'parts' | 'trials'>): Promise<boolean> {
     const {clock, requestTrial} = this.options;
     const group = this.groups.find((other) => other.parts.join() === parts.join());
     if (group === undefined || clock.monotonicMs() < group.dueAt) {
@@ -205,9 +209,12 @@
     const now = this.options.clock.monotonicMs();
     this.groups = groupsOf(reported).map((group) => {
       const known = this.groups.find(
-        ({parts, trials}) => parts.join() === group.parts.join() && trials === group.trials,
+        ({parts, trialDelayMs, trials}) =>
+          parts.join() === group.parts.join() &&
+          trialDelayMs === group.trialDelayMs &&
+          trials === group.trials,
       );
-      return {...group, dueAt: known?.dueAt ?? now + partTrialDelayMs(group.trials)};
+      return {...group, dueAt: known?.dueAt ?? now + group.trialDelayMs};
     });
   }
 }
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
@@ -202,7 +202,8 @@
   }
 
   function heldPart(part: string, changes: Partial<SuspectPartView> = {}): SuspectPartView {
-    return {group: part, level: QUARANTINE_LEVEL, part, trials: 0, ...changes};
+    const trialDelayMs = partTrialDelayMs(changes.trials ?? 0);
+    return {group: part, level: QUARANTINE_LEVEL, part, trialDelayMs, trials: 0, ...changes};
   }
 
   test('hold a request only if it has all parts of a group', () => {
--- a/packages/stallpaddle-testing/src/FakeSuspectStore.ts
+++ b/packages/stallpaddle-testing/src/FakeSuspectStore.ts
@@ -83,7 +83,7 @@
   private publish(): void {
     if (this.isShared) {
       this.views = [...this.suspects.values()].map(suspectView);
-      this.partViews = suspectPartViews(this.parts);
+      this.partViews = suspectPartViews(this.parts, this.suspects);
     }
   }
 }
