Parts that engines have run before need more evidence before they are quarantined

Cause: the crashes belonged to a family whose requests had all started before its first crash was known, so its part stood at level 1 and was no candidate, while the shared part had reached level 2 by requests beside it. Whoever is most common reaches any level first; that engines had run it thousands of times changed only the order of the candidates.

Change: suspects of any level explain exits, also where their own evidence is too little for a quarantine. A part that engines have run before is quarantined from four unexplained, consecutive exits, instead of two, and gets its first trial after 1 s. A part that was cleared is remembered as run for ten minutes in the replicated state, so that it also counts after the loss of all VMs.

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -201,7 +201,9 @@
         : {answer: {kind: 'held', version: current}, state};
     }
     case 'releaseParts':
-      return withChanges(state, {suspectParts: afterPartsRelease(state.suspectParts, command)});
+      return withChanges(state, {
+        suspectParts: afterPartsRelease(state.suspectParts, command, state.clockMs),
+      });
     case 'releaseRequest':
       return withChanges(state, {suspects: afterRelease(state.suspects, command)});
     case 'removeEngine':
--- a/packages/stallpaddle-fleet/src/FleetPartCauses.ts
+++ b/packages/stallpaddle-fleet/src/FleetPartCauses.ts
@@ -14,19 +14,26 @@
 import {partTrialDelayMs} from './FleetSuspectParts';
 import {type FleetSuspect, type FleetSuspects, QUARANTINE_LEVEL} from './FleetSuspects';
 
+/**
+ * Level and number of unexplained exits from which a part is quarantined that engines have run before. Many requests may
+ * share such a part, so that a mistake refuses all of them.
+ */
+const SERVED_QUARANTINE_LEVEL = 4;
+
 /** A possible cause, with the exits that no selected cause explains yet. */
 type Candidate =
   | {
       readonly exits: readonly PartExit[];
       readonly kind: 'part';
+      readonly level: number;
       readonly name: string;
       readonly served: boolean;
     }
   /** A request that crashed engines again and again; its own quarantine covers it. */
   | {readonly exits: readonly PartExit[]; readonly kind: 'request'; readonly name: string};
 
-function partCandidate({exits, part, served}: FleetSuspectPart): Candidate {
-  return {exits, kind: 'part', name: part, served};
+function partCandidate({exits, level, part, served}: FleetSuspectPart): Candidate {
+  return {exits, kind: 'part', level, name: part, served};
 }
 
 function requestCandidate({digest, ended}: FleetSuspect): Candidate {
@@ -52,6 +59,13 @@
     .join(' ');
 }
 
+/** Whether the evidence is enough to quarantine a selected cause; otherwise it only explains exits. */
+function isQuarantined(candidate: Candidate): boolean {
+  const {exits, kind} = candidate;
+  const needed = wasServed(candidate) ? SERVED_QUARANTINE_LEVEL : QUARANTINE_LEVEL;
+  return kind === 'part' && candidate.level >= needed && exits.length >= needed;
+}
+
 function wasServed(candidate: Candidate): boolean {
   return candidate.kind === 'part' && candidate.served;
 }
@@ -84,7 +98,7 @@
 
 /**
  * Selects the quarantined parts, greedily: the likeliest cause of unexplained exits first. Parts that always occurred together
- * form one group.
+ * form one group. Suspects with too little evidence to be quarantined explain exits as well.
  *
  * @param parts suspect parts
  * @param requests suspect requests, whose exits need no part to explain them
@@ -94,11 +108,10 @@
   parts: FleetSuspectParts,
   requests: FleetSuspects,
 ): readonly (readonly string[])[] {
-  const isSuspected = ({level}: {readonly level: number}): boolean => level >= QUARANTINE_LEVEL;
   const groups: (readonly string[])[] = [];
   let candidates = [
-    ...[...parts.values()].filter(isSuspected).map(partCandidate),
-    ...[...requests.values()].filter(isSuspected).map(requestCandidate),
+    ...[...parts.values()].map(partCandidate),
+    ...[...requests.values()].map(requestCandidate),
   ].filter(isPlausible);
   for (;;) {
     const best = likeliest(candidates);
@@ -106,7 +119,7 @@
       return groups;
     }
     const group = inseparableFrom(best, candidates);
-    if (best.kind === 'part') {
+    if (group.every(isQuarantined)) {
       groups.push(group.map(({name}) => name).sort());
     }
     const explained = new Set(best.exits.map(({incarnation}) => incarnation));
@@ -133,12 +146,13 @@
   const groups = new Map(
     quarantinedGroups(parts, requests).flatMap((group) => group.map((part) => [part, group[0]!])),
   );
-  return [...parts.values()].map(({failedTrials, level, part, trials}) => ({
-    group: groups.get(part) ?? null,
-    level,
-    part,
-    trialDelayMs: partTrialDelayMs(failedTrials),
-    trials,
+  const suspects = [...parts.values()].filter(({level}) => level > 0);
+  return suspects.map((suspect) => ({
+    group: groups.get(suspect.part) ?? null,
+    level: suspect.level,
+    part: suspect.part,
+    trialDelayMs: partTrialDelayMs(suspect),
+    trials: suspect.trials,
   }));
 }
 
--- a/packages/stallpaddle-fleet/src/FleetSuspectParts.ts
+++ b/packages/stallpaddle-fleet/src/FleetSuspectParts.ts
@@ -54,7 +54,7 @@
   readonly exits: readonly PartExit[];
   /** Distinct levels that senders knew when their runs started; see `FleetSuspect`. */
   readonly knowns: readonly number[];
-  /** Number of consecutive exits. */
+  /** Number of consecutive exits; 0 for a part that is only remembered as served. */
   readonly level: number;
   readonly part: string;
   /** Whether any sender has seen an engine run it past its start before. */
@@ -106,25 +106,30 @@
  * part that does crash engines interrupts all requests of one more engine.
  */
 const FIRST_TRIAL_DELAYS_MS = [10_000, 60_000] as const;
+/** The same for a part that engines have run before: many requests may share it, and it is rarely the cause. */
+const SERVED_TRIAL_DELAYS_MS = [1_000, ...FIRST_TRIAL_DELAYS_MS] as const;
+/** Time for which a part that was cleared counts as one that engines have run, in milliseconds. */
+const SERVED_MS = 600_000;
 
 /**
  * Delay of the next trial of quarantined parts, in milliseconds. A part that is quarantined by mistake is cleared by its
  * first trial; one that crashes engines crashes one more with each.
  *
- * @param failedTrials number of trials after which an engine exited
+ * @param suspect whether engines have run the part before, and number of trials after which an engine exited
  */
-export function partTrialDelayMs(failedTrials: number): number {
-  const later = failedTrials - FIRST_TRIAL_DELAYS_MS.length;
-  return (
-    FIRST_TRIAL_DELAYS_MS[failedTrials] ??
-    Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** later)
-  );
+export function partTrialDelayMs({
+  failedTrials,
+  served,
+}: Pick<FleetSuspectPart, 'failedTrials' | 'served'>): number {
+  const first = served ? SERVED_TRIAL_DELAYS_MS : FIRST_TRIAL_DELAYS_MS;
+  const later = failedTrials - first.length;
+  return first[failedTrials] ?? Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** later);
 }
 
 /** A quarantined part outlasts its next trial, and is dropped when nobody asks for that. */
-function lifeMs({failedTrials, level}: Pick<FleetSuspectPart, 'failedTrials' | 'level'>): number {
-  return level >= QUARANTINE_LEVEL
-    ? partTrialDelayMs(failedTrials) + FIRST_QUARANTINE_MS
+function lifeMs(suspect: Pick<FleetSuspectPart, 'failedTrials' | 'level' | 'served'>): number {
+  return suspect.level >= QUARANTINE_LEVEL
+    ? partTrialDelayMs(suspect) + FIRST_QUARANTINE_MS
     : SUSPECT_TTL_MS;
 }
 
@@ -201,20 +206,27 @@
 }
 
 /**
- * Removes released parts.
+ * Clears released parts. Those that an engine has run are remembered as such for some time.
  *
  * @param suspects suspect parts before
  * @param release the parts
+ * @param now the group's clock
  */
 export function afterPartsRelease(
   suspects: FleetSuspectParts,
-  {parts}: ReleaseParts,
+  {by, parts}: ReleaseParts,
+  now: GroupMs,
 ): FleetSuspectParts {
   if (!parts.some((part) => suspects.has(part))) {
     return suspects;
   }
   const next = new Map(suspects);
-  parts.forEach((part) => next.delete(part));
+  for (const part of parts) {
+    const wasKnown = next.delete(part);
+    if (wasKnown && by === 'engine') {
+      next.set(part, {...newSuspect(part), served: true, until: now + SERVED_MS});
+    }
+  }
   return next;
 }
 
@@ -235,8 +247,7 @@
   const known = Math.max(...tried.map((suspect) => suspect.trials));
   const since = Math.max(...tried.map((suspect) => suspect.since));
   const isQuarantined = tried.every(({level}) => level >= QUARANTINE_LEVEL);
-  const failed = Math.max(...tried.map(({failedTrials}) => failedTrials));
-  const isDue = now >= since + partTrialDelayMs(failed);
+  const isDue = now >= since + Math.max(...tried.map(partTrialDelayMs));
   if (tried.length !== parts.length || !isQuarantined || known !== trials || !isDue) {
     return undefined;
   }
--- a/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
+++ b/packages/stallpaddle-node/src/NodeSuspectsHandler.ts
@@ -104,7 +104,9 @@
   async releaseParts(release: ReleaseParts): Promise<FleetAnswer> {
     const {group, log, propose, publish} = this.options;
     const {suspectParts} = group.driver.read();
-    const known = release.parts.flatMap((part) => suspectParts.get(part) ?? []);
+    const known = release.parts
+      .flatMap((part) => suspectParts.get(part) ?? [])
+      .filter(({level}) => level > 0);
     if (known.length === 0) {
       return {kind: 'applied'};
     }
--- a/packages/stallpaddle-testing/src/FakeSuspectStore.ts
+++ b/packages/stallpaddle-testing/src/FakeSuspectStore.ts
@@ -65,7 +65,7 @@
         this.parts = afterPartsEnd(this.parts, finding, this.clockMs);
         return;
       case 'releaseParts':
-        this.parts = afterPartsRelease(this.parts, finding);
+        this.parts = afterPartsRelease(this.parts, finding, this.clockMs);
         return;
       case 'releaseRequest':
         this.suspects = afterRelease(this.suspects, finding);
