--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspectParts.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetSuspectParts.test.ts
@@ -248,6 +248,7 @@
     ]);
     // Another VM that knows of no trial yet.
     expect(afterPartsTrial(tried, TRY, dueAt)).toBeUndefined();
+    expect(afterPartsTrial(tried, TRY, 2 * dueAt)).toBeUndefined();
     const next = {...TRY, trials: 1};
     expect(afterPartsTrial(tried, next, 2 * dueAt - 1)).toBeUndefined();
     expect(afterPartsTrial(tried, next, 2 * dueAt)).toBeDefined();
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -23,6 +23,9 @@
   }
 });
 
+/** Delay of the first trial of quarantined parts, in milliseconds. */
+const TRIAL_DELAY_MS = 10_000;
+
 const ROUTE: FleetRoute = {
   giveUpAfterMs: 60_000,
   host: 'h',
@@ -132,6 +135,7 @@
   /** Time to read a body, in milliseconds. */
   readonly readMs?: number;
   readonly propose?: (change: JobsChange) => Promise<unknown>;
+  readonly store?: FakeSuspectStore;
   readonly term?: () => number;
 }
 
@@ -144,6 +148,7 @@
     mayLead = () => true,
     propose = (change) => group.propose(change),
     readMs = 0,
+    store = new FakeSuspectStore(),
     term = () => 1,
   }: LeadOptions = {},
 ): JobsDispatcher {
@@ -160,7 +165,7 @@
       return group.blobs.get(ref.offset)!;
     },
     state: () => group.state,
-    suspects: new FakeSuspectStore().view(plainRelay, () => view().news.engines),
+    suspects: store.view(plainRelay, () => view().news.engines),
     view,
     wire: plainRelay,
   });
@@ -332,7 +337,8 @@
     const decided: string[] = [];
     const decide: JobsDispatcherOptions['decide'] = (decision, id, {parts = ''}) =>
       decided.push(`${decision} ${id} ${String(parts)}`);
-    startLeader(group, () => viewOf(engines), {decide});
+    const store = new FakeSuspectStore();
+    startLeader(group, () => viewOf(engines), {decide, store});
     const isFatal = (at: number): boolean => at % 10 === 0;
     group.submit(40, (at) => (isFatal(at) ? 'a x' : 'a y'));
     await waitUntil(() => group.results.length === 36, 15_000);
@@ -353,6 +359,11 @@
       [],
     );
     expect(group.results.map(({item}) => item).filter(isFatal)).toEqual([]);
+    // All items may ask for the trial now; one gets it.
+    store.clockMs = TRIAL_DELAY_MS;
+    await waitUntil(() => ended().length > before, 2 * TRIAL_DELAY_MS);
+    await delay(1_500);
+    expect(ended()).toHaveLength(before + 1);
   });
 
   test('runs an item that was only present when two engines ended, after its quarantine', async () => {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspects.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspects.test.ts
@@ -149,6 +149,22 @@
     expect(store.suspects.size).toBe(0);
   });
 
+  test('is cleared by a complete response that has only one event', async () => {
+    const store = new FakeSuspectStore();
+    const engines = await startCrashingEngines(2);
+    const once = routeOf({maxAttempts: 1, resumable: false});
+    const {port} = await startRelay(contextOfVm(store, engines), once);
+    await sendRequest(port, undefined, {}, FATAL);
+    await delay(CHECK_MS);
+    expect([...store.suspects.values()].map(({level}) => level)).toEqual([1]);
+    engines.forEach((engine) => {
+      engine.fatal.clear();
+      engine.behaviors = [{after: 1, kind: 'endFramed'}];
+    });
+    expect((await sendRequest(port, undefined, {}, FATAL)).status).toBe(200);
+    expect(store.suspects.size).toBe(0);
+  });
+
   /**
    * Guards against aborting a stream that has shown that it crashes no engine, because requests with the same digest
    * were running when two engines exited.
