An item keeps the trial of quarantined parts until an engine has run it

Traced beside 14 busy processes: the trial was granted twice, each time the item was placed at an engine that had ended, was not run, and had to ask again after the whole delay. Requests kept their trial already, items now do, until a run has ended.

--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -195,10 +195,11 @@
   /** Whether a quarantined part of the prompt holds the item; the check takes no slot of an engine. */
   private isHeldByParts(task: Task): boolean {
     const verdict = this.runtime.suspects.parts.verdictOn(this.sharedPartsOf(task));
-    if (verdict.kind === 'held') {
-      this.holdForParts(task, verdict.group);
+    if (verdict.kind !== 'held' || task.triedParts === verdict.group.parts.join()) {
+      return false;
     }
-    return verdict.kind === 'held';
+    this.holdForParts(task, verdict.group);
+    return true;
   }
 
   /** Whether the parts of the prompt allow a run, which may be the one trial of a quarantined part. */
@@ -209,8 +210,13 @@
       return true;
     }
     const {group} = verdict;
+    const name = group.parts.join();
+    if (task.triedParts === name) {
+      return true;
+    }
     if (verdict.kind === 'trialDue' && (await parts.requestTrial(group))) {
-      this.decide('itemTried', task, {parts: group.parts.join(), trials: group.trials});
+      task.triedParts = name;
+      this.decide('itemTried', task, {parts: name, trials: group.trials});
       return true;
     }
     this.holdForParts(task, group);
@@ -367,6 +373,9 @@
       reason: 'reason' in end ? end.reason : undefined,
       status: end.kind === 'failed' ? end.status : undefined,
     });
+    if (end.kind !== 'notRun') {
+      task.triedParts = undefined;
+    }
     switch (end.kind) {
       case 'broken':
         this.options.engines.recordOutcome(engine, false);
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -58,6 +58,8 @@
   sharedParts: readonly string[] | undefined;
   /** Version of the engine software that wrote the output; undefined before the first event, and where it is unknown. */
   softwareVersion: string | undefined;
+  /** Quarantined parts for whose trial the control group chose it; undefined once an engine has run it. */
+  triedParts: string | undefined;
   /** Its next trial run; undefined if it was never quarantined. */
   trial: ItemTrial | undefined;
   /** Engine on which it is starting, while its body is read. */
@@ -89,6 +91,7 @@
     softwareVersion,
     startingOn: undefined,
     trial: undefined,
+    triedParts: undefined,
   };
 }
 
