--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -35,6 +35,7 @@
 import {NodeStatusPublisher} from './NodeStatusPublisher';
 import {chooseFounders, isEmptied, stayingReplicas} from './NodeStorePlan';
 import {NodeSuspectsHandler} from './NodeSuspectsHandler';
+import {NodeWaiters} from './NodeWaiters';
 
 /**
  * Time between checks for changes of the fleet status, in milliseconds. It also limits how often the status is published,
@@ -67,6 +68,10 @@
   private founding = false;
   private lastSeen = new NodeLastSeen(-1, -Infinity);
   private refreshedAt: MonotonicMs = -Infinity;
+  /** The group's state of which the latest published status was built. */
+  private publishedState: FleetState | undefined;
+  /** Requests that wait for the next publication. */
+  private readonly publications = new NodeWaiters();
   private readonly suspects: NodeSuspectsHandler;
   private readonly timer: NodeJS.Timeout;
   /** The configuration without the operator's text, converted once for each stored one. */
@@ -83,7 +88,7 @@
    */
   constructor(private readonly options: NodeControlHandlerOptions) {
     this.publisher = new NodeStatusPublisher(options.clock, () => ({
-      ageMs: 0,
+      ageMs: this.lacksChanges ? options.clock.monotonicMs() - this.refreshedAt : 0,
       config: this.publicConfig(options.group.driver.read().config),
     }));
     this.suspects = new NodeSuspectsHandler({
@@ -105,6 +110,7 @@
   /** Stops the checks, and wakes waiting requests. */
   stop(): void {
     clearInterval(this.timer);
+    this.publications.wakeAll();
     this.publisher.wakeAll();
   }
 
@@ -247,7 +253,7 @@
     return laterHolders(state, report).some((id) => !hasMissedReports(lastSeen, id, now, reportMs));
   }
 
-  private watch(request: Extract<FleetRequest, {kind: 'watch'}>): Promise<WatchAnswer> {
+  private async watch(request: Extract<FleetRequest, {kind: 'watch'}>): Promise<WatchAnswer> {
     const {clock, group} = this.options;
     const now = clock.monotonicMs();
     // Throws without leadership: only a leader may record heartbeats and answer.
@@ -257,9 +263,18 @@
     if (this.publisher.latest?.term !== this.current().term) {
       this.refresh();
     }
+    if (request.waitMs === 0 && this.lacksChanges) {
+      // The caller wants all that was committed before its request; publishing for each would wake all processes each time.
+      await this.publications.wait(2 * REFRESH_MS);
+    }
     return this.publisher.answer(request.known, request.waitMs);
   }
 
+  /** Whether the published status lacks committed changes. */
+  private get lacksChanges(): boolean {
+    return this.publishedState !== this.options.group.driver.localState;
+  }
+
   /** What this leader has received; starts empty with each term. */
   private current(): NodeLastSeen {
     const {clock, group} = this.options;
@@ -306,6 +321,7 @@
     const {driver} = group;
     this.refreshedAt = clock.monotonicMs();
     if (!driver.leads) {
+      this.publications.wakeAll();
       this.publisher.wakeAll();
       return;
     }
@@ -317,11 +333,14 @@
       this.publisher.wakeAll();
     }
     this.publishedConfigVersion = version;
+    this.publications.wakeAll();
   }
 
   /** Publishes the status under a new number if it has changed or the term is new; returns whether it did. */
   private publishStatus(): boolean {
+    const {localState} = this.options.group.driver;
     const status = this.buildStatus();
+    this.publishedState = localState;
     const {term} = this.current();
     const {latest} = this.publisher;
     const isSame = latest?.term === term && isEmptyDelta(diffStatus(latest.news, status));
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -185,9 +185,34 @@
   handlers.push(handler);
   const report = (id: string, startedAtMs: number): Promise<unknown> =>
     handler.answer({kind: 'reportEngine', report: reportOf(id, startedAtMs)});
-  return {at, logged, report};
+  return {at, handler, logged, report};
 }
 
+describe('answers to processes', () => {
+  // Guards against a status that counts as confirmed and lacks a version or a suspect that was committed before the question.
+  test('a status that is asked for holds all that was committed before', async () => {
+    const {handler} = lead(3, 1);
+    await watch(handler, []);
+    for (const id of ['e1', 'e2', 'e3']) {
+      await handler.answer({kind: 'reportEngine', report: reportOf(id, 1)});
+      const {update} = (await watch(handler, [])) as {update: {news: FleetStatus}};
+      expect(update.news.engines.map((engine) => engine.id)).toContain(id);
+    }
+  });
+
+  // Guards against a held answer, complete only as of the publication before, that counts as confirmed.
+  test('a status that lacks a committed change says how old it is', async () => {
+    const {at, handler, report} = leadAt();
+    at.now = 1_000;
+    await watch(handler, []);
+    await report('e1', 1);
+    at.now += 60;
+    const held = {hellos: [], known: {config: null, fleet: 0, term: 0}, mayRelay: false};
+    const answer = handler.answer({...held, kind: 'watch', relayed: [], waitMs: 5_000});
+    expect(await answer).toMatchObject({ageMs: 60});
+  });
+});
+
 describe('reports of engines', () => {
   test('an outdated report of an older engine does not take the address of a live engine', async () => {
     const {at, logged, report} = leadAt();
