--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -6,6 +6,7 @@
   NotRunReason,
   RelayLatencies,
   RelayWire,
+  StartCheck,
 } from 'stallpaddle-relay';
 
 import {errorMessage, registerTimeout} from 'stallpaddle';
@@ -26,16 +27,22 @@
 /** Request and target of a run. */
 export interface ItemRunRequest {
   readonly body: Uint8Array;
+  /** Checks, once the engine has begun to respond, whether it is the start that was selected. */
+  readonly confirmStart: () => Promise<StartCheck>;
   /** The customer that owns the job; undefined if it was submitted without one. */
   readonly customer: string | undefined;
   readonly engine: EngineView;
   readonly headers: readonly (readonly [string, string])[];
   readonly host: string;
   readonly id: string;
+  /** Whether the run continues an output. */
+  readonly isContinued: boolean;
   /** Id of the last event of earlier runs, after which this run resumes. */
   readonly lastEvent: string | null;
   /** Called with the data and id of each event. */
   readonly onEvent: (data: string, id: string | null) => void;
+  /** Called before the first event if the engine is the start that was selected. */
+  readonly onConfirmed: () => void;
   readonly path: string;
 }
 
@@ -48,6 +55,8 @@
   /** The engine answered with an error status. */
   | {readonly kind: 'failed'; readonly status: number}
   | {readonly kind: 'notRun'; readonly reason: NotRunReason}
+  /** The run was to continue an output, and its engine is not known to be the start that was selected. */
+  | {readonly check: StartCheck; readonly kind: 'unconfirmed'}
   /** `isFramed`: the answer states where it ends; otherwise it ended with its connection. */
   | {readonly isFramed: boolean; readonly kind: 'whole'};
 
@@ -91,6 +100,25 @@
     : {kind: 'broken', reason: 'the connection ended before the first event'};
 }
 
+/** Reads the events, those of a run that continues an output only from the start that was selected. */
+async function readConfirmed(
+  call: EngineCall,
+  answer: Answer,
+  req: ItemRunRequest,
+  resetIdleTimeout: () => void,
+): Promise<ItemRunEnd> {
+  const check = await req.confirmStart();
+  if (call.isClosed) {
+    return {kind: 'broken', reason: 'the call was closed before its engine was confirmed'};
+  }
+  if (check === 'confirmed') {
+    req.onConfirmed();
+  } else if (req.isContinued) {
+    return {check, kind: 'unconfirmed'};
+  }
+  return readEvents(answer, req, resetIdleTimeout);
+}
+
 async function readAnswer(
   call: EngineCall,
   req: ItemRunRequest,
@@ -101,7 +129,7 @@
     case 'answer': {
       const status = start.res.statusCode ?? SERVER_ERROR;
       return status === SUCCESS
-        ? readEvents(start, req, resetIdleTimeout)
+        ? readConfirmed(call, start, req, resetIdleTimeout)
         : {kind: 'failed', status};
     }
     case 'mayHaveRun':
@@ -151,8 +179,15 @@
   let isCancelled = false;
   const ended = readAnswer(call, req, resetIdleTimeout).then((end): ItemRunEnd => {
     clearIdleTimeout();
+    // Events that were not read when the call was closed are discarded, and the rest still looks whole.
+    const isWhole = end.kind === 'whole' && !call.isClosed;
     call.close();
-    return isCancelled && end.kind !== 'whole' ? {kind: 'cut'} : end;
+    if (isCancelled && !isWhole) {
+      return {kind: 'cut'};
+    }
+    return end.kind === 'whole' && !isWhole
+      ? {kind: 'broken', reason: 'the call was closed before the output was read'}
+      : end;
   });
   const cancel = (): void => {
     isCancelled = true;
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -12,7 +12,14 @@
   QUARANTINE_LEVEL,
   UNKNOWN_SOFTWARE,
 } from 'stallpaddle-fleet';
-import {isStarting, RelayLatencies, requestDigest, SERVER_ERROR} from 'stallpaddle-relay';
+import {
+  isStarting,
+  RelayLatencies,
+  RelayStarts,
+  requestDigest,
+  SERVER_ERROR,
+  UNCONFIRMED_SOFTWARE,
+} from 'stallpaddle-relay';
 
 import type {ItemDecision, JobsDispatcherOptions} from './JobsContext';
 import type {JobsEngineTracker} from './JobsEngineTracker';
@@ -62,6 +69,7 @@
   private readonly ends: JobsEndRecorder;
   private readonly runtime: JobsDispatcherOptions;
   private readonly latencies = new RelayLatencies();
+  private readonly starts: RelayStarts;
 
   /**
    * @param options services of the dispatcher
@@ -69,6 +77,7 @@
   constructor(private readonly options: JobsRunnerOptions) {
     this.runtime = options.runtime;
     this.ends = new JobsEndRecorder(options.runtime);
+    this.starts = new RelayStarts(options.runtime.wire);
   }
 
   /**
@@ -298,7 +307,7 @@
       isPreempted: false,
       lastEventAt: startedAt,
       run,
-      softwareVersion: engine.softwareVersion,
+      softwareVersion: UNCONFIRMED_SOFTWARE.softwareVersion,
     };
     task.run = taskRun;
     const end = await run.ended;
@@ -319,12 +328,19 @@
   private startRun(task: Task, engine: EngineView): ItemRun {
     return startItemRun(this.runtime.wire, this.latencies, {
       body: task.body!,
+      confirmStart: () => this.starts.confirm(engine),
       customer: task.job.customer,
       engine,
       headers: task.item.headers,
       host: task.job.host,
       id: task.item.id,
+      isContinued: task.events > 0,
       lastEvent: task.lastEvent,
+      onConfirmed: () => {
+        if (task.run !== undefined) {
+          task.run.softwareVersion = engine.softwareVersion;
+        }
+      },
       onEvent: (data, id) => this.onEvent(task, data, id),
       path: task.item.path,
     });
@@ -367,6 +383,7 @@
 
   private onRunEnd(task: Task, engine: EngineView, end: ItemRunEnd, run: TaskRun): void {
     this.decide('itemReturned', task, {
+      check: 'check' in end ? end.check : undefined,
       engine: engine.id,
       events: task.events,
       how: end.kind,
@@ -392,6 +409,10 @@
         }
         task.notBefore = this.runtime.clock.monotonicMs() + RETRY_DELAY_MS;
         return;
+      case 'unconfirmed':
+        this.options.engines.recordOutcome(engine, false);
+        task.notBefore = this.runtime.clock.monotonicMs() + RETRY_DELAY_MS;
+        return;
       case 'whole':
         this.options.engines.recordOutcome(engine, true);
         this.noteComplete(task, run, end.isFramed);
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -22,8 +22,8 @@
   /** Time of the last event, or of the start. */
   lastEventAt: MonotonicMs;
   readonly run: ItemRun;
-  /** Version of the engine's software. */
-  readonly softwareVersion: string;
+  /** Version of the engine's software, once the engine was confirmed as the start that was selected. */
+  softwareVersion: string;
 }
 
 /** An open item with its output so far; unsaved output is lost with the process. */
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -129,6 +129,12 @@
   };
 }
 
+/** The view with one start time of all engines. */
+function withStarts(view: FleetView, startedAtMs: number): FleetView {
+  const engines = view.news.engines.map((engine) => ({...engine, startedAtMs}));
+  return {...view, news: {...view.news, engines}};
+}
+
 /** Overrides for a leader that always holds the lease and whose commands are all committed. */
 interface LeadOptions {
   readonly decide?: JobsDispatcherOptions['decide'];
@@ -251,6 +257,50 @@
     expect(group.textOf(0)).toBe(expectedOutput(60));
   });
 
+  // Guards against results of two software versions, where an engine had started again under its name unnoticed.
+  test('the output of an engine that had started again is not continued', async () => {
+    const engines = await startEngines(2, 20, 5);
+    engines.forEach((engine) => {
+      engine.behaviors = [{after: 5, kind: 'breakOff'}];
+      engine.startedAtMs = 2;
+    });
+    const group = new FakeGroup();
+    startLeader(group, () => withStarts(viewOf(engines), 1));
+    group.submit(1);
+    await waitUntil(() => group.results.length === 1);
+    expect(group.textOf(0)).toBe(expectedOutput(20));
+    const seen = engines.flatMap((engine) => engine.seen);
+    expect(seen.filter(({headers}) => PLAIN.resumeAfter in headers)).toEqual([]);
+  });
+
+  // Guards against results of two software versions, where the next engine has started again under its name unnoticed.
+  test('an output is not continued by an engine that has started again', async () => {
+    const engines = await startEngines(2, 20, 5);
+    engines.forEach((engine) => {
+      engine.behaviors = [{after: 5, kind: 'breakOff'}];
+      engine.startedAtMs = 1;
+    });
+    const group = new FakeGroup();
+    const ends: string[] = [];
+    startLeader(group, () => withStarts(viewOf(engines), 1), {
+      decide: (decision, _id, {check, how}) => {
+        if (decision === 'itemReturned') {
+          ends.push(`${String(how)} ${String(check)}`);
+          // Both engines start again; later the fleet status is right about the first start again.
+          engines.forEach((engine) => (engine.startedAtMs = ends.length < 3 ? 2 : 1));
+        }
+      },
+    });
+    group.submit(1);
+    await waitUntil(() => group.results.length === 1);
+    expect(group.textOf(0)).toBe(expectedOutput(20));
+    expect(ends.slice(0, 3)).toEqual([
+      'broken undefined',
+      'unconfirmed other',
+      'unconfirmed other',
+    ]);
+  });
+
   test('counts items whose bodies are still being read, so no engine gets more than its free slots', async () => {
     const engines = await startEngines(2, 20, 5);
     const group = new FakeGroup();
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -19,6 +19,7 @@
   type RelayRequest,
   RelayRun,
   RelaySpeeds,
+  RelayStarts,
   sendRefusal,
 } from 'stallpaddle-relay';
 
@@ -152,6 +153,7 @@
       online,
       random: Math.random,
       speeds,
+      starts: new RelayStarts(wire.relay),
       streams,
       suspects: makeSuspects({
         clock,
--- a/packages/stallpaddle-node/src/NodeStreams.ts
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -11,7 +11,13 @@
   streamLifeMs,
   versionsOfRoute,
 } from 'stallpaddle-fleet';
-import {RelayStreamRecords, type RelayStreams, type StreamRecord} from 'stallpaddle-relay';
+import {
+  isNamedByStart,
+  RelayStreamRecords,
+  type RelayStreams,
+  type StreamRecord,
+  UNCONFIRMED_SOFTWARE,
+} from 'stallpaddle-relay';
 
 import type {NodeWatch} from './NodeWatch';
 
@@ -71,6 +77,10 @@
   readonly untried: VmId[];
 }
 
+function isUnconfirmed({softwareVersion}: EngineSoftware): boolean {
+  return softwareVersion === UNCONFIRMED_SOFTWARE.softwareVersion;
+}
+
 /**
  * Remembers which software began each stream. While all engines have one version, nothing is sent; otherwise each record
  * is copied to three other VMs, chosen by the stream's first attempt, so that any VM finds it when the caller returns there.
@@ -80,6 +90,8 @@
   /** Records to send at the end of this turn of the event loop, by VM. */
   private readonly queues = new Map<VmId, Sending[]>();
   private readonly records: RelayStreamRecords;
+  /** Streams of this VM whose engines are still being confirmed. */
+  private readonly unconfirmed = new Map<string, Promise<void>>();
 
   /**
    * @param options its dependencies
@@ -118,17 +130,34 @@
   }
 
   /**
-   * Records a stream whose first event is about to be forwarded.
+   * Records a stream.
    *
    * @param record the stream
    */
   record(record: StreamRecord): void {
     this.records.add(record, this.now);
-    if (this.isMixed) {
+    // Other VMs must not take the only version that they know for that of an unconfirmed engine.
+    if (this.isMixed || isUnconfirmed(record.software)) {
       this.send(record);
     }
   }
 
+  /**
+   * Records a stream once its engine was confirmed, or could not be.
+   *
+   * @param firstAttempt attempt that brought its first event
+   * @param record the stream
+   */
+  recordLater(firstAttempt: string, record: Promise<StreamRecord>): void {
+    const recorded = record.then((known) => {
+      this.record(known);
+      if (this.unconfirmed.get(firstAttempt) === recorded) {
+        this.unconfirmed.delete(firstAttempt);
+      }
+    });
+    this.unconfirmed.set(firstAttempt, recorded);
+  }
+
   /**
    * Finds the software that began a stream: in this VM's records, by the only version that the route's services had, or
    * in the records of other VMs. It is never guessed: without an answer of the leader or of a VM it stays unknown.
@@ -138,15 +167,22 @@
    * @returns undefined when it is unknown
    */
   async find(firstAttempt: null | string, route: FleetRoute): Promise<EngineSoftware | undefined> {
-    const own = this.findOwn(firstAttempt);
-    if (own !== undefined) {
-      return own;
-    }
-    const early = this.isMixed ? await this.askHolders(firstAttempt) : undefined;
+    await this.unconfirmed.get(firstAttempt ?? '');
+    const software = this.findOwn(firstAttempt) ?? (await this.findElsewhere(firstAttempt, route));
+    return software === undefined || isUnconfirmed(software) ? undefined : software;
+  }
+
+  private async findElsewhere(
+    firstAttempt: null | string,
+    route: FleetRoute,
+  ): Promise<EngineSoftware | undefined> {
+    const confirmation = this.isMixed ? undefined : this.confirmStatus();
+    const mayBeHeld = this.isMixed || this.hasRestartsUnderName(route);
+    const early = mayBeHeld ? await this.askHolders(firstAttempt) : undefined;
     if (early?.software !== undefined) {
       return early.software;
     }
-    const isConfirmed = await this.confirmStatus();
+    const isConfirmed = await (confirmation ?? this.confirmStatus());
     const only = this.onlySoftware(route);
     if (only !== undefined && isConfirmed) {
       return only;
@@ -215,6 +251,13 @@
       : {service: open.service, softwareVersion};
   }
 
+  /** Whether engines of a route may start again under their ids, so that an unreported start may have begun a stream. */
+  private hasRestartsUnderName({split}: FleetRoute): boolean {
+    const services = new Set(split.map(({service}) => service));
+    const {engines} = this.options.watch.view.news;
+    return engines.some((engine) => services.has(engine.service) && !isNamedByStart(engine));
+  }
+
   /** Other VMs in the order in which they are to hold a record. */
   private holdersOf(firstAttempt: string): readonly VmId[] {
     const {host, watch} = this.options;
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -9,6 +9,7 @@
 import fc from 'fast-check';
 import {decodeValue, encodeValue} from 'stallpaddle';
 import {EMPTY_VIEW, fleetMachine} from 'stallpaddle-fleet';
+import {UNCONFIRMED_SOFTWARE} from 'stallpaddle-relay';
 import {expect, test} from 'vitest';
 
 import {NodeStreams, type StreamAsk} from '../../NodeStreams';
@@ -62,7 +63,7 @@
   }
 
   /** Registers an engine; its name is returned. */
-  addEngine(softwareVersion: string): string {
+  addEngine(softwareVersion: string, startedAtMs = 0): string {
     const id = `e${++this.engines}`;
     const report = {
       address: `${id}:1`,
@@ -72,7 +73,7 @@
       service: 's',
       slots: 8,
       softwareVersion,
-      startedAtMs: 0,
+      startedAtMs,
       zone: 'z',
     };
     this.apply({kind: 'reportEngine', report});
@@ -212,7 +213,7 @@
   const fleet = new Fleet();
   fleet.addEngine('v1');
   fleet.addEngine('v2');
-  fleet.lost = 2;
+  fleet.lost = 3;
   await fleet.begin(0, 'q', 'v2');
   fleet.restart(0);
   expect(await fleet.versionAt(0, 'q')).toBe('v2');
@@ -250,6 +251,39 @@
   expect(await fleet.versionAt(1, 'q')).toBeUndefined();
 });
 
+// Guards against the only known version taken for that of an engine that had started again unnoticed.
+test('a stream whose engine was not confirmed is unknown at each VM, also while all engines have one version', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1', 1);
+  const record = Promise.resolve({firstAttempt: 'q', software: UNCONFIRMED_SOFTWARE});
+  fleet.vms[0]!.streams.recordLater('q', record);
+  await fleet.settle();
+  fleet.restart(0);
+  for (const at of [0, ...OTHERS]) {
+    expect(await fleet.versionAt(at, 'q')).toBeUndefined();
+    expect(await fleet.versionAt(at, 'other')).toBe('v1');
+  }
+});
+
+test('a return at the VM of a stream waits until the engine that began it is confirmed', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1', 1);
+  fleet.addEngine('v2', 1);
+  const software = {service: 's', softwareVersion: 'v2'};
+  let confirm = (): void => {};
+  const confirmed = new Promise<void>((resolve) => (confirm = resolve));
+  fleet.vms[0]!.streams.recordLater(
+    'q',
+    confirmed.then(() => ({firstAttempt: 'q', software})),
+  );
+  const found = fleet.versionAt(0, 'q');
+  await fleet.settle();
+  confirm();
+  expect(await found).toBe('v2');
+  await fleet.settle();
+  expect(await fleet.versionAt(3, 'q')).toBe('v2');
+});
+
 /** A step of a random history; numbers select among VMs, engines and streams. */
 const STEP = fc.record({
   kind: fc.constantFrom(
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -41,6 +41,8 @@
 export interface EngineCall {
   /** Closes the connection; the engine then drops the request. */
   readonly close: () => void;
+  /** Whether it was closed from this side. What was not read of the response then is discarded. */
+  readonly isClosed: boolean;
   readonly started: Promise<EngineCallStart>;
 }
 
@@ -151,5 +153,16 @@
     });
     out.end(req.body);
   });
-  return {close: () => out?.destroy(), started};
+  let isClosed = false;
+  const close = (): void => {
+    isClosed = true;
+    out?.destroy();
+  };
+  return {
+    close,
+    get isClosed() {
+      return isClosed;
+    },
+    started,
+  };
 }
--- a/packages/stallpaddle-relay/src/RelayProbe.ts
+++ b/packages/stallpaddle-relay/src/RelayProbe.ts
@@ -1,11 +1,12 @@
 /**
- * Probe of an engine after its connection broke. A broken connection alone doesn't show an exit: an engine that has
- * exited refuses connections, or another engine has its address.
+ * Probe of an engine: whether it still runs, and whether it is the start that the fleet status names. An engine that has
+ * exited refuses connections, another engine has its address, or it has started again under its id.
  */
 import type {EngineView} from 'stallpaddle-fleet';
 
-import {request} from 'node:http';
+import {type IncomingMessage, request} from 'node:http';
 import {delay, registerTimeout} from 'stallpaddle';
+import {UNKNOWN_START} from 'stallpaddle-fleet';
 
 import type {RelayWire} from './RelayWire';
 
@@ -20,27 +21,79 @@
  * engine.
  */
 const PROBE_TIMEOUT_MS = 150;
+/** Timeout of a probe that confirms a start, in milliseconds; a slow engine that responds late confirms it as well. */
+const START_TIMEOUT_MS = 500;
+/** Maximum size of a report, in bytes. */
+const MAX_REPORT_BYTES = 65_536;
 
 /** Result of one probe. */
 type ProbeResult =
-  /** The engine responds. */
+  /** The start that the fleet status names responds. */
   | 'lives'
   /** Another engine responds at its address. */
   | 'otherEngine'
+  /** Another start of the engine responds. */
+  | 'otherStart'
   /** The connection was refused. */
   | 'refused'
   /** No response, or the connection broke. */
-  | 'unknown';
+  | 'unknown'
+  /** The engine responds, but doesn't tell its start. */
+  | 'untold';
 
 /** Request id of a probe. */
 const PROBE_REQUEST_ID = 'look';
 
-function probe(wire: RelayWire, {address, id}: EngineView): Promise<ProbeResult> {
+/**
+ * Whether the engine's id alone identifies its start: its platform reports no start times and names each start anew.
+ *
+ * @param engine the engine
+ */
+export function isNamedByStart({startedAtMs}: EngineView): boolean {
+  return startedAtMs === UNKNOWN_START;
+}
+
+async function readText(res: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const chunk of res) {
+    text += (chunk as Buffer).toString();
+    if (text.length > MAX_REPORT_BYTES) {
+      return '';
+    }
+  }
+  return text;
+}
+
+async function readResult(
+  wire: RelayWire,
+  engine: EngineView,
+  res: IncomingMessage,
+): Promise<ProbeResult> {
+  const {otherEngine} = wire.readResponse(res.statusCode ?? 0, res.headers);
+  if (otherEngine) {
+    return 'otherEngine';
+  }
+  if (isNamedByStart(engine)) {
+    return 'lives';
+  }
+  try {
+    const startedAtMs = wire.readOccupancy(await readText(res))?.startedAtMs ?? null;
+    if (startedAtMs === null) {
+      return 'untold';
+    }
+    return startedAtMs === engine.startedAtMs ? 'lives' : 'otherStart';
+  } catch {
+    // The connection broke within the report.
+    return 'unknown';
+  }
+}
+
+function probe(wire: RelayWire, engine: EngineView, timeoutMs: number): Promise<ProbeResult> {
   return new Promise((resolve) => {
     let connected = false;
     const headerLines = wire.engineHeaders({
-      deadlineMs: PROBE_TIMEOUT_MS,
-      engine: id,
+      deadlineMs: timeoutMs,
+      engine: engine.id,
       requestId: PROBE_REQUEST_ID,
       resumeAfter: null,
     });
@@ -49,17 +102,19 @@
       agent: false,
       headers,
       path: wire.occupancyPath,
-      ...splitAddress(address),
+      ...splitAddress(engine.address),
     });
-    const cancelTimeout = registerTimeout(PROBE_TIMEOUT_MS, () => {
+    const cancelTimeout = registerTimeout(timeoutMs, () => {
       resolve('unknown');
       req.destroy();
     });
     req.on('socket', (socket) => socket.once('connect', () => (connected = true)));
     req.on('response', (res) => {
-      const {otherEngine} = wire.readResponse(res.statusCode ?? 0, res.headers);
-      resolve(otherEngine ? 'otherEngine' : 'lives');
-      req.destroy();
+      res.on('error', () => {});
+      void readResult(wire, engine, res).then((result) => {
+        resolve(result);
+        req.destroy();
+      });
     });
     // A connection that was established and then broke shows neither that the engine is alive nor that it has exited.
     req.on('error', () => resolve(connected ? 'unknown' : 'refused'));
@@ -68,21 +123,70 @@
   });
 }
 
+/** Probes an engine until it responds, a few times. */
+async function probeRepeatedly(
+  wire: RelayWire,
+  engine: EngineView,
+  timeoutMs: number,
+): Promise<ProbeResult> {
+  let last: ProbeResult = 'unknown';
+  for (let probes = 0; probes < MAX_PROBES; probes++) {
+    last = await probe(wire, engine, timeoutMs);
+    if (last !== 'refused' && last !== 'unknown') {
+      return last;
+    }
+    await delay(PROBE_INTERVAL_MS);
+  }
+  return last;
+}
+
 /**
- * Checks whether an engine has exited.
+ * Checks whether an engine has exited. A broken connection alone doesn't show it.
  *
  * @param wire the engines' protocol
  * @param engine the engine, as it was when the request was sent
  * @returns false also when the state is unknown
  */
 export async function hasExited(wire: RelayWire, engine: EngineView): Promise<boolean> {
-  let last: ProbeResult = 'unknown';
-  for (let probes = 0; probes < MAX_PROBES; probes++) {
-    last = await probe(wire, engine);
-    if (last === 'lives' || last === 'otherEngine') {
-      return last === 'otherEngine';
-    }
-    await delay(PROBE_INTERVAL_MS);
+  switch (await probeRepeatedly(wire, engine, PROBE_TIMEOUT_MS)) {
+    case 'otherEngine':
+    case 'otherStart':
+    case 'refused':
+      return true;
+    case 'lives':
+    case 'unknown':
+    case 'untold':
+      return false;
+  }
+}
+
+/** Whether the start of an engine that the fleet status names still runs. */
+export type StartCheck =
+  | 'confirmed'
+  /** Another start, or another engine, has its address. */
+  | 'other'
+  /** The engine doesn't respond, or doesn't tell its start. */
+  | 'unknown';
+
+/**
+ * Asks an engine whether it is the start that the fleet status names.
+ *
+ * @param wire the engines' protocol
+ * @param engine the engine
+ */
+export async function checkStart(wire: RelayWire, engine: EngineView): Promise<StartCheck> {
+  if (isNamedByStart(engine)) {
+    return 'confirmed';
+  }
+  switch (await probeRepeatedly(wire, engine, START_TIMEOUT_MS)) {
+    case 'lives':
+      return 'confirmed';
+    case 'otherEngine':
+    case 'otherStart':
+      return 'other';
+    case 'refused':
+    case 'unknown':
+    case 'untold':
+      return 'unknown';
   }
-  return last === 'refused';
 }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -214,6 +214,12 @@
       this.refuse('All engines that the request may be sent to have failed.');
       return;
     }
+    if (this.res.headersSent) {
+      this.refuseIfLost(await this.streamBinding.checkBegin(this.forwarder.lastEventId));
+    }
+    if (this.end !== undefined) {
+      return;
+    }
     const quarantineMs =
       this.crashEvidence.quarantineMs() ?? (await this.crashEvidence.partsQuarantineMs());
     if (this.end !== undefined) {
@@ -386,6 +392,9 @@
     const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
     const isForwardedByEvents = isStream && status < REDIRECTION;
     this.streamBinding.noteForwarding(isForwardedByEvents ? engine : undefined);
+    if (this.streamBinding.mustConfirm && !(await this.confirmEngine())) {
+      return;
+    }
     const read = isForwardedByEvents
       ? this.forwarder.forwardStream(res)
       : this.forwarder.forwardResponse(res);
@@ -393,7 +402,8 @@
     if (this.end !== undefined) {
       return;
     }
-    if (end === 'whole') {
+    // Events that were not read when the call was closed are discarded, and the rest still looks whole.
+    if (end === 'whole' && this.call?.isClosed !== true) {
       this.context.engineHealth.recordAttempt(engine, true);
       this.res.end();
       this.crashEvidence.noteComplete(engine, {
@@ -409,6 +419,17 @@
     }
   }
 
+  /** Confirms the engine of a response that continues a stream; false also when the request has ended meanwhile. */
+  private async confirmEngine(): Promise<boolean> {
+    this.stallDetector.pause();
+    const isConfirmed = await this.streamBinding.confirmForwarding();
+    if (this.end !== undefined) {
+      return false;
+    }
+    this.stallDetector.resume();
+    return isConfirmed;
+  }
+
   /**
    * Handles a 5xx response: the request goes to another engine if it may run again, otherwise the response is
    * forwarded.
--- a/packages/stallpaddle-relay/src/RelayStallDetector.ts
+++ b/packages/stallpaddle-relay/src/RelayStallDetector.ts
@@ -50,6 +50,8 @@
   private hasStalled = false;
   /** Whether the caller did not read fast enough, so that the next gap says nothing of the engine. */
   private isCallerSlow = false;
+  /** Whether reading was paused, so that the arrival of the next data says nothing of the engine. */
+  private wasPaused = false;
   private cancelCheck: () => void = () => {};
 
   /**
@@ -80,6 +82,19 @@
     this.hasData = false;
     this.hasStalled = false;
     this.isCallerSlow = false;
+    this.wasPaused = false;
+    this.lastDataAt = this.options.clock.monotonicMs();
+    this.watch(this.options.latencies.firstEvent, MAX_FIRST_EVENT_STALL_MS);
+  }
+
+  /** Pauses watching while this side doesn't read from the engine. */
+  pause(): void {
+    this.cancelCheck();
+  }
+
+  /** Continues to watch an attempt that has brought no data yet. */
+  resume(): void {
+    this.wasPaused = true;
     this.lastDataAt = this.options.clock.monotonicMs();
     this.watch(this.options.latencies.firstEvent, MAX_FIRST_EVENT_STALL_MS);
   }
@@ -92,12 +107,11 @@
   noteData(events = 1): void {
     const {clock, latencies} = this.options;
     const now = clock.monotonicMs();
-    if (this.hasData) {
-      latencies.gap.observe((now - this.lastDataAt) * this.speed);
-    } else if (this.hadFreeSlot) {
-      latencies.firstEvent.observe((now - this.lastDataAt) * this.speed);
+    if (!this.wasPaused) {
+      this.observeArrival(now);
+      this.observeSpeed(events, now);
     }
-    this.observeSpeed(events, now);
+    this.wasPaused = false;
     this.hasData = true;
     this.lastDataAt = now;
     this.watch(latencies.gap, MAX_STREAM_STALL_MS);
@@ -119,6 +133,15 @@
     return engine === undefined ? 1 : (this.options.fleetLoad?.speedOf(engine.id) ?? 1);
   }
 
+  private observeArrival(now: MonotonicMs): void {
+    const {latencies} = this.options;
+    if (this.hasData) {
+      latencies.gap.observe((now - this.lastDataAt) * this.speed);
+    } else if (this.hadFreeSlot) {
+      latencies.firstEvent.observe((now - this.lastDataAt) * this.speed);
+    }
+  }
+
   private observeSpeed(events: number, now: MonotonicMs): void {
     const {engine, eventChunks} = this;
     const {speeds} = this.options;
--- a/packages/stallpaddle-relay/src/RelayStreams.ts
+++ b/packages/stallpaddle-relay/src/RelayStreams.ts
@@ -12,6 +12,12 @@
   readonly software: EngineSoftware;
 }
 
+/**
+ * Software in the record of a stream whose engine could not be confirmed. No engine has it, and VMs of earlier releases read
+ * it as a version that has left, so that they don't resume the stream either.
+ */
+export const UNCONFIRMED_SOFTWARE: EngineSoftware = {service: '', softwareVersion: '\0'};
+
 /** Remembers the software that began streams, across the VMs of a fleet. */
 export interface RelayStreams {
   /**
@@ -25,8 +31,10 @@
     firstAttempt: null | string,
     route: FleetRoute,
   ) => Promise<EngineSoftware | undefined>;
-  /** Records a stream whose first event is about to be forwarded. */
+  /** Records a stream. */
   readonly record: (record: StreamRecord) => void;
+  /** Records a stream whose engine is still being confirmed; a caller that returns meanwhile waits for the outcome. */
+  readonly recordLater: (firstAttempt: string, record: Promise<StreamRecord>) => void;
 }
 
 /** Most records that a VM keeps; the oldest are dropped first. */
--- a/packages/stallpaddle-relay/src/RelayTypes.ts
+++ b/packages/stallpaddle-relay/src/RelayTypes.ts
@@ -11,6 +11,7 @@
 import type {RelayLatencies} from './RelayLatencies';
 import type {RelayOnlineLoad} from './RelayOnlineLoad';
 import type {RelaySpeeds} from './RelaySpeeds';
+import type {RelayStarts} from './RelayStarts';
 import type {RelayStreams} from './RelayStreams';
 import type {RelaySuspects} from './RelaySuspects';
 import type {CallerMetadata, RelayWire} from './RelayWire';
@@ -69,6 +70,8 @@
   | 'taken'
   /** The request is the trial of quarantined parts of its prompt. */
   | 'trial'
+  /** The engine of a response is not the start that was selected, or doesn't say so. */
+  | 'unconfirmed'
   /** A wait for a slot ended without a rejection; only with admission. */
   | 'waited';
 
@@ -92,6 +95,8 @@
   readonly random: Random;
   /** What this VM observes of the speeds of engines; left out where nobody is told. */
   readonly speeds?: RelaySpeeds;
+  /** Confirms which starts of engines have written responses. */
+  readonly starts: Pick<RelayStarts, 'confirm'>;
   /** Software that began the streams that callers take up again. */
   readonly streams: RelayStreams;
   readonly suspects: RelaySuspects;
--- a/packages/stallpaddle-relay/src/RelayWire.ts
+++ b/packages/stallpaddle-relay/src/RelayWire.ts
@@ -50,6 +50,8 @@
 export interface EngineOccupancy {
   /** Ids of the requests that run there, if the engine reports them. */
   readonly running: readonly string[];
+  /** Start time of the engine's process, which identifies the start that reports; null where it doesn't name one. */
+  readonly startedAtMs: null | number;
   /** Number of requests, including queued ones. */
   readonly total: number;
 }
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -18,6 +18,7 @@
 import {RelayLatencies} from '../RelayLatencies';
 import {RelayOnlineLoad} from '../RelayOnlineLoad';
 import {RelayRun} from '../RelayRun';
+import {RelayStarts} from '../RelayStarts';
 
 /** Response that a caller received. */
 export interface CallerResponse {
@@ -96,6 +97,8 @@
           (only === undefined ? undefined : {service: 's', softwareVersion: only}),
       ),
     record: ({firstAttempt, software}) => records.set(firstAttempt, software),
+    recordLater: (firstAttempt, record) =>
+      void record.then(({software}) => records.set(firstAttempt, software)),
   };
 }
 
@@ -152,6 +155,7 @@
     latencies: new RelayLatencies(),
     online,
     random: seededRandom(1),
+    starts: new RelayStarts(plainRelay),
     streams: streamsOf(new Set(views.map(({softwareVersion}) => softwareVersion))),
     suspects: new FakeSuspectStore().view(plainRelay, () => views),
     viewAgeMs: () => 0,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -135,6 +135,96 @@
     expect(ends).toEqual(['refused']);
   });
 
+  describe('where engines may start again under their names', () => {
+    /** Context in which the fleet status names start 1 of each engine; the engines tell the given starts. */
+    function contextOfStarts(
+      engines: readonly StreamEngine[],
+      starts: readonly (null | number)[],
+    ): RelayContext {
+      const context = contextOf(engines);
+      engines.forEach((engine, at) => (engine.startedAtMs = starts[at]!));
+      const views = context.engines().map((view) => ({...view, startedAtMs: 1}));
+      return {...context, engines: () => views};
+    }
+
+    const returns = {[PLAIN.firstAttempt]: 'q1', [PLAIN.resumeAfter]: '2'};
+
+    // Guards against a stream with events of two software versions in one answer, begun by a start that was not yet known.
+    test.each([
+      ['is another start', 2],
+      ['does not tell its start', null],
+    ])('a stream is not resumed if the engine that began it %s', async (_, start) => {
+      const engines = await startEngines(2);
+      engines.forEach((engine) => (engine.behaviors = [{after: 2, kind: 'breakOff'}]));
+      const {port} = await startRelay(contextOfStarts(engines, [start, start]), routeOf());
+      const {body, isComplete, status} = await sendRequest(port);
+      expect({isComplete, status}).toEqual({isComplete: false, status: 200});
+      expect(body).toBe(engines[0]!.wholeText.slice(0, body.length));
+      expect(engines.flatMap(({seen}) => seen)).toHaveLength(1);
+    });
+
+    // Guards against a stream with events of two software versions over its caller's attempts.
+    test('a return to a stream is rejected if the engine that began it is another start', async () => {
+      const [engine] = await startEngines(1);
+      const {port} = await startRelay(contextOfStarts([engine!], [2]), routeOf());
+      expect(await sendRequest(port)).toMatchObject({isComplete: true});
+      await delay(50);
+      expect(await sendRequest(port, undefined, returns)).toMatchObject({
+        body: expect.not.stringContaining('piece'),
+        status: 503,
+      });
+      expect(engine!.seen).toHaveLength(1);
+    });
+
+    // Guards against events of another software version from the engine at which a stream is to go on.
+    test('a return to a stream gets no events of an engine that has started again', async () => {
+      const engines = await startEngines(3);
+      const context = contextOfStarts(engines, [2, 1, 2]);
+      const software = {service: 's', softwareVersion: 'v1'};
+      context.streams.record({firstAttempt: 'q1', software});
+      const {port} = await startRelay(context, routeOf({maxAttempts: 3}));
+      for (let round = 0; round < 6; round++) {
+        const before = engines[1]!.seen.length;
+        expect(await sendRequest(port, undefined, returns)).toMatchObject({isComplete: true});
+        expect(engines[1]!.seen).toHaveLength(before + 1);
+      }
+    });
+
+    test('a stream is resumed and may return if its engines confirm their starts', async () => {
+      const engines = await startEngines(2);
+      engines.forEach((engine) => (engine.behaviors = [{after: 2, kind: 'breakOff'}]));
+      const {port} = await startRelay(contextOfStarts(engines, [1, 1]), routeOf());
+      const whole = {body: engines[0]!.wholeText, isComplete: true};
+      expect(await sendRequest(port)).toMatchObject(whole);
+      expect(await sendRequest(port, undefined, returns)).toMatchObject({isComplete: true});
+    });
+
+    // Guards against a stream that is moved on or ends early because the time to ask its next engine counts as a stall.
+    test('a stream waits until its next engine has confirmed its start', async () => {
+      const engines = await startEngines(3);
+      const context = contextOfStarts(engines, [1, 1, 1]);
+      const {port} = await startRelay(context, routeOf({maxAttempts: 3}));
+      engines.forEach((engine) => {
+        engine.behaviors = [{after: 3, kind: 'breakOff'}];
+        engine.occupancyDelayMs = 300;
+      });
+      expect(await sendRequest(port)).toMatchObject({
+        body: engines[0]!.wholeText,
+        isComplete: true,
+      });
+    });
+
+    // Guards against a slower first event: the engine is asked beside the response.
+    test('a new stream does not wait until its engine has confirmed its start', async () => {
+      const [engine] = await startEngines(1);
+      engine!.reportsOccupancy = false;
+      const {port} = await startRelay(contextOfStarts([engine!], [1]), routeOf());
+      const startedAt = performance.now();
+      expect(await sendRequest(port)).toMatchObject({isComplete: true});
+      expect(performance.now() - startedAt).toBeLessThan(500);
+    });
+  });
+
   test('a stream whose version has left is broken off at once', async () => {
     const engines = await startEngines(2);
     const context = contextOf(engines, true, ['v1', 'v2']);
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -20,11 +20,18 @@
 export {RelayLatencies} from './RelayLatencies';
 export {type OnlineCounts, RelayOnlineLoad} from './RelayOnlineLoad';
 export {type EngineHealth, INITIAL_HEALTH, isHealthy, selectEngine} from './RelayPlacement';
+export {checkStart, isNamedByStart, type StartCheck} from './RelayProbe';
 /** Relays callers' requests to engines and the responses back. */
 export {sendRefusal} from './RelayRefusals';
 export {RelayRun} from './RelayRun';
 export {RelaySpeeds, type RelaySpeedsOptions, type SpeedsDetails} from './RelaySpeeds';
-export {RelayStreamRecords, type RelayStreams, type StreamRecord} from './RelayStreams';
+export {RelayStarts} from './RelayStarts';
+export {
+  RelayStreamRecords,
+  type RelayStreams,
+  type StreamRecord,
+  UNCONFIRMED_SOFTWARE,
+} from './RelayStreams';
 export {type QuarantinedGroup, RelaySuspectParts} from './RelaySuspectParts';
 export {
   type InterruptedRun,
--- a/packages/stallpaddle-soak/src/SoakEngine.ts
+++ b/packages/stallpaddle-soak/src/SoakEngine.ts
@@ -204,7 +204,7 @@
     res.on('error', () => {});
     if (req.url === wire.occupancyPath) {
       if (!this.silent) {
-        res.end(wire.occupancy([...this.running.keys()]));
+        res.end(wire.occupancy([...this.running.keys()], this.startedAt));
       }
       return;
     }
--- a/packages/stallpaddle-soak/src/SoakWire.ts
+++ b/packages/stallpaddle-soak/src/SoakWire.ts
@@ -70,5 +70,5 @@
   readonly declineHeaders: (id: string) => OutgoingHttpHeaders;
   /** Path of an engine's occupancy. */
   readonly occupancyPath: string;
-  readonly occupancy: (running: readonly string[]) => string;
+  readonly occupancy: (running: readonly string[], startedAt: number) => string;
 }
--- a/packages/stallpaddle-testing/src/PlainWire.ts
+++ b/packages/stallpaddle-testing/src/PlainWire.ts
@@ -15,6 +15,8 @@
   /** Ids of the shared parts of the prompt, separated by spaces. */
   sharedParts: 'x-shared-parts',
   signature: 'x-signature',
+  /** Before the engine's start time, among the words of its occupancy. */
+  start: 'start=',
   /** Path prefix for stopping a run or releasing its retained state. */
   stop: '/stop',
   timeLeft: 'x-time-left',
@@ -65,8 +67,11 @@
         };
   },
   readOccupancy: (body) => {
-    const running = body.split(' ').filter((id) => id !== '');
-    return {running, total: running.length};
+    const words = body.split(' ').filter((word) => word !== '');
+    const start = words.find((word) => word.startsWith(PLAIN.start));
+    const running = words.filter((word) => word !== start);
+    const startedAtMs = start === undefined ? null : Number(start.slice(PLAIN.start.length));
+    return {running, startedAtMs, total: running.length};
   },
   readResponse: (status, headers) => ({
     notRun: headers[PLAIN.declined] !== undefined,
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -71,8 +71,14 @@
   readonly fatalParts = new Set<string>();
   /** Called after a fatal request has crashed the engine. */
   onCrashed: (body: string) => void = () => {};
+  /** Time from an occupancy query to its response, in milliseconds. */
+  occupancyDelayMs = 0;
+  /** Number of occupancy queries. */
+  occupancyQueries = 0;
   /** Whether the engine responds to occupancy queries. */
   reportsOccupancy = true;
+  /** Start time that the engine tells when it is asked; null for none. */
+  startedAtMs: null | number = null;
 
   private readonly running = new Map<string, ServerResponse>();
 
@@ -113,9 +119,7 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (req.url === PLAIN.occupancy) {
-      if (this.reportsOccupancy) {
-        res.end([...this.running.keys()].join(' '));
-      }
+      await this.tellOccupancy(res);
       return;
     }
     if (req.url?.startsWith(`${PLAIN.stop}/`)) {
@@ -152,6 +156,16 @@
     await this.respond(this.behaviors.shift() ?? SERVE, req, res);
   }
 
+  private async tellOccupancy(res: ServerResponse): Promise<void> {
+    this.occupancyQueries++;
+    const start = this.startedAtMs === null ? [] : [`${PLAIN.start}${this.startedAtMs}`];
+    const text = [...start, ...this.running.keys()].join(' ');
+    await new Promise((resolve) => setTimeout(resolve, this.occupancyDelayMs));
+    if (this.reportsOccupancy) {
+      res.end(text);
+    }
+  }
+
   private isFatal(body: string, {headers}: IncomingMessage): boolean {
     const parts = plainRelay.readSharedParts(headers);
     return this.fatal.has(body) || parts.some((part) => this.fatalParts.has(part));
