--- a/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
+++ b/packages/stallpaddle-relay/src/RelayCrashEvidence.ts
@@ -121,6 +121,11 @@
     return retryAfterMs;
   }
 
+  /** Whether the request or a part of its prompt was suspect when the current run started, and no run has cleared it. */
+  get wasSuspect(): boolean {
+    return !this.isCleared && (this.startLevel > 0 || this.startParts.some(({known}) => known > 0));
+  }
+
   /** Records that a run starts. */
   noteStart(): void {
     const {suspects} = this.dependencies;
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -339,7 +339,9 @@
         engineHealth.recordAttempt(engine, false);
       }
     }
-    if (this.wasInterrupted) {
+    // The engine of a stalled suspect may be about to exit, and the next one would exit, too.
+    const mayHaveCrashed = this.stallDetector.isStalled && this.crashEvidence.wasSuspect;
+    if (this.wasInterrupted || mayHaveCrashed) {
       const checked = this.crashEvidence.noteInterruption(engine);
       // A request that has ended doesn't wait for the check whether the engine has exited.
       await (this.end === undefined ? checked : undefined);
--- a/packages/stallpaddle-relay/src/RelaySuspects.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspects.ts
@@ -74,9 +74,10 @@
 
 /**
  * Longest time that a run with suspect parts waits until the fleet status includes its engine's exit, in milliseconds: the
- * exit may quarantine them, and the next run would crash another engine.
+ * exit may quarantine them, and the next run would crash another engine. Longer than a record takes on busy VMs, shorter than
+ * the time after which callers give a stream up.
  */
-const MAX_SETTLE_MS = 500;
+const MAX_SETTLE_MS = 1_500;
 
 /** Maximum number of attempts to record a finding; an attempt may last half a minute while there is no leader. */
 const MAX_RECORD_ATTEMPTS = 20;
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
@@ -23,6 +23,13 @@
 const FATAL_PART = 'x';
 /** Time in which the check of an engine completes, in milliseconds: all probes and their pauses. */
 const CHECK_MS = 400;
+/** Runs from which the VMs have learned the usual time to the first event, in milliseconds. */
+const LEARNED_RUNS = 200;
+const FIRST_EVENT_MS = 5;
+/** Time that a record takes on busy VMs, in milliseconds. */
+const SLOW_RECORD_MS = 800;
+/** Time for which an engine is silent before it exits, in milliseconds; longer than that after which a request is moved. */
+const STALL_MS = 400;
 /** Delay of the first trial, in milliseconds. */
 const DELAY_MS = 10_000;
 const ONCE = routeOf({maxAttempts: 1, resumable: false});
@@ -45,6 +52,9 @@
   const relays = Array.from({length: count}, () => {
     const context = contextOf(engines);
     const suspects = store.view(plainRelay, context.engines);
+    for (let runs = 0; runs < LEARNED_RUNS; runs++) {
+      context.latencies.firstEvent.observe(FIRST_EVENT_MS);
+    }
     return startRelay({...context, suspects}, route);
   });
   return (await Promise.all(relays)).map(({port}) => port);
@@ -110,6 +120,35 @@
     expect(crashedCount(engines)).toBe(before + 1);
   });
 
+  // Guards against a repetition that crashes one more engine before the exit that quarantines its part is recorded.
+  test('crash no second engine while the exit of the first is being recorded', async () => {
+    const store = new FakeSuspectStore();
+    const engines = await startFatalEngines(6);
+    const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
+    await sendWith(first!, FATAL_PART);
+    await delay(CHECK_MS);
+    const before = crashedCount(engines);
+    store.recordMs = SLOW_RECORD_MS;
+    await sendWith(second!, FATAL_PART);
+    expect(crashedCount(engines)).toBe(before + 1);
+  });
+
+  // Guards against a request that is moved from a stalled engine, which exits a moment later, to one that exits as well.
+  test('crash no second engine when the first one stalls before it exits', async () => {
+    const store = new FakeSuspectStore();
+    const engines = await startFatalEngines(6);
+    const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
+    await sendWith(first!, FATAL_PART);
+    await delay(CHECK_MS);
+    const before = crashedCount(engines);
+    engines.forEach((engine) => {
+      engine.crashAfterMs = STALL_MS;
+      engine.reportsOccupancy = false;
+    });
+    await sendWith(second!, FATAL_PART);
+    expect(crashedCount(engines)).toBe(before + 1);
+  });
+
   test.each([404, 500])('are not cleared by a failure of an engine (status %i)', async (status) => {
     const store = new FakeSuspectStore();
     const engines = await startFatalEngines(4);
--- a/packages/stallpaddle-testing/src/FakeSuspectStore.ts
+++ b/packages/stallpaddle-testing/src/FakeSuspectStore.ts
@@ -1,5 +1,5 @@
 /** Shares suspects between relays in one process, for tests. */
-import {systemClock} from 'stallpaddle';
+import {delay, systemClock} from 'stallpaddle';
 import {
   afterEngineEnd,
   afterPartsEnd,
@@ -23,6 +23,8 @@
 
 /** Keeps suspects as the control group does, and shares them with all views without a network. */
 export class FakeSuspectStore {
+  /** Time until a finding is recorded, in milliseconds. */
+  recordMs = 0;
   /** Whether new findings become visible to the views. */
   isShared = true;
   /** Suspects by request, as the control group stores them. */
@@ -45,10 +47,12 @@
       clock: systemClock,
       decide: () => {},
       engines,
-      record: (finding) => {
+      record: async (finding) => {
+        if (this.recordMs > 0) {
+          await delay(this.recordMs);
+        }
         this.apply(finding);
         this.publish();
-        return Promise.resolve();
       },
       refresh: () => Promise.resolve(),
       reported: () => this.views,
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -47,7 +47,6 @@
 
 const EVENT_STREAM = 'text/event-stream';
 
-/** Time from the start of a fatal request to the crash of the engine, in milliseconds. */
 const CRASH_AFTER_MS = 30;
 
 const SERVE: EngineBehavior = {kind: 'serve'};
@@ -63,6 +62,8 @@
   /** Received control requests on runs: method and request id. */
   readonly controlRequests: string[] = [];
   readonly seen: SeenRequest[] = [];
+  /** Time from the start of a fatal request to the crash of the engine, in milliseconds. */
+  crashAfterMs = CRASH_AFTER_MS;
   /** Number of events that a fatal request streams before the engine crashes. */
   eventsBeforeCrash = 0;
   /** Bodies of the requests that crash the engine. */
@@ -176,7 +177,7 @@
     if (this.eventsBeforeCrash > 0) {
       await this.respond({after: this.eventsBeforeCrash, kind: 'pause'}, req, res);
     }
-    await new Promise((resolve) => setTimeout(resolve, CRASH_AFTER_MS));
+    await new Promise((resolve) => setTimeout(resolve, this.crashAfterMs));
     this.server.close();
     this.server.closeAllConnections();
     this.onCrashed(body);
