--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -56,7 +56,7 @@
   | {readonly kind: 'failed'; readonly status: number}
   | {readonly kind: 'notRun'; readonly reason: NotRunReason}
   /** The run was to continue an output, and its engine is not known to be the start that was selected. */
-  | {readonly check: StartCheck; readonly kind: 'unconfirmed'}
+  | {readonly check: StartCheck['kind']; readonly kind: 'unconfirmed'}
   /** `isFramed`: the answer states where it ends; otherwise it ended with its connection. */
   | {readonly isFramed: boolean; readonly kind: 'whole'};
 
@@ -111,10 +111,10 @@
   if (call.isClosed) {
     return {kind: 'broken', reason: 'the call was closed before its engine was confirmed'};
   }
-  if (check === 'confirmed') {
+  if (check.kind === 'confirmed') {
     req.onConfirmed();
   } else if (req.isContinued) {
-    return {check, kind: 'unconfirmed'};
+    return {check: check.kind, kind: 'unconfirmed'};
   }
   return readEvents(answer, req, resetIdleTimeout);
 }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
@@ -22,7 +22,7 @@
   let confirm = (): void => {};
   const run = startItemRun(plainRelay, new RelayLatencies(), {
     body: new Uint8Array(),
-    confirmStart: () => new Promise((resolve) => (confirm = () => resolve('confirmed'))),
+    confirmStart: () => new Promise((resolve) => (confirm = () => resolve({kind: 'confirmed'}))),
     customer: undefined,
     engine: {
       address: engine.address,
--- a/packages/stallpaddle-relay/src/RelayProbe.ts
+++ b/packages/stallpaddle-relay/src/RelayProbe.ts
@@ -26,20 +26,27 @@
 /** Maximum size of a report, in bytes. */
 const MAX_REPORT_BYTES = 65_536;
 
+/** A start of an engine that the fleet status doesn't name. */
+export interface OtherStart {
+  /** Ids of the requests that run there. */
+  readonly running: readonly string[];
+  readonly startedAtMs: number;
+}
+
 /** Result of one probe. */
 type ProbeResult =
   /** The start that the fleet status names responds. */
-  | 'lives'
+  | {readonly kind: 'lives'}
   /** Another engine responds at its address. */
-  | 'otherEngine'
+  | {readonly kind: 'otherEngine'}
   /** Another start of the engine responds. */
-  | 'otherStart'
+  | {readonly kind: 'otherStart'; readonly start: OtherStart}
   /** The connection was refused. */
-  | 'refused'
+  | {readonly kind: 'refused'}
   /** No response, or the connection broke. */
-  | 'unknown'
+  | {readonly kind: 'unknown'}
   /** The engine responds, but doesn't tell its start. */
-  | 'untold';
+  | {readonly kind: 'untold'};
 
 /** Request id of a probe. */
 const PROBE_REQUEST_ID = 'look';
@@ -71,20 +78,22 @@
 ): Promise<ProbeResult> {
   const {otherEngine} = wire.readResponse(res.statusCode ?? 0, res.headers);
   if (otherEngine) {
-    return 'otherEngine';
+    return {kind: 'otherEngine'};
   }
   if (isNamedByStart(engine)) {
-    return 'lives';
+    return {kind: 'lives'};
   }
   try {
-    const startedAtMs = wire.readOccupancy(await readText(res))?.startedAtMs ?? null;
+    const {running = [], startedAtMs = null} = wire.readOccupancy(await readText(res)) ?? {};
     if (startedAtMs === null) {
-      return 'untold';
+      return {kind: 'untold'};
     }
-    return startedAtMs === engine.startedAtMs ? 'lives' : 'otherStart';
+    return startedAtMs === engine.startedAtMs
+      ? {kind: 'lives'}
+      : {kind: 'otherStart', start: {running, startedAtMs}};
   } catch {
     // The connection broke within the report.
-    return 'unknown';
+    return {kind: 'unknown'};
   }
 }
 
@@ -105,7 +114,7 @@
       ...splitAddress(engine.address),
     });
     const cancelTimeout = registerTimeout(timeoutMs, () => {
-      resolve('unknown');
+      resolve({kind: 'unknown'});
       req.destroy();
     });
     req.on('socket', (socket) => socket.once('connect', () => (connected = true)));
@@ -117,7 +126,7 @@
       });
     });
     // A connection that was established and then broke shows neither that the engine is alive nor that it has exited.
-    req.on('error', () => resolve(connected ? 'unknown' : 'refused'));
+    req.on('error', () => resolve({kind: connected ? 'unknown' : 'refused'}));
     req.on('close', cancelTimeout);
     req.end();
   });
@@ -129,10 +138,10 @@
   engine: EngineView,
   timeoutMs: number,
 ): Promise<ProbeResult> {
-  let last: ProbeResult = 'unknown';
+  let last: ProbeResult = {kind: 'unknown'};
   for (let probes = 0; probes < MAX_PROBES; probes++) {
     last = await probe(wire, engine, timeoutMs);
-    if (last !== 'refused' && last !== 'unknown') {
+    if (last.kind !== 'refused' && last.kind !== 'unknown') {
       return last;
     }
     await delay(PROBE_INTERVAL_MS);
@@ -148,7 +157,7 @@
  * @returns false also when the state is unknown
  */
 export async function hasExited(wire: RelayWire, engine: EngineView): Promise<boolean> {
-  switch (await probeRepeatedly(wire, engine, PROBE_TIMEOUT_MS)) {
+  switch ((await probeRepeatedly(wire, engine, PROBE_TIMEOUT_MS)).kind) {
     case 'otherEngine':
     case 'otherStart':
     case 'refused':
@@ -162,11 +171,11 @@
 
 /** Whether the start of an engine that the fleet status names still runs. */
 export type StartCheck =
-  | 'confirmed'
-  /** Another start, or another engine, has its address. */
-  | 'other'
+  | {readonly kind: 'confirmed'}
+  /** Another start has its address; null for another engine. */
+  | {readonly kind: 'other'; readonly start: null | OtherStart}
   /** The engine doesn't respond, or doesn't tell its start. */
-  | 'unknown';
+  | {readonly kind: 'unknown'};
 
 /**
  * Asks an engine whether it is the start that the fleet status names.
@@ -176,17 +185,19 @@
  */
 export async function checkStart(wire: RelayWire, engine: EngineView): Promise<StartCheck> {
   if (isNamedByStart(engine)) {
-    return 'confirmed';
+    return {kind: 'confirmed'};
   }
-  switch (await probeRepeatedly(wire, engine, START_TIMEOUT_MS)) {
+  const result = await probeRepeatedly(wire, engine, START_TIMEOUT_MS);
+  switch (result.kind) {
     case 'lives':
-      return 'confirmed';
+      return {kind: 'confirmed'};
     case 'otherEngine':
+      return {kind: 'other', start: null};
     case 'otherStart':
-      return 'other';
+      return {kind: 'other', start: result.start};
     case 'refused':
     case 'unknown':
     case 'untold':
-      return 'unknown';
+      return {kind: 'unknown'};
   }
 }
--- a/packages/stallpaddle-relay/src/RelayStarts.ts
+++ b/packages/stallpaddle-relay/src/RelayStarts.ts
@@ -27,7 +27,7 @@
    */
   confirm(engine: EngineView): Promise<StartCheck> {
     if (isNamedByStart(engine)) {
-      return Promise.resolve('confirmed');
+      return Promise.resolve({kind: 'confirmed'});
     }
     const key = JSON.stringify([engine.id, engine.startedAtMs]);
     const running = this.running.get(key);
--- a/packages/stallpaddle-relay/src/RelayStreamBinding.ts
+++ b/packages/stallpaddle-relay/src/RelayStreamBinding.ts
@@ -1,13 +1,16 @@
 /**
  * Binding of a stream to the software version that began it.
  */
-import type {EngineView} from 'stallpaddle-fleet';
+import type {EngineSoftware, EngineView} from 'stallpaddle-fleet';
+
+import {delay} from 'stallpaddle';
 
 import type {RelayEngineSelector} from './RelayEngineSelector';
 import type {StreamRecord} from './RelayStreams';
 import type {RelayContext, RelayRequest} from './RelayTypes';
 
-import {isNamedByStart} from './RelayProbe';
+import {RECHECK_INTERVAL_MS} from './RelayConstants';
+import {isNamedByStart, type OtherStart, type StartCheck} from './RelayProbe';
 import {UNCONFIRMED_SOFTWARE} from './RelayStreams';
 
 /** Why a stream can't go on. */
@@ -19,7 +22,13 @@
 };
 
 /** The part of the relay's dependencies that is used here. */
-type Dependencies = Pick<RelayContext, 'decide' | 'starts' | 'streams'>;
+type Dependencies = Pick<RelayContext, 'decide' | 'engines' | 'starts' | 'streams'>;
+
+/** Questions to an engine whose report doesn't list a request that it may run, and the pause between them, in milliseconds. */
+const MAX_CONFIRMATIONS = 4;
+const CONFIRMATION_PAUSE_MS = 250;
+/** Longest time until the fleet status names a start that responds already, in milliseconds. */
+const MAX_REPORT_MS = 1_000;
 
 /** Keeps one stream at the software version that began it, within a response and over its caller's attempts. */
 export class RelayStreamBinding {
@@ -27,8 +36,8 @@
   private engine: EngineView | undefined;
   /** Engine that brought the first event; undefined before it, and for a stream that was taken up again. */
   private firstEngine: EngineView | undefined;
-  /** Whether that engine is the start that was selected; pending until it has responded. */
-  private isFirstConfirmed: Promise<boolean> = Promise.resolve(true);
+  /** Software of that engine; pending until it is certain, undefined if it can't be known. */
+  private firstSoftware: Promise<EngineSoftware | undefined> = Promise.resolve(undefined);
 
   /**
    * @param context dependencies of the relay
@@ -79,7 +88,7 @@
 
   /** Checks whether the engine whose response is forwarded next is the start that was selected. */
   async confirmForwarding(): Promise<boolean> {
-    return this.engine !== undefined && (await this.confirm(this.engine));
+    return this.engine !== undefined && (await this.confirm(this.engine)).kind === 'confirmed';
   }
 
   /** Binds a stream to the engine that brings its first event, before the caller gets the event. */
@@ -106,14 +115,14 @@
    */
   async checkBegin(lastEventId: null | string): Promise<string | undefined> {
     const {firstEngine} = this;
-    if (firstEngine === undefined || (await this.isFirstConfirmed)) {
+    if (firstEngine === undefined || (await this.firstSoftware) !== undefined) {
       return undefined;
     }
     // The engine may have been too slow to respond before.
     this.confirmFirst(firstEngine);
-    return (await this.isFirstConfirmed)
-      ? undefined
-      : this.describeLoss('unknownVersion', lastEventId);
+    return (await this.firstSoftware) === undefined
+      ? this.describeLoss('unknownVersion', lastEventId)
+      : undefined;
   }
 
   /**
@@ -126,32 +135,81 @@
     return this.selector.isVersionServed ? undefined : this.describeLoss('noEngine', lastEventId);
   }
 
-  /** Confirms the engine that brought the first event, and records the stream. */
+  /** Finds out which software brought the first event, and records the stream. */
   private confirmFirst(engine: EngineView): void {
-    this.isFirstConfirmed = this.confirm(engine);
-    const known = this.recordOf(engine);
-    const record = this.isFirstConfirmed.then((isConfirmed) =>
-      isConfirmed ? known : {...known, software: UNCONFIRMED_SOFTWARE},
+    const check = this.confirm(engine);
+    const first: Promise<EngineSoftware | undefined> = check.then(({kind}) =>
+      kind === 'confirmed' ? engine : undefined,
     );
-    this.context.streams.recordLater(known.firstAttempt, record);
+    // A caller that returns before another start is known must be rejected, at other VMs, too.
+    const record = first.then((software = UNCONFIRMED_SOFTWARE) => this.recordOf(software));
+    this.context.streams.recordLater(this.firstAttempt, record);
+    this.firstSoftware = check.then((known) =>
+      known.kind === 'other' ? this.awaitOtherStart(engine, known.start) : first,
+    );
+  }
+
+  /** Waits until it is certain which other start of an engine responds, and which software it has, and records the stream. */
+  private async awaitOtherStart(
+    engine: EngineView,
+    start: null | OtherStart,
+  ): Promise<EngineSoftware | undefined> {
+    const {requestId} = this.req.metadata;
+    let runningStart = start;
+    // The engine's report may be from before it began to run the request.
+    for (let tries = 0; tries < MAX_CONFIRMATIONS; tries++) {
+      if (runningStart === null || runningStart.running.includes(requestId)) {
+        break;
+      }
+      await delay(CONFIRMATION_PAUSE_MS);
+      const check = await this.confirm(engine);
+      runningStart = check.kind === 'other' ? check.start : null;
+    }
+    const software =
+      runningStart?.running.includes(requestId) === true
+        ? await this.softwareOfStart(engine, runningStart)
+        : undefined;
+    if (software !== undefined) {
+      this.selector.bindTo(software);
+      this.context.streams.record(this.recordOf(software));
+    }
+    return software;
   }
 
-  private recordOf({service, softwareVersion}: EngineView): StreamRecord {
+  /** Software of a start that runs the request, once the fleet status names that start; undefined if it doesn't soon. */
+  private async softwareOfStart(
+    {id}: EngineView,
+    {startedAtMs}: OtherStart,
+  ): Promise<EngineSoftware | undefined> {
+    const isStart = (other: EngineView): boolean =>
+      other.id === id && other.startedAtMs === startedAtMs;
+    for (let waitedMs = 0; waitedMs <= MAX_REPORT_MS; waitedMs += RECHECK_INTERVAL_MS) {
+      const start = this.context.engines().find(isStart);
+      if (start !== undefined) {
+        return start;
+      }
+      await delay(RECHECK_INTERVAL_MS);
+    }
+    return undefined;
+  }
+
+  private get firstAttempt(): string {
     const {firstAttempt, requestId, resumeAfter} = this.req.metadata;
-    return {
-      firstAttempt: resumeAfter === null ? requestId : (firstAttempt ?? requestId),
-      software: {service, softwareVersion},
-    };
+    return resumeAfter === null ? requestId : (firstAttempt ?? requestId);
+  }
+
+  private recordOf({service, softwareVersion}: EngineSoftware): StreamRecord {
+    return {firstAttempt: this.firstAttempt, software: {service, softwareVersion}};
   }
 
-  private async confirm(engine: EngineView): Promise<boolean> {
+  private async confirm(engine: EngineView): Promise<StartCheck> {
     const check = await this.context.starts.confirm(engine);
-    if (check !== 'confirmed') {
+    if (check.kind !== 'confirmed') {
       const {id, softwareVersion, startedAtMs} = engine;
-      const fields = {check, engine: id, softwareVersion, startedAtMs};
+      const fields = {check: check.kind, engine: id, softwareVersion, startedAtMs};
       this.context.decide('unconfirmed', this.req.metadata.requestId, fields);
     }
-    return check === 'confirmed';
+    return check;
   }
 
   private describeLoss(reason: LossReason, lastEventId: null | string): string {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -148,6 +148,8 @@
     }
 
     const returns = {[PLAIN.firstAttempt]: 'q1', [PLAIN.resumeAfter]: '2'};
+    /** Time until the new start of an engine is reported, in milliseconds. */
+    const REPORTED_MS = 100;
 
     // Guards against a stream with events of two software versions in one answer, begun by a start that was not yet known.
     test.each([
@@ -199,6 +201,24 @@
       expect(await sendRequest(port, undefined, returns)).toMatchObject({isComplete: true});
     });
 
+    // Guards against returns that are rejected although the engine says that its new start runs the stream.
+    test('a stream goes on at the version of a new start that runs it, once its start is known', async () => {
+      const engines = await startEngines(3);
+      const context = contextOfStarts(engines, [2, 1, 1]);
+      const [first, ...others] = context.engines();
+      let views = [first!];
+      const {port} = await startRelay({...context, engines: () => views}, routeOf());
+      engines[0]!.behaviors = [{after: 2, kind: 'pause'}];
+      const left = sendRequest(port, REPORTED_MS * 3);
+      await delay(REPORTED_MS);
+      const [next, other] = others;
+      views = [{...first!, softwareVersion: 'v2', startedAtMs: 2}, next!, other!];
+      await left;
+      views = [next!, {...other!, softwareVersion: 'v2'}];
+      expect(await sendRequest(port, undefined, returns)).toMatchObject({isComplete: true});
+      expect(engines.slice(1).map(({seen}) => seen.length)).toEqual([0, 1]);
+    });
+
     // Guards against a stream that is moved on or ends early because the time to ask its next engine counts as a stall.
     test('a stream waits until its next engine has confirmed its start', async () => {
       const engines = await startEngines(3);
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayStarts.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayStarts.test.ts
@@ -26,15 +26,15 @@
     ['unknown', null],
   ])('an engine is %s if it tells start %s', async (check, startedAtMs) => {
     const {view} = await startEngine(startedAtMs);
-    expect(await new RelayStarts(plainRelay).confirm(view)).toBe(check);
+    expect(await new RelayStarts(plainRelay).confirm(view)).toMatchObject({kind: check});
   });
 
   test('an engine that has ended is unknown, one that is named anew with each start is confirmed', async () => {
     const {engine, view} = await startEngine(1);
     await engine.stop();
     const starts = new RelayStarts(plainRelay);
-    expect(await starts.confirm(view)).toBe('unknown');
-    expect(await starts.confirm({...view, startedAtMs: 0})).toBe('confirmed');
+    expect(await starts.confirm(view)).toEqual({kind: 'unknown'});
+    expect(await starts.confirm({...view, startedAtMs: 0})).toEqual({kind: 'confirmed'});
   });
 
   // Guards against an answer of the start before, to a question that was on its way when the engine started again.
@@ -46,7 +46,8 @@
     await delay(50);
     engine.startedAtMs = 2;
     const after = [starts.confirm(view), starts.confirm(view)];
-    expect([await before, ...(await Promise.all(after))]).toEqual(['confirmed', 'other', 'other']);
+    const checks = await Promise.all([before, ...after]);
+    expect(checks.map(({kind}) => kind)).toEqual(['confirmed', 'other', 'other']);
     expect(engine.occupancyQueries).toBe(2);
   });
 
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -20,7 +20,7 @@
 export {RelayLatencies} from './RelayLatencies';
 export {type OnlineCounts, RelayOnlineLoad} from './RelayOnlineLoad';
 export {type EngineHealth, INITIAL_HEALTH, isHealthy, selectEngine} from './RelayPlacement';
-export {checkStart, isNamedByStart, type StartCheck} from './RelayProbe';
+export {isNamedByStart, type StartCheck} from './RelayProbe';
 /** Relays callers' requests to engines and the responses back. */
 export {sendRefusal} from './RelayRefusals';
 export {RelayRun} from './RelayRun';
