--- a/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelaySuspectParts.test.ts
@@ -76,6 +76,21 @@
   return engines;
 }
 
+/** Number of engines that a request with the part crashes after another one has made it suspect. */
+async function crashesOfSuspect(
+  change: (store: FakeSuspectStore, engines: readonly StreamEngine[]) => void,
+): Promise<number> {
+  const store = new FakeSuspectStore();
+  const engines = await startFatalEngines(6);
+  const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
+  await sendWith(first!, FATAL_PART);
+  await delay(CHECK_MS);
+  const before = crashedCount(engines);
+  change(store, engines);
+  await sendWith(second!, FATAL_PART);
+  return crashedCount(engines) - before;
+}
+
 describe('requests that share a part which crashes engines', () => {
   test('are refused at every VM after two crashes; those that share their other part are served', async () => {
     const store = new FakeSuspectStore();
@@ -110,43 +125,26 @@
   });
 
   test('crash no second engine with the repetition of a request whose part is suspect', async () => {
-    const store = new FakeSuspectStore();
-    const engines = await startFatalEngines(6);
-    const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
-    await sendWith(first!, FATAL_PART);
-    await delay(CHECK_MS);
-    const before = crashedCount(engines);
-    await sendWith(second!, FATAL_PART);
-    expect(crashedCount(engines)).toBe(before + 1);
+    expect(await crashesOfSuspect(() => {})).toBe(1);
   });
 
   // Guards against a repetition that crashes one more engine before the exit that quarantines its part is recorded.
   test('crash no second engine while the exit of the first is being recorded', async () => {
-    const store = new FakeSuspectStore();
-    const engines = await startFatalEngines(6);
-    const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
-    await sendWith(first!, FATAL_PART);
-    await delay(CHECK_MS);
-    const before = crashedCount(engines);
-    store.recordMs = SLOW_RECORD_MS;
-    await sendWith(second!, FATAL_PART);
-    expect(crashedCount(engines)).toBe(before + 1);
+    const crashes = await crashesOfSuspect((store) => {
+      store.recordMs = SLOW_RECORD_MS;
+    });
+    expect(crashes).toBe(1);
   });
 
   // Guards against a request that is moved from a stalled engine, which exits a moment later, to one that exits as well.
   test('crash no second engine when the first one stalls before it exits', async () => {
-    const store = new FakeSuspectStore();
-    const engines = await startFatalEngines(6);
-    const [first, second] = await startVms(store, engines, 2, routeOf({maxAttempts: 4}));
-    await sendWith(first!, FATAL_PART);
-    await delay(CHECK_MS);
-    const before = crashedCount(engines);
-    engines.forEach((engine) => {
-      engine.crashAfterMs = STALL_MS;
-      engine.reportsOccupancy = false;
+    const crashes = await crashesOfSuspect((_store, engines) => {
+      engines.forEach((engine) => {
+        engine.crashAfterMs = STALL_MS;
+        engine.reportsOccupancy = false;
+      });
     });
-    await sendWith(second!, FATAL_PART);
-    expect(crashedCount(engines)).toBe(before + 1);
+    expect(crashes).toBe(1);
   });
 
   test.each([404, 500])('are not cleared by a failure of an engine (status %i)', async (status) => {
