--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -1,6 +1,7 @@
 /**
  * Starts a relay with simulated engines and sends it requests.
  */
+import type {Clock} from 'stallpaddle';
 import type {EngineSoftware, FleetRoute} from 'stallpaddle-fleet';
 
 import {createServer, request, type Server} from 'node:http';
@@ -117,6 +118,7 @@
   engines: readonly StreamEngine[],
   isLoadKnown = true,
   versions: readonly string[] = [],
+  clock: Clock = systemClock,
 ): RelayContext {
   const views = engines.map((engine, at) => ({
     address: engine.address,
@@ -130,24 +132,24 @@
     startedAtMs: 0,
     zone: 'z',
   }));
-  const online = new RelayOnlineLoad(systemClock);
+  const online = new RelayOnlineLoad(clock);
   if (isLoadKnown) {
     online.applyReport({}, true, []);
   }
-  const fleetLoad = new RelayFleetLoad(systemClock);
+  const fleetLoad = new RelayFleetLoad(clock);
   return {
     admission: new RelayAdmission({
       aboveShare: () => () => false,
-      clock: systemClock,
+      clock,
       decide: () => {},
       fleetLoad,
       online,
       priorityOf: () => null,
       random: seededRandom(2),
     }),
-    clock: systemClock,
+    clock,
     decide: () => {},
-    engineHealth: new RelayEngineHealth(systemClock),
+    engineHealth: new RelayEngineHealth(clock),
     engines: () => views,
     fleetLoad,
     held: new RelayHeldBytes({limitBytes: () => undefined, onDisconnect: () => {}}),
@@ -180,7 +182,7 @@
     const run = new RelayRun(
       context,
       {
-        arrivedAt: systemClock.monotonicMs(),
+        arrivedAt: context.clock.monotonicMs(),
         body: Buffer.concat(chunks),
         caller,
         host: req.headers.host ?? '',
