--- a/packages/stallpaddle-relay/src/RelayStreamBinding.ts
+++ b/packages/stallpaddle-relay/src/RelayStreamBinding.ts
@@ -38,6 +38,8 @@
   private firstEngine: EngineView | undefined;
   /** Software of that engine; pending until it is certain, undefined if it can't be known. */
   private firstSoftware: Promise<EngineSoftware | undefined> = Promise.resolve(undefined);
+  /** Whether the response of that engine was interrupted, so that its report no longer lists the request. */
+  private isInterrupted = false;
 
   /**
    * @param context dependencies of the relay
@@ -115,6 +117,7 @@
    */
   async checkBegin(lastEventId: null | string): Promise<string | undefined> {
     const {firstEngine} = this;
+    this.isInterrupted = true;
     if (firstEngine === undefined || (await this.firstSoftware) !== undefined) {
       return undefined;
     }
@@ -157,7 +160,7 @@
     const {requestId} = this.req.metadata;
     let runningStart = start;
     // The engine's report may be from before it began to run the request.
-    for (let tries = 0; tries < MAX_CONFIRMATIONS; tries++) {
+    for (let tries = 0; tries < MAX_CONFIRMATIONS && !this.isInterrupted; tries++) {
       if (runningStart === null || runningStart.running.includes(requestId)) {
         break;
       }
--- a/packages/stallpaddle-soak/src/SoakHttp.ts
+++ b/packages/stallpaddle-soak/src/SoakHttp.ts
@@ -50,7 +50,12 @@
       path,
       port,
     });
-    const timer = setTimeout(() => req.destroy(), timeoutMs);
+    let hasLeft = false;
+    const leave = (): void => {
+      hasLeft = true;
+      req.destroy();
+    };
+    const timer = setTimeout(leave, timeoutMs);
     const end = (reply: SoakReply): void => {
       clearTimeout(timer);
       resolve(reply);
@@ -58,13 +63,14 @@
     req.on('error', () => end({kind: 'broken'}));
     req.on('response', (res) => {
       let text = '';
+      // What was not read when the caller left is discarded, although the response may be complete.
       const answer = (): void =>
-        end({kind: 'answer', status: res.statusCode ?? 0, text, whole: res.complete});
+        end({kind: 'answer', status: res.statusCode ?? 0, text, whole: res.complete && !hasLeft});
       res.setEncoding('utf8');
       res.on('data', (chunk: string) => {
         text += chunk;
         if (eventCount(text) >= leaveAfter) {
-          req.destroy();
+          leave();
         }
       });
       res.on('error', () => {});
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -76,6 +76,8 @@
   occupancyDelayMs = 0;
   /** Number of occupancy queries. */
   occupancyQueries = 0;
+  /** Whether the engine lists the requests that it runs in its occupancy. */
+  listsRuns = true;
   /** Whether the engine responds to occupancy queries. */
   reportsOccupancy = true;
   /** Start time that the engine tells when it is asked; null for none. */
@@ -160,7 +162,7 @@
   private async tellOccupancy(res: ServerResponse): Promise<void> {
     this.occupancyQueries++;
     const start = this.startedAtMs === null ? [] : [`${PLAIN.start}${this.startedAtMs}`];
-    const text = [...start, ...this.running.keys()].join(' ');
+    const text = [...start, ...(this.listsRuns ? this.running.keys() : [])].join(' ');
     await new Promise((resolve) => setTimeout(resolve, this.occupancyDelayMs));
     if (this.reportsOccupancy) {
       res.end(text);
