--- a/packages/stallpaddle-relay/src/RelayStreamBinding.ts
+++ b/packages/stallpaddle-relay/src/RelayStreamBinding.ts
@@ -27,8 +27,10 @@
 /** Questions to an engine whose report doesn't list a request that it may run, and the pause between them, in milliseconds. */
 const MAX_CONFIRMATIONS = 4;
 const CONFIRMATION_PAUSE_MS = 250;
-/** Longest time until the fleet status names a start that responds already, in milliseconds. */
-const MAX_REPORT_MS = 1_000;
+/** Longest time until the fleet status names a start that responds already, in milliseconds: longer than most elections. */
+const MAX_REPORT_MS = 5_000;
+/** Longest wait of an interrupted stream for the software that began it, in milliseconds. */
+const MAX_BEGIN_WAIT_MS = 1_000;
 
 /** Keeps one stream at the software version that began it, within a response and over its caller's attempts. */
 export class RelayStreamBinding {
@@ -118,14 +120,14 @@
   async checkBegin(lastEventId: null | string): Promise<string | undefined> {
     const {firstEngine} = this;
     this.isInterrupted = true;
-    if (firstEngine === undefined || (await this.firstSoftware) !== undefined) {
+    if (firstEngine === undefined || (await this.isFirstKnown())) {
       return undefined;
     }
     // The engine may have been too slow to respond before.
     this.confirmFirst(firstEngine);
-    return (await this.firstSoftware) === undefined
-      ? this.describeLoss('unknownVersion', lastEventId)
-      : undefined;
+    return (await this.isFirstKnown())
+      ? undefined
+      : this.describeLoss('unknownVersion', lastEventId);
   }
 
   /**
@@ -138,6 +140,11 @@
     return this.selector.isVersionServed ? undefined : this.describeLoss('noEngine', lastEventId);
   }
 
+  private async isFirstKnown(): Promise<boolean> {
+    const timeout = delay(MAX_BEGIN_WAIT_MS).then(() => undefined);
+    return (await Promise.race([this.firstSoftware, timeout])) !== undefined;
+  }
+
   /** Finds out which software brought the first event, and records the stream. */
   private confirmFirst(engine: EngineView): void {
     const check = this.confirm(engine);
