Review, case 3: the machine that is cut off is told from the others by its port

Its connections were told by /proc, which took too long beside other load: of three runs so, one failed and two stalled.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 node_modules/.bin/esbuild packages/stallpaddle-limits/src/index.ts --bundle --format=esm --log-level=warning \
-  --outfile=target/review/limits.mjs --platform=node
+  --outfile=dist/review/limits.mjs --platform=node
--- a/review/lib/links.mjs
+++ b/review/lib/links.mjs
@@ -1,79 +1,72 @@
-/** Proxies in front of the ports on which processes reach each other; they can cut one machine off from all others. */
-import {readdirSync, readFileSync, readlinkSync} from 'node:fs';
+/**
+ * Proxies in front of the ports on which processes reach each other; they can cut one machine off from all others. That machine
+ * reaches its peers at a port of its own, so that its connections can be told from those of the others.
+ */
 import {connect, createServer} from 'node:net';
 
 import {PORTS} from './fleet.mjs';
 
-/** Port on which a process listens itself; its peers connect to the proxy at `PORTS.peer`. */
+/** Port on which each process listens itself. */
 const LISTEN_PORT = PORTS.peer + 1;
-
-/** Local ports of the TCP connections that a process of this test has open. */
-function portsOf(pid) {
-  const inodes = new Set();
-  for (const name of readdirSync(`/proc/${pid}/fd`)) {
-    try {
-      const inode = /^socket:\[(\d+)\]$/.exec(readlinkSync(`/proc/${pid}/fd/${name}`))?.[1];
-      if (inode !== undefined) {
-        inodes.add(inode);
-      }
-    } catch {
-      // Closed meanwhile.
-    }
-  }
-  const lines = readFileSync('/proc/net/tcp', 'utf8').trim().split('\n').slice(1);
-  const ports = new Set();
-  for (const line of lines) {
-    const fields = line.trim().split(/\s+/);
-    if (inodes.has(fields[9])) {
-      ports.add(parseInt(fields[1].split(':')[1], 16));
-    }
-  }
-  return ports;
-}
+/** Port at which the machine that may be cut off reaches the others. */
+const OWN_PORT = PORTS.peer + 2;
 
 export class Links {
-  constructor(fleet) {
+  /**
+   * @param fleet the fleet, not started yet
+   * @param machine the machine that may be cut off
+   */
+  constructor(fleet, machine) {
     this.fleet = fleet;
+    this.isCut = false;
+    this.machine = machine;
     this.pairs = new Set();
     this.servers = [];
-    this.cutMachine = undefined;
-    fleet.machines.forEach((machine) => {
-      machine.extraSettings = {peerListenPort: LISTEN_PORT};
+    fleet.machines.forEach((one) => {
+      const port = one === machine ? {peerPort: OWN_PORT} : {};
+      one.extraSettings = {...port, peerListenPort: LISTEN_PORT};
     });
   }
 
   async open() {
     for (const machine of this.fleet.machines) {
-      const server = createServer((client) => this.accept(client, machine));
-      await new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(PORTS.peer, machine.ip, resolve);
-      });
-      this.servers.push(server);
+      for (const port of [PORTS.peer, OWN_PORT]) {
+        // Connections from the machine or to it.
+        const isOwn = port === OWN_PORT || machine === this.machine;
+        const server = createServer((client) => this.accept(client, machine.ip, isOwn));
+        await new Promise((resolve, reject) => {
+          server.once('error', reject);
+          server.listen(port, machine.ip, resolve);
+        });
+        this.servers.push(server);
+      }
     }
   }
 
-  accept(client, machine) {
-    const server = connect(LISTEN_PORT, machine.ip);
-    const pair = {client, isCut: false, machine, port: client.remotePort, server};
+  accept(client, ip, isOwn) {
+    const server = connect(LISTEN_PORT, ip);
+    const pair = {client, isOwn, server};
     this.pairs.add(pair);
-    pair.isCut = this.isCutNow(pair);
     this.forward(pair, client, server);
     this.forward(pair, server, client);
   }
 
   forward(pair, from, to) {
+    const isHeldUp = () => this.isCut && pair.isOwn;
     from.setNoDelay(true);
     from.on('error', () => {});
     from.on('data', (bytes) => {
-      // What a partition holds up is lost when its sender gives the connection up.
-      if (!pair.isCut && !to.write(bytes)) {
+      if (isHeldUp()) {
+        // A partition holds these bytes up; they are lost, and the connection is reset when the cut heals.
+        pair.hasLost = true;
+      } else if (!to.write(bytes)) {
         from.pause();
         to.once('drain', () => from.resume());
       }
     });
     from.on('close', (hadError) => {
-      if (pair.isCut) {
+      if (isHeldUp()) {
+        pair.hasLost = true;
         return;
       }
       this.pairs.delete(pair);
@@ -85,27 +78,17 @@
     });
   }
 
-  isCutNow({machine, port}) {
-    const cut = this.cutMachine;
-    return cut !== undefined && (machine === cut || portsOf(cut.child.pid).has(port));
-  }
-
-  /** Cuts a machine off from all other machines of the system, silently; clients and engines still reach it. */
-  cut(machine) {
-    this.cutMachine = machine;
-    const ports = portsOf(machine.child.pid);
-    for (const pair of this.pairs) {
-      pair.isCut = pair.machine === machine || ports.has(pair.port);
-    }
-    return [...this.pairs].filter(({isCut}) => isCut).length;
+  /** Cuts the machine off from all other machines of the system, silently; clients and engines still reach it. */
+  cut() {
+    this.isCut = true;
+    return [...this.pairs].filter(({isOwn}) => isOwn).length;
   }
 
   /** Heals the cut. Connections that lost bytes are reset. */
   heal() {
-    this.cutMachine = undefined;
+    this.isCut = false;
     for (const pair of this.pairs) {
-      if (pair.isCut) {
-        pair.isCut = false;
+      if (pair.hasLost) {
         pair.client.resetAndDestroy();
         pair.server.resetAndDestroy();
         this.pairs.delete(pair);
