--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -17,13 +17,13 @@
 const LEAD_MS = 12_000;
 const HOT_AT_MS = 6000;
 /** `kill_all`, with the `down_s` of zfns-ligaserv-grown. */
-const KILL_AT_MS = 7000;
+const KILL_AT_MS = 6500;
 const DOWN_MS = 870;
 const END_MS = 20_000;
 
 const {note, sinceStartMs, text} = makeRecord();
 const fleet = new Fleet();
-const tenant = new Tenant({burst: 60, fleet, name: 'kaje80', note, rate: 60});
+const tenant = new Tenant({burst: 20, fleet, name: 'kaje80', note, rate: 60});
 
 async function killAll() {
   await delay(KILL_AT_MS);
--- a/review/lib/tenant.mjs
+++ b/review/lib/tenant.mjs
@@ -17,6 +17,8 @@
 /** The sheet's deadline and the client's retries. */
 const DEADLINE_MS = 5057;
 const RETRIES = 1;
+/** A new connection is given a second to come up; a client tries again after that. */
+const CONNECT_MS = 1000;
 /** Longest time for which clients keep the list of addresses, and for which they pass over an address that failed. */
 const TTL_MAX_MS = 5000;
 const FAILED_MS = 5000;
@@ -148,7 +150,8 @@
       return;
     }
     const id = `9c41d07b${(++this.lastId).toString(16).padStart(8, '0')}`;
-    this.sent.set(id, Date.now());
+    const sentAt = Date.now();
+    this.sent.set(id, sentAt);
     const answer = await call(address, {
       body: 'x'.repeat(200),
       headers: {
@@ -172,7 +175,9 @@
     // A stream that may not be resumed is sent again only after a promise, or if no connection came up.
     const wasRefused = how === 429 || how === 503;
     const wasUnread = answer.error?.includes('ECONNREFUSED') === true;
-    const pauseMs = Number(answer.headers?.['retry-after'] ?? 0) * 1000;
+    const pauseMs = wasUnread
+      ? sentAt + CONNECT_MS - Date.now()
+      : Number(answer.headers?.['retry-after'] ?? 0) * 1000;
     if (retries > 0 && (wasRefused || wasUnread) && pauseMs <= (endAt - Date.now()) / 3) {
       await delay(pauseMs);
       await this.ask(endAt, retries - 1);
