--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -7,12 +7,12 @@
 
 export class Engine {
   /**
-   * @param options host, port, service, zone, slots; `controls` lists addresses of the system's control calls; `events` and
-   * `gapMs` describe a stream; `onRun` is called when the engine begins work on a request, `onEnd` when it ends it, with
+   * @param options host, port, service, zone, slots; `controls` lists addresses of the system's control calls; `events`,
+   * `gapMs` and `burst` (events written together) describe a stream; `onRun` is called when the engine begins work on a request, `onEnd` when it ends it, with
    * whether its whole answer was written
    */
   constructor(options) {
-    this.options = {events: 25, gapMs: 4, port: 8080, slots: 8, ...options};
+    this.options = {burst: 5, events: 25, gapMs: 4, port: 8080, slots: 8, ...options};
     this.id = `i-${process.pid.toString(16)}${(++starts).toString(16).padStart(4, '0')}`;
     this.running = new Map();
     this.waiting = 0;
@@ -131,7 +131,7 @@
   }
 
   async run(req, res, id, body) {
-    const {events, gapMs, onEnd, onRun} = this.options;
+    const {burst, events, gapMs, onEnd, onRun} = this.options;
     this.running.set(id, res);
     let last = 0;
     onRun?.({body, engine: this.id, headers: req.headers, id, method: req.method, url: req.url});
@@ -143,10 +143,14 @@
         'Weight-Versions': '1',
       });
       const from = Number(req.headers['last-event-id'] ?? 0);
-      for (let event = from + 1; event <= events && !res.destroyed; event++) {
-        await new Promise((resolve) => setTimeout(resolve, gapMs));
-        res.write(`id: ${event}\ndata: ${id} ${event}\n\n`);
-        last = event;
+      for (let event = from + 1; event <= events && !res.destroyed; event += burst) {
+        await new Promise((resolve) => setTimeout(resolve, gapMs * burst));
+        last = Math.min(events, event + burst - 1);
+        const texts = Array.from(
+          {length: last - event + 1},
+          (_, at) => `id: ${event + at}\ndata: ${id} ${event + at}\n\n`,
+        );
+        res.write(texts.join(''));
       }
       res.end();
     } finally {
