--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,9 +1,9 @@
 /**
- * Clients submit batch jobs; one item of one job has a header value with a dash that isn't in Latin-1. Checks that the items
- * of all other jobs are listed when `finish-s` is over, and counts how often processes end by themselves. The same header is
- * also sent with an online request, as UTF-8.
+ * Clients of three tenants submit batch jobs. A change of the configuration adds one of the tenants, whose name has letters that
+ * aren't in Latin-1, and it submits one job. Checks that the items of all jobs of the other tenants are listed when `finish-s` is
+ * over, and counts how often processes end by themselves. The new tenant also sends an online request.
  *
- * Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run. With TROUBLE=0 the value has a plain hyphen.
+ * Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run. With TROUBLE=0 the name is in plain ASCII.
  */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -16,13 +16,22 @@
 const hasTrouble = process.env.TROUBLE !== '0';
 
 const HOST = 'nony24.example';
-/** The value of the header `Title`, in the poisoned item and in the online request. */
-const TITLE = hasTrouble ? 'Annual filing \u2013 2026' : 'Annual filing - 2026';
+const TENANTS = [
+  {key: 'f75rjvz48wuakn2ftima', name: 'kaje80'},
+  {key: 'q2m8dzt6x0hvbn4ylw3c', name: 'lopu12'},
+];
+/** The tenant that a change of the configuration adds. */
+const NEW_TENANT = {
+  key: 'w9e3ksjr71fpgu5oaxd2',
+  name: hasTrouble ? 'Klub \u0160i\u0161ka' : 'Klub Siska',
+};
 const JOBS = 8;
 const ITEMS = 10;
-/** The job that has the item, counted from 0; jobs before and after it are sound. */
-const POISONED_JOB = 4;
+/** The job of the new tenant, counted from 0; jobs before and after it are those of the other tenants. */
+const NEW_TENANTS_JOB = 4;
 const JOB_GAP_MS = 700;
+/** `config-apply-ms`: the new key is used only later than this after the acknowledgement. */
+const CONFIG_APPLY_MS = 2500;
 /** `finish-s`: what batch jobs get once traffic has ended. */
 const FINISH_MS = 18_000;
 const EVENTS = 120;
@@ -31,7 +40,7 @@
 const startedAt = Date.now();
 const note = (text) => record.push(`${String(Date.now() - startedAt).padStart(6)} ms  ${text}`);
 
-function configuration() {
+function configuration(version, tenants) {
   return JSON.stringify({
     limits: {
       'header-timeout-ms': 3000,
@@ -48,6 +57,7 @@
         name: 'r-lohu',
         'path-prefix': '/lohu930/',
         priority: 0,
+        public: false,
         resumable: false,
         service: 'huvo11a',
         'slo-ms': 300,
@@ -59,10 +69,11 @@
         host: HOST,
         kind: 'batch',
         'max-attempts': 3,
-        'max-queued-tokens': 1_400_000,
+        'max-queued-tokens': 0,
         name: 'r-pule',
         'path-prefix': '/pule252/',
         priority: 2,
+        public: false,
         'retention-s': 60,
         'run-target-ms': 18_000,
         service: 'huvo11a',
@@ -81,7 +92,14 @@
         tls: false,
       },
     ],
-    version: 7,
+    tenants: tenants.map(({key, name}) => ({
+      'api-keys': [key],
+      burst: 100,
+      name,
+      priority: 1,
+      'rate-per-s': 100,
+    })),
+    version,
   });
 }
 
@@ -113,33 +131,37 @@
 function makeJob(at) {
   const id = `7c41e09b52d6a3f${at}`;
   const requests = Array.from({length: ITEMS}, (_, item) => {
-    const isOdd = at === POISONED_JOB && item === 3;
     return {
       body: Buffer.from(`item ${at} ${item}`).toString('base64'),
       headers: {
         Model: 'm',
         'Prompt-Prefix': `9c2e41:100,5d07${at}${item}:250`,
         'Token-Count': '350,120',
-        ...(isOdd ? {Title: TITLE} : {}),
       },
       id: `e5b2907c14da6f${at}${item}`,
       path: `/pule252/3/91c${at}${item}`,
       tokens: 470,
     };
   });
-  return {accepted: false, id, requests};
+  const tenant = at === NEW_TENANTS_JOB ? NEW_TENANT : TENANTS[at % TENANTS.length];
+  return {accepted: false, id, requests, tenant};
 }
 
 async function submit(job) {
   for (let tries = 0; tries < 20; tries++) {
     const answer = await call(anyFront(), {
       body: JSON.stringify({requests: job.requests}),
-      headers: {'Attempt-Id': job.id, 'content-type': 'application/json', Host: HOST},
+      headers: {
+        'Attempt-Id': job.id,
+        Authorization: `Bearer ${job.tenant.key}`,
+        'content-type': 'application/json',
+        Host: HOST,
+      },
       method: 'POST',
       path: `/pule252/${job.id.slice(0, 6)}`,
       timeoutMs: 4000,
     });
-    note(`job ${job.id} sent, answer ${answer.status ?? answer.error}`);
+    note(`job ${job.id} of ${job.tenant.name} sent, answer ${answer.status ?? answer.error}`);
     if (answer.status === 202) {
       job.accepted = true;
       return;
@@ -154,7 +176,7 @@
 async function read(job) {
   for (let tries = 0; tries < 10; tries++) {
     const answer = await call(anyFront(), {
-      headers: {Host: HOST},
+      headers: {Authorization: `Bearer ${job.tenant.key}`, Host: HOST},
       path: `/stallpaddle/lots/${job.id}?after-rev=0`,
       timeoutMs: 2500,
     });
@@ -184,30 +206,30 @@
   return {finished, hadIds: new Set(had.map(({id}) => id)), most};
 }
 
-/** Sends the header with an online request; its bytes are the UTF-8 of the value. */
+/** One online request of the new tenant. */
 async function askOnline() {
   const answer = await call(anyFront(), {
     body: 'x',
     headers: {
       'Attempt-Id': '9c41d07be2a35f68',
+      Authorization: `Bearer ${NEW_TENANT.key}`,
       'Deadline-Ms': '5000',
       Host: HOST,
       Model: 'm',
       'Prompt-Prefix': '5c1e07a2:200,e4402b7d:250',
-      Title: Buffer.from(TITLE).toString('latin1'),
       'Token-Count': '450,39',
     },
     method: 'POST',
     path: '/lohu930/2f',
   });
-  note(`an online request with the same header: answer ${answer.status ?? answer.error}`);
+  note(`an online request of ${NEW_TENANT.name}: answer ${answer.status ?? answer.error}`);
 }
 
 async function main() {
   fleet.startAll();
   await Promise.all(engines.map((engine) => engine.start()));
   await callUntil(controls, 200, {
-    body: configuration(),
+    body: configuration(7, TENANTS),
     headers: {'content-type': 'application/json'},
     method: 'PUT',
     path: '/stallpaddle/config',
@@ -217,9 +239,19 @@
   }
   await delay(Math.max(2000, 12_000 - (Date.now() - startedAt)));
   note('traffic starts');
-  await askOnline();
   const jobs = Array.from({length: JOBS}, (_, at) => makeJob(at));
-  for (const job of jobs) {
+  for (const [at, job] of jobs.entries()) {
+    if (at === NEW_TENANTS_JOB) {
+      await callUntil(controls, 200, {
+        body: configuration(8, [...TENANTS, NEW_TENANT]),
+        headers: {'content-type': 'application/json'},
+        method: 'PUT',
+        path: '/stallpaddle/config',
+      });
+      note(`a configuration with the tenant ${NEW_TENANT.name} is acknowledged`);
+      await delay(CONFIG_APPLY_MS);
+      await askOnline();
+    }
     void submit(job);
     await delay(JOB_GAP_MS);
   }
@@ -236,12 +268,12 @@
     const missing = job.requests.filter(({id}) => !listed.has(id)).map(({id}) => id);
     const wasHeld = missing.some((id) => hadIds.has(id));
     const counts = job.requests.map((item) => runs.filter(({id}) => id === item.id).length);
-    const name = `job ${job.id}${at === POISONED_JOB ? ' (with the odd item)' : ''}`;
+    const name = `job ${job.id} of ${job.tenant.name}`;
     const listing = answer === undefined ? 'unreadable' : `${listed.size} of ${ITEMS} listed`;
     note(
       `${name}: ${job.accepted ? 'accepted' : 'not accepted'}, ${listing}; runs by item ${counts}; an engine had an unlisted item in the last 5 s: ${wasHeld}`,
     );
-    if (at !== POISONED_JOB && job.accepted && !wasHeld && most < 32 && finished === 0) {
+    if (at !== NEW_TENANTS_JOB && job.accepted && !wasHeld && most < 32 && finished === 0) {
       lost += missing.length;
     }
   }
@@ -259,7 +291,9 @@
       .map((line) => JSON.parse(line).error),
   );
   note(`errors that their logs name: ${[...new Set(reasons)].join('; ') || 'none'}`);
-  note(`${lost} items of the other accepted jobs are not listed after finish-s, without an excuse`);
+  note(
+    `${lost} items of accepted jobs of the other tenants are not listed after finish-s, without an excuse`,
+  );
   note(lost > 0 ? 'LOST is broken' : 'LOST held');
   return lost > 0 ? 1 : 0;
 }
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -67,7 +67,10 @@
     for (let at = 0; at < stores; at++) {
       this.add('store', `${this.network}.${at + 101}`, at, true);
     }
-    process.once('exit', () => this.killAll());
+    process.once('exit', () => this.end());
+    for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   add(role, ip, at, hasDisk) {
@@ -118,7 +121,6 @@
       seeds: this.seeds,
       tolerate: {machines: 1, regions: 0, zones: 0},
       zone,
-      ...machine.extraFields,
     });
   }
 
@@ -126,8 +128,7 @@
     const folder = path.join(this.folder, machine.name);
     mkdirSync(folder, {recursive: true});
     const file = path.join(folder, 'node.json');
-    const settings = JSON.parse(this.settingsOf(machine));
-    writeFileSync(file, JSON.stringify({...settings, ...machine.extraSettings}));
+    writeFileSync(file, this.settingsOf(machine));
     machine.isFirst = false;
     const [program, ...args] = runLine(machine.role);
     const out = openSync(path.join(folder, 'out.txt'), 'a');
