Review, case 2: a resumed stream ends as complete with an engine's error in it

Found by reading RelayRun.onResponse: any status below 500 is taken as the final answer, also after the head of the response has been sent. A stream whose engine crashes and that is resumed at an engine which answers 404 ends as complete, with the 404's body behind the events so far.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -9,7 +9,8 @@
   /**
    * @param options host, port, service, zone, slots; `controls` lists addresses of the system's control calls; `events`,
    * `gapMs` and `burst` (events written together) describe a stream; `onRun` is called when the engine begins work on a request, `onEnd` when it ends it, with
-   * whether its whole answer was written
+   * whether its whole answer was written; `isFailing` tells whether the engine fails a request: it then answers 404, though
+   * its health check is good
    */
   constructor(options) {
     this.options = {burst: 5, events: 25, gapMs: 4, port: 8080, slots: 8, ...options};
@@ -130,8 +131,25 @@
     }
   }
 
+  /** An ordinary answer of the engine, without `Not-Run`. */
+  fail(res, id) {
+    const body = JSON.stringify({error: {message: 'The model `m` does not exist.', status: 404}});
+    res
+      .writeHead(404, {
+        'Attempt-Id': id,
+        'content-length': Buffer.byteLength(body),
+        'content-type': 'application/json',
+        'Server-Stamp': `${this.id}.${id}`,
+      })
+      .end(body);
+  }
+
   async run(req, res, id, body) {
-    const {burst, events, gapMs, onEnd, onRun} = this.options;
+    const {burst, events, gapMs, isFailing, onEnd, onRun} = this.options;
+    if (isFailing?.(req) === true) {
+      this.fail(res, id);
+      return;
+    }
     this.running.set(id, res);
     let last = 0;
     onRun?.({body, engine: this.id, headers: req.headers, id, method: req.method, url: req.url});
