Review, case 2: a route added under a batch route's prefix has accepted items given up

Found by reading JobsUrgency.routeOf: the route of an accepted item is looked up anew by its job's path in the configuration of the moment, whatever the kind of the route found. A streaming route has no retention, so all items of such jobs count as too old.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,8 +1,8 @@
 /**
- * Clients read streams that may be resumed. One engine after the other crashes, while one engine fails a part of its requests
- * with 404. Checks that each successful answer that ends properly is the engines' whole stream.
+ * Clients submit batch jobs. While their items run and wait, the operator adds a route for streams whose path prefix lies under
+ * that of the batch route, which stays. Checks that no item is listed as `dead_lettered`, since there is no reason for it.
  *
- * Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run. With TROUBLE=0 no engine crashes or fails requests.
+ * Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run. With TROUBLE=0 the new route has a prefix of its own.
  */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -15,26 +15,58 @@
 const hasTrouble = process.env.TROUBLE !== '0';
 
 const HOST = 'nony24.example';
-const ENGINES = 8;
-/** Events of a stream, and the pause between two of them. */
-const EVENTS = 39;
-const GAP_MS = 45;
-const PER_S = 25;
-const TRAFFIC_MS = 50_000;
-/** `srv_grey`: share .14 of the engines fail x (.45) of their requests for 6.5 s, again and again. */
-const FAILING = 1;
-const FAILED_SHARE = 0.45;
-const FAILING_MS = 6500;
-const FAILING_GAP_MS = 7000;
-/** `srv_crash`: share .17 of the engines, for two seconds each. */
-const CRASH_GAP_MS = 2500;
-const DOWN_MS = 2000;
+const BATCH_PREFIX = '/pule252/';
+/** Prefix of the new route. */
+const NEW_PREFIX = hasTrouble ? `${BATCH_PREFIX}3/` : '/pule777/3/';
+const JOBS = 8;
+const ITEMS = 10;
+const JOB_GAP_MS = 150;
+/** Events of an item, and the pause between two of them: an item runs for 2.4 s. */
+const EVENTS = 120;
+const GAP_MS = 20;
+const RETENTION_S = 60;
+/** `finish-s`: what batch jobs get once traffic has ended. */
+const FINISH_MS = 18_000;
 
 const record = [];
 const startedAt = Date.now();
 const note = (text) => record.push(`${String(Date.now() - startedAt).padStart(6)} ms  ${text}`);
 
-function configuration() {
+function streamingRoute(name, prefix) {
+  return {
+    'gap-target-ms': 200,
+    host: HOST,
+    kind: 'streaming',
+    'max-attempts': 2,
+    name,
+    'path-prefix': prefix,
+    priority: 0,
+    resumable: true,
+    service: 'huvo11a',
+    'slo-ms': 300,
+    sticky: true,
+    'timeout-ms': 5000,
+  };
+}
+
+const BATCH_ROUTE = {
+  'gap-target-ms': 200,
+  host: HOST,
+  kind: 'batch',
+  'max-attempts': 3,
+  'max-queued-tokens': 1_400_000,
+  name: 'r-pule',
+  'path-prefix': BATCH_PREFIX,
+  priority: 2,
+  'retention-s': RETENTION_S,
+  'run-target-ms': 18_000,
+  service: 'huvo11a',
+  'slo-ms': 400,
+  sticky: true,
+  'timeout-ms': 15_000,
+};
+
+function configuration(version, addedRoutes) {
   return JSON.stringify({
     limits: {
       'header-timeout-ms': 3000,
@@ -42,22 +74,7 @@
       'max-body-bytes': 4_194_304,
       'max-header-bytes': 16_384,
     },
-    routes: [
-      {
-        'gap-target-ms': 200,
-        host: HOST,
-        kind: 'streaming',
-        'max-attempts': 2,
-        name: 'r-lohu',
-        'path-prefix': '/lohu930/',
-        priority: 0,
-        resumable: true,
-        service: 'huvo11a',
-        'slo-ms': 300,
-        sticky: true,
-        'timeout-ms': 5000,
-      },
-    ],
+    routes: [streamingRoute('r-lohu', '/lohu930/'), BATCH_ROUTE, ...addedRoutes],
     services: [
       {
         engine: {slots: 8},
@@ -68,160 +85,141 @@
         tls: false,
       },
     ],
-    version: 7,
+    version,
   });
 }
 
 const fleet = new Fleet();
 const controls = fleet.fronts.map(({ip}) => `${ip}:${PORTS.control}`);
 const fronts = fleet.fronts.map(({ip}) => `${ip}:${PORTS.front}`);
-const counts = {crashes: 0, failed: 0, failedResumed: 0, resumed: 0, runs: 0};
-/** What engines did, by request. */
-const history = new Map();
-const noteRun = (id, text) => history.set(id, [...(history.get(id) ?? []), text]);
-
-/** Start of the traffic; undefined before. */
-let trafficAt;
-let received = 0;
-let failed = 0;
-
-/** Whether the disruption of the failing engine strikes at the moment. */
-function isStruck() {
-  const sinceMs = trafficAt === undefined ? -1 : Date.now() - trafficAt;
-  return hasTrouble && sinceMs >= 0 && sinceMs % FAILING_GAP_MS < FAILING_MS;
-}
+/** Runs at engines; none of them is answered with an error. */
+const runs = [];
+const engines = Array.from(
+  {length: 8},
+  (_, at) =>
+    new Engine({
+      controls,
+      events: EVENTS,
+      gapMs: GAP_MS,
+      host: `${fleet.network}.${201 + at}`,
+      onEnd: ({id, isWhole}) => {
+        const run = runs.findLast((one) => one.id === id && one.to === undefined);
+        Object.assign(run, {isWhole, to: Date.now()});
+      },
+      onRun: ({id}) => runs.push({from: Date.now(), id}),
+      service: 'huvo11a',
+      zone: ['recife-a', 'fortaleza-b', 'salvador-c'][at % 3],
+    }),
+);
 
-/** Whether the failing engine fails a request: a part of them, new and resumed ones alike. */
-function failsNow(req) {
-  if (!isStruck()) {
-    return false;
-  }
-  received++;
-  if (Math.random() >= FAILED_SHARE) {
-    return false;
-  }
-  failed++;
-  const after = req.headers['last-event-id'];
-  counts.failed++;
-  counts.failedResumed += after === undefined ? 0 : 1;
-  noteRun(req.headers['attempt-id'], `404 (${after ? `resumed after event ${after}` : 'new'})`);
-  return true;
-}
+const anyFront = () => fronts[Math.floor(Math.random() * fronts.length)];
 
-function makeEngine(at) {
-  return new Engine({
-    burst: 1,
-    controls,
-    events: EVENTS,
-    gapMs: GAP_MS,
-    host: `${fleet.network}.${201 + at}`,
-    isFailing: at < FAILING ? failsNow : undefined,
-    onEnd: ({id, isWhole}) => noteRun(id, isWhole ? 'to its end' : 'broken off'),
-    onRun: ({engine, headers, id}) => {
-      const after = headers['last-event-id'];
-      counts.runs++;
-      counts.resumed += after === undefined ? 0 : 1;
-      noteRun(id, `run at ${engine} (${after ? `resumed after event ${after}` : 'new'})`);
-    },
-    service: 'huvo11a',
-    zone: ['recife-a', 'fortaleza-b', 'salvador-c'][at % 3],
+function putConfiguration(version, addedRoutes) {
+  return callUntil(controls, 200, {
+    body: configuration(version, addedRoutes),
+    headers: {'content-type': 'application/json'},
+    method: 'PUT',
+    path: '/stallpaddle/config',
   });
 }
 
-const engines = Array.from({length: ENGINES}, (_, at) => makeEngine(at));
-
-/** Crashes one engine; a new one starts at its address. */
-async function crash(at) {
-  counts.crashes++;
-  note(`engine ${engines[at].id} crashes with ${engines[at].running.size} requests`);
-  engines[at].stop();
-  await delay(DOWN_MS);
-  engines[at] = makeEngine(at);
-  await engines[at].start();
+function makeJob(at) {
+  const id = `7c41e09b52d6a3f${at}`;
+  const requests = Array.from({length: ITEMS}, (_, item) => ({
+    body: Buffer.from(`item ${at} ${item}`).toString('base64'),
+    headers: {
+      Model: 'm',
+      'Prompt-Prefix': `9c2e41:100,5d07${at}${item}:250`,
+      'Token-Count': '350,120',
+    },
+    id: `e5b2907c14da6f${at}${item}`,
+    path: `/pule252/3/91c${at}${item}`,
+    tokens: 470,
+  }));
+  // Every other job is submitted under the prefix of the route that is added later.
+  return {id, path: at % 2 === 0 ? `/pule252/3/7c41e${at}` : `/pule252/7c41e${at}`, requests};
 }
 
-const answers = {broken: 0, other: 0, refused: 0, whole: 0, wrong: 0};
-let sent = 0;
-
-function wholeStream(id) {
-  return Array.from({length: EVENTS}, (_, at) => `id: ${at + 1}\ndata: ${id} ${at + 1}\n\n`).join(
-    '',
-  );
+async function submit(job) {
+  for (let tries = 0; tries < 20; tries++) {
+    const answer = await call(anyFront(), {
+      body: JSON.stringify({requests: job.requests}),
+      headers: {'Attempt-Id': job.id, 'content-type': 'application/json', Host: HOST},
+      method: 'POST',
+      path: job.path,
+      timeoutMs: 4000,
+    });
+    note(`job ${job.id} sent to ${job.path}, answer ${answer.status ?? answer.error}`);
+    if (answer.status === 202) {
+      job.acceptedAt = Date.now();
+      return;
+    }
+    await delay(500);
+  }
+  throw new Error(`job ${job.id} was never accepted`);
 }
 
-async function ask() {
-  const id = `9c41d07b${(++sent).toString(16).padStart(8, '0')}`;
-  const answer = await call(fronts[sent % fronts.length], {
-    body: `request ${sent}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': '5000',
-      Host: HOST,
-      Model: 'm',
-      'Prompt-Prefix': `5c1e07a2:200,${sent.toString(16)}:250`,
-      'Token-Count': '450,39',
-    },
-    method: 'POST',
-    path: '/lohu930/2f',
-    timeoutMs: 6000,
-  });
-  if (answer.status !== 200) {
-    answers[answer.status === 503 || answer.status === 429 ? 'refused' : 'other']++;
-  } else if (!answer.whole) {
-    answers.broken++;
-  } else if (answer.body === wholeStream(id)) {
-    answers.whole++;
-  } else {
-    answers.wrong++;
-    const events = answer.body.split('\n\n').filter((text) => text.startsWith('id: ')).length;
-    note(`request ${id}: answered 200, complete, with ${events} of ${EVENTS} events`);
-    note(`  at engines: ${(history.get(id) ?? []).join('; ')}`);
-    note(`  its last bytes: ${JSON.stringify(answer.body.slice(-110))}`);
+async function read(job) {
+  for (let tries = 0; tries < 10; tries++) {
+    const answer = await call(anyFront(), {
+      headers: {Host: HOST},
+      path: `/stallpaddle/lots/${job.id}?after-rev=0`,
+      timeoutMs: 2500,
+    });
+    if (answer.status === 200 && answer.whole) {
+      return JSON.parse(answer.body).results;
+    }
+    await delay(200);
   }
+  throw new Error(`job ${job.id} can't be read`);
+}
+
+/** Runs of an item, as far as they went. */
+function describeRuns(id) {
+  const own = runs.filter((run) => run.id === id);
+  return own.map(({from, isWhole, to}) => `${to - from} ms${isWhole ? ' to its end' : ''}`);
 }
 
 async function main() {
   fleet.startAll();
   await Promise.all(engines.map((engine) => engine.start()));
-  await callUntil(controls, 200, {
-    body: configuration(),
-    headers: {'content-type': 'application/json'},
-    method: 'PUT',
-    path: '/stallpaddle/config',
-  });
+  await putConfiguration(7, []);
   for (const {ip} of fleet.fronts) {
     await callUntil([`${ip}:${PORTS.ready}`], 200, {path: '/stallpaddle/ready'});
   }
   await delay(Math.max(2000, 12_000 - (Date.now() - startedAt)));
   note('traffic starts');
-  trafficAt = Date.now();
-  const open = new Set();
-  let crashes = 0;
-  for (let at = 0; Date.now() < trafficAt + TRAFFIC_MS; at++) {
-    const request = ask();
-    open.add(request);
-    void request.then(() => open.delete(request));
-    if (hasTrouble && Date.now() - trafficAt > (crashes + 0.5) * CRASH_GAP_MS) {
-      void crash(FAILING + (crashes % (ENGINES - FAILING)));
-      crashes++;
-    }
-    await delay(Math.max(0, trafficAt + ((at + 1) * 1000) / PER_S - Date.now()));
+  const jobs = Array.from({length: JOBS}, (_, at) => makeJob(at));
+  for (const job of jobs) {
+    await submit(job);
+    await delay(JOB_GAP_MS);
   }
-  await Promise.all(open);
-  note(
-    `requests: ${sent}; answers: ${JSON.stringify(answers)}; engines: ${JSON.stringify(counts)}`,
-  );
+  await putConfiguration(8, [streamingRoute('r-x73d3zj', NEW_PREFIX)]);
+  const changedAt = Date.now();
   note(
-    `the failing engine failed ${failed} of the ${received} requests that came while it was struck`,
+    `a configuration with a new streaming route for ${NEW_PREFIX} is acknowledged; r-pule stays`,
   );
+  await delay(FINISH_MS);
+  let givenUp = 0;
+  for (const job of jobs) {
+    const results = await read(job);
+    const dead = results.filter(({state}) => state === 'dead_lettered');
+    const completed = results.length - dead.length;
+    note(
+      `job ${job.id} at ${job.path}: ${completed} completed, ${dead.length} dead_lettered, of ${ITEMS}; accepted ${changedAt - job.acceptedAt} ms before the change`,
+    );
+    for (const {id} of dead) {
+      note(`  item ${id}: runs at engines: ${describeRuns(id).join(', ') || 'none'}`);
+    }
+    givenUp += dead.length;
+  }
   const ends = fleet.ends.map(({code, name, signal}) => `${name} (${signal ?? `exit ${code}`})`);
   note(`processes that ended by themselves: ${ends.join(', ') || 'none'}`);
   note(
-    answers.wrong > 0
-      ? `MIXED is broken: ${answers.wrong} successes that end properly aren't the engines' whole body`
-      : 'MIXED held',
+    `${givenUp} items are dead_lettered without a 422 or 500, before retention-s (${RETENTION_S}), of jobs and a route that didn't end`,
   );
-  return answers.wrong > 0 ? 1 : 0;
+  note(givenUp > 0 ? 'MIXED is broken' : 'MIXED held');
+  return givenUp > 0 ? 1 : 0;
 }
 
 let code = 2;
