A customer's name or an item that HTTP can't carry ends no process

Cause: Node takes each character of a header for one byte, and `http.request` throws on others. Text of configurations and jobs became headers without being encoded, and the throw left `JobsRunner.start` as a rejection that nobody handles, which ends the process. The stores' last line names the header; the stack in the test shows the way.

Ruled out: the name's length and the job itself (under "Klub Siska" all is listed), replication of the configuration.

The same cause elsewhere, each with a test that failed before: an item's id, headers and path; an engine that reports a port above 65535 (call, probe, and the survey of a new leader).

Change: names, ids and header values go out as UTF-8, paths percent-encoded beyond ASCII. `openRequest` returns the error instead of throwing; such a call did not run. An unexpected error of one item is logged and the item waits.

Why it works: nothing on the way from a job to an engine throws for what others sent, and one item's error stays with that item.

--- a/packages/stallpaddle-fleet/src/FleetCustomers.ts
+++ b/packages/stallpaddle-fleet/src/FleetCustomers.ts
@@ -35,8 +35,19 @@
   }
 }
 
+/** Engines get the name in a header, which can't hold control characters and loses blanks at its ends. */
+function findNameFault(name: string): null | string {
+  if (name === '') {
+    return 'it has no name';
+  }
+
+  return name.trim() !== name || /[\0-\x1f\x7f]/.test(name)
+    ? 'its name begins or ends with a blank, or has control characters'
+    : null;
+}
+
 /**
- * Finds the first customer with an empty or duplicate name, a duplicate key or an invalid limit.
+ * Finds the first customer with an invalid or duplicate name, a duplicate key or an invalid limit.
  *
  * @param customers the customers
  * @returns its index and a description of the fault
@@ -46,8 +57,12 @@
 ): null | {readonly index: number; readonly message: string} {
   const names = new Set<string>();
   for (const [index, {burst, name, ratePerSecond}] of customers.entries()) {
-    if (name === '' || names.has(name)) {
-      return {index, message: name === '' ? 'it has no name' : 'another one has the same name'};
+    const nameFault = findNameFault(name);
+    if (nameFault !== null) {
+      return {index, message: nameFault};
+    }
+    if (names.has(name)) {
+      return {index, message: 'another one has the same name'};
     }
     if (!(ratePerSecond >= 0 && burst >= 0)) {
       return {index, message: 'its rate and its burst must be numbers of at least 0'};
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetCustomers.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetCustomers.test.ts
@@ -14,7 +14,8 @@
 
 describe('findCustomerFault', () => {
   test('accepts valid customers, also without keys', () => {
-    expect(findCustomerFault([customerOf('a'), customerOf('b', {keys: []})])).toBeNull();
+    const others = [customerOf('b', {keys: []}), customerOf('Klub Šiška')];
+    expect(findCustomerFault([customerOf('a'), ...others])).toBeNull();
   });
 
   test.each<[string, readonly FleetCustomer[]]>([
@@ -22,6 +23,8 @@
     ['a key twice', [customerOf('a', {keys: [keyDigest('k'), keyDigest('k')]})]],
     ['a duplicate name', [customerOf('a'), customerOf('a', {keys: []})]],
     ['no name', [customerOf('')]],
+    ['a name with a line feed', [customerOf('a\nb')]],
+    ['a name that ends with a blank', [customerOf('a ')]],
     ['a rate below 0', [customerOf('a', {ratePerSecond: -1})]],
     ['a rate that is not a number', [customerOf('a', {ratePerSecond: Number.NaN})]],
     ['a burst below 0', [customerOf('a', {burst: -1})]],
--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -11,6 +11,9 @@
 
 import {errorMessage, registerTimeout} from 'stallpaddle';
 import {
+  encodeHeader,
+  encodePath,
+  engineHeaders,
   EventSplitter,
   forwardedHeaders,
   isFramedResponse,
@@ -54,7 +57,7 @@
   | {readonly kind: 'cut'}
   /** The engine answered with an error status. */
   | {readonly kind: 'failed'; readonly status: number}
-  | {readonly kind: 'notRun'; readonly reason: NotRunReason}
+  | {readonly error?: string; readonly kind: 'notRun'; readonly reason: NotRunReason}
   /** The run was to continue an output, and its engine is not known to be the start that was selected. */
   | {readonly check: StartCheck['kind']; readonly kind: 'unconfirmed'}
   /** `isFramed`: the answer states where it ends; otherwise it ended with its connection. */
@@ -135,7 +138,7 @@
     case 'mayHaveRun':
       return {kind: 'broken', reason: start.reason};
     case 'notRun':
-      return {kind: 'notRun', reason: start.reason};
+      return start;
   }
 }
 
@@ -151,14 +154,15 @@
   latencies: RelayLatencies,
   req: ItemRunRequest,
 ): ItemRun {
-  const ownHeaders = wire.engineHeaders({
+  const requestId = encodeHeader(req.id);
+  const ownHeaders = engineHeaders(wire, {
     customer: req.customer,
     deadlineMs: null,
     engine: req.engine.id,
-    requestId: req.id,
+    requestId,
     resumeAfter: req.lastEvent,
   });
-  const raw = req.headers.flat();
+  const raw = req.headers.flat().map(encodeHeader);
   const call = startEngineCall(wire, latencies, {
     address: req.engine.address,
     body: req.body,
@@ -168,8 +172,8 @@
       req.customer === undefined ? [] : wire.callerHeaders,
     ),
     method: 'POST',
-    path: req.path,
-    requestId: req.id,
+    path: encodePath(req.path),
+    requestId,
   });
   let clearIdleTimeout = registerTimeout(FIRST_EVENT_TIMEOUT_MS, call.close);
   const resetIdleTimeout = (): void => {
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -129,6 +129,10 @@
     const release = this.options.tasks.assign(task, engineId);
     try {
       await this.loadAndRun(task, engineId);
+    } catch (err) {
+      // An error that one item causes must not end the process, which runs the items of all customers.
+      this.decide('itemReturned', task, {engine: engineId, reason: errorMessage(err)});
+      task.notBefore = this.runtime.clock.monotonicMs() + RETRY_DELAY_MS;
     } finally {
       release();
     }
@@ -252,6 +256,8 @@
     const run = {digest: this.digestOf(task), engine, id: task.item.id, ...known};
     try {
       await suspects.noteInterruption(run);
+    } catch (err) {
+      this.decide('itemReturned', task, {engine: engine.id, reason: errorMessage(err)});
     } finally {
       task.notBefore = clock.monotonicMs();
       this.options.schedulePass();
@@ -310,8 +316,7 @@
       softwareVersion: UNCONFIRMED_SOFTWARE.softwareVersion,
     };
     task.run = taskRun;
-    const end = await run.ended;
-    task.run = undefined;
+    const end = await run.ended.finally(() => (task.run = undefined));
     this.options.urgency.estimates.addRun(
       taskRun.events,
       taskRun.lastEventAt - startedAt,
@@ -385,6 +390,7 @@
     this.decide('itemReturned', task, {
       check: 'check' in end ? end.check : undefined,
       engine: engine.id,
+      error: 'error' in end ? end.error : undefined,
       events: task.events,
       how: end.kind,
       reason: 'reason' in end ? end.reason : undefined,
@@ -404,7 +410,7 @@
         this.onItemFailure(task, end.status);
         return;
       case 'notRun':
-        if (end.reason !== 'declined') {
+        if (end.reason !== 'declined' && end.reason !== 'malformed') {
           this.options.engines.recordOutcome(engine, false);
         }
         task.notBefore = this.runtime.clock.monotonicMs() + RETRY_DELAY_MS;
--- a/packages/stallpaddle-jobs/src/JobsSurvey.ts
+++ b/packages/stallpaddle-jobs/src/JobsSurvey.ts
@@ -3,8 +3,7 @@
 import type {EngineView} from 'stallpaddle-fleet';
 import type {EngineControlRequest, EngineOccupancy, RelayWire} from 'stallpaddle-relay';
 
-import {request} from 'node:http';
-import {delay, type LogFields} from 'stallpaddle';
+import {delay, type LogFields, openRequest} from 'stallpaddle';
 import {mayContinue} from 'stallpaddle-fleet';
 import {splitAddress} from 'stallpaddle-relay';
 
@@ -39,7 +38,11 @@
 function call(address: string, {body, method, path}: EngineControlRequest): Promise<null | string> {
   return new Promise((resolve) => {
     const headers = {'content-length': Buffer.byteLength(body), 'content-type': 'application/json'};
-    const req = request({agent: false, headers, method, path, ...splitAddress(address)});
+    const req = openRequest({agent: false, headers, method, path, ...splitAddress(address)});
+    if (req instanceof Error) {
+      resolve(null);
+      return;
+    }
     const timer = setTimeout(() => req.destroy(), CALL_TIMEOUT_MS);
     req.on('response', (res) => {
       let text = '';
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -8,7 +8,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {JobsDispatcherOptions} from '../../JobsContext';
-import type {JobsChange, JobsState} from '../../JobsTypes';
+import type {JobsChange, JobsState, Submission, SubmittedItem} from '../../JobsTypes';
 
 import {MAX_STARTS_PER_PASS} from '../../JobsConstants';
 import {JobsDispatcher} from '../../JobsDispatcher';
@@ -44,6 +44,14 @@
   timeoutMs: 15_000,
 };
 
+function itemOf(at: number, parts = ''): SubmittedItem {
+  const headers = [
+    ['x-model', 'm'],
+    [PLAIN.sharedParts, parts],
+  ] as const;
+  return {body: Buffer.from(`body ${at}`), headers, id: `i${at}`, path: `/p/${at}`, tokens: 10};
+}
+
 /** Replication group in memory that commits each command at once. */
 class FakeGroup {
   readonly blobs = new Map<number, Uint8Array>();
@@ -60,26 +68,12 @@
 
   /** Submits a job; `partsOf` gives the shared parts of an item's prompt. */
   submit(items: number, partsOf: (at: number) => string = () => ''): void {
-    void this.propose({
-      kind: 'submit',
-      maxWaitingTokens: 0,
-      submission: {
-        host: 'h',
-        id: 'job',
-        items: Array.from({length: items}, (_, at) => ({
-          body: Buffer.from(`body ${at}`),
-          headers: [
-            ['x-model', 'm'],
-            [PLAIN.sharedParts, partsOf(at)],
-          ],
-          id: `i${at}`,
-          path: `/p/${at}`,
-          tokens: 10,
-        })),
-        path: '/p/job',
-        route: 'r',
-      },
-    });
+    this.submitItems(Array.from({length: items}, (_, at) => itemOf(at, partsOf(at))));
+  }
+
+  submitItems(items: readonly SubmittedItem[], changes: Partial<Submission> = {}): void {
+    const submission = {host: 'h', id: 'job', items, path: '/p/job', route: 'r', ...changes};
+    void this.propose({kind: 'submit', maxWaitingTokens: 0, submission});
   }
 
   textOf(result: number): string {
@@ -363,6 +357,50 @@
     expect(resumed).toHaveLength(1);
   });
 
+  // Guards against the end of the process, and so of all batch work, by the name of one customer or item.
+  test('sends names, headers and paths with letters beyond Latin-1', async () => {
+    const engines = await startEngines(1, 5, 2);
+    const group = new FakeGroup();
+    startLeader(group, () => viewOf(engines));
+    const item = {...itemOf(0), headers: [['x-note', 'a – b']] as const, id: 'é-š', path: '/p/š'};
+    group.submitItems([item], {customer: 'Klub Šiška'});
+    const [name] = [...group.state.jobs.keys()];
+    const results = () => group.state.jobs.get(name!)!.results.toArray();
+    await waitUntil(() => results().length === 1);
+    expect(results()).toMatchObject([{outcome: 'completed'}]);
+    const [{headers, url}] = engines[0]!.seen as [(typeof engines)[0]['seen'][0]];
+    const sent = [headers[PLAIN.customer], headers[PLAIN.request], headers['x-note'], url];
+    expect(sent.map((text) => Buffer.from(String(text), 'latin1').toString())).toEqual([
+      'Klub Šiška',
+      'é-š',
+      'a – b',
+      '/p/%C5%A1',
+    ]);
+  });
+
+  // Guards against the end of the process when an item of an earlier release, or an address of an engine, can't be sent.
+  test('runs the other items beside one that HTTP can’t carry and an engine that can’t be called', async () => {
+    const engines = await startEngines(2, 5, 2);
+    const group = new FakeGroup();
+    const decided: string[] = [];
+    const rejections: unknown[] = [];
+    const onRejection = (err: unknown): unknown => rejections.push(err);
+    process.on('unhandledRejection', onRejection);
+    cleanups.push(() => void process.off('unhandledRejection', onRejection));
+    const view = viewOf(engines);
+    const [last] = view.news.engines.slice(-1);
+    const unreachable = {...last!, address: '127.0.0.1:99999', id: 'e9'};
+    const news = {...view.news, engines: [...view.news.engines, unreachable]};
+    startLeader(group, () => ({...view, asOf: systemClock.monotonicMs(), news}), {
+      decide: (decision, id, {reason}) => decided.push(`${decision} ${id} ${String(reason)}`),
+    });
+    group.submitItems([{...itemOf(0), path: '/p/a b'}, ...[1, 2, 3, 4, 5].map((at) => itemOf(at))]);
+    await waitUntil(() => group.results.length === 5, 8_000);
+    expect(group.results.map(({item}) => item).sort()).toEqual([1, 2, 3, 4, 5]);
+    expect(decided).toContain('itemReturned i0 malformed');
+    expect(rejections).toEqual([]);
+  });
+
   test('quarantines an item that ends engines, with one trial run and no result, and runs the other items', async () => {
     const engines = await startEngines(6, 5, 2);
     engines.forEach((engine) => engine.fatal.add('body 0'));
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -23,6 +23,7 @@
 } from './JobsQueries';
 export {JobsShares, type JobsSharesOptions} from './JobsShares';
 export {JobsSpeeds, type JobsSpeedsOptions, type SpeedReport} from './JobsSpeeds';
+export {findSubmissionFault} from './JobsSubmission';
 export type {
   EndJob,
   ItemEnd,
--- a/packages/stallpaddle-node/src/NodeJobCalls.ts
+++ b/packages/stallpaddle-node/src/NodeJobCalls.ts
@@ -1,10 +1,15 @@
 /** Job calls of callers. */
 import type {Clock} from 'stallpaddle';
 import type {FleetRoute} from 'stallpaddle-fleet';
-import type {JobsAnswer, JobsRequest, SubmittedItem} from 'stallpaddle-jobs';
 import type {RelayCaller} from 'stallpaddle-relay';
 
 import {RefusalError, refuse, unreachable} from 'stallpaddle';
+import {
+  findSubmissionFault,
+  type JobsAnswer,
+  type JobsRequest,
+  type SubmittedItem,
+} from 'stallpaddle-jobs';
 
 import type {NodeGroupClient} from './NodeGroupClient';
 import type {NodeLog} from './NodeLog';
@@ -53,6 +58,10 @@
     if ('kind' in read) {
       throw refuse('badRequest', read.message);
     }
+    const fault = findSubmissionFault(read.items);
+    if (fault !== null) {
+      throw refuse('badRequest', fault);
+    }
     const submission = {
       customer: customerOf(caller),
       host: call.headers.host ?? '',
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -4,8 +4,7 @@
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
 
-import {request} from 'node:http';
-import {registerResetDetector, registerTimeout} from 'stallpaddle';
+import {openRequest, registerResetDetector, registerTimeout} from 'stallpaddle';
 
 import type {RelayLatencies} from './RelayLatencies';
 import type {RelayWire, ResponseMetadata} from './RelayWire';
@@ -28,6 +27,8 @@
   | 'noConnection'
   /** The engine declined the request: it is full or draining. */
   | 'declined'
+  /** HTTP or TCP can't carry the request or the engine's address. */
+  | 'malformed'
   /** Another engine has the address. */
   | 'otherEngine';
 
@@ -35,7 +36,8 @@
 export type EngineCallStart =
   | {readonly kind: 'answer'; readonly metadata: ResponseMetadata; readonly res: IncomingMessage}
   | {readonly kind: 'mayHaveRun'; readonly reason: string}
-  | {readonly kind: 'notRun'; readonly reason: NotRunReason};
+  /** `error`: details for the log. */
+  | {readonly error?: string; readonly kind: 'notRun'; readonly reason: NotRunReason};
 
 /** An attempt in progress. */
 export interface EngineCall {
@@ -104,7 +106,7 @@
   let connected = false;
   let out: ClientRequest | undefined;
   const started = new Promise<EngineCallStart>((resolve) => {
-    out = request({
+    const opened = openRequest({
       agent: false,
       headers,
       host,
@@ -112,6 +114,11 @@
       path: req.path,
       port,
     });
+    if (opened instanceof Error) {
+      resolve({error: opened.message, kind: 'notRun', reason: 'malformed'});
+      return;
+    }
+    out = opened;
     registerResetDetector(out);
     const openedAt = performance.now();
     const onTimeout = (): void => {
--- a/packages/stallpaddle-relay/src/RelayEngineRequest.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineRequest.ts
@@ -7,7 +7,7 @@
 import type {RelayRequest} from './RelayTypes';
 import type {EngineCallMetadata, RelayWire} from './RelayWire';
 
-import {forwardedHeaders} from './RelayHeaders';
+import {engineHeaders, forwardedHeaders} from './RelayHeaders';
 
 /**
  * Builds the request for an engine.
@@ -24,7 +24,7 @@
   attempt: Pick<EngineCallMetadata, 'deadlineMs' | 'resumeAfter'>,
 ): EngineRequest {
   const {requestId} = metadata;
-  const headers = wire.engineHeaders({
+  const headers = engineHeaders(wire, {
     ...attempt,
     customer: caller.kind === 'customer' ? caller.name : undefined,
     engine: id,
--- a/packages/stallpaddle-relay/src/RelayEngineSelector.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineSelector.ts
@@ -220,6 +220,7 @@
           this.attempted.delete(this.last);
         }
         return;
+      case 'malformed':
       case 'noConnection':
       case 'otherEngine':
         // An engine that has exited says nothing about the load of others, so this doesn't count as a decline.
--- a/packages/stallpaddle-relay/src/RelayHeaders.ts
+++ b/packages/stallpaddle-relay/src/RelayHeaders.ts
@@ -1,7 +1,7 @@
 /**
  * Headers that are forwarded between connections.
  */
-import type {HeaderLine} from './RelayWire';
+import type {EngineCallMetadata, HeaderLine, RelayWire} from './RelayWire';
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1) and those that are set again from the body. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
@@ -18,6 +18,44 @@
   'upgrade',
 ]);
 
+/**
+ * Encodes text for a header as UTF-8. Node sends each character of a header as one byte.
+ *
+ * @param text the text, not a header as it was received
+ */
+export function encodeHeader(text: string): string {
+  return Buffer.from(text).toString('latin1');
+}
+
+/**
+ * Percent-encodes the characters of a path beyond ASCII (RFC 3986), and no others.
+ *
+ * @param path the path
+ */
+export function encodePath(path: string): string {
+  return encodeHeader(path).replaceAll(
+    /[\x80-\xff]/g,
+    (byte) => `%${byte.charCodeAt(0).toString(16).toUpperCase()}`,
+  );
+}
+
+/**
+ * Headers of a request to an engine, with the names of the customer and the engine encoded.
+ *
+ * @param wire format of the headers
+ * @param metadata metadata of the request
+ */
+export function engineHeaders(
+  wire: RelayWire,
+  {customer, engine, ...metadata}: EngineCallMetadata,
+): readonly HeaderLine[] {
+  return wire.engineHeaders({
+    ...metadata,
+    customer: customer === undefined ? undefined : encodeHeader(customer),
+    engine: encodeHeader(engine),
+  });
+}
+
 function lowerCase(name: string): string {
   return name.toLowerCase();
 }
--- a/packages/stallpaddle-relay/src/RelayProbe.ts
+++ b/packages/stallpaddle-relay/src/RelayProbe.ts
@@ -2,15 +2,16 @@
  * Probe of an engine: whether it still runs, and whether it is the start that the fleet status names. An engine that has
  * exited refuses connections, another engine has its address, or it has started again under its id.
  */
+import type {IncomingMessage} from 'node:http';
 import type {EngineView} from 'stallpaddle-fleet';
 
-import {type IncomingMessage, request} from 'node:http';
-import {delay, registerTimeout} from 'stallpaddle';
+import {delay, openRequest, registerTimeout} from 'stallpaddle';
 import {UNKNOWN_START} from 'stallpaddle-fleet';
 
 import type {RelayWire} from './RelayWire';
 
 import {splitAddress} from './RelayEngineCall';
+import {engineHeaders} from './RelayHeaders';
 
 /** Number of probes of one engine: a live one may refuse connections for a moment. */
 const MAX_PROBES = 3;
@@ -100,19 +101,23 @@
 function probe(wire: RelayWire, engine: EngineView, timeoutMs: number): Promise<ProbeResult> {
   return new Promise((resolve) => {
     let connected = false;
-    const headerLines = wire.engineHeaders({
+    const headerLines = engineHeaders(wire, {
       deadlineMs: timeoutMs,
       engine: engine.id,
       requestId: PROBE_REQUEST_ID,
       resumeAfter: null,
     });
     const headers = Object.fromEntries(headerLines);
-    const req = request({
+    const req = openRequest({
       agent: false,
       headers,
       path: wire.occupancyPath,
       ...splitAddress(engine.address),
     });
+    if (req instanceof Error) {
+      resolve({kind: 'unknown'});
+      return;
+    }
     const cancelTimeout = registerTimeout(timeoutMs, () => {
       resolve({kind: 'unknown'});
       req.destroy();
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -360,6 +360,7 @@
         this.selector.noteNotRun(start.reason);
         this.context.decide('declined', this.req.metadata.requestId, {
           engine: engine.id,
+          error: start.error,
           reason: start.reason,
         });
         if (this.selector.isDeclined && this.turn?.isCallersReturn !== true) {
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
@@ -8,20 +8,20 @@
 import {PLAIN, plainRelay} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
-import {startEngineCall} from '../../RelayEngineCall';
+import {type EngineCallStart, type EngineRequest, startEngineCall} from '../../RelayEngineCall';
 import {RelayLatencies} from '../../RelayLatencies';
 
 /** Number of resets; the failure occurs only in some of them. */
 const RESETS = 300;
 const ENDS = 50;
-let server: Server;
+let server: Server | undefined;
 
 afterEach(() => {
-  server.close();
+  server?.close();
 });
 
 async function startEngine(how: 'end' | 'reset'): Promise<string> {
-  server = createServer((req, res) => {
+  const created = createServer((req, res) => {
     req.resume();
     res.useChunkedEncodingByDefault = false;
     res.shouldKeepAlive = false;
@@ -31,8 +31,21 @@
     // The data and the end are both pending when the caller reads.
     setImmediate(() => (how === 'end' ? res.end() : req.socket.resetAndDestroy()));
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  server = created;
+  await new Promise<void>((resolve) => created.listen(0, '127.0.0.1', resolve));
+  return `127.0.0.1:${(created.address() as AddressInfo).port}`;
+}
+
+/** Starts a call that must not reach an engine. */
+function startOf(changes: Partial<EngineRequest>): Promise<EngineCallStart> {
+  const req = {
+    address: '127.0.0.1:1',
+    body: Buffer.from('b'),
+    headers: ['Host', 'h'],
+    method: 'POST',
+  };
+  const whole = {...req, path: '/', requestId: 'r', ...changes};
+  return startEngineCall(plainRelay, new RelayLatencies(), whole).started;
 }
 
 async function isComplete(address: string, requestId: string): Promise<boolean> {
@@ -98,3 +111,14 @@
     expect(await countComplete(await startEngine('end'), ENDS)).toBe(ENDS);
   }, 30_000);
 });
+
+describe('a request that can’t be sent', () => {
+  // Guards against the end of the process by a rejection that nobody handles.
+  test.each<[string, Partial<EngineRequest>]>([
+    ['a header with a line feed', {headers: ['x-note', 'a\nb']}],
+    ['a path with a blank', {path: '/a b'}],
+    ['a port out of range', {address: '127.0.0.1:99999'}],
+  ])('did not run: %s', async (_, changes) => {
+    expect(await startOf(changes)).toMatchObject({kind: 'notRun', reason: 'malformed'});
+  });
+});
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -15,7 +15,7 @@
 export {type EngineIncarnation, RelayEngineHealth} from './RelayEngineHealth';
 export {EventSplitter, isNextEvent, type StreamEvent} from './RelayEvents';
 export {type FleetLoadDetails, RelayFleetLoad} from './RelayFleetLoad';
-export {forwardedHeaders} from './RelayHeaders';
+export {encodeHeader, encodePath, engineHeaders, forwardedHeaders} from './RelayHeaders';
 export {type DisconnectReason, RelayHeldBytes} from './RelayHeldBytes';
 export {RelayLatencies} from './RelayLatencies';
 export {type OnlineCounts, RelayOnlineLoad} from './RelayOnlineLoad';
