Items keep the route that accepted their job when others are added

Cause: `JobsUrgency.routeOf` looked the route up by the job's path in the newest configuration. The store's log has mostAgeMs=0 and mostFailures=2, the values of the streaming route; the batch route has 60,000 and 3. The line didn't name the route, now it does.

Ruled out: a configuration without the batch route (its other jobs complete), the group's clock (ageMs is right), failures of engines.

Change: a job goes by the batch route whose name it was accepted under, with its current settings. If that one was removed or takes no jobs any more, another batch route with the job's path takes its place. The same lookup gave items the service and limits of a batch route added under the prefix; fixed with it (FleetConfigs).

Why it works: what may end an item (age, failures, a removed route) now comes from the route that promised to keep it.

--- a/packages/stallpaddle-fleet/src/FleetConfigs.ts
+++ b/packages/stallpaddle-fleet/src/FleetConfigs.ts
@@ -54,8 +54,16 @@
     : {message: `A customer: ${fault.message}.`, path: `customers.${fault.index}`};
 }
 
+/** Where a job was submitted, and the name of the route that accepted it. */
+export interface JobOrigin {
+  readonly host: string;
+  readonly path: string;
+  readonly route: string;
+}
+
 /** Looks up routes by host and longest path prefix; built once for each configuration. */
 export class RouteTable {
+  private readonly batchByName = new Map<string, FleetRoute[]>();
   private readonly byHost = new Map<string, FleetRoute[]>();
 
   /**
@@ -66,6 +74,9 @@
       const known = this.byHost.get(route.host) ?? [];
       known.push(route);
       this.byHost.set(route.host, known);
+      if (route.kind === 'batch') {
+        this.batchByName.set(route.name, [...(this.batchByName.get(route.name) ?? []), route]);
+      }
     }
     this.byHost.forEach((routes) =>
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
@@ -82,6 +93,23 @@
     return this.byHost.get(host)?.find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
 
+  /**
+   * Returns the route of an accepted job: the batch route that accepted it, even if the job's path now belongs to another
+   * route. If that one was removed, another batch route with the job's path takes its place.
+   *
+   * @param job the job
+   */
+  findForJob({host, path, route}: JobOrigin): FleetRoute | undefined {
+    const hasPath = (other: FleetRoute): boolean =>
+      other.host === host && path.startsWith(other.pathPrefix);
+    const named = this.batchByName.get(route) ?? [];
+    return (
+      named.find(hasPath) ??
+      named[0] ??
+      this.byHost.get(host)?.find((other) => other.kind === 'batch' && hasPath(other))
+    );
+  }
+
   /**
    * Whether callers without a customer key may submit and read jobs at a host.
    *
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
@@ -61,4 +61,20 @@
     expect(table.find('a.example', '/ab/c')).toBeUndefined();
     expect(table.find('c.example', '/a/c')).toBeUndefined();
   });
+
+  // Guards against accepted jobs that lose their route, or get the wrong service, when routes are added beside it.
+  test('keeps the batch route that accepted a job, and replaces it only once it was removed', () => {
+    const own = routeOf('own', {kind: 'batch', pathPrefix: '/a/'});
+    const inner = routeOf('inner', {kind: 'batch', pathPrefix: '/a/b/'});
+    const stream = routeOf('stream', {pathPrefix: '/a/b/c/'});
+    const elsewhere = routeOf('own', {host: 'b.example', kind: 'batch', pathPrefix: '/x/'});
+    const job = {host: 'a.example', path: '/a/b/c/job', route: 'own'};
+    const foundIn = (...routes: FleetRoute[]) => new RouteTable(configOf(routes)).findForJob(job);
+    expect(foundIn(own, inner, stream)).toBe(own);
+    expect(foundIn(elsewhere, inner, own, stream)).toBe(own);
+    expect(foundIn(elsewhere, inner)).toBe(elsewhere);
+    expect(foundIn(inner, stream)).toBe(inner);
+    expect(foundIn(stream)).toBeUndefined();
+    expect(foundIn({...own, kind: 'streaming'})).toBeUndefined();
+  });
 });
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -1,5 +1,5 @@
 /** Replicated state of the control group, and the fleet status that processes watch. */
-export {type ConfigFault, findConfigFault, RouteTable} from './FleetConfigs';
+export {type ConfigFault, findConfigFault, type JobOrigin, RouteTable} from './FleetConfigs';
 export {CustomerTable, findCustomerFault, keyDigest, withoutSource} from './FleetCustomers';
 export {
   applyStatusDelta,
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -465,6 +465,7 @@
       failures: task.item.failures,
       mostAgeMs: route?.giveUpAfterMs,
       mostFailures: route?.maxAttempts,
+      route: route?.name,
       viewAgeMs: Math.round(this.runtime.clock.monotonicMs() - this.runtime.view().asOf),
       why,
     });
--- a/packages/stallpaddle-jobs/src/JobsUrgency.ts
+++ b/packages/stallpaddle-jobs/src/JobsUrgency.ts
@@ -68,11 +68,11 @@
   ) {}
 
   /**
-   * Route of an item in the current configuration.
+   * Route of an item, as it is in the current configuration.
    *
    * @param view the fleet view
    * @param task the item
-   * @returns undefined when no route matches, or no configuration is known
+   * @returns undefined when the route was removed and no other takes its place, or no configuration is known
    */
   routeOf({config}: FleetView, task: Task): FleetRoute | undefined {
     if (config === null) {
@@ -81,7 +81,7 @@
     if (this.routes?.version !== config.version) {
       this.routes = {table: new RouteTable(config), version: config.version};
     }
-    return this.routes.table.find(task.job.host, task.job.path);
+    return this.routes.table.findForJob(task.job);
   }
 
   /**
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -901,6 +901,28 @@
     expect(engines[0]!.seen).toHaveLength(0);
   });
 
+  // Guards against accepted items that are given up because another route is added for their path.
+  test('items keep the route that accepted them when another one is added under its prefix', async () => {
+    const engines = await startEngines(1, 60, 10);
+    const group = new FakeGroup();
+    const added: FleetRoute = {
+      ...ROUTE,
+      giveUpAfterMs: 0,
+      kind: 'streaming',
+      name: 'added',
+      pathPrefix: '/p/3/',
+      split: [{service: 'other', weight: 1}],
+    };
+    let view = viewOf(engines);
+    startLeader(group, () => ({...view, asOf: systemClock.monotonicMs()}));
+    group.submitItems([itemOf(0), itemOf(1)], {path: '/p/3/job'});
+    await waitUntil(() => engines[0]!.seen.length > 0);
+    view = {...view, config: {...view.config!, routes: [added, ROUTE], version: 2}};
+    await waitUntil(() => group.results.length === 2, 8_000);
+    expect(group.results.map(({outcome}) => outcome)).toEqual(['completed', 'completed']);
+    expect(engines[0]!.seen.filter(({aborted}) => aborted)).toEqual([]);
+  });
+
   test('cancels the runs of a cancelled job, and gives up items whose route was removed', async () => {
     const engines = await startEngines(1, 500, 10);
     const group = new FakeGroup();
