--- a/packages/stallpaddle-fleet/src/FleetTypes.ts
+++ b/packages/stallpaddle-fleet/src/FleetTypes.ts
@@ -20,7 +20,7 @@
 
 /** Settings for the requests of one host that share a path prefix. */
 export interface FleetRoute {
-  /** Time after which a batch item may be abandoned, in milliseconds; 0 for other kinds. */
+  /** Time after which a batch item may be given up, in milliseconds; infinite if it may not, and for other kinds. */
   readonly giveUpAfterMs: number;
   readonly host: string;
   /** Whether requests need no customer key; defaults to false. */
