Items under which engines crashed are placed again soon after

A report of the users: during a burst of crashes several engines died while they ran the same sound item; afterwards all was calm, and the item was not placed again.

Cause: items were quarantined like requests that crash engines. Each end under an item counted against its digest and multiplied the wait for its next run by five, up to ten minutes; and against the shared parts of its prompt, whose trials come after 10 s, 60 s and ten minutes. The store's log (`itemHeld`, level and waitMs) tells the hold from other reasons to wait.

Evidence: with four crashes under one item the new test found no result after 30 s; with a part whose trials had failed three times none of four items ran within 15 s; and requests that share a part with such items were refused at each VM (503, 4 of 4) although none of them had met a crash. Ruled out: engines that are avoided, and routes or versions that bind the item.

Change: an end under an item counts against nothing. After a second end in a row the item waits 3 s, however many there were. A part that online requests have quarantined holds items for 10 s at most, then one of them runs as a trial for all. Online requests keep their quarantine.

--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -1,6 +1,6 @@
 /** Runs of batch items on engines. */
 import type {EngineId, LogFields, MonotonicMs} from 'stallpaddle';
-import type {InterruptedRun, QuarantinedGroup} from 'stallpaddle-relay';
+import type {QuarantinedGroup} from 'stallpaddle-relay';
 import type {Term} from 'stallpaddle-replication';
 
 import {errorMessage, unreachable} from 'stallpaddle';
@@ -9,14 +9,12 @@
   type EngineView,
   type FleetRoute,
   mayContinue,
-  QUARANTINE_LEVEL,
   UNKNOWN_SOFTWARE,
 } from 'stallpaddle-fleet';
 import {
   isStarting,
   RelayLatencies,
   RelayStarts,
-  requestDigest,
   SERVER_ERROR,
   UNCONFIRMED_SOFTWARE,
 } from 'stallpaddle-relay';
@@ -31,14 +29,11 @@
 import {JobsEndRecorder} from './JobsEndRecorder';
 import {type ItemRun, type ItemRunEnd, startItemRun} from './JobsItemRun';
 import {restartTask} from './JobsTasks';
-import {nextTrial} from './JobsTrial';
+import {nextRunDelayMs, PartsTrials} from './JobsTrial';
 
 /** Status (RFC 9110) of an item that no engine can process. */
 const UNPROCESSABLE = 422;
 
-/** Suspicion levels of an item and of the shared parts of its prompt when a run started. */
-type KnownLevels = Pick<InterruptedRun, 'known' | 'parts'>;
-
 /** Whether the run's end may be the exit of its engine. */
 function mayBeCrash(end: ItemRunEnd): boolean {
   return end.kind === 'broken' || (end.kind === 'whole' && !end.isFramed);
@@ -69,6 +64,7 @@
   private readonly ends: JobsEndRecorder;
   private readonly runtime: JobsDispatcherOptions;
   private readonly latencies = new RelayLatencies();
+  private readonly partsTrials = new PartsTrials();
   private readonly starts: RelayStarts;
 
   /**
@@ -150,7 +146,7 @@
     } finally {
       task.startingOn = undefined;
     }
-    if (this.isQuarantined(task) || !(await this.mayRunParts(task))) {
+    if (!(await this.mayRunParts(task))) {
       return;
     }
     // Reading may have taken long: the engine may be draining by now, or another process may lead.
@@ -161,13 +157,6 @@
     }
   }
 
-  private digestOf(task: Task): string {
-    const {customer: caller = '', host} = task.job;
-    const {path} = task.item;
-    task.digest ??= requestDigest({body: task.body!, caller, host, method: 'POST', path});
-    return task.digest;
-  }
-
   /** Parts of the item's prompt that other requests may share. */
   private sharedPartsOf(task: Task): readonly string[] {
     task.sharedParts ??= this.runtime.wire.readSharedParts(
@@ -176,45 +165,24 @@
     return task.sharedParts;
   }
 
-  /** Number of engines that ended, one after the other, while they began to run an item. */
-  private suspectLevelOf(task: Task): number {
-    const {suspects} = this.runtime;
-    return suspects.isEmpty ? 0 : suspects.levelOf(this.digestOf(task));
-  }
-
-  /**
-   * Whether an item that may end engines is quarantined until its next trial. Quarantine records no end for the item,
-   * which still expires like any other.
-   */
-  private isQuarantined(task: Task): boolean {
-    const level = this.suspectLevelOf(task);
-    if (level < QUARANTINE_LEVEL) {
-      return false;
-    }
-    const now = this.runtime.clock.monotonicMs();
-    const previous = task.trial;
-    task.trial = nextTrial(previous, level, now);
-    if (now >= task.trial.at) {
-      return false;
-    }
-    if (task.trial !== previous) {
-      const waitMs = Math.round(task.trial.at - now);
-      this.decide('itemHeld', task, {digest: task.digest, level, waitMs});
-    }
-    task.notBefore = now + QUARANTINE_CHECK_MS;
-    return true;
-  }
-
   /** Whether a quarantined part of the prompt holds the item; the check takes no slot of an engine. */
   private isHeldByParts(task: Task): boolean {
     const verdict = this.runtime.suspects.parts.verdictOn(this.sharedPartsOf(task));
-    if (verdict.kind !== 'held' || task.triedParts === verdict.group.parts.join()) {
+    if (verdict.kind !== 'held' || this.mayTryParts(task, verdict.group)) {
       return false;
     }
     this.holdForParts(task, verdict.group);
     return true;
   }
 
+  /** Whether the item may run with a quarantined group, as its trial has begun or has been due for too long. */
+  private mayTryParts(task: Task, {parts}: QuarantinedGroup): boolean {
+    const name = parts.join();
+    return (
+      task.triedParts === name || this.partsTrials.isDue(name, this.runtime.clock.monotonicMs())
+    );
+  }
+
   /** Whether the parts of the prompt allow a run, which may be the one trial of a quarantined part. */
   private async mayRunParts(task: Task): Promise<boolean> {
     const {parts} = this.runtime.suspects;
@@ -227,9 +195,11 @@
     if (task.triedParts === name) {
       return true;
     }
-    if (verdict.kind === 'trialDue' && (await parts.requestTrial(group))) {
+    const isGranted = verdict.kind === 'trialDue' && (await parts.requestTrial(group));
+    if (isGranted || this.mayTryParts(task, group)) {
       task.triedParts = name;
-      this.decide('itemTried', task, {parts: name, trials: group.trials});
+      this.partsTrials.noteTrial(name, this.runtime.clock.monotonicMs());
+      this.decide('itemTried', task, {isGranted, parts: name, trials: group.trials});
       return true;
     }
     this.holdForParts(task, group);
@@ -249,29 +219,32 @@
     return isStarting({events, firstAt: firstEventAt}, this.runtime.clock.monotonicMs());
   }
 
-  /** Checks whether the engine of a broken run has ended; the item waits for the result. */
-  private async onBrokenRun(task: Task, engine: EngineView, known: KnownLevels): Promise<void> {
+  /**
+   * Checks whether the engine of a broken run has ended; the item waits for the result. An end counts neither against the item,
+   * which is owed a result, nor against the parts that requests share with it.
+   */
+  private async onBrokenRun(task: Task, engine: EngineView): Promise<void> {
     const {clock, suspects} = this.runtime;
     task.notBefore = Infinity;
-    const run = {digest: this.digestOf(task), engine, id: task.item.id, ...known};
+    let waitMs = 0;
     try {
-      await suspects.noteInterruption(run);
+      if (await suspects.hasExited(engine)) {
+        task.endedEngines++;
+        waitMs = nextRunDelayMs(task.endedEngines);
+      }
     } catch (err) {
       this.decide('itemReturned', task, {engine: engine.id, reason: errorMessage(err)});
-    } finally {
-      task.notBefore = clock.monotonicMs();
-      this.options.schedulePass();
     }
-  }
-
-  private noteServed(task: Task): void {
-    if (this.suspectLevelOf(task) > 0) {
-      this.runtime.suspects.noteServed(this.digestOf(task));
+    if (waitMs > 0) {
+      this.decide('itemHeld', task, {endedEngines: task.endedEngines, waitMs});
     }
+    task.notBefore = clock.monotonicMs() + waitMs;
+    this.options.schedulePass();
   }
 
   /** Records that an engine has run the item past its start, which clears the parts of its prompt. */
-  private notePartsServed(task: Task): void {
+  private noteServed(task: Task): void {
+    task.endedEngines = 0;
     this.runtime.suspects.parts.noteServed(this.sharedPartsOf(task));
   }
 
@@ -298,10 +271,6 @@
       softwareVersion: engine.softwareVersion,
       viewAgeMs: Math.round(clock.monotonicMs() - this.runtime.view().asOf),
     });
-    const known = {
-      known: this.suspectLevelOf(task),
-      parts: this.runtime.suspects.parts.describe(this.sharedPartsOf(task)),
-    };
     const run = this.startRun(task, engine);
     const startedAt = clock.monotonicMs();
     const taskRun: TaskRun = {
@@ -325,7 +294,7 @@
     if (this.options.tasks.get(task.key) === task) {
       this.onRunEnd(task, engine, end, taskRun);
       if (mayBeCrash(end) && this.isStarting(taskRun)) {
-        void this.onBrokenRun(task, engine, known);
+        void this.onBrokenRun(task, engine);
       }
     }
   }
@@ -366,7 +335,6 @@
       if (!run.isCleared && !this.isStarting(run)) {
         run.isCleared = true;
         this.noteServed(task);
-        this.notePartsServed(task);
       }
     }
   }
@@ -382,7 +350,6 @@
   private noteComplete(task: Task, run: TaskRun, isFramed: boolean): void {
     if (isFramed || !this.isStarting(run)) {
       this.noteServed(task);
-      this.notePartsServed(task);
     }
   }
 
@@ -406,7 +373,7 @@
       case 'cut':
         return;
       case 'failed':
-        this.noteServed(task);
+        task.endedEngines = 0;
         this.onItemFailure(task, end.status);
         return;
       case 'notRun':
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -3,7 +3,6 @@
 import type {GroupMs} from 'stallpaddle-replication';
 
 import type {ItemRun} from './JobsItemRun';
-import type {ItemTrial} from './JobsTrial';
 import type {Job, JobId, JobItem, JobsState} from './JobsTypes';
 
 /** A run in progress. */
@@ -15,7 +14,7 @@
   events: number;
   /** Time of the first event; undefined before it. */
   firstEventAt: MonotonicMs | undefined;
-  /** The run got past its beginning, which clears the item of suspicion. */
+  /** The run got past its beginning. */
   isCleared: boolean;
   /** The run was preempted and is about to end. */
   isPreempted: boolean;
@@ -32,10 +31,10 @@
   body: Uint8Array | undefined;
   /** Data of the events so far: one entry per recorded part that was read, then one per event. */
   data: string[];
-  /** Digest of the item's request, the same for all runs; computed only while there are suspects. */
-  digest: string | undefined;
   /** Its end is queued or proposed, but not recorded yet. */
   ending: boolean;
+  /** Number of engines that ended, one after the other, while they began to run it. */
+  endedEngines: number;
   /** Quarantined parts that hold it, as last logged. */
   heldBy: string | undefined;
   /** Number of events of all runs so far. */
@@ -58,10 +57,8 @@
   sharedParts: readonly string[] | undefined;
   /** Version of the engine software that wrote the output; undefined before the first event, and where it is unknown. */
   softwareVersion: string | undefined;
-  /** Quarantined parts for whose trial the control group chose it; undefined once an engine has run it. */
+  /** Quarantined parts whose trial it is; undefined once an engine has run it. */
   triedParts: string | undefined;
-  /** Its next trial run; undefined if it was never quarantined. */
-  trial: ItemTrial | undefined;
   /** Engine on which it is starting, while its body is read. */
   startingOn: EngineId | undefined;
 }
@@ -73,7 +70,7 @@
     acceptedAt: job.acceptedAt,
     body: undefined,
     data: [],
-    digest: undefined,
+    endedEngines: 0,
     ending: false,
     events,
     heldBy: undefined,
@@ -90,7 +87,6 @@
     sharedParts: undefined,
     softwareVersion,
     startingOn: undefined,
-    trial: undefined,
     triedParts: undefined,
   };
 }
--- a/packages/stallpaddle-jobs/src/JobsTrial.ts
+++ b/packages/stallpaddle-jobs/src/JobsTrial.ts
@@ -1,51 +1,76 @@
-/** Timing of trial runs of quarantined items: pure functions. */
+/**
+ * Timing of runs of items during whose begin engines ended, and of items with quarantined parts. Items don't crash engines,
+ * and a burst of crashes may meet the same one several times: it is owed a result, so no wait grows with the number of ends.
+ */
 import type {MonotonicMs} from 'stallpaddle';
 
-import {FIRST_QUARANTINE_MS, QUARANTINE_LEVEL} from 'stallpaddle-fleet';
-
-/** The next trial run of a quarantined item. */
-export interface ItemTrial {
-  /** Earliest start. */
-  readonly at: MonotonicMs;
-  /** Suspect level that the delay was computed for. */
-  readonly level: number;
-}
+/** Number of engines that may end, one after the other, while they begin an item, before its next run waits. */
+const MAX_IMMEDIATE_ENDS = 1;
 
 /**
- * Delay before the first trial run, in milliseconds: long enough for engines to restart, and for another request to be
- * quarantined instead if that one ended them.
+ * Delay of the next run after a further end, in milliseconds. It lets engines restart, and bounds what an item costs all others if
+ * it does crash engines.
  */
-const FIRST_TRIAL_DELAY_MS = 3_000;
+export const ENDED_ENGINE_DELAY_MS = 3_000;
 
 /**
- * Factor by which the delay grows with each further engine that ends: 3, 15 and 75 s. An item that crashes engines crashed
- * four within 20 s; a longer delay kept an item that only ran beside three exits unlisted for ten minutes.
+ * Longest time for which items wait for the trial of a quarantined part of their prompts, in milliseconds: the delay of a part's first
+ * trial. Later trials of the fleet take up to a day.
  */
-const TRIAL_FACTOR = 5;
+export const MAX_PARTS_WAIT_MS = 10_000;
+
+/** Items check a held group each second; one that none has checked for longer was released meanwhile. */
+const GROUP_FORGOTTEN_MS = 5_000;
 
 /**
- * Delay before the trial run of an item at a suspect level, in milliseconds.
+ * Delay of an item's next run, in milliseconds.
  *
- * @param level number of engines that ended, one after the other, while they began to run it
+ * @param endedEngines number of engines that ended, one after the other, while they began to run it
  */
-export function trialDelayMs(level: number): number {
-  return Math.min(
-    FIRST_QUARANTINE_MS,
-    FIRST_TRIAL_DELAY_MS * TRIAL_FACTOR ** (level - QUARANTINE_LEVEL),
-  );
+export function nextRunDelayMs(endedEngines: number): number {
+  return endedEngines <= MAX_IMMEDIATE_ENDS ? 0 : ENDED_ENGINE_DELAY_MS;
 }
 
-/**
- * The next trial run of an item; the delay restarts when the suspect level changes.
- *
- * @param trial the trial run planned so far
- * @param level the current suspect level
- * @param now the current time
- */
-export function nextTrial(
-  trial: ItemTrial | undefined,
-  level: number,
-  now: MonotonicMs,
-): ItemTrial {
-  return trial?.level === level ? trial : {at: now + trialDelayMs(level), level};
+/** A group of quarantined parts that items wait for. */
+interface HeldGroup {
+  checkedAt: MonotonicMs;
+  /** Start of the wait: the first check, or the latest trial. */
+  since: MonotonicMs;
+}
+
+/** Trials that items make of quarantined groups of parts when the fleet grants none for too long; all items share them. */
+export class PartsTrials {
+  private readonly groups = new Map<string, HeldGroup>();
+
+  /**
+   * Whether an item may run as a trial of its own of a held group.
+   *
+   * @param group name of the group
+   * @param now the current time
+   */
+  isDue(group: string, now: MonotonicMs): boolean {
+    const known = this.groups.get(group);
+    const held =
+      known === undefined || now - known.checkedAt > GROUP_FORGOTTEN_MS
+        ? {checkedAt: now, since: now}
+        : known;
+    held.checkedAt = now;
+    this.groups.set(group, held);
+    return now - held.since >= MAX_PARTS_WAIT_MS;
+  }
+
+  /**
+   * Records that an item runs as a trial; the wait of all others starts again.
+   *
+   * @param group name of the group
+   * @param now the current time
+   */
+  noteTrial(group: string, now: MonotonicMs): void {
+    for (const [name, {checkedAt}] of this.groups) {
+      if (now - checkedAt > GROUP_FORGOTTEN_MS) {
+        this.groups.delete(name);
+      }
+    }
+    this.groups.set(group, {checkedAt: now, since: now});
+  }
 }
--- a/packages/stallpaddle-relay/src/RelaySuspects.ts
+++ b/packages/stallpaddle-relay/src/RelaySuspects.ts
@@ -143,6 +143,15 @@
     return this.reported(digest)?.holdMs || FIRST_QUARANTINE_MS;
   }
 
+  /**
+   * Checks whether an engine has exited, other than by a planned end.
+   *
+   * @param engine the engine, as it was when the request was sent
+   */
+  async hasExited(engine: EngineView): Promise<boolean> {
+    return !this.isDraining(engine) && hasExited(this.options.wire, engine);
+  }
+
   /**
    * Checks whether the engine of an interrupted run has exited, and if so raises the suspicion level of the run's
    * request: here at once, and for all processes by a record.
@@ -151,9 +160,9 @@
    * @returns whether the engine has exited
    */
   async noteInterruption(run: InterruptedRun): Promise<boolean> {
-    const {clock, decide, wire} = this.options;
+    const {clock, decide} = this.options;
     const {digest, engine, id, known, parts} = run;
-    if (this.isDraining(engine) || !(await hasExited(wire, engine))) {
+    if (!(await this.hasExited(engine))) {
       return false;
     }
     const before = this.levelOf(digest);
--- a/packages/stallpaddle-testing/src/FakeSuspectStore.ts
+++ b/packages/stallpaddle-testing/src/FakeSuspectStore.ts
@@ -84,7 +84,8 @@
     return {kind: after === undefined ? 'trialDenied' : 'applied'};
   }
 
-  private publish(): void {
+  /** Makes the stored suspects visible to the views. */
+  publish(): void {
     if (this.isShared) {
       this.views = [...this.suspects.values()].map(suspectView);
       this.partViews = suspectPartViews(this.parts, this.suspects);
