A probe of an engine that switches protocols ends

An item whose run broke off at its start waits until its engine has been probed, without a limit of its own. An engine that answers the probe with 101 and `Upgrade` made Node report the close alone, which resolved nothing: the item was never placed again, by this leader.

Change: a probe whose connection closes without a response says that the engine's state is unknown, as after an interrupted one.

--- a/packages/stallpaddle-relay/src/RelayProbe.ts
+++ b/packages/stallpaddle-relay/src/RelayProbe.ts
@@ -101,6 +101,7 @@
 function probe(wire: RelayWire, engine: EngineView, timeoutMs: number): Promise<ProbeResult> {
   return new Promise((resolve) => {
     let connected = false;
+    let responded = false;
     const headerLines = engineHeaders(wire, {
       deadlineMs: timeoutMs,
       engine: engine.id,
@@ -124,6 +125,7 @@
     });
     req.on('socket', (socket) => socket.once('connect', () => (connected = true)));
     req.on('response', (res) => {
+      responded = true;
       res.on('error', () => {});
       void readResult(wire, engine, res).then((result) => {
         resolve(result);
@@ -132,7 +134,12 @@
     });
     // A connection that was established and then broke shows neither that the engine is alive nor that it has exited.
     req.on('error', () => resolve({kind: connected ? 'unknown' : 'refused'}));
-    req.on('close', cancelTimeout);
+    req.on('close', () => {
+      cancelTimeout();
+      if (!responded) {
+        resolve({kind: 'unknown'});
+      }
+    });
     req.end();
   });
 }
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
@@ -1,8 +1,10 @@
 /**
- * Probes of engines whose address can't be connected to.
+ * Probes of engines whose address can't be connected to, and of those that respond with something else than a report.
  */
+import type {AddressInfo} from 'node:net';
 import type {EngineView} from 'stallpaddle-fleet';
 
+import {createServer} from 'node:net';
 import {plainRelay} from 'stallpaddle-testing';
 import {expect, test} from 'vitest';
 
@@ -26,3 +28,19 @@
   expect(await hasExited(plainRelay, ENGINE)).toBe(false);
   expect(await checkStart(plainRelay, ENGINE)).toEqual({kind: 'unknown'});
 });
+
+// Guards against an item that is never placed again because the check of its engine doesn't end.
+test('a response that switches protocols shows neither an exit nor a start', async () => {
+  const head = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n';
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.write(head));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  try {
+    expect(await hasExited(plainRelay, {...ENGINE, address})).toBe(false);
+  } finally {
+    server.close();
+  }
+});
