Items are not given up by a configuration older than their acceptance

An item may be accepted by an entry VM that knows a new batch route before the store that leads knows it. The dispatcher decides on a fleet status that is up to 1 s old: without the route it gave the item up as `noRoute`, which is final, or ran it at the service of a route with a shorter prefix.

Change: the dispatcher notes when it learned of an item. A status from before that gives nothing up, and no other route takes the place of the one that accepted the item. A status is at most 1 s old where items are started or given up, so this lasts as long at most.

The test failed before (both items given up); it runs the items once the route is known.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -199,7 +199,7 @@
       }
       return;
     }
-    this.tasks.sync(this.options.state());
+    this.tasks.sync(this.options.state(), this.options.clock.monotonicMs());
     // Runs continue while the lease has lapsed: lapses are often short, and no other leader is known.
     if (!this.isLeading()) {
       return;
@@ -357,6 +357,10 @@
     const view = this.options.view();
     const {clockMs, open} = this.options.state();
     for (const task of this.hasFreshView() && view.config !== null ? [...this.tasks.all()] : []) {
+      if (view.asOf < task.knownSince) {
+        // The status may lack the route that accepted the item.
+        continue;
+      }
       const route = this.urgency.routeOf(view, task);
       if (route === undefined || clockMs - task.acceptedAt > route.giveUpAfterMs) {
         task.run?.run.cancel();
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -43,6 +43,8 @@
   item: JobItem;
   readonly job: Job;
   readonly key: string;
+  /** When this dispatcher learned of it, which is later than its acceptance. */
+  readonly knownSince: MonotonicMs;
   lastEvent: string | null;
   /** Earliest time of the next run. */
   notBefore: MonotonicMs;
@@ -63,7 +65,7 @@
   startingOn: EngineId | undefined;
 }
 
-function taskOf(job: Job, index: number): Task {
+function taskOf(job: Job, index: number, knownSince: MonotonicMs): Task {
   const item = job.items[index]!;
   const {events = 0, lastEvent = null, restarts = 0, softwareVersion} = item.progress ?? {};
   return {
@@ -78,6 +80,7 @@
     item,
     job,
     key: `${job.id}/${index}`,
+    knownSince,
     lastEvent,
     notBefore: -Infinity,
     restarts,
@@ -173,13 +176,14 @@
    * Updates the items to the group's state: adds new items, and cancels runs of items that have ended.
    *
    * @param state the group's state
+   * @param now the current time
    */
-  sync(state: JobsState): void {
+  sync(state: JobsState, now: MonotonicMs): void {
     for (const id of state.open.keys()) {
       const job = state.jobs.get(id)!;
       if (this.jobs.get(id) !== job) {
         this.jobs.set(id, job);
-        this.syncJob(job);
+        this.syncJob(job, now);
       }
     }
     for (const id of this.jobs.keys()) {
@@ -196,14 +200,14 @@
     }
   }
 
-  private syncJob(job: Job): void {
+  private syncJob(job: Job, now: MonotonicMs): void {
     job.items.forEach((item, index) => {
       const key = `${job.id}/${index}`;
       const task = this.tasks.get(key);
       if (item.outcome !== null) {
         this.remove(key);
       } else if (task === undefined) {
-        this.tasks.set(key, taskOf(job, index));
+        this.tasks.set(key, taskOf(job, index, now));
       } else {
         task.item = item;
       }
--- a/packages/stallpaddle-jobs/src/JobsUrgency.ts
+++ b/packages/stallpaddle-jobs/src/JobsUrgency.ts
@@ -68,20 +68,22 @@
   ) {}
 
   /**
-   * Route of an item, as it is in the current configuration.
+   * Route of an item, as it is in the current configuration. A status from before the item may lack the route that accepted
+   * it; no other one takes its place then.
    *
    * @param view the fleet view
    * @param task the item
    * @returns undefined when the route was removed and no other takes its place, or no configuration is known
    */
-  routeOf({config}: FleetView, task: Task): FleetRoute | undefined {
+  routeOf({asOf, config}: FleetView, task: Task): FleetRoute | undefined {
     if (config === null) {
       return undefined;
     }
     if (this.routes?.version !== config.version) {
       this.routes = {table: new RouteTable(config), version: config.version};
     }
-    return this.routes.table.findForJob(task.job);
+    const route = this.routes.table.findForJob(task.job);
+    return route?.name === task.job.route || asOf >= task.knownSince ? route : undefined;
   }
 
   /**
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -997,6 +997,25 @@
     expect(engines[0]!.seen.filter(({aborted}) => aborted)).toEqual([]);
   });
 
+  // Guards against items that are given up, or run at another service, by a configuration from before their route was added.
+  test('waits with an item whose route is newer than the known configuration', async () => {
+    const engines = await startEngines(1, 5, 2);
+    const group = new FakeGroup();
+    const older: FleetRoute = {...ROUTE, name: 'older', pathPrefix: '/'};
+    let routes = [older];
+    let asOf = systemClock.monotonicMs();
+    startLeader(group, () => ({...viewOf(engines, routes), asOf}));
+    await delay(100);
+    group.submit(2);
+    // Longer than the pause between two checks whether items are to be given up.
+    await delay(700);
+    expect([group.results, engines[0]!.seen]).toEqual([[], []]);
+    routes = [older, ROUTE];
+    asOf = Infinity;
+    await waitUntil(() => group.results.length === 2);
+    expect(group.results.map(({outcome}) => outcome)).toEqual(['completed', 'completed']);
+  });
+
   test('cancels the runs of a cancelled job, and gives up items whose route was removed', async () => {
     const engines = await startEngines(1, 500, 10);
     const group = new FakeGroup();
