A job's name with a malformed escape is answered 400

`/stallpaddle/lots/%` and `/stallpaddle/items/%`, with any method, closed the connection without a response: `decodeURIComponent` threw while the call was decoded. The control calls decode names with `decodePathName`, which reports a malformed one; the entry's calls use it now, too. An empty name is answered 400 as well (404 before).

Other decoders read: queries (`URLSearchParams` doesn't throw), headers and JSON bodies (schemas).

--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -354,6 +354,9 @@
     const jobCall = wire.readJobCall(call);
     if (jobCall !== null) {
       req.resume();
+      if (jobCall.kind === 'bad') {
+        throw refuse('badRequest', jobCall.message);
+      }
       sendResponse(res, await this.carryOut(jobCall, req));
       this.capacity.held.noteWrite(res);
       return;
--- a/packages/stallpaddle-node/src/NodeWire.ts
+++ b/packages/stallpaddle-node/src/NodeWire.ts
@@ -99,7 +99,7 @@
   /** The caller's key, undecoded; null for none. */
   readonly readKey: (headers: IncomingHttpHeaders) => string | null;
   /** Null for a request that is to be routed. */
-  readonly readJobCall: (call: Omit<RawRequest, 'body'>) => JobCall | null;
+  readonly readJobCall: (call: Omit<RawRequest, 'body'>) => JobCall | MalformedCall | null;
   readonly readSubmission: (call: RawRequest) => MalformedCall | JobSubmission;
   readonly relay: RelayWire;
 }
