JobsTurns: the fixture's jobs name the route that accepted them

The jobs of this fixture were made without the name of their route, which each submission has; since items go by it, and wait while a status from before them lacks it, they had none. The checks are unchanged.

--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsTurns.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsTurns.test.ts
@@ -39,7 +39,7 @@
 });
 
 function taskOf(customer: string, acceptedAt: number, run?: unknown): Task {
-  const job = {customer, host: 'h', path: '/p/'};
+  const job = {customer, host: 'h', path: '/p/', route: 'r'};
   const key = `${customer}${acceptedAt}`;
   return {acceptedAt, ending: false, events: 0, job, key, notBefore: 0, run} as unknown as Task;
 }
