--- a/packages/stallpaddle-fleet/src/FleetCustomers.ts
+++ b/packages/stallpaddle-fleet/src/FleetCustomers.ts
@@ -40,7 +40,6 @@
   if (name === '') {
     return 'it has no name';
   }
-
   return name.trim() !== name || /[\0-\x1f\x7f]/.test(name)
     ? 'its name begins or ends with a blank, or has control characters'
     : null;
