JobsTrial: the wait for a trial is bounded in the test

Under the deliberate fault "items wait until the fleet grants a trial" the test's loop never ended, and its worker ran on for 20 minutes. The check is as before.

--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsTrial.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsTrial.test.ts
@@ -23,7 +23,7 @@
   /** Time until a trial is due for items that check a group each second. */
   function waitMs(trials: PartsTrials, group: string, from: number): number {
     let now = from;
-    while (!trials.isDue(group, now)) {
+    while (!trials.isDue(group, now) && now - from <= MAX_PARTS_WAIT_MS) {
       now += CHECK_MS;
     }
     return now - from;
