--- a/packages/stallpaddle-jobs/src/JobsSubmission.ts
+++ b/packages/stallpaddle-jobs/src/JobsSubmission.ts
@@ -2,12 +2,10 @@
 import type {SubmittedItem} from './JobsTypes';
 
 /** Characters that HTTP allows in no header (RFC 9110, section 5.5). */
-
 const CONTROL_CHARACTER = /[\0-\x08\x0a-\x1f\x7f]/;
 /** A token, the form of a header's name (RFC 9110, section 5.6.2). */
 const TOKEN = /^[!#$%&'*+.^_`|~0-9a-z-]+$/i;
 /** A path without blanks and control characters; characters beyond ASCII are sent percent-encoded. */
-
 const PATH = /^\/[^\0-\x20\x7f]*$/;
 
 function findItemFault({headers, id, path}: SubmittedItem): null | string {
