Hosts of routes are compared without case, port and final dot

What callers saw: 404 for a configured route when the Host header carries a port, as most HTTP clients send it, or another case; and a configuration with two routes for one host and prefix was confirmed if the hosts differed in case, so that one of the two was never obeyed.

Cause: the route table and the check for two routes at one place compared hosts byte by byte. HTTP defines them without case (RFC 9110), and the port belongs to the connection.

Change: one key for hosts in the check and in the table. A route whose host is configured with a port still has its requests alone.

Tests: FleetConfigs, six failed before.

--- a/packages/stallpaddle-fleet/src/FleetConfigs.ts
+++ b/packages/stallpaddle-fleet/src/FleetConfigs.ts
@@ -13,6 +13,18 @@
   readonly path: string;
 }
 
+/** Port, and the dot of a fully qualified name, at the end of a host. */
+const HOST_SUFFIX = /\.?(?::\d*)?$/;
+
+/** Form in which hosts are compared: their case does not matter (RFC 9110). */
+function hostKey(host: string): string {
+  return host.toLowerCase();
+}
+
+function withoutPort(host: string): string {
+  return host.replace(HOST_SUFFIX, '');
+}
+
 function routeFault(route: FleetRoute, services: ReadonlySet<string>): string | null {
   if (!route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/')) {
     return `the path prefix ${route.pathPrefix} must start and end with a slash`;
@@ -41,7 +53,7 @@
     if (fault !== null) {
       return {message: `Route ${route.name}: ${fault}.`, path: `routes.${index}`};
     }
-    const place = `${route.host} ${route.pathPrefix}`;
+    const place = `${hostKey(route.host)} ${route.pathPrefix}`;
     if (places.has(place)) {
       const message = `Route ${route.name}: another route has the same host and path prefix.`;
       return {message, path: `routes.${index}`};
@@ -71,9 +83,10 @@
    */
   constructor(config: FleetConfig) {
     for (const route of config.routes) {
-      const known = this.byHost.get(route.host) ?? [];
+      const host = hostKey(route.host);
+      const known = this.byHost.get(host) ?? [];
       known.push(route);
-      this.byHost.set(route.host, known);
+      this.byHost.set(host, known);
       if (route.kind === 'batch') {
         this.batchByName.set(route.name, [...(this.batchByName.get(route.name) ?? []), route]);
       }
@@ -90,7 +103,7 @@
    * @param path the request's path, with or without a query
    */
   find(host: string, path: string): FleetRoute | undefined {
-    return this.byHost.get(host)?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+    return this.routesOf(host).find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
 
   /**
@@ -100,13 +113,14 @@
    * @param job the job
    */
   findForJob({host, path, route}: JobOrigin): FleetRoute | undefined {
+    const ofHost = this.routesOf(host);
     const hasPath = (other: FleetRoute): boolean =>
-      other.host === host && path.startsWith(other.pathPrefix);
+      ofHost.includes(other) && path.startsWith(other.pathPrefix);
     const named = this.batchByName.get(route) ?? [];
     return (
       named.find(hasPath) ??
       named[0] ??
-      this.byHost.get(host)?.find((other) => other.kind === 'batch' && hasPath(other))
+      ofHost.find((other) => other.kind === 'batch' && hasPath(other))
     );
   }
 
@@ -117,6 +131,12 @@
    */
   takesJobsOfAnybody(host: string): boolean {
     const isOpen = ({isPublic, kind}: FleetRoute): boolean => kind === 'batch' && isPublic === true;
-    return this.byHost.get(host)?.some(isOpen) ?? false;
+    return this.routesOf(host).some(isOpen);
+  }
+
+  /** Routes of a host; one that is configured without a port has the requests for any of its ports. */
+  private routesOf(host: string): readonly FleetRoute[] {
+    const key = hostKey(host);
+    return this.byHost.get(key) ?? this.byHost.get(withoutPort(key)) ?? [];
   }
 }
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetConfigs.test.ts
@@ -39,6 +39,11 @@
   test.each<[string, readonly FleetRoute[]]>([
     ['an unknown service', [routeOf('a', {split: [{service: 'x', weight: 1}]})]],
     ['two routes with the same host and prefix', [routeOf('a'), routeOf('b', {pathPrefix: '/a/'})]],
+    [
+      // Guards against two routes for the same requests, of which one is never obeyed.
+      'two routes whose hosts differ only in case',
+      [routeOf('a'), routeOf('b', {host: 'A.Example', pathPrefix: '/a/'})],
+    ],
     ['weights of 0', [routeOf('a', {split: [{service: 's', weight: 0}]})]],
     ['no service', [routeOf('a', {split: []})]],
     ['no time limit', [routeOf('a', {timeoutMs: 0})]],
@@ -49,6 +54,23 @@
 });
 
 describe('RouteTable', () => {
+  // Guards against a 404 for a configured route because the caller writes the host in another way.
+  test.each(['A.EXAMPLE', 'a.example:8161', 'a.example.', 'A.example.:8161'])(
+    'finds the routes of the host %s',
+    (host) => {
+      const table = new RouteTable(configOf([routeOf('a'), routeOf('b', {kind: 'batch'})]));
+      expect(table.find(host, '/a/1')?.name).toBe('a');
+      expect(table.findForJob({host, path: '/b/1', route: 'gone'})?.name).toBe('b');
+    },
+  );
+
+  test('prefers the routes of a host that is configured with its port', () => {
+    const routes = [routeOf('a'), routeOf('b', {host: 'a.example:81', pathPrefix: '/a/'})];
+    const table = new RouteTable(configOf(routes));
+    expect(table.find('a.example:81', '/a/1')?.name).toBe('b');
+    expect(table.find('a.example:82', '/a/1')?.name).toBe('a');
+  });
+
   test('selects the longest matching prefix of the host', () => {
     const routes = [
       routeOf('short', {pathPrefix: '/a/'}),
