Soak: the operator changes routes in series and probes every VM

Now each version adds a route, removes one and moves one to the other service; the operator sends versions in series, acknowledged ones again, and an invalid one before each; requests to all entry VMs show which version each obeys.

Checks: a confirmed version is in force in time (undisturbed fleet), no process goes back behind a version that it has obeyed (always), an invalid one is never confirmed, a valid one never refused. The earlier checks are unchanged; reads go to random VMs instead of by turns, as often as before.

--- a/packages/stallpaddle-soak/src/SoakChecker.ts
+++ b/packages/stallpaddle-soak/src/SoakChecker.ts
@@ -1,6 +1,7 @@
 /** Checks the history of a soak against the product's promises. Pure: uses only events observed from outside. */
 import type {SoakBounds, SoakBreak, SoakEvent, SoakPromise, SoakResult} from './SoakTypes';
 
+import {SoakConfigurationCheck} from './SoakConfigurations';
 import {SETTLE_AFTER_FAULT_MS, SoakDisturbances} from './SoakDisturbances';
 import {SoakFatals} from './SoakFatals';
 import {
@@ -37,9 +38,9 @@
 
 /** Checks one history, event by event. */
 class HistoryCheck {
-  private acceptedConfig: {readonly at: number; readonly version: number}[] = [];
   readonly breaks: SoakBreak[] = [];
   private readonly asked = new Map<string, EventOf<'asked'>>();
+  private readonly configurations: SoakConfigurationCheck;
   private readonly disturbances = new SoakDisturbances();
   private readonly fatals: SoakFatals;
   private readonly finishedRuns = new Set<string>();
@@ -50,13 +51,13 @@
   private readonly refused = new Set<string>();
   private readonly refusedJobs = new Set<string>();
   private readonly runs = new Map<string, number>();
-  private sentConfig = 0;
   private servedSince = 0;
   private readonly streams = new SoakStreams();
   private stops = new Map<string, number>();
   private unservedSince = 0;
 
   constructor(private readonly bounds: SoakBounds) {
+    this.configurations = new SoakConfigurationCheck(bounds);
     this.fatals = new SoakFatals(bounds.contactMs);
   }
 
@@ -73,13 +74,16 @@
         this.onBroken(event);
         return;
       case 'configAccepted':
-        this.acceptedConfig.push({at: event.at, version: event.version});
+        this.configurations.noteAccepted(event.at, event.version);
+        return;
+      case 'configRefused':
+        this.fail(event.at, 'acceptedConfigStays', `valid version ${event.version} was refused`);
         return;
       case 'configRead':
         this.onConfigRead(event);
         return;
       case 'configSent':
-        this.sentConfig = Math.max(this.sentConfig, event.version);
+        this.configurations.noteSent(event.version);
         return;
       case 'ended':
         this.onEnd(event.at);
@@ -97,6 +101,9 @@
       case 'finished':
         this.finishedRuns.add(event.id);
         return;
+      case 'invalidConfigAccepted':
+        this.fail(event.at, 'invalidConfigIsRefused', `confirmed: ${event.fault}`);
+        return;
       case 'jobAccepted':
         this.onJobAccepted(event);
         return;
@@ -132,6 +139,9 @@
           Math.min(event.at, this.leftAt.get(event.engine) ?? event.at),
         );
         return;
+      case 'probed':
+        this.onProbe(event);
+        return;
       case 'ran':
         this.onRun(event);
         return;
@@ -153,6 +163,11 @@
         this.stops.delete(fault.vm);
       }
     }
+    if (fault.kind === 'kill' || fault.kind === 'stop' || fault.kind === 'wipe') {
+      this.configurations.noteProcessEnd(fault.vm);
+    } else if (fault.kind === 'killAll') {
+      this.configurations.noteProcessEnd(null);
+    }
     this.disturbances.noteFault(at, fault, change);
   }
 
@@ -376,13 +391,11 @@
   }
 
   private onConfigRead({at, sentAt, version, vm}: EventOf<'configRead'>): void {
-    const due = this.acceptedConfig
-      .filter((accepted) => sentAt - accepted.at > this.bounds.applyMs)
-      .reduce((highest, accepted) => Math.max(highest, accepted.version), 0);
+    const due = this.configurations.dueAt(sentAt);
     if (version < due) {
       this.fail(at, 'acceptedConfigStays', `${vm} returned version ${version} after ${due}`);
     }
-    if (version > this.sentConfig) {
+    if (version > this.configurations.newest) {
       this.fail(
         at,
         'acceptedConfigStays',
@@ -391,6 +404,14 @@
     }
   }
 
+  private onProbe(event: EventOf<'probed'>): void {
+    const isTimely = this.disturbances.isUndisturbed(event.at);
+    const fault = this.configurations.check(event, isTimely);
+    if (fault !== undefined) {
+      this.fail(event.at, 'configIsInForce', fault);
+    }
+  }
+
   private onEnd(at: number): void {
     for (const [id, {acceptedAt, endAcceptedAt, items, results}] of this.jobs) {
       const listed = results.filter((result) => result !== undefined).length;
--- a/packages/stallpaddle-soak/src/SoakEngine.ts
+++ b/packages/stallpaddle-soak/src/SoakEngine.ts
@@ -5,6 +5,7 @@
 import PQueue from 'p-queue';
 import {delay, generateId, type Random} from 'stallpaddle';
 
+import type {SoakService} from './SoakConfigurations';
 import type {SoakHistory} from './SoakHistory';
 import type {EngineReport, SoakWire} from './SoakWire';
 
@@ -13,6 +14,7 @@
   eventText,
   fatalOf,
   IMPOSSIBLE,
+  isProbe,
   onceText,
   OUTPUT_EVENTS,
   SOFTWARE_VERSIONS,
@@ -28,6 +30,7 @@
   readonly name: string;
   readonly port: number;
   readonly random: Random;
+  readonly service: SoakService;
   /** Software version at the first start. */
   readonly softwareVersion: SoftwareVersion;
   readonly wire: SoakWire;
@@ -161,12 +164,13 @@
   }
 
   private nextReport(): EngineReport {
-    const {host, port, zone} = this.options;
+    const {host, port, service, zone} = this.options;
     return {
       address: `${host}:${port}`,
       isLeaving: this.isLeaving,
       name: this.name,
       sequence: ++this.sequence,
+      service,
       slots: ENGINE_SLOTS,
       softwareVersion: this.softwareVersion,
       startedAt: this.startedAt,
@@ -224,7 +228,9 @@
       res.writeHead(503, wire.declineHeaders(id)).end();
       return;
     }
-    history.note({engine: this.incarnation, id, kind: 'ran', resumeAfter});
+    if (!isProbe(id)) {
+      history.note({engine: this.incarnation, id, kind: 'ran', resumeAfter});
+    }
     this.running.set(id, res);
     res.on('close', () => this.running.get(id) === res && this.running.delete(id));
     if (id.includes(IMPOSSIBLE)) {
@@ -243,8 +249,11 @@
 
   private async runOnce(id: string, res: ServerResponse): Promise<void> {
     await this.pause(res);
-    res.writeHead(200, this.options.wire.engineHeaders(id)).end(onceText(id));
-    this.options.history.note({id, kind: 'finished'});
+    const text = isProbe(id) ? this.options.service : onceText(id);
+    res.writeHead(200, this.options.wire.engineHeaders(id)).end(text);
+    if (!isProbe(id)) {
+      this.options.history.note({id, kind: 'finished'});
+    }
   }
 
   private async stream(id: string, resumeAfter: number, res: ServerResponse): Promise<void> {
--- a/packages/stallpaddle-soak/src/SoakFleet.ts
+++ b/packages/stallpaddle-soak/src/SoakFleet.ts
@@ -8,9 +8,11 @@
 import type {SoakFault} from './SoakTypes';
 import type {SoakWire} from './SoakWire';
 
+import {SERVICES} from './SoakConfigurations';
 import {SoakEngine} from './SoakEngine';
 import {makeCall} from './SoakHttp';
 import {SoakLink} from './SoakLink';
+import {SoakOperator} from './SoakOperator';
 import {SOFTWARE_VERSIONS} from './SoakOutput';
 import {SoakProcess} from './SoakProcess';
 
@@ -70,6 +72,8 @@
   ready: 19_003,
 };
 const ENGINE_PORT = 19_100;
+/** Engines of the second service; no planned fault hits them. */
+const OTHER_ENGINES = 2;
 /** Range of the second octet of a soak's loopback addresses: random, so that several soaks can run at once. */
 const NETWORKS = {max: 250, min: 64};
 /** Longest wait until the fleet accepts work, in milliseconds. */
@@ -85,8 +89,9 @@
   private readonly hosts = new Map<string, string>();
   private readonly links = new Map<string, SoakLink>();
   private readonly network: string;
+  /** Changes, reads and probes the configuration. */
+  readonly operator: SoakOperator;
   private readonly processes = new Map<string, SoakProcess>();
-  private version = 1;
 
   /**
    * @param options options of the fleet
@@ -98,9 +103,13 @@
     this.name('entry', shape.entries);
     this.name('store', shape.stores);
     const random = seededRandom(seed);
-    this.engines = Array.from(
-      {length: shape.engines},
-      (_, at) =>
+    const [main, other] = SERVICES;
+    const services = [
+      ...Array.from({length: shape.engines}, () => main),
+      ...Array.from({length: OTHER_ENGINES}, () => other),
+    ];
+    this.engines = services.map(
+      (service, at) =>
         new SoakEngine({
           controls: this.controlAddresses,
           history,
@@ -108,11 +117,18 @@
           name: `engine-${at}`,
           port: ENGINE_PORT,
           random,
+          service,
           softwareVersion: SOFTWARE_VERSIONS[at % SOFTWARE_VERSIONS.length]!,
           wire,
           zone: `z${at % ZONES}`,
         }),
     );
+    this.operator = new SoakOperator({
+      addressOf: (name, port) => this.addressOf(name, port),
+      history,
+      vms: () => this.entryNames,
+      wire,
+    });
   }
 
   /** Names of the VMs that serve callers. */
@@ -163,7 +179,7 @@
     this.processes.forEach((process) => process.start());
     await Promise.all(this.engines.map((engine) => engine.start()));
     const endAt = performance.now() + START_MS;
-    while (!(await this.configure(this.version))) {
+    while (!(await this.operator.configureFirst())) {
       await this.waitToStart(endAt, 'no VM accepted the configuration');
     }
     while (!(await this.isReady())) {
@@ -190,22 +206,10 @@
     history.note({fault, kind: 'faultEnded'});
   }
 
-  /** Reads the configuration at a VM and records its version; failed and incomplete responses are ignored. */
-  async readConfiguration(name: string): Promise<void> {
-    const {history, wire} = this.options;
-    const sentAt = history.now;
-    const address = this.addressOf(name, 'control');
-    const options = {address, agent: false, timeoutMs: OPERATOR_TIMEOUT_MS} as const;
-    const reply = await makeCall(wire.readConfiguration, options);
-    if (reply.kind === 'answer' && reply.status === 200 && reply.whole) {
-      history.note({kind: 'configRead', sentAt, version: wire.readVersion(reply.text), vm: name});
-    }
-  }
-
   private async apply(fault: SoakFault): Promise<void> {
     switch (fault.kind) {
       case 'configure':
-        await this.configureUntilAccepted(++this.version);
+        await this.operator.configureNext();
         return;
       case 'cut':
         await this.cut(fault);
@@ -286,28 +290,6 @@
     processes.forEach((process) => process.start());
   }
 
-  private async configure(version: number): Promise<boolean> {
-    const {history, wire} = this.options;
-    const name = this.entryNames[randomInt(this.entryNames.length)]!;
-    history.note({kind: 'configSent', version});
-    const address = this.addressOf(name, 'control');
-    const options = {address, agent: false, timeoutMs: OPERATOR_TIMEOUT_MS} as const;
-    const reply = await makeCall(wire.configure(version), options);
-    const isAccepted = reply.kind === 'answer' && reply.status === 200;
-    if (isAccepted) {
-      history.note({kind: 'configAccepted', version});
-    }
-    return isAccepted;
-  }
-
-  /** Submits a configuration until it is accepted; after a timeout it may or may not be in force. */
-  private async configureUntilAccepted(version: number): Promise<void> {
-    const endAt = performance.now() + START_MS;
-    while (performance.now() < endAt && !(await this.configure(version))) {
-      await delay(RECHECK_MS);
-    }
-  }
-
   private async isReady(): Promise<boolean> {
     const answers = await Promise.all(
       this.entryNames.map((name) =>
--- a/packages/stallpaddle-soak/src/SoakOutput.ts
+++ b/packages/stallpaddle-soak/src/SoakOutput.ts
@@ -153,6 +153,27 @@
   return [COMMON_PART, `a${number % HARMLESS_PARTS}`];
 }
 
+/** Prefix of the ids of requests that show which configuration a VM obeys. */
+const PROBE = 'probe';
+
+/**
+ * Returns the id of a probe.
+ *
+ * @param number number of the probe
+ */
+export function probeId(number: number): string {
+  return `${PROBE}${number}`;
+}
+
+/**
+ * Whether a request is a probe, which an engine answers with its service.
+ *
+ * @param id id of the request
+ */
+export function isProbe(id: string): boolean {
+  return id.startsWith(PROBE);
+}
+
 /** Marks the ids of items that every engine rejects. */
 export const IMPOSSIBLE = 'impossible';
 
--- a/packages/stallpaddle-soak/src/SoakRun.ts
+++ b/packages/stallpaddle-soak/src/SoakRun.ts
@@ -45,8 +45,6 @@
 const SERVING_MS = 3_000;
 /** Longest wait for the remaining results, in milliseconds. */
 const FINAL_READ_MS = 18_000;
-/** Time between two reads of the configuration, in milliseconds. */
-const CONFIG_READ_INTERVAL_MS = 400;
 /** Time between two progress lines, in milliseconds. */
 const PROGRESS_INTERVAL_MS = 5_000;
 
@@ -60,16 +58,6 @@
   await Promise.all(open);
 }
 
-/** Reads the configuration periodically, at each entry VM in turn. */
-function registerConfigReads(fleet: SoakFleet): () => void {
-  let turn = 0;
-  const timer = setInterval(() => {
-    const {entryNames} = fleet;
-    void fleet.readConfiguration(entryNames[turn++ % entryNames.length]!);
-  }, CONFIG_READ_INTERVAL_MS);
-  return () => clearInterval(timer);
-}
-
 function registerProgress(
   {onProgress}: SoakOptions,
   history: SoakHistory,
@@ -95,9 +83,10 @@
   const history = new SoakHistory();
   const fleet = new SoakFleet({folder, history, program, seed, shape, wire});
   const callers = new SoakCallers({fleet, history, seed, wire});
-  const undo = [registerConfigReads(fleet), registerProgress(options, history, callers)];
+  const undo = [registerProgress(options, history, callers)];
   try {
     await fleet.start();
+    undo.push(fleet.operator.start());
     callers.start();
     await delay(WARM_UP_MS);
     await injectAll(fleet, planFaults({forMs, seed, shape}));
--- a/packages/stallpaddle-soak/src/SoakTypes.ts
+++ b/packages/stallpaddle-soak/src/SoakTypes.ts
@@ -1,5 +1,6 @@
 /** Faults, events and promises of a soak. Times are in milliseconds since the start of the history. */
 
+import type {ProbedRoute, ProbeOutcome} from './SoakConfigurations';
 import type {TakenUpStream} from './SoakStreams';
 
 /** Routes in the configuration of a soak: a request on `once` may run only once, one on `stream` is retried. */
@@ -119,6 +120,18 @@
   | {readonly engine: string; readonly kind: 'leaveAccepted'}
   | {readonly kind: 'configSent'; readonly version: number}
   | {readonly kind: 'configAccepted'; readonly version: number}
+  /** A valid configuration was refused. */
+  | {readonly kind: 'configRefused'; readonly version: number}
+  /** An invalid configuration was sent and confirmed. */
+  | {readonly fault: string; readonly kind: 'invalidConfigAccepted'}
+  /** A VM's response to a request on a route that depends on the configuration. */
+  | {
+      readonly kind: 'probed';
+      readonly outcome: ProbeOutcome;
+      readonly route: ProbedRoute;
+      readonly sentAt: number;
+      readonly vm: string;
+    }
   | {
       readonly kind: 'configRead';
       readonly sentAt: number;
@@ -154,7 +167,9 @@
   | 'acceptedJobIsFound'
   | 'answerIsOwnAndWhole'
   | 'cancelledJobStops'
+  | 'configIsInForce'
   | 'fleetRecovers'
+  | 'invalidConfigIsRefused'
   | 'itemEndsOnce'
   | 'leavingEngineGetsNothing'
   | 'notRunIsTrue'
--- a/packages/stallpaddle-soak/src/SoakWire.ts
+++ b/packages/stallpaddle-soak/src/SoakWire.ts
@@ -1,12 +1,13 @@
 /** Wire format between a soak and the fleet; the soak itself is independent of it. */
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 
+import type {ProbedRoute, SoakConfiguration, SoakService} from './SoakConfigurations';
 import type {TakenUpStream} from './SoakStreams';
 import type {SoakResult, SoakRoute} from './SoakTypes';
 
 /** An HTTP request. */
 export interface SoakCall {
-  readonly body?: string;
+  readonly body?: string | Uint8Array;
   readonly headers?: OutgoingHttpHeaders;
   readonly method: string;
   readonly path: string;
@@ -17,6 +18,7 @@
   readonly address: string;
   readonly isLeaving: boolean;
   readonly name: string;
+  readonly service: SoakService;
   readonly sequence: number;
   readonly slots: number;
   readonly softwareVersion: string;
@@ -41,7 +43,11 @@
   /** Queries whether a VM accepts callers. */
   readonly ready: SoakCall;
   /** Submits a complete configuration with all routes of a soak. */
-  readonly configure: (version: number) => SoakCall;
+  readonly configure: (configuration: SoakConfiguration) => SoakCall;
+  /** Invalid variants of a configuration, by what is wrong with them. */
+  readonly invalid: (configuration: SoakConfiguration) => Readonly<Record<string, SoakCall>>;
+  /** Sends a request on a route that depends on the configuration. */
+  readonly probe: (id: string, route: ProbedRoute, deadlineMs: number) => SoakCall;
   readonly readConfiguration: SoakCall;
   readonly readVersion: (body: string) => number;
   /** Sends an attempt with its own id; attempts with the same content belong to the same request. */
