A dark replica no longer keeps a process from confirmed configurations

What callers saw: an entry VM in touch obeyed a configuration that had been replaced over 2 s before. On real processes (24 VMs, five replicas of the control group, two of them suspended for 25 s, both first in the order of entry-1 and entry-7; routes moved every 0.2 to 3.5 s): 11 of 587 probes were served by the service of version 3 while version 4 had been due, at three VMs. entry-7 logged no supplier of the fleet status from 05.777 to 10.997, that is 5.2 s.

Cause: a process asks the replicas by preference and lets each hold its question for 1 s, so a dark one costs 1.3 s. It is skipped for 1 s afterwards. With two dark replicas the first is due again when the try of the second ends, so the process goes from one to the other, five tries and 6.5 s in all, and never reaches the three that answer. What it learns by accident (a path without a route makes it ask the leader) hid this: the same run with probes of added routes, too, broke nothing (592 probes).

Ruled out: one dark replica of three (the small deployments): 1.3 s at most, the new test passes for it before and after.

Change: only the first try of a round may be held, and none at a replica that was silent last; such a try costs 0.3 s. Class: a wait whose length is right for a healthy peer is paid in series for unhealthy ones.

--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -36,7 +36,7 @@
 /**
  * Longest time that a follower holds a watch request, in milliseconds. Together with the follower's own hold it bounds
  * the age of a process's fleet status, and so how long a removed engine or an old configuration stays in use: 1.7 s, or
- * 3 s while one replica is unreachable. Each watch request costs three turns of event loops, about
+ * 3 s once a replica becomes unreachable; later tries of that one are not held. Each watch request costs three turns of event loops, about
  * 0.9 ms each.
  */
 export const FOLLOWER_WATCH_HOLD_MS = 1_000;
--- a/packages/stallpaddle-node/src/NodeReplicaSelector.ts
+++ b/packages/stallpaddle-node/src/NodeReplicaSelector.ts
@@ -36,6 +36,8 @@
 
 /** Selects a replica VM and skips VMs that failed recently. */
 export class NodeReplicaSelector {
+  /** VMs that did not answer their latest request. */
+  private readonly silent = new Set<VmId>();
   private readonly skippedUntil = new Map<VmId, MonotonicMs>();
 
   /**
@@ -48,6 +50,25 @@
     return order.find((host) => (this.skippedUntil.get(host) ?? -Infinity) <= now);
   }
 
+  /**
+   * Whether a request to a VM may be held there. One that was silent may be dark still, and a process that waits for it learns
+   * nothing meanwhile.
+   *
+   * @param host the VM
+   */
+  mayHold(host: VmId): boolean {
+    return !this.silent.has(host);
+  }
+
+  /**
+   * Records that a VM has answered.
+   *
+   * @param host the VM
+   */
+  noteAnswer(host: VmId): void {
+    this.silent.delete(host);
+  }
+
   /**
    * Skips a VM for a while after a failed request.
    *
@@ -56,6 +77,11 @@
    * @param now the current time
    */
   noteFailure(host: VmId, why: 'refused' | 'silent', now: MonotonicMs): void {
+    if (why === 'silent') {
+      this.silent.add(host);
+    } else {
+      this.silent.delete(host);
+    }
     this.skippedUntil.set(host, now + (why === 'silent' ? UNREACHABLE_SKIP_MS : REFUSED_SKIP_MS));
   }
 }
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -217,7 +217,10 @@
     this.stopped = true;
   }
 
-  /** Polls the replicas by preference until one answers, and otherwise the leader. */
+  /**
+   * Polls the replicas by preference until one answers, and otherwise the leader. Only the first one may hold its answer: after
+   * a failure the process must learn what it has missed.
+   */
   private async poll(): Promise<boolean> {
     const {caller, clock, replicaHosts} = this.options;
     const order = replicaHosts();
@@ -227,8 +230,10 @@
         break;
       }
       const tryReplica = (call: TryRequest, tryMs: number) => caller.tryAt(host, call, tryMs);
-      const outcome = await this.request(tryReplica, FOLLOWER_WATCH_HOLD_MS, true);
+      const mayHold = tries === 0 && this.selector.mayHold(host);
+      const outcome = await this.request(tryReplica, mayHold ? FOLLOWER_WATCH_HOLD_MS : 0, true);
       if (outcome.kind === 'answered') {
+        this.selector.noteAnswer(host);
         this.noteSource(host);
         return true;
       }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
@@ -22,6 +22,10 @@
 import {NodeStatusPublisher} from '../../NodeStatusPublisher';
 import {NodeWatch} from '../../NodeWatch';
 
+/** Time after which a process counts as undisturbed, and time in which it must obey a configuration, in milliseconds. */
+const CONTACT_MS = 3_000;
+const APPLY_MS = 2_000;
+
 const undo: (() => void)[] = [];
 
 afterEach(() => undo.splice(0).forEach((step) => step()));
@@ -183,6 +187,35 @@
     await until(() => notes.includes('A VM no longer supplies the fleet status.'));
   });
 
+  // Guards against a process that tries two dark replicas by turns and obeys an old configuration meanwhile.
+  test.each([
+    [1, 3],
+    [2, 5],
+  ])(
+    'with %i of %i replicas dark, a change reaches a process within the time in which it must be in force',
+    async (dark, replicas) => {
+      const hosts = Array.from({length: replicas}, (_, at) => `r${at}`);
+      const {network, publish} = fleetOf(hosts);
+      await delay(50);
+      const {watch} = processOf(network, {replicaHosts: hosts});
+      void watch.run();
+      await until(() => watch.view.news.controls.includes('first'));
+      hosts.slice(0, dark).forEach((host) => network.unreachable.add(host));
+      await delay(CONTACT_MS);
+      let slowestMs = 0;
+      for (let change = 0; change < 12; change++) {
+        const name = `change-${change}`;
+        const before = performance.now();
+        publish({controls: [name]});
+        await until(() => watch.view.news.controls.includes(name), 10_000);
+        slowestMs = Math.max(slowestMs, performance.now() - before);
+        await delay(230);
+      }
+      expect(slowestMs).toBeLessThan(APPLY_MS);
+    },
+    30_000,
+  );
+
   test('a follower without a recent fleet status sends its processes to the leader', async () => {
     const {network, publish} = fleetOf(['r1']);
     // This follower is reachable, but its own requests are lost.
