The only software version is proved by the leader or a majority, never guessed

What callers saw (users' report, not our logs): a stream that broke off was taken up at a VM that was out of step during a release and went on at an engine of another version, 200 and complete, the text joined from two versions.

Cause: without an answer of the leader, `NodeStreams` took the only version that its own status named, if the status was younger than 1.5 s and any one of five VMs had answered that it has no record. Two beliefs behind it don't hold for a VM that is out of step: that no engine registers while the leader doesn't answer this VM, and that whoever knows of a second version would be among those that answer. VMs that are cut off together, or one whose holders lost the record while the leader is slow, joined v1 and v2.

Ruled out: a VM that is alone (nobody answers it, unknown); the list of versions itself (replicated, with versions that have left, 30 s at least).

Change: `readSoftware` asks the replicas of the control group, leader or not. A registration was committed by a majority before any engine got a request, so the logs of each majority, applied or not, hold every version. Concurrent reads share one. Returns during an election, also right after a loss of all VMs, are served by it; a minority rejects them (503, not run).

Tests: five new ones in the model of several VMs, four of them failed before (two joined versions; a minority guessed; right after a loss of all VMs a proved version was rejected). The random histories now also cut VMs off together, let replicas lag and lose the leader.

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -18,7 +18,7 @@
   RemoveEngine,
 } from './FleetTypes';
 
-import {afterEngineChange, afterExpiry, streamLifeMs} from './FleetSoftware';
+import {afterEngineChange, afterExpiry, softwareKey, streamLifeMs} from './FleetSoftware';
 import {
   afterPartsEnd,
   afterPartsRelease,
@@ -291,6 +291,23 @@
     : command;
 }
 
+/**
+ * Software versions that a replica knows, by `softwareKey`.
+ *
+ * @param state its state
+ * @param commands encoded commands of its log that it has not applied, committed or not
+ */
+export function knownSoftware(
+  {engines, formerSoftware}: FleetState,
+  commands: readonly Uint8Array[],
+): readonly string[] {
+  const reported = commands
+    .map(decodeCommand)
+    .flatMap((command) => (command.kind === 'reportEngine' ? [command.report] : []));
+  const present = [...engines.values(), ...reported].map(softwareKey);
+  return [...new Set([...present, ...formerSoftware.keys()])];
+}
+
 /** Applies registrations, removals, configurations and engine exits to the control group's state. */
 export const fleetMachine: ReplicaMachine<FleetState> = {
   apply: (state, command, elapsedMs): MachineResult<FleetState> => {
--- a/packages/stallpaddle-fleet/src/FleetSoftware.ts
+++ b/packages/stallpaddle-fleet/src/FleetSoftware.ts
@@ -2,8 +2,11 @@
  * Software versions of engines. Engines of several versions may serve a service side by side, in no order, and a stream
  * or an item goes on only at the version that began it. Pure functions.
  */
+import type {ReplicaId} from 'stallpaddle';
 import type {GroupMs} from 'stallpaddle-replication';
 
+import {isMajority} from 'stallpaddle-replication';
+
 import type {FleetConfig, FleetEngine, FleetRoute} from './FleetTypes';
 import type {EngineView, FleetStatus, FleetView} from './FleetView';
 
@@ -132,6 +135,35 @@
   return byService([...engines, ...formerSoftware.map(softwareOf)]);
 }
 
+/** What one replica of the control group knows of software. */
+export interface SoftwareReading {
+  readonly replica: ReplicaId;
+  /** By {@link softwareKey}; includes registrations that may not be committed. */
+  readonly software: readonly string[];
+  /** Voters of the group, by this replica's log. */
+  readonly voters: readonly ReplicaId[];
+}
+
+/**
+ * Software versions that may have begun streams which can still come back, read without a leader. Each registration that
+ * engines got requests by was committed by a majority, so every majority holds it. Memberships change by one voter at a time,
+ * so those that follow each other share a voter of any two majorities.
+ *
+ * @param readings what replicas have answered
+ * @returns undefined if no majority has answered
+ */
+export function provenSoftware(
+  readings: readonly SoftwareReading[],
+): SoftwareByService | undefined {
+  const answered = new Set(readings.map(({replica}) => replica));
+  const isProven = readings.every(({voters}) =>
+    isMajority({learners: [], voters}, (voter) => answered.has(voter)),
+  );
+  return readings.length > 0 && isProven
+    ? byService(readings.flatMap(({software}) => software).map(softwareOf))
+    : undefined;
+}
+
 /**
  * Software versions that may have begun a stream of a route.
  *
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -144,6 +144,8 @@
   | {readonly kind: 'peek'}
   | {readonly kind: 'listSuspects'}
   | {readonly kind: 'readConfig'}
+  /** Reads what one replica knows of software, with or without a leader; answered with a `SoftwareReading`. */
+  | {readonly kind: 'readSoftware'}
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireState'; readonly name: VmId}
   | {readonly kind: 'retireStore'; readonly name: VmId}
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -11,16 +11,18 @@
 } from './FleetDelta';
 export {type Feature, FEATURES, type FeatureSwitches, isFeatureOn} from './FleetFeatures';
 export {FleetHistory, type NumberedStatus} from './FleetHistory';
-export {changesEngine, fleetMachine, isOutdated, laterHolders} from './FleetMachine';
+export {changesEngine, fleetMachine, isOutdated, knownSoftware, laterHolders} from './FleetMachine';
 export {quarantinedGroups, suspectPartDetails, suspectPartViews} from './FleetPartCauses';
 export {
   type EngineSoftware,
   hasMixedSoftware,
   mayContinue,
+  provenSoftware,
   recentSoftware,
   servedSoftware,
   type SoftwareByService,
   softwareKey,
+  type SoftwareReading,
   streamLifeMs,
   versionsOfRoute,
 } from './FleetSoftware';
--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -18,8 +18,10 @@
   type FleetStatus,
   isEmptyDelta,
   isOutdated,
+  knownSoftware,
   laterHolders,
   type RetireAnswer,
+  type SoftwareReading,
   type StoredConfig,
   UNPROVEN_TERM,
   type WatchAnswer,
@@ -145,6 +147,8 @@
         return this.putConfig(request.config);
       case 'readConfig':
         return this.options.group.driver.read().config;
+      case 'readSoftware':
+        return this.readSoftware();
       case 'releaseParts':
         return this.suspects.releaseParts(request);
       case 'releaseRequest':
@@ -174,6 +178,16 @@
     return {ageMs: 0, config, fleet: 0, heldMs: 0, proven: false, term, update};
   }
 
+  private readSoftware(): SoftwareReading {
+    const {driver} = this.options.group;
+    const {applied, log, self} = driver.status;
+    const commands = log
+      .entriesFrom(applied + 1, Infinity)
+      .flatMap(({payload}) => (payload.kind === 'command' ? [payload.data] : []));
+    const software = knownSoftware(driver.localState, commands);
+    return {replica: self, software, voters: log.members.voters};
+  }
+
   private publicConfig(config: StoredConfig | null): FleetConfig | null {
     if (this.publicConfigCache.stored !== config) {
       this.publicConfigCache = {
--- a/packages/stallpaddle-node/src/NodeStreams.ts
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -1,13 +1,16 @@
 /** Software versions that began streams, shared between the entry VMs. */
 import type {Clock, LogFields, VmId} from 'stallpaddle';
-import type {EntryView, FleetRoute, FleetView} from 'stallpaddle-fleet';
+import type {EntryView, FleetRequest, FleetRoute, FleetView} from 'stallpaddle-fleet';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
-import {delay, encodeValue} from 'stallpaddle';
+import {delay, encodeValue, vmOfReplica} from 'stallpaddle';
 import {
   type EngineSoftware,
   hasMixedSoftware,
+  provenSoftware,
   recentSoftware,
+  type SoftwareByService,
+  type SoftwareReading,
   streamLifeMs,
   versionsOfRoute,
 } from 'stallpaddle-fleet';
@@ -34,12 +37,6 @@
  * most callers return.
  */
 const CALL_TIMEOUT_MS = 300;
-/**
- * Age up to which the fleet status names all software versions while the leader does not answer but other VMs do, in
- * milliseconds: an election is shorter, and no engine registers without a leader.
- */
-const LEADERLESS_AGE_MS = 1_500;
-
 /**
  * Longest wait of a process that has just started for its first status from a leader, in milliseconds. After all processes
  * were lost it takes an election, and callers give a stream up after a pause of two seconds.
@@ -52,6 +49,8 @@
   | {readonly firstAttempt: string; readonly kind: 'findStream'}
   | {readonly kind: 'recordStreams'; readonly records: readonly StreamRecord[]};
 
+type SoftwareRequest = Extract<FleetRequest, {kind: 'readSoftware'}>;
+
 /** Dependencies of {@link NodeStreams}. */
 export interface NodeStreamsOptions {
   readonly clock: Clock;
@@ -62,14 +61,6 @@
   readonly watch: Pick<NodeWatch, 'ageMs' | 'confirm' | 'view'>;
 }
 
-/** What the VMs that were asked for a record know. */
-interface HoldersAnswer {
-  /** Number of VMs that have answered. */
-  readonly answers: number;
-  /** Undefined if none knows the stream. */
-  readonly software: EngineSoftware | undefined;
-}
-
 /** A record on its way to other VMs. */
 interface Sending {
   readonly record: StreamRecord;
@@ -81,12 +72,27 @@
   return softwareVersion === UNCONFIRMED_SOFTWARE.softwareVersion;
 }
 
+/** The software that began all streams of a route which may come back; undefined if it is not known to be one. */
+function onlySoftware(
+  route: FleetRoute,
+  recent: SoftwareByService | undefined,
+): EngineSoftware | undefined {
+  const [softwareVersion, ...others] = versionsOfRoute(route, recent ?? new Map());
+  const open = route.split.find(({weight}) => weight > 0);
+  return softwareVersion === undefined || others.length > 0 || open === undefined
+    ? undefined
+    : {service: open.service, softwareVersion};
+}
+
 /**
  * Remembers which software began each stream. While all engines have one version, nothing is sent; otherwise each record
  * is copied to three other VMs, chosen by the stream's first attempt, so that any VM finds it when the caller returns there.
  */
 export class NodeStreams implements RelayStreams {
   private isMixed = false;
+  private nextReading: Promise<SoftwareByService | undefined> | undefined;
+  /** Latest reading of the software versions at the replicas. */
+  private reading: Promise<SoftwareByService | undefined> = Promise.resolve(undefined);
   /** Records to send at the end of this turn of the event loop, by VM. */
   private readonly queues = new Map<VmId, Sending[]>();
   private readonly records: RelayStreamRecords;
@@ -160,7 +166,8 @@
 
   /**
    * Finds the software that began a stream: in this VM's records, by the only version that the route's services had, or
-   * in the records of other VMs. It is never guessed: without an answer of the leader or of a VM it stays unknown.
+   * in the records of other VMs. It is never guessed: that there is only one version is said by the leader or by a majority
+   * of the control group's replicas.
    *
    * @param firstAttempt attempt that brought its first event; null if the caller doesn't name it
    * @param route route of the stream
@@ -176,21 +183,14 @@
     firstAttempt: null | string,
     route: FleetRoute,
   ): Promise<EngineSoftware | undefined> {
-    const confirmation = this.isMixed ? undefined : this.confirmStatus();
+    const recent = this.isMixed ? undefined : this.readRecentSoftware();
     const mayBeHeld = this.isMixed || this.hasRestartsUnderName(route);
-    const early = mayBeHeld ? await this.askHolders(firstAttempt) : undefined;
-    if (early?.software !== undefined) {
-      return early.software;
+    const held = mayBeHeld ? await this.askHolders(firstAttempt) : undefined;
+    if (held !== undefined) {
+      return held;
     }
-    const isConfirmed = await (confirmation ?? this.confirmStatus());
-    const only = this.onlySoftware(route);
-    if (only !== undefined && isConfirmed) {
-      return only;
-    }
-    const {answers, software} = early ?? (await this.askHolders(firstAttempt));
-    // VMs that know of a second version would have told one of those that answered.
-    const mayBeOnly = answers > 0 && this.options.watch.ageMs <= LEADERLESS_AGE_MS;
-    return software ?? (mayBeOnly ? only : undefined);
+    const only = onlySoftware(route, await (recent ?? this.readRecentSoftware()));
+    return only ?? (mayBeHeld ? undefined : this.askHolders(firstAttempt));
   }
 
   /**
@@ -226,29 +226,48 @@
     this.options.note(message, {records: this.size, versions: versions.join(', ')});
   }
 
-  /** Whether the leader confirms that the fleet status names all software versions that have begun streams until now. */
-  private async confirmStatus(): Promise<boolean> {
+  /** Software versions that have begun streams until now; undefined if neither the leader nor a majority of replicas answers. */
+  private async readRecentSoftware(): Promise<SoftwareByService | undefined> {
     const {watch} = this.options;
     const calledAt = this.now;
-    const confirm = (): Promise<boolean> =>
-      Promise.race([watch.confirm(), delay(CALL_TIMEOUT_MS).then(() => false)]);
-    let isConfirmed = await confirm();
-    // A process that has had a status before is cut off, and a wait would not help it.
-    while (!isConfirmed && watch.ageMs === Infinity && this.now - calledAt < STARTING_WAIT_MS) {
+    for (;;) {
+      if (await Promise.race([watch.confirm(), delay(CALL_TIMEOUT_MS).then(() => false)])) {
+        return recentSoftware(watch.view.news);
+      }
+      const proven = await this.readAtReplicas();
+      // A process that has had a status before is cut off, and a wait would not help it.
+      const mayWait = watch.ageMs === Infinity && this.now - calledAt < STARTING_WAIT_MS;
+      if (proven !== undefined || !mayWait) {
+        return proven;
+      }
       await delay(RETRY_PAUSE_MS);
-      isConfirmed = await confirm();
     }
-    return isConfirmed;
   }
 
-  /** The software that began all streams of a route which may come back; undefined if there are several. */
-  private onlySoftware(route: FleetRoute): EngineSoftware | undefined {
-    const recent = recentSoftware(this.options.watch.view.news);
-    const [softwareVersion, ...others] = versionsOfRoute(route, recent);
-    const open = route.split.find(({weight}) => weight > 0);
-    return softwareVersion === undefined || others.length > 0 || open === undefined
-      ? undefined
-      : {service: open.service, softwareVersion};
+  /** The same from the replicas of the control group, as during an election. Concurrent calls share the next reading. */
+  private readAtReplicas(): Promise<SoftwareByService | undefined> {
+    // A reading that has begun may lack what was committed since.
+    this.nextReading ??= this.reading.then(() => {
+      this.nextReading = undefined;
+      const reading = this.askReplicas();
+      this.reading = reading;
+      return reading;
+    });
+    return this.nextReading;
+  }
+
+  private async askReplicas(): Promise<SoftwareByService | undefined> {
+    const hosts = new Set(this.options.watch.view.news.controls.map(vmOfReplica));
+    const outcomes = await Promise.all(
+      [...hosts].map((host) => this.call(host, {kind: 'readSoftware'})),
+    );
+    const readings = outcomes.flatMap((outcome) =>
+      outcome.kind === 'answered' ? [outcome.result as SoftwareReading] : [],
+    );
+    const proven = provenSoftware(readings);
+    const fields = {asked: hosts.size, isProven: proven !== undefined, readings: readings.length};
+    this.options.note('Software versions were read without a leader.', fields);
+    return proven;
   }
 
   /** Whether engines of a route may start again under their ids, so that an unreported start may have begun a stream. */
@@ -269,9 +288,9 @@
   }
 
   /** Asks the VMs that hold a record, until one knows the stream. */
-  private async askHolders(firstAttempt: null | string): Promise<HoldersAnswer> {
+  private async askHolders(firstAttempt: null | string): Promise<EngineSoftware | undefined> {
     if (firstAttempt === null) {
-      return {answers: 0, software: undefined};
+      return undefined;
     }
     const asked = this.holdersOf(firstAttempt).slice(0, MAX_ASKED);
     let answers = 0;
@@ -291,7 +310,7 @@
     } else {
       this.records.add({firstAttempt, software}, this.now);
     }
-    return {answers, software};
+    return software;
   }
 
   private send(record: StreamRecord): void {
@@ -327,7 +346,7 @@
     }
   }
 
-  private call(host: VmId, ask: StreamAsk): Promise<TryOutcome> {
+  private call(host: VmId, ask: SoftwareRequest | StreamAsk): Promise<TryOutcome> {
     const request = {encoded: encodeValue(ask), group: CONTROL_GROUP, query: true};
     return this.options.tryAt(host, request, CALL_TIMEOUT_MS);
   }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -12,9 +12,9 @@
 } from 'stallpaddle-fleet';
 import type {ReplicaDriver} from 'stallpaddle-replication';
 
-import {decodeValue, delay, systemClock} from 'stallpaddle';
+import {decodeValue, delay, encodeValue, systemClock} from 'stallpaddle';
 import {FIRST_QUARANTINE_MS, fleetMachine} from 'stallpaddle-fleet';
-import {NotLeaderError} from 'stallpaddle-replication';
+import {NotLeaderError, ReplicationLog} from 'stallpaddle-replication';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {NodeControlHandlerOptions} from '../../NodeControlHandler';
@@ -107,6 +107,25 @@
     await expect(handler.answer(put)).resolves.toMatchObject({kind: 'held'});
   });
 
+  // Guards against a version that a replica has in its log and doesn't tell, because it isn't known to be committed yet.
+  test('tells the software versions of its whole log', async () => {
+    const {handler, held, status} = lead(3, 1);
+    const command = (id: string, softwareVersion: string): Uint8Array =>
+      encodeValue({kind: 'reportEngine', report: {address: id, id, service: 's', softwareVersion}});
+    held.state = fleetMachine.apply(held.state, command('e1', 'v1'), 0).state;
+    const tail = ReplicationLog.restore({index: 4, members: status.log.members, term: 1}, [
+      {index: 5, payload: {data: command('e1', 'v1'), kind: 'command'}, term: 1},
+      {index: 6, payload: {kind: 'noop'}, term: 2},
+      {index: 7, payload: {data: command('e2', 'v2'), kind: 'command'}, term: 2},
+    ]);
+    Object.assign(status, {applied: 5, log: tail, self: '10.0.0.1/first'});
+    expect(await handler.answer({kind: 'readSoftware'})).toEqual({
+      replica: '10.0.0.1/first',
+      software: ['["s","v1"]', '["s","v2"]'],
+      voters: status.log.members.voters,
+    });
+  });
+
   test('does not have the jobs group founded before that either', async () => {
     const {handler, kinds, status} = lead(3, 2);
     await watch(handler, STORES);
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -3,12 +3,12 @@
  * messages between VMs while all engines have one version. A model of several VMs, with lost messages and a clock that the
  * test sets.
  */
-import type {FleetCommand, FleetState, FleetView} from 'stallpaddle-fleet';
+import type {FleetCommand, FleetRequest, FleetState, FleetView} from 'stallpaddle-fleet';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import fc from 'fast-check';
 import {decodeValue, encodeValue} from 'stallpaddle';
-import {EMPTY_VIEW, fleetMachine} from 'stallpaddle-fleet';
+import {EMPTY_VIEW, fleetMachine, knownSoftware} from 'stallpaddle-fleet';
 import {UNCONFIRMED_SOFTWARE} from 'stallpaddle-relay';
 import {expect, test} from 'vitest';
 
@@ -30,6 +30,8 @@
 } as const;
 const LIMITS = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
 const VMS = 6;
+/** VMs with a replica of the control group; the first ones. */
+const VOTERS = 3;
 /** Time for which a version stays remembered after its last engine has left, in milliseconds. */
 const LIFE_MS = 30_000;
 /** Time for which a VM that is cut off waits for the leader, in milliseconds. */
@@ -37,9 +39,21 @@
 /** Time after which the messages of one step have arrived, in milliseconds. */
 const SETTLE_MS = 5;
 
+function replicaOf(at: number): string {
+  return `10.0.0.${at}/first`;
+}
+
+const CONTROLS = Array.from({length: VOTERS}, (_, at) => replicaOf(at));
+
 interface ModelVm {
   /** Whether it is cut off from all other VMs. */
   isCut: boolean;
+  /** Whether it gets no new entries of the log; a VM with a replica that others don't need for a majority. */
+  isLagging: boolean;
+  /** State of its replica, committed or not. */
+  log: FleetState;
+  /** VMs on different sides don't reach each other. */
+  side: number;
   streams: NodeStreams;
   view: FleetView;
 }
@@ -51,6 +65,8 @@
   readonly vms: ModelVm[];
   /** Number of messages that are lost next. */
   lost = 0;
+  /** Whether a leader answers; without one nothing changes. */
+  hasLeader = true;
   private engines = 0;
   private now = 0;
   private state: FleetState = fleetMachine.initial();
@@ -89,11 +105,20 @@
   /** Advances the clocks. */
   advance(ms: number): void {
     this.now += ms;
-    const {state} = fleetMachine.apply(this.state, encodeValue({kind: 'tick'}), ms);
-    this.state = state;
+    this.apply({kind: 'tick'}, ms);
     this.publish();
   }
 
+  /** Makes one replica miss the next entries; a leader brings the others up to date. */
+  lagOnly(at: number): void {
+    this.vms.forEach((vm, other) => {
+      vm.isLagging = other === at;
+      if (!vm.isLagging && this.isServed && this.isWithLeader(vm)) {
+        vm.log = this.state;
+      }
+    });
+  }
+
   /** Kills a VM and starts it anew. */
   restart(at: number): void {
     this.vms[at] = this.startVm(at, this.vms[at]!.isCut);
@@ -119,8 +144,30 @@
     return [...new Set(engines.map(({softwareVersion}) => softwareVersion))];
   }
 
-  private apply(command: FleetCommand): void {
-    this.state = fleetMachine.apply(this.state, encodeValue(command), 0).state;
+  private apply(command: FleetCommand, elapsedMs = 0): void {
+    if (this.vms !== undefined && !this.isServed) {
+      return;
+    }
+    this.state = fleetMachine.apply(this.state, encodeValue(command), elapsedMs).state;
+    this.vms?.forEach((vm) => {
+      if (!vm.isLagging && this.isWithLeader(vm)) {
+        vm.log = this.state;
+      }
+    });
+  }
+
+  private get voters(): readonly ModelVm[] {
+    return this.vms.slice(0, VOTERS);
+  }
+
+  /** Whether there is a leader with a majority that gets its entries. */
+  private get isServed(): boolean {
+    const held = this.voters.filter((vm) => !vm.isLagging && this.isWithLeader(vm));
+    return this.hasLeader && held.length * 2 > VOTERS;
+  }
+
+  private isWithLeader({isCut, side}: ModelVm): boolean {
+    return !isCut && side === 0;
   }
 
   /** Sends the status to all VMs that are not cut off. */
@@ -129,12 +176,13 @@
   }
 
   private update(vm: ModelVm): void {
-    if (vm.isCut) {
+    if (!this.isServed || !this.isWithLeader(vm)) {
       return;
     }
     const before = vm.view;
     const news = {
       ...before.news,
+      controls: CONTROLS,
       engines: [...this.state.engines.values()].map((engine) => ({...engine, silent: false})),
       entries: Array.from({length: VMS}, (_, at) => ({
         address: `10.0.0.${at}:1`,
@@ -148,16 +196,25 @@
   }
 
   private startVm(at: number, isCut = false): ModelVm {
-    const vm: ModelVm = {isCut, streams: undefined as never, view: EMPTY_VIEW};
+    const vm: ModelVm = {
+      isCut,
+      isLagging: this.vms?.[at]?.isLagging ?? false,
+      log: this.vms?.[at]?.log ?? this.state,
+      side: this.vms?.[at]?.side ?? 0,
+      streams: undefined as never,
+      // A process that starts is told of the replicas by its settings.
+      view: {...EMPTY_VIEW, news: {...EMPTY_VIEW.news, controls: CONTROLS}},
+    };
     const ageMs = (): number => this.now - vm.view.asOf;
     const watch = {
       get ageMs(): number {
         return ageMs();
       },
       confirm: () => {
+        const isConfirmed = this.isServed && this.isWithLeader(vm);
         this.update(vm);
-        this.now += vm.isCut ? TIMEOUT_MS : 0;
-        return Promise.resolve(!vm.isCut);
+        this.now += isConfirmed ? 0 : TIMEOUT_MS;
+        return Promise.resolve(isConfirmed);
       },
       get view(): FleetView {
         return vm.view;
@@ -174,14 +231,23 @@
   }
 
   private deliver(from: ModelVm, host: string, {encoded}: TryRequest): Promise<TryOutcome> {
-    const ask = decodeValue<StreamAsk>(encoded);
-    const to = this.vms[Number(host.split('.')[3])]!;
-    this.messages.push(ask);
-    if (from.isCut || to.isCut || this.lost > 0) {
+    const ask = decodeValue<FleetRequest | StreamAsk>(encoded);
+    const at = Number(host.split('.')[3]);
+    const to = this.vms[at]!;
+    if (ask.kind === 'findStream' || ask.kind === 'recordStreams') {
+      this.messages.push(ask);
+    }
+    const isLocal = from === to;
+    if ((!isLocal && (from.isCut || to.isCut)) || from.side !== to.side || this.lost > 0) {
       this.lost = Math.max(0, this.lost - 1);
       return Promise.resolve({kind: 'unknown'});
     }
-    return Promise.resolve({kind: 'answered', result: to.streams.answer(ask)});
+    if (ask.kind === 'findStream' || ask.kind === 'recordStreams') {
+      return Promise.resolve({kind: 'answered', result: to.streams.answer(ask)});
+    }
+    const software = knownSoftware(to.log, []);
+    const result = {replica: replicaOf(at), software, voters: CONTROLS};
+    return Promise.resolve({kind: 'answered', result});
   }
 }
 
@@ -251,6 +317,59 @@
   expect(await fleet.versionAt(1, 'q')).toBeUndefined();
 });
 
+// Guards against the only version that a VM knows taken for that of a stream, because some VM answered that it has no record.
+test('VMs that are cut off together do not guess the version', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  [1, 4].forEach((at) => (fleet.vms[at]!.side = 1));
+  fleet.addEngine('v2');
+  await fleet.begin(0, 'q', 'v2');
+  expect(await fleet.versionAt(1, 'q')).toBeUndefined();
+  expect(await fleet.versionAt(4, 'q')).toBeUndefined();
+});
+
+test('a VM that missed a second version does not guess the version of a stream whose records were lost', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.vms[4]!.isCut = true;
+  fleet.addEngine('v2');
+  fleet.lost = 5;
+  await fleet.begin(0, 'q', 'v2');
+  fleet.restart(0);
+  fleet.vms[4]!.isCut = false;
+  fleet.hasLeader = false;
+  expect(await fleet.versionAt(4, 'q')).toBeUndefined();
+});
+
+test('without a leader, a majority of the replicas proves the only version', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.hasLeader = false;
+  fleet.vms[2]!.isCut = true;
+  expect(await fleet.versionAt(3, 'q')).toBe('v1');
+  fleet.vms[1]!.isCut = true;
+  expect(await fleet.versionAt(3, 'q')).toBeUndefined();
+});
+
+test('after a loss of all VMs, a majority of the replicas proves the only version before there is a leader', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.hasLeader = false;
+  fleet.vms.forEach((_, at) => fleet.restart(at));
+  expect(await fleet.versionAt(3, 'q')).toBe('v1');
+});
+
+test('without a leader, a majority tells a version that one of its replicas lacks', async () => {
+  const fleet = new Fleet();
+  fleet.addEngine('v1');
+  fleet.vms[0]!.isLagging = true;
+  fleet.addEngine('v2');
+  fleet.hasLeader = false;
+  fleet.vms[2]!.isCut = true;
+  fleet.vms.forEach((_, at) => fleet.restart(at));
+  expect(await fleet.versionAt(0, 'q')).toBeUndefined();
+});
+
 // Guards against the only known version taken for that of an engine that had started again unnoticed.
 test('a stream whose engine was not confirmed is unknown at each VM, also while all engines have one version', async () => {
   const fleet = new Fleet();
@@ -293,6 +412,9 @@
     'begin',
     'begin',
     'cut',
+    'cutTogether',
+    'lag',
+    'leader',
     'find',
     'find',
     'lose',
@@ -330,6 +452,17 @@
           case 'cut':
             fleet.vms[vm]!.isCut = !fleet.vms[vm]!.isCut;
             break;
+          case 'cutTogether': {
+            const isSplit = fleet.vms.some(({side}) => side === 1);
+            fleet.vms.forEach((other, at) => (other.side = isSplit ? 0 : (of >> at) % 2));
+            break;
+          }
+          case 'lag':
+            fleet.lagOnly(vm % VOTERS);
+            break;
+          case 'leader':
+            fleet.hasLeader = !fleet.hasLeader;
+            break;
           case 'find':
             for (const [stream, version] of [...began].slice(-1 - (of % 2))) {
               expect([undefined, version]).toContain(await fleet.versionAt(vm, stream));
