--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -17,6 +17,8 @@
  */
 const LAZY_PACKAGES = {'hdr-histogram-js': 'build', 'prom-client': 'Counter, Gauge, Registry'};
 const BUNDLE_OPTIONS = {
+  // The package's default entry is a UMD module, whose own files can't be bundled.
+  alias: {'jsonc-parser': 'jsonc-parser/lib/esm/main.js'},
   bundle: true,
   format: 'cjs',
   keepNames: true,
