An engine that sends no response head, but bytes without end, is left

Cause: Node bounds the size of a head, 16 KB, and so a reason phrase, a header and header lines (these passed before). It bounds neither the number of interim responses nor the blank lines before a status line, and nothing of ours counted the bytes.

Tests: RelayEngineCall "a head without end" (three of seven failed before); RelayProbe (three, passed before: size and time of a report were bounded); EngineHttp "closes the connection of a refusal".

--- a/packages/stallpaddle-engine/src/EngineHttp.ts
+++ b/packages/stallpaddle-engine/src/EngineHttp.ts
@@ -4,7 +4,13 @@
 import type {Verdict} from 'stallpaddle';
 
 import {type IncomingMessage, request} from 'node:http';
-import {errorMessage, registerResetDetector, startDeadline, VERDICT_HEADER} from 'stallpaddle';
+import {
+  errorMessage,
+  registerHeadLimit,
+  registerResetDetector,
+  startDeadline,
+  VERDICT_HEADER,
+} from 'stallpaddle';
 import {z} from 'zod';
 
 import type {
@@ -120,12 +126,14 @@
         port: this.port,
         signal,
       });
+      registerHeadLimit(outgoing);
       registerResetDetector(outgoing);
       outgoing.on('error', (err) => reject(new BackendError(verdictOf(err), errorMessage(err))));
       outgoing.on('response', (res) => {
         const refusal = parseRefusal(res);
         if (refusal !== undefined) {
-          res.resume();
+          // The rest of the body may have no end.
+          outgoing.destroy();
           reject(refusal);
           return;
         }
--- a/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
+++ b/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {delay, VERDICT_HEADER} from 'stallpaddle';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {BackendRequest} from '../../EngineAdapter';
@@ -44,6 +45,20 @@
   const send = (engine: HttpEngine, changes: Partial<BackendRequest> = {}) =>
     engine.generate(request(changes), new AbortController().signal);
 
+  // Guards against a connection that is read for ever because the body of a refusal has no end.
+  test('closes the connection of a refusal', async () => {
+    let isOpen = true;
+    const engine = await serve((_, res) => {
+      res.on('close', () => (isOpen = false));
+      res.writeHead(503, {[VERDICT_HEADER]: 'notRun'});
+      const flood = (): void => void (isOpen && res.write('x'.repeat(1_000), () => flood()));
+      flood();
+    });
+    await expect(send(engine)).rejects.toMatchObject({verdict: 'notRun'});
+    await delay(100);
+    expect(isOpen).toBe(false);
+  });
+
   test('sends attempt id, priority and timeout, and returns the complete response', async () => {
     const engine = await serve((req, res) => res.end(JSON.stringify(req.headers)));
     const response = await send(engine);
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEngineCall.test.ts
@@ -5,7 +5,8 @@
 import type {AddressInfo} from 'node:net';
 
 import {createServer, type Server} from 'node:http';
-import {PLAIN, plainRelay} from 'stallpaddle-testing';
+import {delay} from 'stallpaddle';
+import {type Flood, FloodEngine, PLAIN, plainRelay} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {type EngineCallStart, type EngineRequest, startEngineCall} from '../../RelayEngineCall';
@@ -122,3 +123,37 @@
     expect(await startOf(changes)).toMatchObject({kind: 'notRun', reason: 'malformed'});
   });
 });
+
+/** Longest time for which a caller reads a head without end, in milliseconds. */
+const FLOOD_MS = 2_000;
+
+// Guards against an engine in trouble that keeps a request and a core busy with bytes that are no answer.
+describe('a head without end', () => {
+  const endless: readonly [string, Flood][] = [
+    ['bytes that are no HTTP', {before: '', repeated: 'no answer '}],
+    ['blank lines', {before: '', repeated: '\r\n'}],
+    ['a reason phrase', {before: 'HTTP/1.1 200 ', repeated: 'OK'}],
+    ['a header', {before: 'HTTP/1.1 200 OK\r\nx-a: ', repeated: 'a'}],
+    ['header lines', {before: 'HTTP/1.1 200 OK\r\n', repeated: 'x-a: a\r\n'}],
+    ['interim responses', {before: '', repeated: 'HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n'}],
+    ['requests to go on', {before: '', repeated: 'HTTP/1.1 100 Continue\r\n\r\n'}],
+  ];
+  test.each(endless)('fails the attempt and closes the connection: %s', async (_, flood) => {
+    const engine = await FloodEngine.start(flood);
+    const call = startEngineCall(plainRelay, new RelayLatencies(), {
+      address: engine.address,
+      body: Buffer.from('b'),
+      headers: ['Host', 'h', PLAIN.request, 'q'],
+      method: 'POST',
+      path: '/',
+      requestId: 'q',
+    });
+    const start = await Promise.race([call.started, delay(FLOOD_MS)]);
+    await delay(50);
+    const {openConnections} = engine;
+    call.close();
+    engine.stop();
+    expect(start).toMatchObject({kind: 'mayHaveRun'});
+    expect(openConnections).toBe(0);
+  });
+});
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
@@ -5,7 +5,8 @@
 import type {EngineView} from 'stallpaddle-fleet';
 
 import {createServer} from 'node:net';
-import {plainRelay} from 'stallpaddle-testing';
+import {delay} from 'stallpaddle';
+import {type Flood, FloodEngine, plainRelay, signedHead} from 'stallpaddle-testing';
 import {expect, test} from 'vitest';
 
 import {checkStart, hasExited} from '../../RelayProbe';
@@ -23,6 +24,9 @@
   zone: 'z',
 };
 
+/** Time in which a connection that was closed here is closed at the engine, in milliseconds. */
+const CLOSE_MS = 100;
+
 // Guards against the end of the process by a rejection that nobody handles.
 test('a port out of range shows neither an exit nor a start', async () => {
   expect(await hasExited(plainRelay, ENGINE)).toBe(false);
@@ -44,3 +48,20 @@
     server.close();
   }
 });
+
+// Guards against a stream that waits for ever for the report of an engine in trouble, and a connection that stays open.
+test.each<[string, Flood]>([
+  ['before the head', {before: '', repeated: '\r\n'}],
+  ['in the report', {before: signedHead('look'), repeated: 'no report '}],
+  ['slowly', {before: signedHead('look'), pauseMs: 20, repeated: 'a'}],
+])('bytes without end show neither an exit nor a start: %s', async (_, flood) => {
+  const engine = await FloodEngine.start(flood);
+  try {
+    const {address} = engine;
+    expect(await checkStart(plainRelay, {...ENGINE, address})).toEqual({kind: 'unknown'});
+    await delay(CLOSE_MS);
+    expect(engine.openConnections).toBe(0);
+  } finally {
+    engine.stop();
+  }
+});
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -13,6 +13,7 @@
 export {registerResetDetector} from './ConnectionReset';
 export {type ErrorCode, errorMessage, type RefusalDetails, RefusalError, refuse} from './Errors';
 export {hash32, rendezvousOrder, rendezvousOwner} from './Hash';
+export {registerHeadLimit} from './HeadLimit';
 export {openRequest} from './HttpRequest';
 export {
   type CustomerId,
