A body without end ends the attempt: events are bounded, and only events count

What callers saw (in tests): a stream at an engine that sent bytes without the end of an event waited until its caller's time limit and failed (504), though another engine was free; a batch item there ran for ever, since each byte renewed its time limit, and was never listed. The process kept every byte and copied and searched all of them again with each chunk: time grew with the square of the bytes, memory without bound.

Cause: an incomplete event had no largest size, and any bytes counted as the engine's progress (the idle timeout of an item's run, the stall detector of a stream). Class: the arrival of bytes is taken for work.

Change: an event has 1 MiB at most and each byte is looked at once; more ends the attempt like a broken connection, so a resumable stream goes on at another engine and an item is run again. Only complete events renew the time limits. A response that isn't split into events is passed on as it comes and ends at the route's time limit, incomplete, as before.

Memory is checked (128 MiB a request).

--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -81,8 +81,12 @@
   let events = 0;
   try {
     for await (const chunk of res) {
-      resetIdleTimeout();
-      for (const {data, id} of splitter.push(chunk as Buffer)) {
+      const complete = splitter.push(chunk as Buffer);
+      // Bytes that complete no event don't show that the engine is at work.
+      if (complete.length > 0) {
+        resetIdleTimeout();
+      }
+      for (const {data, id} of complete) {
         if (!isNextEvent(last, id)) {
           return {kind: 'broken', reason: `event ${id} came after event ${last}`};
         }
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
@@ -3,29 +3,33 @@
  */
 import {delay} from 'stallpaddle';
 import {RelayLatencies} from 'stallpaddle-relay';
-import {plainRelay, StreamEngine} from 'stallpaddle-testing';
-import {afterEach, expect, test} from 'vitest';
+import {type Flood, FloodEngine, plainRelay, signedHead, StreamEngine} from 'stallpaddle-testing';
+import {afterEach, describe, expect, test} from 'vitest';
 
-import {startItemRun} from '../../JobsItemRun';
+import {FIRST_EVENT_TIMEOUT_MS} from '../../JobsConstants';
+import {type ItemRunRequest, startItemRun} from '../../JobsItemRun';
 
 /** Time in which an engine sends a whole response, in milliseconds. */
 const WHOLE_MS = 200;
+/** Longest time for which a run reads bytes that are no events, in milliseconds. */
+const FLOOD_MS = FIRST_EVENT_TIMEOUT_MS + 500;
+/** Memory that one run may take besides, in bytes. */
+const MAX_MEMORY_BYTES = 134_217_728;
 
-let engine: StreamEngine;
+let undo: (() => unknown)[] = [];
 
-afterEach(() => engine.stop());
+afterEach(async () => {
+  await Promise.all(undo.map((step) => step()));
+  undo = [];
+});
 
-// Guards against an empty result: the engine had sent its whole response while it was asked for its start.
-test('a run that is cancelled while its engine confirms its start is cut', async () => {
-  engine = await StreamEngine.start();
-  const events: string[] = [];
-  let confirm = (): void => {};
-  const run = startItemRun(plainRelay, new RelayLatencies(), {
+function requestOf(address: string, changes: Partial<ItemRunRequest> = {}): ItemRunRequest {
+  return {
     body: new Uint8Array(),
-    confirmStart: () => new Promise((resolve) => (confirm = () => resolve({kind: 'confirmed'}))),
+    confirmStart: () => Promise.resolve({kind: 'confirmed'}),
     customer: undefined,
     engine: {
-      address: engine.address,
+      address,
       draining: false,
       id: 'e',
       sequence: 0,
@@ -42,12 +46,57 @@
     isContinued: false,
     lastEvent: null,
     onConfirmed: () => {},
-    onEvent: (data) => events.push(data),
+    onEvent: () => {},
     path: '/',
+    ...changes,
+  };
+}
+
+// Guards against an empty result: the engine had sent its whole response while it was asked for its start.
+test('a run that is cancelled while its engine confirms its start is cut', async () => {
+  const engine = await StreamEngine.start();
+  undo.push(() => engine.stop());
+  const events: string[] = [];
+  let confirm = (): void => {};
+  const req = requestOf(engine.address, {
+    confirmStart: () => new Promise((resolve) => (confirm = () => resolve({kind: 'confirmed'}))),
+    onEvent: (data) => events.push(data),
   });
+  const run = startItemRun(plainRelay, new RelayLatencies(), req);
   await delay(WHOLE_MS);
   run.cancel();
   confirm();
   expect(await run.ended).toEqual({kind: 'cut'});
   expect(events).toEqual([]);
 });
+
+const EVENTS = 'content-type: text/event-stream';
+const CHUNKED = 'transfer-encoding: chunked';
+const [EVENT, CHUNKED_EVENT] = ['id: 1\ndata: a\n\n', 'f\r\nid: 1\ndata: a\n\n\r\n'];
+
+// Guards against an item that runs for ever, and a process that runs out of memory, at an engine in trouble.
+describe('a body without end', () => {
+  const endless: readonly [string, Flood][] = [
+    ['no length', {before: signedHead('i', EVENTS) + EVENT, repeated: 'no event '}],
+    [
+      'chunks',
+      {before: signedHead('i', EVENTS, CHUNKED) + CHUNKED_EVENT, repeated: '4\r\naaaa\r\n'},
+    ],
+    ['one line', {before: `${signedHead('i', EVENTS)}data: `, repeated: 'a'}],
+    ['lines', {before: signedHead('i', EVENTS), repeated: 'data: a\n'}],
+    ['a chunk’s size', {before: signedHead('i', EVENTS, CHUNKED) + CHUNKED_EVENT, repeated: '0'}],
+    ['slow bytes', {before: signedHead('i', EVENTS) + EVENT, pauseMs: 200, repeated: 'a'}],
+  ];
+  test.each(endless)('breaks the run and closes the connection: %s', async (_, flood) => {
+    const engine = await FloodEngine.start(flood);
+    undo.push(() => engine.stop());
+    const memoryBefore = process.memoryUsage().rss;
+    const run = startItemRun(plainRelay, new RelayLatencies(), requestOf(engine.address));
+    const end = await Promise.race([run.ended, delay(FLOOD_MS)]);
+    run.cancel();
+    await delay(50);
+    expect(end).toMatchObject({kind: 'broken'});
+    expect(engine.openConnections).toBe(0);
+    expect(process.memoryUsage().rss - memoryBefore).toBeLessThan(MAX_MEMORY_BYTES);
+  });
+});
--- a/packages/stallpaddle-relay/src/RelayEvents.ts
+++ b/packages/stallpaddle-relay/src/RelayEvents.ts
@@ -13,7 +13,11 @@
 }
 
 const LINE_FEED = 0x0a;
-const EMPTY = Buffer.alloc(0);
+const CARRIAGE_RETURN = 0x0d;
+/** Size up to which the bytes of an incomplete event are buffered, in bytes. */
+export const MAX_EVENT_BYTES = 1_048_576;
+/** Chunks of an incomplete event that are kept apart; each takes memory besides its bytes. */
+const MAX_CHUNKS = 1_024;
 
 function parseEvent(raw: Buffer): StreamEvent {
   const data: string[] = [];
@@ -32,30 +36,28 @@
   return {data: data.join('\n'), id, raw};
 }
 
-/** End of the first event in the bytes, after its blank line; -1 when the event is incomplete. */
-function eventEnd(bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, from); at !== -1; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    const next = bytes[at + 1];
-    if (next === LINE_FEED) {
-      return at + 2;
-    }
-    if (next === 0x0d && bytes[at + 2] === LINE_FEED) {
-      return at + 3;
-    }
-  }
-  return -1;
+/** An engine sent more than {@link MAX_EVENT_BYTES} without the end of an event. */
+export class EventTooLargeError extends Error {
+  override readonly name = 'EventTooLargeError';
 }
 
 /**
  * Splits a stream of server-sent events into complete events, so that an interrupted stream can be resumed at another
- * engine without a lost or duplicated event.
+ * engine without a lost or duplicated event. Each byte is looked at once, however small the chunks are.
  */
 export class EventSplitter {
-  private buffered: Buffer = EMPTY;
+  /** Chunks of the incomplete event. */
+  private chunks: Buffer[] = [];
+  private size = 0;
+  /** Whether the incomplete event contains the end of a line. */
+  private hasLine = false;
+  /** Bytes since the last line feed, and the last of them. */
+  private lineLength = 0;
+  private lastByte = 0;
 
   /** Number of buffered bytes of an incomplete event. */
   get pending(): number {
-    return this.buffered.length;
+    return this.size;
   }
 
   /**
@@ -63,17 +65,58 @@
    *
    * @param chunk the bytes
    * @returns the events that are now complete
+   * @throws {EventTooLargeError} when an event is too large to be buffered
    */
   push(chunk: Buffer): readonly StreamEvent[] {
-    let bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
     const events: StreamEvent[] = [];
-    for (let end = eventEnd(bytes, 0); end !== -1; end = eventEnd(bytes, 0)) {
-      events.push(parseEvent(bytes.subarray(0, end)));
-      bytes = bytes.subarray(end);
+    let eventStart = 0;
+    let lineStart = 0;
+    for (let at = chunk.indexOf(LINE_FEED); at !== -1; at = chunk.indexOf(LINE_FEED, lineStart)) {
+      this.noteBytes(chunk, lineStart, at);
+      const isEnd = this.hasLine && this.isBlankLine;
+      this.hasLine = !isEnd;
+      this.lineLength = 0;
+      lineStart = at + 1;
+      if (isEnd) {
+        events.push(parseEvent(this.take(chunk.subarray(eventStart, lineStart))));
+        eventStart = lineStart;
+      }
     }
-    this.buffered = bytes;
+    this.noteBytes(chunk, lineStart, chunk.length);
+    this.keep(chunk.subarray(eventStart));
     return events;
   }
+
+  /** Whether the line that ends now is empty. */
+  private get isBlankLine(): boolean {
+    return this.lineLength === 0 || (this.lineLength === 1 && this.lastByte === CARRIAGE_RETURN);
+  }
+
+  private noteBytes(chunk: Buffer, from: number, to: number): void {
+    this.lineLength += to - from;
+    this.lastByte = to > from ? chunk[to - 1]! : this.lastByte;
+  }
+
+  /** Returns the buffered bytes with those that complete the event. */
+  private take(last: Buffer): Buffer {
+    const raw = this.chunks.length === 0 ? last : Buffer.concat([...this.chunks, last]);
+    this.chunks = [];
+    this.size = 0;
+    return raw;
+  }
+
+  private keep(rest: Buffer): void {
+    this.size += rest.length;
+    if (this.size > MAX_EVENT_BYTES) {
+      throw new EventTooLargeError(`an event has more than ${MAX_EVENT_BYTES} bytes`);
+    }
+    if (rest.length > 0) {
+      this.chunks.push(rest);
+    }
+    if (this.chunks.length > MAX_CHUNKS) {
+      this.chunks = [Buffer.concat(this.chunks)];
+    }
+  }
 }
 
 /**
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -78,7 +78,10 @@
       onBackpressure: () => this.stallDetector.noteBackpressure(),
       onChunk: (events) => {
         this.crashEvidence.noteData(events);
-        this.stallDetector.noteData(events);
+        // Bytes that complete no event don't show that the engine is at work.
+        if (events > 0) {
+          this.stallDetector.noteData(events);
+        }
       },
       onHead: () => {
         this.firstMs = Math.round(this.waitedMs);
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -115,7 +115,7 @@
  * versions lists the engines' software versions.
  */
 export function contextOf(
-  engines: readonly StreamEngine[],
+  engines: readonly Pick<StreamEngine, 'address'>[],
   isLoadKnown = true,
   versions: readonly string[] = [],
   clock: Clock = systemClock,
