After a loss of all VMs no process obeys an older configuration than the confirmed one

Cause: a process that starts takes the configuration of whichever replica answers first, without a leader's word, and obeys it for as long as there is none. Class: **unconfirmed state is taken once and then treated like confirmed state.**

Ruled out: the leader's reads (no older read in any run), going back within one process (views only go forward).

Change: all hosts are asked at a start and the newest configuration counts; while no leader answers, all replicas are read each 0.5 s: a newer configuration that one has applied is taken; one that is only in a log may have been confirmed, so after 1.5 s requests are rejected (503, not run) until a leader decides. Elections on an idle machine are shorter, so nothing is rejected there. `readSoftware` became `readReplica`.

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -308,6 +308,27 @@
   return [...new Set([...present, ...formerSoftware.keys()])];
 }
 
+/**
+ * Version of the newest configuration that a replica has in its log and has not applied; null if none is newer than its own.
+ *
+ * @param state its state
+ * @param commands encoded commands of its log that it has not applied, committed or not
+ */
+export function pendingConfigVersion(
+  {config}: FleetState,
+  commands: readonly Uint8Array[],
+): null | number {
+  const held = config?.version ?? -Infinity;
+  const newest = commands
+    .map(decodeCommand)
+    .reduce(
+      (version, command) =>
+        command.kind === 'putConfig' ? Math.max(version, command.config.version) : version,
+      held,
+    );
+  return newest > held ? newest : null;
+}
+
 /** Applies registrations, removals, configurations and engine exits to the control group's state. */
 export const fleetMachine: ReplicaMachine<FleetState> = {
   apply: (state, command, elapsedMs): MachineResult<FleetState> => {
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -6,6 +6,7 @@
 
 import {unreachable} from 'stallpaddle';
 
+import type {SoftwareReading} from './FleetSoftware';
 import type {ReleaseParts, SuspectPartView, TryParts} from './FleetSuspectParts';
 import type {NoteEngineEnd, ReleaseRequest, SuspectView} from './FleetSuspects';
 import type {
@@ -144,8 +145,12 @@
   | {readonly kind: 'peek'}
   | {readonly kind: 'listSuspects'}
   | {readonly kind: 'readConfig'}
-  /** Reads what one replica knows of software, with or without a leader; answered with a `SoftwareReading`. */
-  | {readonly kind: 'readSoftware'}
+  /** Reads what one replica knows, with or without a leader; answered with a {@link ReplicaReading}. */
+  | {
+      /** Version of the configuration that the process holds; only a newer one is returned. */
+      readonly configAfter: number;
+      readonly kind: 'readReplica';
+    }
   | {readonly kind: 'reportEngine'; readonly report: EngineReport}
   | {readonly kind: 'retireState'; readonly name: VmId}
   | {readonly kind: 'retireStore'; readonly name: VmId}
@@ -172,6 +177,21 @@
 /** Answer to `retireStore` and `retireState`. */
 export type RetireAnswer = 'completed' | 'running' | 'tooFew' | 'unknown';
 
+/** What one replica of the control group knows while there may be no leader. */
+export interface ReplicaReading extends SoftwareReading {
+  /** The newest configuration that it has applied, if newer than the process's, else null. */
+  readonly config: FleetConfig | null;
+  /** Version of a newer configuration in its log that it has not applied, as it may not be committed; null for none. */
+  readonly pendingConfig: null | number;
+}
+
+/** A configuration that may have been confirmed, but is known only by its version. */
+export interface PendingConfig {
+  /** When the process learned of it. */
+  readonly since: MonotonicMs;
+  readonly version: number;
+}
+
 /** Everything that a process knows about the fleet. */
 export interface FleetView {
   /** Latest time, by this process's clock, at which the view was confirmed to be up to date. */
@@ -179,6 +199,8 @@
   readonly config: FleetConfig | null;
   readonly fleet: number;
   readonly news: FleetStatus;
+  /** A newer configuration that may have been confirmed; null when none is known. */
+  readonly pendingConfig: null | PendingConfig;
   readonly term: number;
   /** The status as received; `news` may also list entry VMs whose heartbeats a new leader still awaits. */
   readonly told: FleetStatus;
@@ -203,6 +225,7 @@
   config: null,
   fleet: 0,
   news: EMPTY_STATUS,
+  pendingConfig: null,
   term: UNPROVEN_TERM,
   told: EMPTY_STATUS,
 };
@@ -258,7 +281,10 @@
 ): FleetView {
   const {ageMs, config, heldMs, proven} = answer;
   const isNewer = config !== null && config.version > (view.config?.version ?? -Infinity);
-  const configured = isNewer ? {...view, config} : view;
+  const known = isNewer ? {...view, config} : view;
+  // A leader has applied every configuration that was confirmed.
+  const configured =
+    proven && known.pendingConfig !== null ? {...known, pendingConfig: null} : known;
   const status = isOlder(view, answer) ? undefined : statusAfterUpdate(view, answer);
   if (status === undefined && !isOlder(view, answer)) {
     // The next request sends the known versions again.
@@ -269,6 +295,31 @@
   return {...next, asOf};
 }
 
+/**
+ * Applies what a replica knows to a view while no leader answers: a configuration that it has applied is committed.
+ *
+ * @param view the view before
+ * @param reading the replica's answer
+ * @param now the present moment
+ */
+export function applyReplicaReading(
+  view: FleetView,
+  {config, pendingConfig}: ReplicaReading,
+  now: MonotonicMs,
+): FleetView {
+  const held = view.config?.version ?? -Infinity;
+  const configured = config !== null && config.version > held ? {...view, config} : view;
+  const newest = Math.max(
+    configured.config?.version ?? -Infinity,
+    view.pendingConfig?.version ?? -Infinity,
+  );
+  if (pendingConfig === null || pendingConfig <= newest) {
+    return configured;
+  }
+  const since = view.pendingConfig?.since ?? now;
+  return {...configured, pendingConfig: {since, version: pendingConfig}};
+}
+
 /**
  * Returns an engine by its ID, if it is registered.
  *
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -11,7 +11,14 @@
 } from './FleetDelta';
 export {type Feature, FEATURES, type FeatureSwitches, isFeatureOn} from './FleetFeatures';
 export {FleetHistory, type NumberedStatus} from './FleetHistory';
-export {changesEngine, fleetMachine, isOutdated, knownSoftware, laterHolders} from './FleetMachine';
+export {
+  changesEngine,
+  fleetMachine,
+  isOutdated,
+  knownSoftware,
+  laterHolders,
+  pendingConfigVersion,
+} from './FleetMachine';
 export {quarantinedGroups, suspectPartDetails, suspectPartViews} from './FleetPartCauses';
 export {
   type EngineSoftware,
@@ -74,6 +81,7 @@
   UNKNOWN_START,
 } from './FleetTypes';
 export {
+  applyReplicaReading,
   applyWatchAnswer,
   EMPTY_VIEW,
   engineOf,
@@ -86,6 +94,8 @@
   type ForwardedHeartbeat,
   type JobsGroupReport,
   type KnownVersions,
+  type PendingConfig,
+  type ReplicaReading,
   type RetireAnswer,
   type StoreView,
   UNPROVEN_TERM,
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -56,6 +56,15 @@
 /** Pause before a peek request is repeated at a process that holds no configuration, in milliseconds. */
 export const PEEK_PAUSE_MS = PEEK_TIMEOUT_MS;
 
+/** Shortest time between two readings of all replicas while no leader answers, in milliseconds. */
+export const REPLICA_READ_INTERVAL_MS = 500;
+
+/**
+ * Time for which the held configuration is obeyed although a replica has a newer one that may have been confirmed, in
+ * milliseconds: a confirmed one must be in force after it, and most elections are shorter.
+ */
+export const PENDING_CONFIG_GRACE_MS = 1_500;
+
 /** Interval at which a replica sends bootstrap messages to seeds that hold no replica, in milliseconds. */
 export const BOOTSTRAP_INTERVAL_MS = 250;
 
--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -20,8 +20,9 @@
   isOutdated,
   knownSoftware,
   laterHolders,
+  pendingConfigVersion,
+  type ReplicaReading,
   type RetireAnswer,
-  type SoftwareReading,
   type StoredConfig,
   UNPROVEN_TERM,
   type WatchAnswer,
@@ -147,8 +148,8 @@
         return this.putConfig(request.config);
       case 'readConfig':
         return this.options.group.driver.read().config;
-      case 'readSoftware':
-        return this.readSoftware();
+      case 'readReplica':
+        return this.readReplica(request.configAfter);
       case 'releaseParts':
         return this.suspects.releaseParts(request);
       case 'releaseRequest':
@@ -178,14 +179,22 @@
     return {ageMs: 0, config, fleet: 0, heldMs: 0, proven: false, term, update};
   }
 
-  private readSoftware(): SoftwareReading {
+  /** What this replica knows; unlike a leader's answers, it may be outdated. */
+  private readReplica(configAfter: number): ReplicaReading {
     const {driver} = this.options.group;
     const {applied, log, self} = driver.status;
     const commands = log
       .entriesFrom(applied + 1, Infinity)
       .flatMap(({payload}) => (payload.kind === 'command' ? [payload.data] : []));
-    const software = knownSoftware(driver.localState, commands);
-    return {replica: self, software, voters: log.members.voters};
+    const {localState} = driver;
+    const config = this.publicConfig(localState.config);
+    return {
+      config: (config?.version ?? -Infinity) > configAfter ? config : null,
+      pendingConfig: pendingConfigVersion(localState, commands),
+      replica: self,
+      software: knownSoftware(localState, commands),
+      voters: log.members.voters,
+    };
   }
 
   private publicConfig(config: StoredConfig | null): FleetConfig | null {
--- a/packages/stallpaddle-node/src/NodeRoutes.ts
+++ b/packages/stallpaddle-node/src/NodeRoutes.ts
@@ -20,7 +20,7 @@
    * @param log the log of the component that serves callers
    */
   constructor(
-    private readonly watch: Pick<NodeWatch, 'ageMs' | 'refresh' | 'view'>,
+    private readonly watch: Pick<NodeWatch, 'ageMs' | 'lacksConfig' | 'refresh' | 'view'>,
     private readonly log: Pick<NodeLog, 'decide'>,
   ) {}
 
@@ -47,7 +47,7 @@
    *
    * @param host the Host header
    * @param path path and query
-   * @throws {RefusalError} `unavailable` before the first configuration
+   * @throws {RefusalError} `unavailable` before the first configuration, `stale` while a newer one may be in force
    */
   find(host: string, path: string): FleetRoute | undefined {
     if (this.table === undefined) {
@@ -55,6 +55,15 @@
         retryAfterMs: CONFIG_RETRY_AFTER_MS,
       });
     }
+    if (this.watch.lacksConfig) {
+      throw refuse(
+        'stale',
+        'A newer configuration may be in force and can’t be read at the moment.',
+        {
+          retryAfterMs: CONFIG_RETRY_AFTER_MS,
+        },
+      );
+    }
     return this.table.find(host, path);
   }
 
--- a/packages/stallpaddle-node/src/NodeStreams.ts
+++ b/packages/stallpaddle-node/src/NodeStreams.ts
@@ -9,8 +9,8 @@
   hasMixedSoftware,
   provenSoftware,
   recentSoftware,
+  type ReplicaReading,
   type SoftwareByService,
-  type SoftwareReading,
   streamLifeMs,
   versionsOfRoute,
 } from 'stallpaddle-fleet';
@@ -49,7 +49,7 @@
   | {readonly firstAttempt: string; readonly kind: 'findStream'}
   | {readonly kind: 'recordStreams'; readonly records: readonly StreamRecord[]};
 
-type SoftwareRequest = Extract<FleetRequest, {kind: 'readSoftware'}>;
+type ReplicaRequest = Extract<FleetRequest, {kind: 'readReplica'}>;
 
 /** Dependencies of {@link NodeStreams}. */
 export interface NodeStreamsOptions {
@@ -257,12 +257,12 @@
   }
 
   private async askReplicas(): Promise<SoftwareByService | undefined> {
-    const hosts = new Set(this.options.watch.view.news.controls.map(vmOfReplica));
-    const outcomes = await Promise.all(
-      [...hosts].map((host) => this.call(host, {kind: 'readSoftware'})),
-    );
+    const {config, news} = this.options.watch.view;
+    const hosts = new Set(news.controls.map(vmOfReplica));
+    const ask = {configAfter: config?.version ?? -Infinity, kind: 'readReplica'} as const;
+    const outcomes = await Promise.all([...hosts].map((host) => this.call(host, ask)));
     const readings = outcomes.flatMap((outcome) =>
-      outcome.kind === 'answered' ? [outcome.result as SoftwareReading] : [],
+      outcome.kind === 'answered' ? [outcome.result as ReplicaReading] : [],
     );
     const proven = provenSoftware(readings);
     const fields = {asked: hosts.size, isProven: proven !== undefined, readings: readings.length};
@@ -346,7 +346,7 @@
     }
   }
 
-  private call(host: VmId, ask: SoftwareRequest | StreamAsk): Promise<TryOutcome> {
+  private call(host: VmId, ask: ReplicaRequest | StreamAsk): Promise<TryOutcome> {
     const request = {encoded: encodeValue(ask), group: CONTROL_GROUP, query: true};
     return this.options.tryAt(host, request, CALL_TIMEOUT_MS);
   }
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -5,12 +5,15 @@
 
 import {delay, encodeValue} from 'stallpaddle';
 import {
+  applyReplicaReading,
   applyWatchAnswer,
   EMPTY_VIEW,
+  type FleetConfig,
   type FleetHeartbeat,
   type FleetRequest,
   type FleetView,
   type ForwardedHeartbeat,
+  type ReplicaReading,
   UNPROVEN_TERM,
   type WatchAnswer,
 } from 'stallpaddle-fleet';
@@ -26,6 +29,8 @@
   FOLLOWER_WATCH_HOLD_MS,
   PEEK_PAUSE_MS,
   PEEK_TIMEOUT_MS,
+  PENDING_CONFIG_GRACE_MS,
+  REPLICA_READ_INTERVAL_MS,
   RETRY_PAUSE_MS,
   SECOND_MS,
   WATCH_HOLD_MS,
@@ -60,6 +65,7 @@
 export class NodeWatch {
   private readonly backoff = new NodeBackoff();
   private current: FleetView = EMPTY_VIEW;
+  private readAt: MonotonicMs = -Infinity;
   private refreshing: Promise<boolean> | undefined;
   private readonly selector = new NodeReplicaSelector();
   /** VM that supplies the fleet status; null for the leader, undefined for none. */
@@ -83,6 +89,16 @@
     return this.options.clock.monotonicMs() - this.current.asOf;
   }
 
+  /** Whether a newer configuration than the one held here may have been in force for too long. */
+  get lacksConfig(): boolean {
+    const {config, pendingConfig} = this.current;
+    return (
+      pendingConfig !== null &&
+      pendingConfig.version > (config?.version ?? -Infinity) &&
+      this.options.clock.monotonicMs() - pendingConfig.since >= PENDING_CONFIG_GRACE_MS
+    );
+  }
+
   /** Known replicas of the control group, from the fleet status and from bootstrap messages. */
   get controls(): readonly ReplicaId[] {
     const oldest = this.options.clock.monotonicMs() - BOOTSTRAP_TTL_MS;
@@ -93,11 +109,13 @@
   /** Polls until the process stops. */
   async run(): Promise<void> {
     this.options.caller.hosts().forEach((host) => void this.peekAt(host));
+    this.readReplicasIfDue();
     while (!this.stopped) {
       if (await this.poll()) {
         this.backoff.reset();
       } else {
         this.options.onSilence();
+        this.readReplicasIfDue();
         await delay(this.backoff.nextMs());
       }
     }
@@ -185,13 +203,17 @@
   }
 
   /**
-   * Uses the fleet status of a replica, which may be outdated, while this process has no configuration.
+   * Uses the fleet status of a replica, which may be outdated, while this process has no configuration, and its
+   * configuration if it is newer, until a leader has answered.
    *
    * @param answer the replica's fleet status
    */
   offer(answer: WatchAnswer): void {
+    const {config} = answer;
     if (this.current.config === null) {
       this.take(answer, -Infinity);
+    } else if (this.ageMs === Infinity && config !== null) {
+      this.takeNewer(config);
     }
   }
 
@@ -217,6 +239,33 @@
     this.stopped = true;
   }
 
+  /**
+   * Asks all replicas for their configurations while no leader answers: one may have applied a newer one, or have it in its
+   * log.
+   */
+  private readReplicasIfDue(): void {
+    const {caller, clock} = this.options;
+    if (clock.monotonicMs() - this.readAt < REPLICA_READ_INTERVAL_MS) {
+      return;
+    }
+    this.readAt = clock.monotonicMs();
+    caller.hosts().forEach((host) => void this.readReplicaAt(host));
+  }
+
+  private async readReplicaAt(host: VmId): Promise<void> {
+    const {caller, clock} = this.options;
+    const configAfter = this.current.config?.version ?? -Infinity;
+    const encoded = encodeValue({configAfter, kind: 'readReplica'} satisfies FleetRequest);
+    const request = {encoded, group: CONTROL_GROUP, query: true};
+    const sentAt = clock.monotonicMs();
+    const outcome = await caller.tryAt(host, request, PEEK_TIMEOUT_MS);
+    // The answer of a leader that came meanwhile may be newer.
+    if (outcome.kind === 'answered' && this.current.asOf < sentAt) {
+      const reading = outcome.result as ReplicaReading;
+      this.update(applyReplicaReading(this.current, reading, clock.monotonicMs()));
+    }
+  }
+
   /**
    * Polls the replicas by preference until one answers, and otherwise the leader. Only the first one may hold its answer: after
    * a failure the process must learn what it has missed.
@@ -294,17 +343,20 @@
   }
 
   /**
-   * Asks a host for its fleet status until this process has a configuration or an answer of the leader. All hosts are
-   * asked in parallel, because some may be unreachable and cost a full timeout.
+   * Asks a host for its fleet status until it has told its configuration or a leader has answered. All hosts are asked in
+   * parallel, because some may be unreachable and cost a full timeout, and others may lag.
    */
   private async peekAt(host: VmId): Promise<void> {
     const {caller} = this.options;
     const encoded = encodeValue({kind: 'peek'} satisfies FleetRequest);
-    while (!this.stopped && this.current.config === null && this.ageMs === Infinity) {
+    let hasConfig = false;
+    while (!this.stopped && !hasConfig && this.ageMs === Infinity) {
       const request = {encoded, group: CONTROL_GROUP, query: true};
       const outcome = await caller.tryAt(host, request, PEEK_TIMEOUT_MS);
       if (outcome.kind === 'answered') {
-        this.offer(outcome.result as WatchAnswer);
+        const answer = outcome.result as WatchAnswer;
+        this.offer(answer);
+        hasConfig = answer.config !== null;
       }
       // A host that answered without a configuration is unlikely to have one soon.
       await delay(outcome.kind === 'answered' ? PEEK_PAUSE_MS : RETRY_PAUSE_MS);
@@ -312,8 +364,19 @@
   }
 
   private take(answer: WatchAnswer, sentAt: MonotonicMs): void {
+    this.update(applyWatchAnswer(this.current, answer, sentAt));
+  }
+
+  /** A configuration that another process holds is committed. */
+  private takeNewer(config: FleetConfig): void {
+    if (config.version > (this.current.config?.version ?? -Infinity)) {
+      this.update({...this.current, config});
+    }
+  }
+
+  private update(view: FleetView): void {
     const before = this.current;
-    this.current = applyWatchAnswer(before, answer, sentAt);
-    this.options.onView(this.current, before);
+    this.current = view;
+    this.options.onView(view, before);
   }
 }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
@@ -6,16 +6,25 @@
 import {
   applyWatchAnswer,
   EMPTY_VIEW,
+  type FleetConfig,
   type FleetHeartbeat,
   type FleetRequest,
   type FleetStatus,
   type FleetView,
+  type ReplicaReading,
+  UNPROVEN_TERM,
+  type WatchAnswer,
 } from 'stallpaddle-fleet';
 import {NotLeaderError} from 'stallpaddle-replication';
 import {tryLocal} from 'stallpaddle-rpc';
 import {afterEach, describe, expect, test} from 'vitest';
 
-import {FOLLOWER_WATCH_HOLD_MS, FORWARD_MAX_AGE_MS, WATCH_MARGIN_MS} from '../../NodeConstants';
+import {
+  FOLLOWER_WATCH_HOLD_MS,
+  FORWARD_MAX_AGE_MS,
+  PENDING_CONFIG_GRACE_MS,
+  WATCH_MARGIN_MS,
+} from '../../NodeConstants';
 import {NodeFollowerHandler} from '../../NodeFollowerHandler';
 import {NodeForwardedHeartbeats} from '../../NodeForwardedHeartbeats';
 import {NodeReplicaSelector, orderReplicaHosts} from '../../NodeReplicaSelector';
@@ -36,6 +45,8 @@
 class Network {
   readonly asked: {readonly host: VmId; readonly request: Watch}[] = [];
   private readonly answers = new Map<VmId, (request: Watch) => Promise<unknown>>();
+  /** What the replicas know, with or without a leader. */
+  readonly readings = new Map<VmId, ReplicaReading>();
   readonly unreachable = new Set<VmId>();
   /** One-way latency, in milliseconds. */
   readonly latencyMs = new Map<VmId, number>();
@@ -46,6 +57,9 @@
 
   async tryAt(host: VmId, call: TryRequest, tryMs: number): Promise<TryOutcome> {
     const request = decodeValue<FleetRequest>(call.encoded);
+    if (request.kind === 'readReplica' && this.readings.has(host)) {
+      return {kind: 'answered', result: this.readings.get(host)};
+    }
     if (request.kind !== 'watch') {
       return {kind: 'unknown'};
     }
@@ -81,7 +95,7 @@
   const notes: string[] = [];
   const watch = new NodeWatch({
     caller: {
-      hosts: () => [],
+      hosts: () => [...network.readings.keys()],
       tryAt: (host, call, tryMs) => network.tryAt(host, call, tryMs),
       tryOnce: (call, tryMs) => network.tryAt('leader', call, tryMs),
     },
@@ -257,6 +271,85 @@
   });
 });
 
+function configOf(version: number): FleetConfig {
+  const limits = {headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1};
+  return {limits, routes: [], services: [], version};
+}
+
+function readingOf(
+  replica: string,
+  config: FleetConfig | null,
+  pendingConfig: null | number = null,
+): ReplicaReading {
+  return {config, pendingConfig, replica, software: [], voters: []};
+}
+
+/** Answer of a replica that no leader has confirmed. */
+function unprovenAnswer(version: number): WatchAnswer {
+  const update = {kind: 'whole', news: EMPTY_VIEW.news} as const;
+  const config = configOf(version);
+  return {ageMs: 0, config, fleet: 0, heldMs: 0, proven: false, term: UNPROVEN_TERM, update};
+}
+
+/** A process that has started with the configuration of one replica, while there is no leader. */
+function startWith(network: Network, version: number) {
+  const started = processOf(network);
+  started.watch.offer(unprovenAnswer(version));
+  void started.watch.run();
+  return started;
+}
+
+describe('without a leader', () => {
+  test('a process that starts keeps the newest of the configurations that others offer', () => {
+    const {watch} = processOf(new Network());
+    [7, 9, 8].forEach((version) => watch.offer(unprovenAnswer(version)));
+    expect(watch.view.config?.version).toBe(9);
+  });
+
+  // Guards against a process that starts with the configuration of a replica that lags, and obeys it until there is a leader.
+  test('a process takes the newest configuration that a replica has applied', async () => {
+    const network = new Network();
+    network.readings.set('r1', readingOf('r1', configOf(7)));
+    network.readings.set('r2', readingOf('r2', configOf(9)));
+    network.readings.set('r3', readingOf('r3', configOf(8)));
+    const {watch} = startWith(network, 7);
+    await until(() => watch.view.config?.version === 9, APPLY_MS);
+    expect(watch.lacksConfig).toBe(false);
+  });
+
+  // Guards against the same where the replicas were killed right after the confirmation, before they had applied it.
+  test('a process does not obey an older configuration than one that may have been confirmed', async () => {
+    const network = new Network();
+    network.readings.set('r1', readingOf('r1', configOf(8)));
+    network.readings.set('r2', readingOf('r2', configOf(8), 9));
+    const {watch} = startWith(network, 8);
+    await delay(PENDING_CONFIG_GRACE_MS / 2);
+    expect(watch.lacksConfig).toBe(false);
+    await until(() => watch.lacksConfig, APPLY_MS);
+    const answer = {ageMs: 0, fleet: 1, heldMs: 0, proven: true, term: 1};
+    const update = {kind: 'whole', news: EMPTY_VIEW.news} as const;
+    network.serve('leader', ({known}) =>
+      Promise.resolve({...answer, config: known.config === 9 ? null : configOf(9), update}),
+    );
+    await until(() => watch.view.config?.version === 9);
+    expect(watch.lacksConfig).toBe(false);
+    expect(watch.view.pendingConfig).toBeNull();
+  });
+
+  // Guards against a refusal of all requests because of a configuration that was never confirmed.
+  test('a process obeys its configuration once a leader does not know a newer one', async () => {
+    const network = new Network();
+    network.readings.set('r1', readingOf('r1', null, 9));
+    const {watch} = startWith(network, 8);
+    await until(() => watch.lacksConfig, APPLY_MS + 1_000);
+    const answer = {ageMs: 0, config: null, fleet: 1, heldMs: 0, proven: true, term: 1};
+    const update = {kind: 'whole', news: EMPTY_VIEW.news} as const;
+    network.serve('leader', () => Promise.resolve({...answer, update}));
+    await until(() => !watch.lacksConfig);
+    expect(watch.view.config?.version).toBe(8);
+  });
+});
+
 describe('confirm', () => {
   test.each([
     [0, true],
