Bytes with blank lines are no events

What callers saw (in tests): an engine in trouble that sends bytes with blank lines between them, without end, made "events" without id and data. A stream passed them on as its answer and stayed there until its time limit; an item's run went on for ever and each block became an empty line of the item's output, so a later whole run was listed with them (MIXED). A comment before the first event did the same once.

Change: an event ends at a blank line only if it has an id or data; what stands before belongs to the next event, so its bytes still reach callers unchanged, and counts against the size of an event. An item's event needs an id, since without one the item can't go on. Events of streams without ids are passed on as before.

--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -87,7 +87,8 @@
         resetIdleTimeout();
       }
       for (const {data, id} of complete) {
-        if (!isNextEvent(last, id)) {
+        // An item can only go on after an event with an id.
+        if (id === null || !isNextEvent(last, id)) {
           return {kind: 'broken', reason: `event ${id} came after event ${last}`};
         }
         last = id ?? last;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
@@ -84,6 +84,9 @@
     ],
     ['one line', {before: `${signedHead('i', EVENTS)}data: `, repeated: 'a'}],
     ['lines', {before: signedHead('i', EVENTS), repeated: 'data: a\n'}],
+    ['blank lines', {before: signedHead('i', EVENTS), repeated: '\n\n'}],
+    ['lines and blank lines', {before: signedHead('i', EVENTS), repeated: 'no event\n\n'}],
+    ['events without ids', {before: signedHead('i', EVENTS), repeated: 'data: a\n\n'}],
     ['a chunk’s size', {before: signedHead('i', EVENTS, CHUNKED) + CHUNKED_EVENT, repeated: '0'}],
     ['slow bytes', {before: signedHead('i', EVENTS) + EVENT, pauseMs: 200, repeated: 'a'}],
   ];
@@ -91,11 +94,15 @@
     const engine = await FloodEngine.start(flood);
     undo.push(() => engine.stop());
     const memoryBefore = process.memoryUsage().rss;
-    const run = startItemRun(plainRelay, new RelayLatencies(), requestOf(engine.address));
+    const events: string[] = [];
+    const req = requestOf(engine.address, {onEvent: (data) => events.push(data)});
+    const run = startItemRun(plainRelay, new RelayLatencies(), req);
     const end = await Promise.race([run.ended, delay(FLOOD_MS)]);
     run.cancel();
     await delay(50);
     expect(end).toMatchObject({kind: 'broken'});
+    // What is no event must not become part of the output.
+    expect(events).toEqual(flood.before.includes('data: a') ? ['a'] : []);
     expect(engine.openConnections).toBe(0);
     expect(process.memoryUsage().rss - memoryBefore).toBeLessThan(MAX_MEMORY_BYTES);
   });
--- a/packages/stallpaddle-relay/src/RelayEvents.ts
+++ b/packages/stallpaddle-relay/src/RelayEvents.ts
@@ -14,6 +14,9 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Begin of a line that makes an event, and the number of bytes that tell it. */
+const FIELD = /^(?:id|data)(?::|\r?$)/;
+const FIELD_BYTES = 5;
 /** Size up to which the bytes of an incomplete event are buffered, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
 /** Chunks of an incomplete event that are kept apart; each takes memory besides its bytes. */
@@ -43,16 +46,18 @@
 
 /**
  * Splits a stream of server-sent events into complete events, so that an interrupted stream can be resumed at another
- * engine without a lost or duplicated event. Each byte is looked at once, however small the chunks are.
+ * engine without a lost or duplicated event. Each byte is looked at once, however small the chunks are. Comments, and bytes
+ * that are no event, belong to the event that follows them.
  */
 export class EventSplitter {
   /** Chunks of the incomplete event. */
   private chunks: Buffer[] = [];
   private size = 0;
-  /** Whether the incomplete event contains the end of a line. */
-  private hasLine = false;
-  /** Bytes since the last line feed, and the last of them. */
+  /** Whether the incomplete event has an id or data. */
+  private hasField = false;
+  /** Bytes since the last line feed, the first and the last of them. */
   private lineLength = 0;
+  private lineHead = '';
   private lastByte = 0;
 
   /** Number of buffered bytes of an incomplete event. */
@@ -73,8 +78,9 @@
     let lineStart = 0;
     for (let at = chunk.indexOf(LINE_FEED); at !== -1; at = chunk.indexOf(LINE_FEED, lineStart)) {
       this.noteBytes(chunk, lineStart, at);
-      const isEnd = this.hasLine && this.isBlankLine;
-      this.hasLine = !isEnd;
+      const isEnd = this.hasField && this.isBlankLine;
+      this.hasField = !isEnd && (this.hasField || FIELD.test(this.lineHead));
+      this.lineHead = '';
       this.lineLength = 0;
       lineStart = at + 1;
       if (isEnd) {
@@ -93,6 +99,10 @@
   }
 
   private noteBytes(chunk: Buffer, from: number, to: number): void {
+    const missing = FIELD_BYTES - this.lineHead.length;
+    if (missing > 0) {
+      this.lineHead += chunk.toString('latin1', from, Math.min(to, from + missing));
+    }
     this.lineLength += to - from;
     this.lastByte = to > from ? chunk[to - 1]! : this.lastByte;
   }
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayEvents.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayEvents.test.ts
@@ -37,6 +37,37 @@
     expect(splitter.push(Buffer.from('\nid'))).toMatchObject([{data: 'a', id: '1'}]);
   });
 
+  // Guards against comments that count as events, and bytes between events that look like events.
+  test.each(['\n', '\r\n'])('adds blocks without id and data to the next event', (end) => {
+    const text = [
+      ': ping',
+      '',
+      'no event',
+      '',
+      '',
+      'id: 1',
+      'data: a',
+      '',
+      ':',
+      '',
+      'data',
+      '',
+      '',
+    ].join(end);
+    for (const size of [1, 2, 3, 7, text.length]) {
+      const splitter = new EventSplitter();
+      const seen = [];
+      for (let from = 0; from < text.length; from += size) {
+        seen.push(...splitter.push(Buffer.from(text.slice(from, from + size))));
+      }
+      expect(seen.map(({data, id}) => [id, data])).toEqual([
+        ['1', 'a'],
+        [null, ''],
+      ]);
+      expect(Buffer.concat(seen.map(({raw}) => raw)).toString()).toBe(text);
+    }
+  });
+
   test('joins data lines and ignores other fields', () => {
     const [event] = new EventSplitter().push(Buffer.from('weights: 3\ndata: a\ndata:b\n: c\n\n'));
     expect(event).toMatchObject({data: 'a\nb', id: null});
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayFlood.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayFlood.test.ts
@@ -52,6 +52,8 @@
     ['in a body without a length', {before: signedHead('q1', EVENTS), repeated: 'no event '}],
     ['in tiny chunks', {before: signedHead('q1', EVENTS, CHUNKED), repeated: '1\r\na\r\n'}],
     ['as lines of one event', {before: signedHead('q1', EVENTS), repeated: 'data: a\n'}],
+    ['as blank lines of a body', {before: signedHead('q1', EVENTS), repeated: '\n\n'}],
+    ['as lines and blank lines', {before: signedHead('q1', EVENTS), repeated: 'no event\n\n'}],
     ['behind an event', {before: signedHead('q1', EVENTS) + EVENT, repeated: 'no event '}],
     [
       'slowly, behind an event',
