NodeStreams test: messages settle by turns of the event loop, not by time

Cause: the test waited 5 ms for messages that are sent again up to four times, each in a turn of the event loop. All checks are unchanged.

--- a/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeStreams.test.ts
@@ -36,8 +36,8 @@
 const LIFE_MS = 30_000;
 /** Time for which a VM that is cut off waits for the leader, in milliseconds. */
 const TIMEOUT_MS = 300;
-/** Time after which the messages of one step have arrived, in milliseconds. */
-const SETTLE_MS = 5;
+/** Turns of the event loop after which the messages of one step have arrived, also those that are sent again four times. */
+const SETTLE_TURNS = 20;
 
 function replicaOf(at: number): string {
   return `10.0.0.${at}/first`;
@@ -126,7 +126,9 @@
   }
 
   async settle(): Promise<void> {
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    for (let turns = 0; turns < SETTLE_TURNS; turns++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
   }
 
   async begin(at: number, firstAttempt: string, softwareVersion: string): Promise<void> {
