A process that has just started sends nothing to engines that leave

All VMs had been killed 70 ms after the acknowledgement; control-1 and entry-1 placed requests by a status that no leader had confirmed (`viewAgeMs` null in `placed`) until one was elected, 4 s after the kill.

Cause: the same as for configurations: a status that a process got from some replica at its start is obeyed like a confirmed one. The acknowledged leave stood in the logs of a majority, not yet applied.

Change: the replicas tell the engines that drain or have left, by their whole logs, and until a leader has answered such an engine counts as draining. An entry that isn't committed only spares an engine that is about to leave.

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -32,6 +32,9 @@
 /** Bounds the memory of ended incarnations, which rejects late reports of removed engines. */
 const MAX_GONE_ENGINES = 4_096;
 
+/** Ended engines that a replica tells without a leader; processes that have started since don't know earlier ones. */
+const MAX_TOLD_GONE = 256;
+
 const EMPTY_FLEET: FleetState = {
   clockMs: 0,
   config: null,
@@ -308,6 +311,27 @@
   return [...new Set([...present, ...formerSoftware.keys()])];
 }
 
+/**
+ * Engines that a replica knows to drain or to have left, the latest of them.
+ *
+ * @param state its state
+ * @param commands encoded commands of its log that it has not applied, committed or not
+ */
+export function leavingEngines(
+  {engines, goneEngines}: FleetState,
+  commands: readonly Uint8Array[],
+): readonly EngineId[] {
+  const draining = [...engines.values()].filter((engine) => engine.draining).map(({id}) => id);
+  const gone = [...goneEngines.keys()].slice(-MAX_TOLD_GONE).filter((id) => !engines.has(id));
+  const pending = commands.map(decodeCommand).flatMap((command) => {
+    if (command.kind === 'removeEngine') {
+      return [command.id];
+    }
+    return command.kind === 'reportEngine' && command.report.draining ? [command.report.id] : [];
+  });
+  return [...new Set([...draining, ...gone, ...pending])];
+}
+
 /**
  * Version of the newest configuration that a replica has in its log and has not applied; null if none is newer than its own.
  *
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -181,6 +181,8 @@
 export interface ReplicaReading extends SoftwareReading {
   /** The newest configuration that it has applied, if newer than the process's, else null. */
   readonly config: FleetConfig | null;
+  /** Engines that drain or have left, also by entries that may not be committed. */
+  readonly leaving: readonly EngineId[];
   /** Version of a newer configuration in its log that it has not applied, as it may not be committed; null for none. */
   readonly pendingConfig: null | number;
 }
@@ -295,8 +297,20 @@
   return {...next, asOf};
 }
 
+function withLeaving(view: FleetView, leaving: ReadonlySet<EngineId>): FleetView {
+  const isNew = ({draining, id}: EngineView): boolean => !draining && leaving.has(id);
+  if (!view.news.engines.some(isNew)) {
+    return view;
+  }
+  const engines = view.news.engines.map((engine) =>
+    isNew(engine) ? {...engine, draining: true} : engine,
+  );
+  return {...view, news: {...view.news, engines}};
+}
+
 /**
- * Applies what a replica knows to a view while no leader answers: a configuration that it has applied is committed.
+ * Applies what a replica knows to a view while no leader answers: a configuration that it has applied is committed, and an
+ * engine that it knows to leave gets nothing more by a status that no leader has confirmed.
  *
  * @param view the view before
  * @param reading the replica's answer
@@ -304,11 +318,12 @@
  */
 export function applyReplicaReading(
   view: FleetView,
-  {config, pendingConfig}: ReplicaReading,
+  {config, leaving, pendingConfig}: ReplicaReading,
   now: MonotonicMs,
 ): FleetView {
   const held = view.config?.version ?? -Infinity;
-  const configured = config !== null && config.version > held ? {...view, config} : view;
+  const drained = view.asOf === -Infinity ? withLeaving(view, new Set(leaving)) : view;
+  const configured = config !== null && config.version > held ? {...drained, config} : drained;
   const newest = Math.max(
     configured.config?.version ?? -Infinity,
     view.pendingConfig?.version ?? -Infinity,
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -17,6 +17,7 @@
   isOutdated,
   knownSoftware,
   laterHolders,
+  leavingEngines,
   pendingConfigVersion,
 } from './FleetMachine';
 export {quarantinedGroups, suspectPartDetails, suspectPartViews} from './FleetPartCauses';
--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -20,6 +20,7 @@
   isOutdated,
   knownSoftware,
   laterHolders,
+  leavingEngines,
   pendingConfigVersion,
   type ReplicaReading,
   type RetireAnswer,
@@ -190,6 +191,7 @@
     const config = this.publicConfig(localState.config);
     return {
       config: (config?.version ?? -Infinity) > configAfter ? config : null,
+      leaving: leavingEngines(localState, commands),
       pendingConfig: pendingConfigVersion(localState, commands),
       replica: self,
       software: knownSoftware(localState, commands),
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -108,20 +108,23 @@
   });
 
   // Guards against a version that a replica has in its log and doesn't tell, because it isn't known to be committed yet.
-  test('tells the software versions and the newest configuration of its whole log', async () => {
+  test('tells the software versions, the newest configuration and the leaving engines of its whole log', async () => {
     const {handler, held, status} = lead(3, 1);
     const command = (id: string, softwareVersion: string): Uint8Array =>
       encodeValue({kind: 'reportEngine', report: {address: id, id, service: 's', softwareVersion}});
     held.state = fleetMachine.apply(held.state, command('e1', 'v1'), 0).state;
+    const removal = {id: 'e1', kind: 'removeEngine', startedAtMs: null};
     const newer = {config: {...CONFIG, version: 8}, kind: 'putConfig'};
     const tail = ReplicationLog.restore({index: 4, members: status.log.members, term: 1}, [
       {index: 5, payload: {data: command('e1', 'v1'), kind: 'command'}, term: 1},
       {index: 6, payload: {data: encodeValue(newer), kind: 'command'}, term: 2},
       {index: 7, payload: {data: command('e2', 'v2'), kind: 'command'}, term: 2},
+      {index: 8, payload: {data: encodeValue(removal), kind: 'command'}, term: 2},
     ]);
     Object.assign(status, {applied: 5, log: tail, self: '10.0.0.1/first'});
     expect(await handler.answer({configAfter: 6, kind: 'readReplica'})).toEqual({
       config: null,
+      leaving: ['e1'],
       pendingConfig: 8,
       replica: '10.0.0.1/first',
       software: ['["s","v1"]', '["s","v2"]'],
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
@@ -6,6 +6,7 @@
 import {
   applyWatchAnswer,
   EMPTY_VIEW,
+  type EngineView,
   type FleetConfig,
   type FleetHeartbeat,
   type FleetRequest,
@@ -23,6 +24,7 @@
   FOLLOWER_WATCH_HOLD_MS,
   FORWARD_MAX_AGE_MS,
   PENDING_CONFIG_GRACE_MS,
+  REPLICA_READ_INTERVAL_MS,
   WATCH_MARGIN_MS,
 } from '../../NodeConstants';
 import {NodeFollowerHandler} from '../../NodeFollowerHandler';
@@ -281,7 +283,22 @@
   config: FleetConfig | null,
   pendingConfig: null | number = null,
 ): ReplicaReading {
-  return {config, pendingConfig, replica, software: [], voters: []};
+  return {config, leaving: [], pendingConfig, replica, software: [], voters: []};
+}
+
+function engineOf(id: string): EngineView {
+  return {
+    address: `${id}:1`,
+    draining: false,
+    id,
+    sequence: 0,
+    service: 's',
+    silent: false,
+    slots: 1,
+    softwareVersion: 'v1',
+    startedAtMs: 0,
+    zone: 'z',
+  };
 }
 
 /** Answer of a replica that no leader has confirmed. */
@@ -317,7 +334,27 @@
     expect(watch.lacksConfig).toBe(false);
   });
 
-  // Guards against the same where the replicas were killed right after the confirmation, before they had applied it.
+  // Guards against requests to a leaving engine by the status of a replica that does not know of its leave yet.
+  test('a process takes an engine that a replica knows to leave for a draining one, until a leader has answered', async () => {
+    const network = new Network();
+    network.readings.set('r1', {...readingOf('r1', null), leaving: ['e1']});
+    const {watch} = processOf(network);
+    const engines = ['e1', 'e2'].map(engineOf);
+    const news = {...EMPTY_VIEW.news, engines};
+    watch.offer({...unprovenAnswer(7), update: {kind: 'whole', news}});
+    void watch.run();
+    const draining = (): readonly string[] =>
+      watch.view.news.engines.filter((engine) => engine.draining).map(({id}) => id);
+    await until(() => draining().length > 0, APPLY_MS);
+    expect(draining()).toEqual(['e1']);
+    const answer = {ageMs: 0, config: null, fleet: 1, heldMs: 0, proven: true, term: 1};
+    network.serve('leader', () => Promise.resolve({...answer, update: {kind: 'whole', news}}));
+    await until(() => watch.ageMs < Infinity);
+    await delay(REPLICA_READ_INTERVAL_MS);
+    expect(draining()).toEqual([]);
+  });
+
+  // Guards against an older configuration where the replicas were killed before they had applied the confirmed one.
   test('a process does not obey an older configuration than one that may have been confirmed', async () => {
     const network = new Network();
     network.readings.set('r1', readingOf('r1', configOf(8)));
