--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -18,11 +18,7 @@
   type FleetStatus,
   isEmptyDelta,
   isOutdated,
-  knownSoftware,
   laterHolders,
-  leavingEngines,
-  pendingConfigVersion,
-  type ReplicaReading,
   type RetireAnswer,
   type StoredConfig,
   UNPROVEN_TERM,
@@ -36,6 +32,7 @@
 import {buildFleetStatus, hasMissedReports} from './NodeFleetStatus';
 import {NodeLastSeen} from './NodeLastSeen';
 import {votersFor} from './NodeMembershipPlanner';
+import {readReplica} from './NodeReplicaReading';
 import {NodeStatusPublisher} from './NodeStatusPublisher';
 import {chooseFounders, isEmptied, stayingReplicas} from './NodeStorePlan';
 import {NodeSuspectsHandler} from './NodeSuspectsHandler';
@@ -150,7 +147,9 @@
       case 'readConfig':
         return this.options.group.driver.read().config;
       case 'readReplica':
-        return this.readReplica(request.configAfter);
+        return readReplica(this.options.group.driver, request.configAfter, (config) =>
+          this.publicConfig(config),
+        );
       case 'releaseParts':
         return this.suspects.releaseParts(request);
       case 'releaseRequest':
@@ -180,25 +179,6 @@
     return {ageMs: 0, config, fleet: 0, heldMs: 0, proven: false, term, update};
   }
 
-  /** What this replica knows; unlike a leader's answers, it may be outdated. */
-  private readReplica(configAfter: number): ReplicaReading {
-    const {driver} = this.options.group;
-    const {applied, log, self} = driver.status;
-    const commands = log
-      .entriesFrom(applied + 1, Infinity)
-      .flatMap(({payload}) => (payload.kind === 'command' ? [payload.data] : []));
-    const {localState} = driver;
-    const config = this.publicConfig(localState.config);
-    return {
-      config: (config?.version ?? -Infinity) > configAfter ? config : null,
-      leaving: leavingEngines(localState, commands),
-      pendingConfig: pendingConfigVersion(localState, commands),
-      replica: self,
-      software: knownSoftware(localState, commands),
-      voters: log.members.voters,
-    };
-  }
-
   private publicConfig(config: StoredConfig | null): FleetConfig | null {
     if (this.publicConfigCache.stored !== config) {
       this.publicConfigCache = {
--- a/packages/stallpaddle-relay/src/RelayEvents.ts
+++ b/packages/stallpaddle-relay/src/RelayEvents.ts
@@ -18,7 +18,7 @@
 const FIELD = /^(?:id|data)(?::|\r?$)/;
 const FIELD_BYTES = 5;
 /** Size up to which the bytes of an incomplete event are buffered, in bytes. */
-export const MAX_EVENT_BYTES = 1_048_576;
+const MAX_EVENT_BYTES = 1_048_576;
 /** Chunks of an incomplete event that are kept apart; each takes memory besides its bytes. */
 const MAX_CHUNKS = 1_024;
 
