A second signal to stop no longer cuts off requests

Cause: the program listened for the first SIGTERM only, so the second one's default action ended it amid its drain: its log has `The process is stopping.` and no `The process has stopped.`

Change: the listener stays and ignores further signals; the platform's SIGKILL ends the grace period as before.

--- a/packages/stallpaddle-node/src/NodeMain.ts
+++ b/packages/stallpaddle-node/src/NodeMain.ts
@@ -50,6 +50,26 @@
   }
 }
 
+/**
+ * Calls a listener at the first signal to stop. Further ones are ignored: without a listener they would end the process amid
+ * the requests that it drains.
+ *
+ * @param source the process
+ * @param onStop called once
+ */
+export function registerStopSignal(
+  source: Pick<NodeJS.EventEmitter, 'on'>,
+  onStop: () => void,
+): void {
+  let isStopping = false;
+  source.on('SIGTERM', () => {
+    if (!isStopping) {
+      isStopping = true;
+      onStop();
+    }
+  });
+}
+
 /**
  * Runs the program until it gets a signal to stop.
  *
@@ -78,7 +98,7 @@
   const reloader = new SettingsReloader(file, node, logger);
   setInterval(() => void reloader.reloadIfChanged(), SETTINGS_CHECK_MS).unref();
   process.on('SIGHUP', () => void reloader.reload());
-  process.once('SIGTERM', () => {
+  registerStopSignal(process, () => {
     logger.info('The process is stopping.');
     node.stop().then(() => {
       logger.info('The process has stopped.');
