A planned stop cuts off no response, and a stopped process no longer answers

What callers saw: a VM that stopped as planned cut off a response whose last bytes a slow caller was still reading (30 MB: 3.9 MB arrived); clients with a connection that was busy at the stop went on with the stopping process and got 503 after a second, with keep-alive, instead of another VM.

Cause: Node's server.close() destroys connections whose response has ended, sent or not, and serves further requests on those that were busy. The drain did not count responses that are being sent.

DrainableServer stops listening, ends each connection after the response in progress, and closes idle ones only while no ended response is being sent; the drain waits for unsent responses. The gateway uses it too.

--- a/packages/stallpaddle-gateway/src/GatewayServer.ts
+++ b/packages/stallpaddle-gateway/src/GatewayServer.ts
@@ -5,7 +5,7 @@
 import type {RefusalError} from 'stallpaddle';
 
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {errorMessage, refuse} from 'stallpaddle';
+import {DrainableServer, errorMessage, refuse} from 'stallpaddle';
 import {modelNames} from 'stallpaddle-control';
 import {ADDRESSES_TTL_MS, addressesFor} from 'stallpaddle-membership';
 
@@ -59,6 +59,7 @@
   private readonly files: GatewayFiles;
   private readonly online: GatewayOnlineForwarder;
   private open = 0;
+  private readonly drainable: DrainableServer;
   private readonly server: Server;
   private readonly services: GatewayServices;
 
@@ -81,6 +82,7 @@
       requestTimeout: 0,
     });
     this.server.maxConnections = connections;
+    this.drainable = new DrainableServer(this.server);
     this.server.on('request', (req, res) => void this.handle(req, res));
     const {metrics} = context;
     metrics.exposeGauge('stallpaddle_open_requests', 'Open requests.', () => this.open);
@@ -91,9 +93,9 @@
     );
   }
 
-  /** Number of requests in progress. */
+  /** Number of requests in progress, with those whose response is being sent. */
   get openRequests(): number {
-    return this.open;
+    return Math.max(this.open, this.drainable.unsentResponses);
   }
 
   /**
@@ -111,7 +113,7 @@
 
   /** Closes idle connections; requests in progress continue. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.drainable.closeIdle();
   }
 
   /** Closes all connections and the server. */
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -3,8 +3,8 @@
  */
 
 import type {ConnectRouter} from '@connectrpc/connect';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {LogFields, ReplicaId} from 'stallpaddle';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {DrainableServer, LogFields, ReplicaId} from 'stallpaddle';
 import type {LimitAsk} from 'stallpaddle-limits';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
@@ -56,7 +56,7 @@
   private readonly log: NodeLog;
   private rpc: RpcServer | undefined;
   private self: ReplicaId | undefined;
-  private server: Server | undefined;
+  private server: DrainableServer | undefined;
   private stopBootstrapping: () => Promise<void> = () => Promise.resolve();
 
   /**
@@ -134,7 +134,8 @@
       const calls = new NodeControlCalls(this.fleet.control, portOf(control), this.log);
       const handler = (req: IncomingMessage, res: ServerResponse) =>
         void this.handle(calls, req, res);
-      this.server = await startServer(control, handler, IDLE_MS);
+      const {drainable} = await startServer(control, handler, IDLE_MS);
+      this.server = drainable;
     }
     if (dataFolder !== '') {
       await this.openReplica(dataFolder);
--- a/packages/stallpaddle-node/src/NodeDrainState.ts
+++ b/packages/stallpaddle-node/src/NodeDrainState.ts
@@ -73,11 +73,15 @@
     this.phase = 'refusing';
   }
 
-  /** Waits until no request is in flight, or the grace period is nearly over. */
-  async untilIdle(): Promise<void> {
+  /**
+   * Waits until no request is in flight and all responses are sent, or the grace period is nearly over.
+   *
+   * @param unsentResponses number of responses that have not been sent in full
+   */
+  async untilIdle(unsentResponses: () => number): Promise<void> {
     const timeoutMs = Math.min(this.graceMs, LAST_REQUEST_MARGIN_MS) - SHUTDOWN_MARGIN_MS;
     const end: MonotonicMs = this.clock.monotonicMs() + timeoutMs;
-    while (this.open > 0 && this.clock.monotonicMs() < end) {
+    while (this.open + unsentResponses() > 0 && this.clock.monotonicMs() < end) {
       await delay(IDLE_CHECK_MS);
     }
   }
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -1,6 +1,6 @@
 /** Component of a process that serves callers. */
 
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {LogFields} from 'stallpaddle';
 import type {EngineView, Feature, FleetHeartbeat, FleetView} from 'stallpaddle-fleet';
 
@@ -37,7 +37,14 @@
 import {CONFIG_RETRY_AFTER_MS, IDLE_MARGIN_MS} from './NodeConstants';
 import {NodeDrainState} from './NodeDrainState';
 import {countEnd, countNotResumed, countWait, exposeEntryMetrics} from './NodeEntryMetrics';
-import {BodyTooLargeError, readBody, requestHead, sendResponse, startServer} from './NodeHttp';
+import {
+  BodyTooLargeError,
+  type ListeningServer,
+  readBody,
+  requestHead,
+  sendResponse,
+  startServer,
+} from './NodeHttp';
 import {NodeJobCalls} from './NodeJobCalls';
 import {NodeLog} from './NodeLog';
 import {NodeOnlineReporter} from './NodeOnlineReporter';
@@ -65,7 +72,7 @@
   private readonly jobCalls: NodeJobCalls;
   private readonly log: NodeLog;
   private readonly routes: NodeRoutes;
-  private servers: readonly Server[] = [];
+  private servers: readonly ListeningServer[] = [];
   private readonly reporter: NodeOnlineReporter;
   private readonly connections = new NodeConnections();
   private readonly shares: NodeShares;
@@ -215,7 +222,7 @@
   /** Starts the servers and the reports to the dispatcher. */
   async open(): Promise<void> {
     const {callers, directory, ready} = this.options.settings;
-    const servers: Promise<Server>[] = [];
+    const servers: Promise<ListeningServer>[] = [];
     if (callers !== null) {
       const handler = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
       servers.push(startServer(callers, handler, DEFAULT_IDLE_MS + IDLE_MARGIN_MS));
@@ -241,7 +248,7 @@
       Object.entries(largestCounts(this.shares.rejected)),
     );
     this.servers = await Promise.all(servers);
-    this.servers.forEach((server) => this.connections.count(server));
+    this.servers.forEach(({server}) => this.connections.count(server));
     void this.reporter.run();
   }
 
@@ -250,8 +257,10 @@
     this.drainState.leave();
     void this.watch.ask(0);
     await this.drainState.untilLastRequests();
-    this.servers.forEach((server) => server.close());
-    await this.drainState.untilIdle();
+    this.servers.forEach(({drainable}) => drainable.close());
+    await this.drainState.untilIdle(() =>
+      this.servers.reduce((sum, {drainable}) => sum + drainable.unsentResponses, 0),
+    );
     this.reporter.stop();
   }
 
@@ -283,8 +292,8 @@
     const limits = this.watch.view.config?.limits;
     const [callers] = this.servers;
     if (limits !== undefined && callers !== undefined) {
-      callers.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-      callers.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
+      callers.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      callers.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
     }
   }
 
--- a/packages/stallpaddle-node/src/NodeHttp.ts
+++ b/packages/stallpaddle-node/src/NodeHttp.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, RequestListener, Server, ServerResponse} from 'node:http';
 
 import {createServer} from 'node:http';
-import {errorMessage} from 'stallpaddle';
+import {DrainableServer, errorMessage} from 'stallpaddle';
 
 import type {NodeMetrics} from './NodeMetrics';
 import type {RawRequest, RawResponse} from './NodeWire';
@@ -17,6 +17,12 @@
 /** Idle timeout of a metrics collector's connection, in milliseconds. */
 const METRICS_IDLE_MS = 10_000;
 
+/** A server that is listening. */
+export interface ListeningServer {
+  readonly drainable: DrainableServer;
+  readonly server: Server;
+}
+
 /** A request body exceeds the size limit. */
 export class BodyTooLargeError extends Error {
   override readonly name = 'BodyTooLargeError';
@@ -33,7 +39,7 @@
   address: string,
   handler: RequestListener,
   idleMs: number,
-): Promise<Server> {
+): Promise<ListeningServer> {
   const server = createServer(
     {
       keepAlive: false,
@@ -44,11 +50,12 @@
     },
     handler,
   );
+  const drainable = new DrainableServer(server);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(portOf(address), hostOf(address), resolve);
   });
-  return server;
+  return {drainable, server};
 }
 
 /**
@@ -111,9 +118,9 @@
 export async function startMetricsServer(
   address: null | string,
   metrics: NodeMetrics,
-): Promise<Server | null> {
+): Promise<void> {
   if (address === null) {
-    return null;
+    return;
   }
   const handler: RequestListener = (req, res) => {
     req.resume();
@@ -126,5 +133,5 @@
       (err: unknown) => sendResponse(res, {body: errorMessage(err), status: 500}),
     );
   };
-  return startServer(address, handler, METRICS_IDLE_MS);
+  await startServer(address, handler, METRICS_IDLE_MS);
 }
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -11,6 +11,7 @@
 export {decodeValue, encodeValue} from './Codec';
 /** Shared basics of all packages: identifiers, time, errors, verdicts, hashing, encoding, logs. */
 export {registerResetDetector} from './ConnectionReset';
+export {DrainableServer} from './DrainableServer';
 export {type ErrorCode, errorMessage, type RefusalDetails, RefusalError, refuse} from './Errors';
 export {hash32, rendezvousOrder, rendezvousOwner} from './Hash';
 export {registerHeadLimit} from './HeadLimit';
