A route with a time limit of months serves its requests

What callers saw: a configuration with a timeout-ms above 2,147,483,647 is valid and came into force; each request of that route that told no shorter time left was answered with a timeout at once.

Cause: Node runs a timer with a longer delay after 1 ms, and the relay handed the configuration's value to setTimeout.

Evidence: the new test of RelayRun failed before. The other time settings of a configuration were looked at: idle and header limits go to Node's server, which bounds or compares them; those of jobs are compared with a clock.

The relay bounds its timer (MAX_TIMER_MS).

--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -5,7 +5,7 @@
 import type {LogFields, Verdict} from 'stallpaddle';
 import type {EngineView} from 'stallpaddle-fleet';
 
-import {delay, joinVerdicts} from 'stallpaddle';
+import {delay, joinVerdicts, MAX_TIMER_MS} from 'stallpaddle';
 
 import type {RelayContext, RelayEnd, RelayRequest} from './RelayTypes';
 
@@ -133,7 +133,8 @@
       }
     };
     res.on('close', onClose);
-    const timer = setTimeout(() => this.timeOut(), Math.max(0, this.remainingMs));
+    const timeoutMs = Math.min(MAX_TIMER_MS, Math.max(0, this.remainingMs));
+    const timer = setTimeout(() => this.timeOut(), timeoutMs);
     try {
       this.refuseIfLost(await this.streamBinding.bindReturn());
       while (this.end === undefined) {
--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -215,11 +215,11 @@
   return new Promise((resolve) => {
     const req = request({
       headers: {
-        ...more,
         host: 'a.example',
         [PLAIN.request]: 'q1',
         [PLAIN.timeLeft]: '1500',
         'x-other': 'kept',
+        ...more,
       },
       host: '127.0.0.1',
       method: 'POST',
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -39,6 +39,16 @@
     expect(ends).toEqual(['served']);
   });
 
+  // Guards against a route whose requests all time out at once because its limit is too long for a timer.
+  test('serves requests with a time limit of months', async () => {
+    const [engine] = await startEngines(1);
+    const months = 10_000_000_000;
+    const {ends, port} = await startRelay(contextOf([engine!]), routeOf({timeoutMs: months}));
+    const response = await sendRequest(port, undefined, {[PLAIN.timeLeft]: String(months)});
+    expect(response).toMatchObject({body: engine!.wholeText, isComplete: true, status: 200});
+    expect(ends).toEqual(['served']);
+  });
+
   test('headers in which a caller identifies itself are replaced by the customer on every attempt', async () => {
     const engines = await startEngines(2);
     engines.forEach((engine) => (engine.behaviors = [{after: 2, kind: 'breakOff'}]));
--- a/packages/stallpaddle/src/Clock.ts
+++ b/packages/stallpaddle/src/Clock.ts
@@ -5,6 +5,9 @@
 /** Milliseconds from an arbitrary origin; never decreases. */
 export type MonotonicMs = number;
 
+/** Longest delay of a timer, in milliseconds, about 25 days: Node runs timers with a longer one at once. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Source of monotonic and wall time. */
 export interface Clock {
   /** Monotonic time for leases, timeouts and measurements. */
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -3,6 +3,7 @@
   type Clock,
   type Deadline,
   delay,
+  MAX_TIMER_MS,
   type MonotonicMs,
   registerTimeout,
   startDeadline,
