A process that has just started runs nothing that a replica knows to be quarantined

Cause, the same as for leaving engines and configurations: until a leader has answered, a process obeys the status that it got from some replica at its start. A replica applies only what it knows to be committed, and may lag; a quarantine that stands in the logs of a majority was not obeyed.

Change: replicas tell their suspects after all entries of their logs, with the end of the log. Those of the most recent log replace the ones of an unconfirmed status, so a release counts too. An entry that isn't committed only holds back a request until a leader is known.

What a replica tells moved from FleetMachine to FleetReading.

--- a/packages/stallpaddle-fleet/src/FleetMachine.ts
+++ b/packages/stallpaddle-fleet/src/FleetMachine.ts
@@ -18,7 +18,7 @@
   RemoveEngine,
 } from './FleetTypes';
 
-import {afterEngineChange, afterExpiry, softwareKey, streamLifeMs} from './FleetSoftware';
+import {afterEngineChange, afterExpiry, streamLifeMs} from './FleetSoftware';
 import {
   afterPartsEnd,
   afterPartsRelease,
@@ -32,9 +32,6 @@
 /** Bounds the memory of ended incarnations, which rejects late reports of removed engines. */
 const MAX_GONE_ENGINES = 4_096;
 
-/** Ended engines that a replica tells without a leader; processes that have started since don't know earlier ones. */
-const MAX_TOLD_GONE = 256;
-
 const EMPTY_FLEET: FleetState = {
   clockMs: 0,
   config: null,
@@ -189,7 +186,13 @@
     : withChanges(state, {suspectParts});
 }
 
-function step(state: FleetState, command: FleetCommand): FleetStep {
+/**
+ * Applies a command, without the passage of time.
+ *
+ * @param state state before
+ * @param command the command
+ */
+export function applyCommand(state: FleetState, command: FleetCommand): FleetStep {
   switch (command.kind) {
     case 'foundJobs':
       return applied(
@@ -284,7 +287,12 @@
   return {...report, softwareVersion, startedAtMs};
 }
 
-function decodeCommand(bytes: Uint8Array): FleetCommand {
+/**
+ * Decodes a command, also one of an earlier release.
+ *
+ * @param bytes the command as it is in the log
+ */
+export function decodeCommand(bytes: Uint8Array): FleetCommand {
   const command = decodeValue<FleetCommand>(bytes);
   if (command.kind === 'removeEngine') {
     return {...command, startedAtMs: command.startedAtMs ?? null};
@@ -294,65 +302,6 @@
     : command;
 }
 
-/**
- * Software versions that a replica knows, by `softwareKey`.
- *
- * @param state its state
- * @param commands encoded commands of its log that it has not applied, committed or not
- */
-export function knownSoftware(
-  {engines, formerSoftware}: FleetState,
-  commands: readonly Uint8Array[],
-): readonly string[] {
-  const reported = commands
-    .map(decodeCommand)
-    .flatMap((command) => (command.kind === 'reportEngine' ? [command.report] : []));
-  const present = [...engines.values(), ...reported].map(softwareKey);
-  return [...new Set([...present, ...formerSoftware.keys()])];
-}
-
-/**
- * Engines that a replica knows to drain or to have left, the latest of them.
- *
- * @param state its state
- * @param commands encoded commands of its log that it has not applied, committed or not
- */
-export function leavingEngines(
-  {engines, goneEngines}: FleetState,
-  commands: readonly Uint8Array[],
-): readonly EngineId[] {
-  const draining = [...engines.values()].filter((engine) => engine.draining).map(({id}) => id);
-  const gone = [...goneEngines.keys()].slice(-MAX_TOLD_GONE).filter((id) => !engines.has(id));
-  const pending = commands.map(decodeCommand).flatMap((command) => {
-    if (command.kind === 'removeEngine') {
-      return [command.id];
-    }
-    return command.kind === 'reportEngine' && command.report.draining ? [command.report.id] : [];
-  });
-  return [...new Set([...draining, ...gone, ...pending])];
-}
-
-/**
- * Version of the newest configuration that a replica has in its log and has not applied; null if none is newer than its own.
- *
- * @param state its state
- * @param commands encoded commands of its log that it has not applied, committed or not
- */
-export function pendingConfigVersion(
-  {config}: FleetState,
-  commands: readonly Uint8Array[],
-): null | number {
-  const held = config?.version ?? -Infinity;
-  const newest = commands
-    .map(decodeCommand)
-    .reduce(
-      (version, command) =>
-        command.kind === 'putConfig' ? Math.max(version, command.config.version) : version,
-      held,
-    );
-  return newest > held ? newest : null;
-}
-
 /** Applies registrations, removals, configurations and engine exits to the control group's state. */
 export const fleetMachine: ReplicaMachine<FleetState> = {
   apply: (state, command, elapsedMs): MachineResult<FleetState> => {
@@ -361,7 +310,10 @@
     const suspectParts = afterPartsTick(state.suspectParts, clockMs);
     const formerSoftware = afterExpiry(state.formerSoftware, clockMs);
     const before = {...state, clockMs, formerSoftware, suspectParts, suspects};
-    const {answer, state: next} = withFormerSoftware(before, step(before, decodeCommand(command)));
+    const {answer, state: next} = withFormerSoftware(
+      before,
+      applyCommand(before, decodeCommand(command)),
+    );
     return {blobs: [], result: answer, state: next};
   },
   blobEnd: () => 0,
--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -177,6 +177,19 @@
 /** Answer to `retireStore` and `retireState`. */
 export type RetireAnswer = 'completed' | 'running' | 'tooFew' | 'unknown';
 
+/** Position of the last entry of a log; the later one of two logs has every committed entry that the other one has. */
+export interface LogEnd {
+  readonly index: number;
+  readonly term: number;
+}
+
+/** What one replica suspects, by its whole log. */
+export interface SuspectReading {
+  readonly end: LogEnd;
+  readonly parts: readonly SuspectPartView[];
+  readonly requests: readonly SuspectView[];
+}
+
 /** What one replica of the control group knows while there may be no leader. */
 export interface ReplicaReading extends SoftwareReading {
   /** The newest configuration that it has applied, if newer than the process's, else null. */
@@ -185,6 +198,8 @@
   readonly leaving: readonly EngineId[];
   /** Version of a newer configuration in its log that it has not applied, as it may not be committed; null for none. */
   readonly pendingConfig: null | number;
+  /** Absent in answers of earlier releases. */
+  readonly suspects?: SuspectReading;
 }
 
 /** A configuration that may have been confirmed, but is known only by its version. */
@@ -203,6 +218,8 @@
   readonly news: FleetStatus;
   /** A newer configuration that may have been confirmed; null when none is known. */
   readonly pendingConfig: null | PendingConfig;
+  /** End of the log by which a replica told the suspects, before a leader has answered; null for none. */
+  readonly suspectsEnd: LogEnd | null;
   readonly term: number;
   /** The status as received; `news` may also list entry VMs whose heartbeats a new leader still awaits. */
   readonly told: FleetStatus;
@@ -228,6 +245,7 @@
   fleet: 0,
   news: EMPTY_STATUS,
   pendingConfig: null,
+  suspectsEnd: null,
   term: UNPROVEN_TERM,
   told: EMPTY_STATUS,
 };
@@ -308,9 +326,23 @@
   return {...view, news: {...view.news, engines}};
 }
 
+function isEarlier(a: LogEnd, b: LogEnd): boolean {
+  return a.term < b.term || (a.term === b.term && a.index < b.index);
+}
+
+function withSuspects(view: FleetView, reading: SuspectReading | undefined): FleetView {
+  const {suspectsEnd} = view;
+  if (reading === undefined || (suspectsEnd !== null && isEarlier(reading.end, suspectsEnd))) {
+    return view;
+  }
+  const {end, parts: suspectParts, requests: suspects} = reading;
+  return {...view, news: {...view.news, suspectParts, suspects}, suspectsEnd: end};
+}
+
 /**
- * Applies what a replica knows to a view while no leader answers: a configuration that it has applied is committed, and an
- * engine that it knows to leave gets nothing more by a status that no leader has confirmed.
+ * Applies what a replica knows to a view while no leader answers: a configuration that it has applied is committed. By a
+ * status that no leader has confirmed, an engine that the replica knows to leave gets nothing more, and what the most recent
+ * log quarantines is not run.
  *
  * @param view the view before
  * @param reading the replica's answer
@@ -318,12 +350,13 @@
  */
 export function applyReplicaReading(
   view: FleetView,
-  {config, leaving, pendingConfig}: ReplicaReading,
+  {config, leaving, pendingConfig, suspects}: ReplicaReading,
   now: MonotonicMs,
 ): FleetView {
   const held = view.config?.version ?? -Infinity;
-  const drained = view.asOf === -Infinity ? withLeaving(view, new Set(leaving)) : view;
-  const configured = config !== null && config.version > held ? {...drained, config} : drained;
+  const isUnconfirmed = view.asOf === -Infinity;
+  const known = isUnconfirmed ? withSuspects(withLeaving(view, new Set(leaving)), suspects) : view;
+  const configured = config !== null && config.version > held ? {...known, config} : known;
   const newest = Math.max(
     configured.config?.version ?? -Infinity,
     view.pendingConfig?.version ?? -Infinity,
--- a/packages/stallpaddle-fleet/src/__tests__/unit/FleetSoftware.test.ts
+++ b/packages/stallpaddle-fleet/src/__tests__/unit/FleetSoftware.test.ts
@@ -5,7 +5,8 @@
 import type {SoftwareReading} from '../../FleetSoftware';
 import type {EngineReport} from '../../FleetTypes';
 
-import {fleetMachine, knownSoftware} from '../../FleetMachine';
+import {fleetMachine} from '../../FleetMachine';
+import {knownSoftware} from '../../FleetReading';
 import {provenSoftware, softwareKey} from '../../FleetSoftware';
 
 const VOTERS = ['a', 'b', 'c'];
--- a/packages/stallpaddle-fleet/src/index.ts
+++ b/packages/stallpaddle-fleet/src/index.ts
@@ -11,16 +11,9 @@
 } from './FleetDelta';
 export {type Feature, FEATURES, type FeatureSwitches, isFeatureOn} from './FleetFeatures';
 export {FleetHistory, type NumberedStatus} from './FleetHistory';
-export {
-  changesEngine,
-  fleetMachine,
-  isOutdated,
-  knownSoftware,
-  laterHolders,
-  leavingEngines,
-  pendingConfigVersion,
-} from './FleetMachine';
+export {changesEngine, fleetMachine, isOutdated, laterHolders} from './FleetMachine';
 export {quarantinedGroups, suspectPartDetails, suspectPartViews} from './FleetPartCauses';
+export {knownSoftware, knownSuspects, leavingEngines, pendingConfigVersion} from './FleetReading';
 export {
   type EngineSoftware,
   hasMixedSoftware,
--- a/packages/stallpaddle-node/src/NodeReplicaReading.ts
+++ b/packages/stallpaddle-node/src/NodeReplicaReading.ts
@@ -2,7 +2,12 @@
 import type {FleetConfig, FleetState, ReplicaReading, StoredConfig} from 'stallpaddle-fleet';
 import type {ReplicaDriver} from 'stallpaddle-replication';
 
-import {knownSoftware, leavingEngines, pendingConfigVersion} from 'stallpaddle-fleet';
+import {
+  knownSoftware,
+  knownSuspects,
+  leavingEngines,
+  pendingConfigVersion,
+} from 'stallpaddle-fleet';
 
 /**
  * Reads a replica. Unlike a leader's answers, the reading may be outdated, and it includes entries that may not be committed.
@@ -27,6 +32,10 @@
     pendingConfig: pendingConfigVersion(localState, commands),
     replica: self,
     software: knownSoftware(localState, commands),
+    suspects: {
+      end: {index: log.lastIndex, term: log.lastTerm},
+      ...knownSuspects(localState, commands),
+    },
     voters: log.members.voters,
   };
 }
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -13,7 +13,7 @@
 import type {ReplicaDriver} from 'stallpaddle-replication';
 
 import {decodeValue, delay, encodeValue, systemClock} from 'stallpaddle';
-import {FIRST_QUARANTINE_MS, fleetMachine} from 'stallpaddle-fleet';
+import {FIRST_QUARANTINE_MS, fleetMachine, QUARANTINE_LEVEL} from 'stallpaddle-fleet';
 import {NotLeaderError, ReplicationLog} from 'stallpaddle-replication';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -108,11 +108,13 @@
   });
 
   // Guards against a version that a replica has in its log and doesn't tell, because it isn't known to be committed yet.
-  test('tells the software versions, the newest configuration and the leaving engines of its whole log', async () => {
+  test('tells the software versions, configuration, leaving engines and suspects of its whole log', async () => {
     const {handler, held, status} = lead(3, 1);
     const command = (id: string, softwareVersion: string): Uint8Array =>
       encodeValue({kind: 'reportEngine', report: {address: id, id, service: 's', softwareVersion}});
     held.state = fleetMachine.apply(held.state, command('e1', 'v1'), 0).state;
+    const exit = (engine: string, known: number): Uint8Array =>
+      encodeValue({digest: 'fatal', engine, kind: 'noteEngineEnd', known, startedAtMs: 0});
     const removal = {id: 'e1', kind: 'removeEngine', startedAtMs: null};
     const newer = {config: {...CONFIG, version: 8}, kind: 'putConfig'};
     const tail = ReplicationLog.restore({index: 4, members: status.log.members, term: 1}, [
@@ -120,6 +122,8 @@
       {index: 6, payload: {data: encodeValue(newer), kind: 'command'}, term: 2},
       {index: 7, payload: {data: command('e2', 'v2'), kind: 'command'}, term: 2},
       {index: 8, payload: {data: encodeValue(removal), kind: 'command'}, term: 2},
+      {index: 9, payload: {data: exit('e3', 0), kind: 'command'}, term: 2},
+      {index: 10, payload: {data: exit('e4', 1), kind: 'command'}, term: 2},
     ]);
     Object.assign(status, {applied: 5, log: tail, self: '10.0.0.1/first'});
     expect(await handler.answer({configAfter: 6, kind: 'readReplica'})).toEqual({
@@ -128,6 +132,11 @@
       pendingConfig: 8,
       replica: '10.0.0.1/first',
       software: ['["s","v1"]', '["s","v2"]'],
+      suspects: {
+        end: {index: 10, term: 2},
+        parts: [],
+        requests: [{digest: 'fatal', holdMs: FIRST_QUARANTINE_MS, level: QUARANTINE_LEVEL}],
+      },
       voters: status.log.members.voters,
     });
   });
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeWatch.test.ts
@@ -354,6 +354,38 @@
     expect(draining()).toEqual([]);
   });
 
+  // Guards against a quarantined request that crashes another engine after all VMs were lost.
+  test('a process knows the suspects of the most recent log that a replica tells, until a leader has answered', async () => {
+    const network = new Network();
+    const suspectsOf = (index: number, levels: Readonly<Record<string, number>>) => ({
+      end: {index, term: 3},
+      parts: [],
+      requests: Object.entries(levels).map(([digest, level]) => ({digest, holdMs: 1, level})),
+    });
+    network.readings.set('r1', {
+      ...readingOf('r1', null),
+      suspects: suspectsOf(9, {fatal: 2, first: 1}),
+    });
+    network.readings.set('r2', {
+      ...readingOf('r2', null),
+      suspects: suspectsOf(8, {fatal: 1, released: 2}),
+    });
+    const {watch} = processOf(network);
+    watch.offer(unprovenAnswer(7));
+    void watch.run();
+    const levels = (): Readonly<Record<string, number>> =>
+      Object.fromEntries(watch.view.news.suspects.map(({digest, level}) => [digest, level]));
+    await until(() => levels()['fatal'] === 2, APPLY_MS);
+    await delay(2 * REPLICA_READ_INTERVAL_MS);
+    expect(levels()).toEqual({fatal: 2, first: 1});
+    const answer = {ageMs: 0, config: null, fleet: 1, heldMs: 0, proven: true, term: 4};
+    const update = {kind: 'whole', news: EMPTY_VIEW.news} as const;
+    network.serve('leader', () => Promise.resolve({...answer, update}));
+    await until(() => watch.ageMs < Infinity);
+    await delay(REPLICA_READ_INTERVAL_MS);
+    expect(levels()).toEqual({});
+  });
+
   // Guards against an older configuration where the replicas were killed before they had applied the confirmed one.
   test('a process does not obey an older configuration than one that may have been confirmed', async () => {
     const network = new Network();
