VMs that have just started share a customer's limit instead of granting it each

Cause: until a leader has answered, a process asks no owner and grants its part, the limit divided by the number of entry VMs. That list is empty in a status that a replica tells without a leader, so each VM granted the whole rate and the whole burst. Class: a missing value counts as the most favorable one.

Change: replicas tell how many entry VMs they have recorded on their disks; the part is taken by that number, or by that of the control replicas. It begins like a new owner, as nobody knows what was granted before. That part is too small for customers with few requests, so one request of each waits for a leader, up to the 0.5 s for which a rejected one would stay away.

--- a/packages/stallpaddle-fleet/src/FleetView.ts
+++ b/packages/stallpaddle-fleet/src/FleetView.ts
@@ -194,6 +194,8 @@
 export interface ReplicaReading extends SoftwareReading {
   /** The newest configuration that it has applied, if newer than the process's, else null. */
   readonly config: FleetConfig | null;
+  /** Number of entry VMs that it has recorded on its disk; absent in answers of earlier releases. */
+  readonly entries?: number;
   /** Engines that drain or have left, also by entries that may not be committed. */
   readonly leaving: readonly EngineId[];
   /** Version of a newer configuration in its log that it has not applied, as it may not be committed; null for none. */
@@ -218,6 +220,8 @@
   readonly news: FleetStatus;
   /** A newer configuration that may have been confirmed; null when none is known. */
   readonly pendingConfig: null | PendingConfig;
+  /** Number of entry VMs that replicas have recorded, for the time before the first answer of a leader; 0 if unknown. */
+  readonly recordedEntries: number;
   /** End of the log by which a replica told the suspects, before a leader has answered; null for none. */
   readonly suspectsEnd: LogEnd | null;
   readonly term: number;
@@ -245,6 +249,7 @@
   fleet: 0,
   news: EMPTY_STATUS,
   pendingConfig: null,
+  recordedEntries: 0,
   suspectsEnd: null,
   term: UNPROVEN_TERM,
   told: EMPTY_STATUS,
@@ -350,12 +355,14 @@
  */
 export function applyReplicaReading(
   view: FleetView,
-  {config, leaving, pendingConfig, suspects}: ReplicaReading,
+  {config, entries = 0, leaving, pendingConfig, suspects}: ReplicaReading,
   now: MonotonicMs,
 ): FleetView {
   const held = view.config?.version ?? -Infinity;
   const isUnconfirmed = view.asOf === -Infinity;
-  const known = isUnconfirmed ? withSuspects(withLeaving(view, new Set(leaving)), suspects) : view;
+  const recordedEntries = Math.max(view.recordedEntries, entries);
+  const told = isUnconfirmed ? withSuspects(withLeaving(view, new Set(leaving)), suspects) : view;
+  const known = recordedEntries === view.recordedEntries ? told : {...told, recordedEntries};
   const configured = config !== null && config.version > held ? {...known, config} : known;
   const newest = Math.max(
     configured.config?.version ?? -Infinity,
--- a/packages/stallpaddle-limits/src/LimitOwnerBuckets.ts
+++ b/packages/stallpaddle-limits/src/LimitOwnerBuckets.ts
@@ -11,7 +11,7 @@
 const MARGIN_REQUESTS = 8;
 
 /** Requests that a new owner grants at once, so that the loss of an owner causes no refusals at low rates. */
-const INITIAL_REQUESTS = 4;
+export const INITIAL_REQUESTS = 4;
 
 /** Maximum time that a request waits for its token, in milliseconds; refusing it would delay the caller longer. */
 const MAX_WAIT_MS = 100;
--- a/packages/stallpaddle-limits/src/LimitShare.ts
+++ b/packages/stallpaddle-limits/src/LimitShare.ts
@@ -6,6 +6,7 @@
 import type {LimitAnswer, LimitDecision, RateLimit} from './LimitTypes';
 
 import {type LimitBucket, type LimitTerms, takeToken} from './LimitBucket';
+import {INITIAL_REQUESTS} from './LimitOwnerBuckets';
 
 /** Bounds memory; customers that were dropped count as calm. */
 const MAX_CUSTOMERS = 65_536;
@@ -18,6 +19,7 @@
   private readonly buckets = new Map<string, LimitBucket>();
   /** Customers that had used most of their limit by their owner's last answer. */
   private readonly busy = new Set<string>();
+  private hasHeard = false;
 
   /**
    * Records an answer of the owner of a customer's limit.
@@ -26,6 +28,7 @@
    * @param answer the owner's answer
    */
   note(customer: string, answer: LimitAnswer): void {
+    this.hasHeard ||= answer.kind !== 'unsure';
     if (answer.kind === 'over' || (answer.kind === 'granted' && !answer.isCalm)) {
       this.busy.add(customer);
     } else if (answer.kind === 'granted') {
@@ -49,7 +52,7 @@
       capacity: Math.max(1, burst / vms),
       ratePerSecond: ratePerSecond / vms,
     };
-    const tokens = this.busy.has(customer) ? 0 : terms.capacity;
+    const tokens = this.busy.has(customer) ? 0 : this.firstTokens(terms, vms);
     const answer = takeToken(this.buckets.get(customer) ?? {at: now, tokens}, terms, now);
     if (this.buckets.size >= MAX_CUSTOMERS) {
       this.buckets.clear();
@@ -59,4 +62,9 @@
       ? {isCalm: !this.busy.has(customer), kind: 'granted', waitMs: 0}
       : {kind: 'over', retryAfterMs: answer.retryAfterMs};
   }
+
+  /** A process that no owner has answered yet doesn't know what was granted before its start, as a new owner doesn't. */
+  private firstTokens({capacity}: LimitTerms, vms: number): number {
+    return this.hasHeard ? capacity : Math.min(capacity, INITIAL_REQUESTS / vms);
+  }
 }
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -182,12 +182,16 @@
       peers: this.fleet.peers,
       self,
     });
+    const knownEntries = await NodeKnownEntries.open(root, (message, fields) =>
+      this.log.note(message, fields),
+    );
     this.handler = new NodeControlHandler({
       clock,
       group,
       lastKnownJobsReplicas: () => this.fleet.watch.view.news.jobsReplicas,
       log: (message, fields) => this.log.note(message, fields),
       lostDisks,
+      recordedEntries: () => knownEntries.hosts.length,
       reportMs: settings.bounds.report,
     });
     this.group = group;
@@ -200,9 +204,7 @@
       fleet,
       group,
       host,
-      knownEntries: await NodeKnownEntries.open(root, (message, fields) =>
-        this.log.note(message, fields),
-      ),
+      knownEntries,
       peek: () => handler.peek(),
     });
     // A restarted process knows nobody until the first round, so it doesn't wait for the interval.
--- a/packages/stallpaddle-node/src/NodeControlHandler.ts
+++ b/packages/stallpaddle-node/src/NodeControlHandler.ts
@@ -19,6 +19,7 @@
   isEmptyDelta,
   isOutdated,
   laterHolders,
+  type ReplicaReading,
   type RetireAnswer,
   type StoredConfig,
   UNPROVEN_TERM,
@@ -53,6 +54,8 @@
   readonly lastKnownJobsReplicas: () => readonly ReplicaId[];
   readonly log: (message: string, fields: LogFields) => void;
   readonly lostDisks: number;
+  /** Number of entry VMs recorded on this VM's disk. */
+  readonly recordedEntries: () => number;
   /** Time between two reports of an engine, in milliseconds. */
   readonly reportMs: number;
 }
@@ -147,9 +150,7 @@
       case 'readConfig':
         return this.options.group.driver.read().config;
       case 'readReplica':
-        return readReplica(this.options.group.driver, request.configAfter, (config) =>
-          this.publicConfig(config),
-        );
+        return this.readReplica(request.configAfter);
       case 'releaseParts':
         return this.suspects.releaseParts(request);
       case 'releaseRequest':
@@ -171,6 +172,13 @@
     }
   }
 
+  private readReplica(configAfter: number): ReplicaReading {
+    const {group, recordedEntries} = this.options;
+    const publicConfig = (config: StoredConfig | null): FleetConfig | null =>
+      this.publicConfig(config);
+    return readReplica(group.driver, recordedEntries(), configAfter, publicConfig);
+  }
+
   /** This replica's state, which may be outdated. */
   peek(): WatchAnswer {
     const config = this.publicConfig(this.options.group.driver.localState.config);
--- a/packages/stallpaddle-node/src/NodeFront.ts
+++ b/packages/stallpaddle-node/src/NodeFront.ts
@@ -46,7 +46,10 @@
         return customer === undefined ? undefined : rateLimitOf(customer);
       },
       note: (message, fields) => this.control.note(message, fields),
+      // Replicas of the control group are on entry VMs, so there are at least as many of these.
+      recordedEntries: () => Math.max(watch.view.recordedEntries, watch.controls.length),
       tryAt: (host, request, tryMs) => control.tryAt(host, request, tryMs),
+      untilConfirmed: (maxMs) => watch.untilConfirmed(maxMs),
       viewAgeMs: () => watch.ageMs,
     });
     this.streams = new NodeStreams({
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -57,7 +57,11 @@
   /** A customer's configured limit; undefined for an unknown customer. */
   readonly limitOf: (customer: string) => RateLimit | undefined;
   readonly note: (message: string, fields: LogFields) => void;
+  /** Number of entry VMs that are known without a fleet status; absent where none are. */
+  readonly recordedEntries?: () => number;
   readonly tryAt: (host: VmId, request: TryRequest, tryMs: number) => Promise<TryOutcome>;
+  /** Waits until a leader has confirmed a first fleet status, at most for a time; absent where nothing waits. */
+  readonly untilConfirmed?: (maxMs: number) => Promise<void>;
   /** Age of the fleet status, in milliseconds. */
   readonly viewAgeMs: () => number;
 }
@@ -90,6 +94,8 @@
   private readonly batches: NodeLimitBatches;
   private readonly pauses = new LimitPauses();
   private readonly share = new LimitShare();
+  /** Customers with a request that waits for the first fleet status. */
+  private readonly starting = new Set<string>();
   private readonly outages = new Map<VmId, Outage>();
 
   /**
@@ -115,14 +121,49 @@
    * @param limit the customer's limit, above 0
    */
   async admit(limit: RateLimit): Promise<LimitDecision> {
-    const {clock, entries, viewAgeMs} = this.options;
-    const isPartitioned = viewAgeMs() > MAX_STATUS_AGE_MS;
-    const answer = isPartitioned ? UNSURE : await this.ask(limit);
-    this.share.note(limit.customer, answer);
+    const answer = await this.askInTouch(limit);
     if (answer.kind !== 'unsure') {
       return answer;
     }
-    const own = this.share.ask(limit, Math.max(1, entries().length), clock.monotonicMs());
+    const own = this.askShare(limit);
+    const later =
+      own.kind === 'over' && (await this.hasWaited(limit.customer))
+        ? await this.askInTouch(limit)
+        : UNSURE;
+    return later.kind === 'unsure' ? own : later;
+  }
+
+  /** Asks the owner, unless this VM is partitioned. */
+  private async askInTouch(limit: RateLimit): Promise<LimitAnswer> {
+    const isPartitioned = this.options.viewAgeMs() > MAX_STATUS_AGE_MS;
+    const answer = isPartitioned ? UNSURE : await this.ask(limit);
+    this.share.note(limit.customer, answer);
+    return answer;
+  }
+
+  /**
+   * Waits for the first fleet status, with one request of each customer: its part may be far less than a request, and the
+   * status is expected sooner than the request would come back.
+   *
+   * @returns whether there is a status now
+   */
+  private async hasWaited(customer: string): Promise<boolean> {
+    const {untilConfirmed, viewAgeMs} = this.options;
+    if (untilConfirmed === undefined || viewAgeMs() < Infinity || this.starting.has(customer)) {
+      return false;
+    }
+    this.starting.add(customer);
+    // A rejected request would stay away for as long.
+    await untilConfirmed(SHARE_RETRY_AFTER_MS);
+    this.starting.delete(customer);
+    return viewAgeMs() < Infinity;
+  }
+
+  private askShare(limit: RateLimit): LimitDecision {
+    const {clock, entries, recordedEntries = () => 0} = this.options;
+    // After a start there are no entry VMs in the fleet status until a leader is known.
+    const vms = Math.max(1, entries().length, recordedEntries());
+    const own = this.share.ask(limit, vms, clock.monotonicMs());
     return own.kind === 'over'
       ? {...own, retryAfterMs: Math.min(SHARE_RETRY_AFTER_MS, own.retryAfterMs)}
       : own;
--- a/packages/stallpaddle-node/src/NodeReplicaReading.ts
+++ b/packages/stallpaddle-node/src/NodeReplicaReading.ts
@@ -13,11 +13,13 @@
  * Reads a replica. Unlike a leader's answers, the reading may be outdated, and it includes entries that may not be committed.
  *
  * @param driver the replica
+ * @param entries number of entry VMs recorded on its disk
  * @param configAfter version of the configuration that the asking process holds
  * @param publicConfig removes what is not sent to other processes
  */
 export function readReplica(
   {localState, status}: Pick<ReplicaDriver<FleetState>, 'localState' | 'status'>,
+  entries: number,
   configAfter: number,
   publicConfig: (config: StoredConfig | null) => FleetConfig | null,
 ): ReplicaReading {
@@ -28,6 +30,7 @@
   const config = publicConfig(localState.config);
   return {
     config: (config?.version ?? -Infinity) > configAfter ? config : null,
+    entries,
     leaving: leavingEngines(localState, commands),
     pendingConfig: pendingConfigVersion(localState, commands),
     replica: self,
--- a/packages/stallpaddle-node/src/NodeWatch.ts
+++ b/packages/stallpaddle-node/src/NodeWatch.ts
@@ -164,6 +164,19 @@
     return this.current.asOf >= calledAt;
   }
 
+  /**
+   * Waits until a leader has confirmed a first fleet status.
+   *
+   * @param maxMs longest wait, in milliseconds
+   */
+  async untilConfirmed(maxMs: number): Promise<void> {
+    const {clock} = this.options;
+    const end = clock.monotonicMs() + maxMs;
+    while (this.ageMs === Infinity && clock.monotonicMs() < end) {
+      await delay(RETRY_PAUSE_MS);
+    }
+  }
+
   /** Polls the leader; concurrent calls wait for the same answer. */
   private askShared(): Promise<boolean> {
     this.refreshing ??= this.ask(0).finally(() => {
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeControlHandler.test.ts
@@ -58,6 +58,7 @@
     lastKnownJobsReplicas: () => [],
     log: () => {},
     lostDisks,
+    recordedEntries: () => 9,
     reportMs: 1_000,
   });
   handlers.push(handler);
@@ -128,6 +129,7 @@
     Object.assign(status, {applied: 5, log: tail, self: '10.0.0.1/first'});
     expect(await handler.answer({configAfter: 6, kind: 'readReplica'})).toEqual({
       config: null,
+      entries: 9,
       leaving: ['e1'],
       pendingConfig: 8,
       replica: '10.0.0.1/first',
@@ -214,6 +216,7 @@
     lastKnownJobsReplicas: () => [],
     log: (message) => logged.push(message),
     lostDisks: 1,
+    recordedEntries: () => 0,
     reportMs: REPORT_MS,
   });
   handlers.push(handler);
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
@@ -1,7 +1,7 @@
 /** Guards against customers exceeding their limit while limit owners are unreachable, partitioned or replaced. */
 import type {VmId} from 'stallpaddle';
 import type {EntryView} from 'stallpaddle-fleet';
-import type {LimitAsk, RateLimit} from 'stallpaddle-limits';
+import type {LimitAsk, LimitDecision, RateLimit} from 'stallpaddle-limits';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import {decodeValue, seededRandom, systemClock} from 'stallpaddle';
@@ -23,6 +23,8 @@
   readonly hosts: readonly VmId[];
   isWeighted = false;
   now = 0;
+  recordedEntries = 0;
+  untilConfirmed: (maxMs: number) => Promise<void> = () => Promise.resolve();
   /** Whether a call is lost by the network. */
   isLost: (from: VmId, to: VmId) => boolean = () => false;
   readonly silent = new Set<VmId>();
@@ -42,7 +44,9 @@
         isWeighted: () => this.isWeighted,
         limitOf: () => LIMIT,
         note: () => {},
+        recordedEntries: () => this.recordedEntries,
         tryAt: (to, request) => this.tryAt(host, to, request),
+        untilConfirmed: (maxMs) => this.untilConfirmed(maxMs),
         viewAgeMs: () => this.viewAgeMs.get(host) ?? 0,
       });
       this.limits.set(host, limits);
@@ -53,10 +57,14 @@
     return limitOwners(LIMIT.customer, limitOwnerCandidates(this.hosts));
   }
 
+  admitAt(host: VmId): Promise<LimitDecision> {
+    return this.limits.get(host)!.admit(LIMIT);
+  }
+
   /** Sends a request to each reachable VM; returns how many were granted. */
   async round(): Promise<number> {
     const reachable = this.hosts.filter((host) => !this.silent.has(host));
-    const answers = await Promise.all(reachable.map((host) => this.limits.get(host)!.admit(LIMIT)));
+    const answers = await Promise.all(reachable.map((host) => this.admitAt(host)));
     return answers.filter(({kind}) => kind === 'granted').length;
   }
 
@@ -152,6 +160,39 @@
     expect(fleet.asks).toBe(0);
   });
 
+  // Guards against VMs that each grant a whole limit after all processes were lost.
+  test('VMs that have just started share the limit until they have a fleet status', async () => {
+    const fleet = new Fleet(isPausing);
+    const {entries} = fleet;
+    fleet.entries = [];
+    fleet.recordedEntries = VMS;
+    fleet.hosts.forEach((host) => fleet.viewAgeMs.set(host, Infinity));
+    const started = await rounds(fleet, 30);
+    expect(started).toBeLessThanOrEqual(3 * 10 + 4);
+    expect(started).toBeGreaterThanOrEqual(10);
+    fleet.entries = entries;
+    fleet.viewAgeMs.clear();
+    expect(await rounds(fleet, 20)).toBeGreaterThanOrEqual(18);
+  });
+
+  // Guards against rejections of all customers with few requests while there is no leader yet.
+  test('one request of a customer waits for the first fleet status at a VM that has just started', async () => {
+    const fleet = new Fleet(isPausing);
+    const host = fleet.hosts.find((other) => !fleet.owners.includes(other))!;
+    fleet.recordedEntries = VMS;
+    fleet.viewAgeMs.set(host, Infinity);
+    let confirm = (): void => {};
+    fleet.untilConfirmed = () => new Promise((resolve) => (confirm = resolve));
+    const first = fleet.admitAt(host);
+    expect(await fleet.admitAt(host)).toMatchObject({kind: 'over', retryAfterMs: 500});
+    fleet.viewAgeMs.clear();
+    confirm();
+    expect((await first).kind).toBe('granted');
+    fleet.viewAgeMs.set(host, Infinity);
+    fleet.untilConfirmed = () => Promise.resolve();
+    expect((await fleet.admitAt(host)).kind).toBe('over');
+  });
+
   test('with weights, large VMs own limits, and changes of utilization change no owner', async () => {
     const fleet = new Fleet(isPausing);
     fleet.isWeighted = true;
