Limits: the recorded entry VMs count only while the list is empty

After a start the part of a limit was divided by the larger of the listed and the recorded number of entry VMs; in a fleet that has shrunk a VM that is cut off later would have granted too little. The recorded number now counts only without a list. Clearer names, and the drain reads its unsent responses from a getter.

--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -258,12 +258,14 @@
     void this.watch.ask(0);
     await this.drainState.untilLastRequests();
     this.servers.forEach(({drainable}) => drainable.close());
-    await this.drainState.untilIdle(() =>
-      this.servers.reduce((sum, {drainable}) => sum + drainable.unsentResponses, 0),
-    );
+    await this.drainState.untilIdle(() => this.unsentResponses);
     this.reporter.stop();
   }
 
+  private get unsentResponses(): number {
+    return this.servers.reduce((sum, {drainable}) => sum + drainable.unsentResponses, 0);
+  }
+
   private get watch(): NodeWatch {
     return this.fleet.watch;
   }
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -95,7 +95,7 @@
   private readonly pauses = new LimitPauses();
   private readonly share = new LimitShare();
   /** Customers with a request that waits for the first fleet status. */
-  private readonly starting = new Set<string>();
+  private readonly waiting = new Set<string>();
   private readonly outages = new Map<VmId, Outage>();
 
   /**
@@ -127,7 +127,7 @@
     }
     const own = this.askShare(limit);
     const later =
-      own.kind === 'over' && (await this.hasWaited(limit.customer))
+      own.kind === 'over' && (await this.waitForFirstStatus(limit.customer))
         ? await this.askInTouch(limit)
         : UNSURE;
     return later.kind === 'unsure' ? own : later;
@@ -147,22 +147,22 @@
    *
    * @returns whether there is a status now
    */
-  private async hasWaited(customer: string): Promise<boolean> {
+  private async waitForFirstStatus(customer: string): Promise<boolean> {
     const {untilConfirmed, viewAgeMs} = this.options;
-    if (untilConfirmed === undefined || viewAgeMs() < Infinity || this.starting.has(customer)) {
+    if (untilConfirmed === undefined || viewAgeMs() < Infinity || this.waiting.has(customer)) {
       return false;
     }
-    this.starting.add(customer);
+    this.waiting.add(customer);
     // A rejected request would stay away for as long.
     await untilConfirmed(SHARE_RETRY_AFTER_MS);
-    this.starting.delete(customer);
+    this.waiting.delete(customer);
     return viewAgeMs() < Infinity;
   }
 
   private askShare(limit: RateLimit): LimitDecision {
     const {clock, entries, recordedEntries = () => 0} = this.options;
     // After a start there are no entry VMs in the fleet status until a leader is known.
-    const vms = Math.max(1, entries().length, recordedEntries());
+    const vms = Math.max(1, entries().length || recordedEntries());
     const own = this.share.ask(limit, vms, clock.monotonicMs());
     return own.kind === 'over'
       ? {...own, retryAfterMs: Math.min(SHARE_RETRY_AFTER_MS, own.retryAfterMs)}
