--- a/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
+++ b/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
@@ -5,6 +5,7 @@
 
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {delay, VERDICT_HEADER} from 'stallpaddle';
+import {CutEngine, type CutKind} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {BackendRequest} from '../../EngineAdapter';
@@ -45,6 +46,19 @@
   const send = (engine: HttpEngine, changes: Partial<BackendRequest> = {}) =>
     engine.generate(request(changes), new AbortController().signal);
 
+  // Guards against an empty response that looks complete: the engine stopped within its head.
+  test.each<CutKind>(['end', 'reset'])('fails when the head is cut short by %s', async (kind) => {
+    const head = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 8\r\n\r\n';
+    for (let length = 0; length < head.length; length++) {
+      const cut = await CutEngine.start(head.slice(0, length), kind);
+      const [host, port] = cut.address.split(':');
+      await expect(send(new HttpEngine(host!, Number(port)))).rejects.toMatchObject({
+        verdict: 'mayHaveRun',
+      });
+      cut.stop();
+    }
+  });
+
   // Guards against a connection that is read for ever because the body of a refusal has no end.
   test('closes the connection of a refusal', async () => {
     let isOpen = true;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
@@ -3,7 +3,15 @@
  */
 import {delay} from 'stallpaddle';
 import {RelayLatencies} from 'stallpaddle-relay';
-import {type Flood, FloodEngine, plainRelay, signedHead, StreamEngine} from 'stallpaddle-testing';
+import {
+  CutEngine,
+  type CutKind,
+  type Flood,
+  FloodEngine,
+  plainRelay,
+  signedHead,
+  StreamEngine,
+} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import {FIRST_EVENT_TIMEOUT_MS} from '../../JobsConstants';
@@ -107,3 +115,20 @@
     expect(process.memoryUsage().rss - memoryBefore).toBeLessThan(MAX_MEMORY_BYTES);
   });
 });
+
+// Guards against an empty output that is recorded for good: the engine stopped within the head of its response.
+describe('a head that is cut short', () => {
+  test.each<[string, string, CutKind]>([
+    ['chunks, closed', signedHead('i', EVENTS, CHUNKED), 'end'],
+    ['chunks, reset', signedHead('i', EVENTS, CHUNKED), 'reset'],
+    ['a length, closed', signedHead('i', EVENTS, 'content-length: 8'), 'end'],
+    ['no length, closed', signedHead('i', EVENTS), 'end'],
+  ])('breaks the run: %s', async (_, head, kind) => {
+    for (let length = 0; length <= head.length; length++) {
+      const engine = await CutEngine.start(head.slice(0, length), kind);
+      undo.push(() => engine.stop());
+      const {ended} = startItemRun(plainRelay, new RelayLatencies(), requestOf(engine.address));
+      expect([length, await ended]).toMatchObject([length, {kind: 'broken'}]);
+    }
+  });
+});
--- a/packages/stallpaddle-testing/src/index.ts
+++ b/packages/stallpaddle-testing/src/index.ts
@@ -1,4 +1,5 @@
 /** Fakes and fixtures for the tests of the other packages; not published. */
+export {CutEngine, type CutKind} from './CutEngine';
 export {FakeCrashError, FakeDisk, type TornKeep} from './FakeDisk';
 export {FakeSuspectStore} from './FakeSuspectStore';
 export {type Flood, FloodEngine, signedHead} from './FloodEngine';
