A request runs at no more engines than its route allows, whatever declines it, drains or is out of reach

Cause: engines that count as attempts were forgotten. (1) Without an attempt left, the next engine was drawn from all that the request was sent to, so one that had declined it could run it. (2) A stream that found no engine, since those that it had run at drain, and a return that all engines had declined, cleared the attempts of the request. (3) An engine that had run the request stopped counting when a connection was not accepted in time (40 to 250 ms). Class: a count that is kept as a by-product of another set, and cleared with it.

Change: only engines that may have run a request are its attempts. An attempt ends when its engine has left the fleet status, refuses connections, or another one has its address. A stream without an attempt left ends at once; before, it waited or went on elsewhere. The line `ended` names the engines that count, if several do.

--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -23,14 +23,16 @@
 
 /** Why a request certainly did not run. */
 export type NotRunReason =
-  /** No connection could be established. */
+  /** No connection could be established in time; the engine may be busy, paused or unreachable. */
   | 'noConnection'
   /** The engine declined the request: it is full or draining. */
   | 'declined'
   /** HTTP or TCP can't carry the request or the engine's address. */
   | 'malformed'
   /** Another engine has the address. */
-  | 'otherEngine';
+  | 'otherEngine'
+  /** The connection was refused: no process listens at the address. */
+  | 'refused';
 
 /** Outcome of an attempt up to the response head. */
 export type EngineCallStart =
@@ -142,12 +144,12 @@
       }
       resolve(start);
     });
-    out.on('error', (err) => {
+    out.on('error', (err: NodeJS.ErrnoException) => {
       cancelTimeout();
       resolve(
         connected
           ? {kind: 'mayHaveRun', reason: err.message}
-          : {kind: 'notRun', reason: 'noConnection'},
+          : {kind: 'notRun', reason: err.code === 'ECONNREFUSED' ? 'refused' : 'noConnection'},
       );
     });
     out.on('close', () => {
--- a/packages/stallpaddle-relay/src/RelayEngineSelector.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineSelector.ts
@@ -20,7 +20,10 @@
 /** Selects the next engine for one request, and decides whether the request may be sent yet. */
 export class RelayEngineSelector {
   private declines = 0;
-  /** Engines that count as attempts: they may have run the request and were not found to have exited since. */
+  /**
+   * Engines that may have run the request and were not found to have exited since. Those that are still in the fleet status
+   * count as attempts.
+   */
   private readonly attempted = new Set<EngineId>();
   /** Engines that were unreachable or whose address belongs to another engine. */
   private readonly unreached = new Set<EngineId>();
@@ -51,7 +54,8 @@
 
   /** Whether the route allows an attempt at one more engine; engines that have not run the request don't count. */
   get hasAttemptLeft(): boolean {
-    return this.attempted.size < this.req.route.maxAttempts;
+    const {maxAttempts} = this.req.route;
+    return this.attempted.size < maxAttempts || this.attemptedEngines().length < maxAttempts;
   }
 
   /** Whether the request may be sent again, to another engine or to one that it was already sent to. */
@@ -93,6 +97,11 @@
     return [...this.sentTo].join(',');
   }
 
+  /** Names of the engines that may have run the request, for the log; undefined unless there are several. */
+  get attemptedNames(): string | undefined {
+    return this.attempted.size > 1 ? [...this.attempted].join(',') : undefined;
+  }
+
   /**
    * Binds the request to the software that began its stream.
    *
@@ -123,10 +132,9 @@
     return this.unreached.size > 0 && this.canMeetObjective(waitedMs);
   }
 
-  /** Allows the request to be sent again to all engines. */
+  /** Allows the request to be sent again to all engines, as far as its attempts allow. */
   allowAllEngines(): void {
     this.sentTo.clear();
-    this.attempted.clear();
   }
 
   /**
@@ -177,7 +185,7 @@
 
   /**
    * Selects the best engine that the request was not yet sent to, or, when no attempts are left, the best one that
-   * already got it; undefined when there is none.
+   * may have run it already; undefined when there is none.
    *
    * @param queued service for which the request has waited; otherwise drawn by the route's weights
    */
@@ -216,13 +224,15 @@
     switch (reason) {
       case 'declined':
         this.declines++;
-        if (!this.wasAttempted) {
-          this.attempted.delete(this.last);
-        }
+        this.withdrawAttempt(this.last);
         return;
       case 'malformed':
       case 'noConnection':
+        this.unreached.add(this.last);
+        this.withdrawAttempt(this.last);
+        return;
       case 'otherEngine':
+      case 'refused':
         // An engine that has exited says nothing about the load of others, so this doesn't count as a decline.
         this.unreached.add(this.last);
         this.attempted.delete(this.last);
@@ -232,6 +242,13 @@
     }
   }
 
+  /** Withdraws the latest attempt, which was not run; an earlier one at the same engine may have run. */
+  private withdrawAttempt(id: EngineId): void {
+    if (!this.wasAttempted) {
+      this.attempted.delete(id);
+    }
+  }
+
   /**
    * Records that the request is sent to an engine.
    *
@@ -283,9 +300,14 @@
     return fleetLoad.knowsItems && isOn('batchPacking') ? fleetLoad : undefined;
   }
 
-  /** Engines that the request was already sent to; the last of them only when there is no other. */
+  /** Engines that count as attempts. */
+  private attemptedEngines(): readonly EngineView[] {
+    return this.context.engines().filter(({id}) => this.attempted.has(id));
+  }
+
+  /** Engines that count as attempts; the last of them only when there is no other. */
   private knownEngines(): readonly EngineView[] {
-    const known = this.context.engines().filter(({id}) => this.sentTo.has(id));
+    const known = this.attemptedEngines();
     const others = known.filter(({id}) => id !== this.last);
     return others.length > 0 ? others : known;
   }
--- a/packages/stallpaddle-relay/src/RelayRun.ts
+++ b/packages/stallpaddle-relay/src/RelayRun.ts
@@ -152,6 +152,7 @@
   private logEnd(): void {
     const {caller, metadata, route} = this.req;
     this.context.decide('ended', metadata.requestId, {
+      attempted: this.selector.attemptedNames,
       customer: caller.kind === 'customer' ? caller.name : undefined,
       end: this.end,
       engines: this.selector.engineNames,
@@ -277,15 +278,15 @@
   }
 
   /**
-   * Waits for an engine if the response has started, or if engines were unreachable and the objective can still be
-   * met; otherwise refuses the request. A stream whose software version has left can't go on, so it doesn't wait.
+   * Waits for an engine if the response has started and the route allows a further attempt, or if engines were unreachable and
+   * the objective can still be met; otherwise refuses the request. A stream whose software version has left can't go on, so it doesn't wait.
    */
   private async onNoEngine(): Promise<void> {
     this.refuseIfLost(this.streamBinding.checkServed(this.forwarder.lastEventId));
     if (this.end !== undefined) {
       return;
     }
-    if (this.res.headersSent) {
+    if (this.res.headersSent && this.selector.hasAttemptLeft) {
       this.selector.allowAllEngines();
     } else if (this.verdict === 'notRun' && this.selector.mayWaitForEngine(this.waitedMs)) {
       this.selector.allowUnreached();
--- a/packages/stallpaddle-testing/src/StreamEngine.ts
+++ b/packages/stallpaddle-testing/src/StreamEngine.ts
@@ -72,6 +72,8 @@
   readonly fatalParts = new Set<string>();
   /** Called after a fatal request has crashed the engine. */
   onCrashed: (body: string) => void = () => {};
+  /** Called when a request has arrived. */
+  onRequest: () => void = () => {};
   /** Time from an occupancy query to its response, in milliseconds. */
   occupancyDelayMs = 0;
   /** Number of occupancy queries. */
@@ -145,6 +147,7 @@
       url: req.url ?? '',
     };
     this.seen.push(seen);
+    this.onRequest();
     const id = String(req.headers[PLAIN.request]);
     this.running.set(id, res);
     res.on('close', () => {
