Processes start without flags of V8, so that Node's own code cache is accepted

Cause: Node's binary holds a code cache of its modules, and V8 rejects it under other flags than those of its build. Class: a cache that is rejected silently.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -30,11 +30,6 @@
   supported: {'dynamic-import': false},
   target: 'node20',
 };
-/**
- * Flags of the processes in `deploy/system.toml`. V8 rejects a code cache that was written under other flags.
- */
-const NODE_FLAGS = ['--max-semi-space-size=2'];
-
 /** The bundle that writes the code cache; this build runs it once. */
 const CACHE_WRITER_FILE = 'warm.cjs';
 /** Entry points and their bundles. `NodeProgram.ts` also contains the name of the program's bundle. */
@@ -66,13 +61,16 @@
   };
 }
 
-/** Starts the program once, so that the code cache contains the functions that run at startup. */
+/**
+ * Starts the program once, so that the code cache contains the functions that run at startup. V8 rejects a code cache that was
+ * written under other flags than those of the process, so neither has any.
+ */
 function writeCodeCache() {
   const folder = mkdtempSync(path.join(tmpdir(), 'stallpaddle-warm-'));
   const settingsFile = path.join(folder, 'settings.json');
   writeFileSync(settingsFile, JSON.stringify(cacheWriterSettings(folder)));
   try {
-    execFileSync(process.execPath, [...NODE_FLAGS, path.join(target, CACHE_WRITER_FILE)], {
+    execFileSync(process.execPath, [path.join(target, CACHE_WRITER_FILE)], {
       env: {...process.env, STALLPADDLE_SETTINGS: settingsFile},
       stdio: ['ignore', 'ignore', 'inherit'],
     });
