Responses are read by listeners, and stall timeouts restart instead of being replaced

Cause: each event of a stream cost several turns of promises in the response's async iterator, and two timers with a duration of their own. readChunks reads by a listener, with the same ends (whole, interrupted, out of sequence) and back pressure; the limits of stalls are rounded up to 10 ms, so that most events only restart their timeout. Items use both.

RelayRun, RelayFlood, RelayHeldBytes, RelayStallDetector and JobsItemRun pass.

--- a/packages/stallpaddle-jobs/src/JobsItemRun.ts
+++ b/packages/stallpaddle-jobs/src/JobsItemRun.ts
@@ -9,7 +9,7 @@
   StartCheck,
 } from 'stallpaddle-relay';
 
-import {errorMessage, registerTimeout} from 'stallpaddle';
+import {errorMessage, startTimeout, type Timeout} from 'stallpaddle';
 import {
   encodeHeader,
   encodePath,
@@ -18,6 +18,7 @@
   forwardedHeaders,
   isFramedResponse,
   isNextEvent,
+  readChunks,
   SERVER_ERROR,
   startEngineCall,
 } from 'stallpaddle-relay';
@@ -79,26 +80,33 @@
   const splitter = new EventSplitter();
   let last = req.lastEvent;
   let events = 0;
-  try {
-    for await (const chunk of res) {
-      const complete = splitter.push(chunk as Buffer);
-      // Bytes that complete no event don't show that the engine is at work.
-      if (complete.length > 0) {
-        resetIdleTimeout();
-      }
-      for (const {data, id} of complete) {
-        // An item can only go on after an event with an id.
-        if (id === null || !isNextEvent(last, id)) {
-          return {kind: 'broken', reason: `event ${id} came after event ${last}`};
-        }
-        last = id ?? last;
-        events++;
-        req.onEvent(data, id);
+  let disorder: string | undefined;
+  const onChunk = (chunk: Buffer): boolean => {
+    const complete = splitter.push(chunk);
+    // Bytes that complete no event don't show that the engine is at work.
+    if (complete.length > 0) {
+      resetIdleTimeout();
+    }
+    for (const {data, id} of complete) {
+      // An item can only go on after an event with an id.
+      if (id === null || !isNextEvent(last, id)) {
+        disorder = `event ${id} came after event ${last}`;
+        return false;
       }
+      last = id;
+      events++;
+      req.onEvent(data, id);
     }
+    return true;
+  };
+  try {
+    await readChunks(res, onChunk);
   } catch (err) {
     return {kind: 'broken', reason: errorMessage(err)};
   }
+  if (disorder !== undefined) {
+    return {kind: 'broken', reason: disorder};
+  }
   if (!res.complete || splitter.pending > 0) {
     return {kind: 'broken', reason: 'the stream ended within an event'};
   }
@@ -180,14 +188,20 @@
     path: encodePath(req.path),
     requestId,
   });
-  let clearIdleTimeout = registerTimeout(FIRST_EVENT_TIMEOUT_MS, call.close);
+  const firstEventTimeout = startTimeout(FIRST_EVENT_TIMEOUT_MS, call.close);
+  let eventTimeout: Timeout | undefined;
   const resetIdleTimeout = (): void => {
-    clearIdleTimeout();
-    clearIdleTimeout = registerTimeout(EVENT_TIMEOUT_MS, call.close);
+    if (eventTimeout === undefined) {
+      firstEventTimeout.cancel();
+      eventTimeout = startTimeout(EVENT_TIMEOUT_MS, call.close);
+    } else {
+      eventTimeout.restart();
+    }
   };
   let isCancelled = false;
   const ended = readAnswer(call, req, resetIdleTimeout).then((end): ItemRunEnd => {
-    clearIdleTimeout();
+    firstEventTimeout.cancel();
+    eventTimeout?.cancel();
     // Events that were not read when the call was closed are discarded, and the rest still looks whole.
     const isWhole = end.kind === 'whole' && !call.isClosed;
     call.close();
--- a/packages/stallpaddle-relay/src/RelayForwarder.ts
+++ b/packages/stallpaddle-relay/src/RelayForwarder.ts
@@ -5,6 +5,7 @@
 
 import type {RelayHeldBytes} from './RelayHeldBytes';
 
+import {type ChunkResult, readChunks} from './RelayChunks';
 import {MAX_BUFFERED_BYTES} from './RelayConstants';
 import {EventSplitter, isNextEvent, type StreamEvent} from './RelayEvents';
 import {forwardedHeaders} from './RelayHeaders';
@@ -56,17 +57,16 @@
   async forwardStream(response: IncomingMessage): Promise<ForwardResult> {
     const splitter = new EventSplitter();
     try {
-      for await (const chunk of response) {
-        const events = splitter.push(chunk as Buffer);
+      const isRead = await readChunks(response, (chunk) => {
+        const events = splitter.push(chunk);
         this.options.onChunk(events.length);
-        if (!(await this.forwardEvents(response, events))) {
-          return 'broken';
-        }
-      }
+        return this.forwardEvents(response, events);
+      });
+      const isWhole = isRead && response.complete && splitter.pending === 0;
+      return isWhole && this.res.headersSent ? 'whole' : 'broken';
     } catch {
       return 'broken';
     }
-    return response.complete && splitter.pending === 0 && this.res.headersSent ? 'whole' : 'broken';
   }
 
   /**
@@ -106,10 +106,7 @@
   }
 
   /** Forwards events that arrived together in one write; false once an event is out of sequence. */
-  private async forwardEvents(
-    response: IncomingMessage,
-    events: readonly StreamEvent[],
-  ): Promise<boolean> {
+  private forwardEvents(response: IncomingMessage, events: readonly StreamEvent[]): ChunkResult {
     if (this.options.isOver()) {
       return false;
     }
@@ -121,11 +118,13 @@
       this.lastId = id ?? this.lastId;
       forwarded.push(raw);
     }
-    if (forwarded.length > 0) {
-      this.writeHead(response, null);
-      await this.write(forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded));
+    const isInSequence = forwarded.length === events.length;
+    if (forwarded.length === 0) {
+      return isInSequence;
     }
-    return forwarded.length === events.length;
+    this.writeHead(response, null);
+    const drained = this.write(forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded));
+    return drained === undefined ? isInSequence : drained.then(() => isInSequence);
   }
 
   private writeHead(response: IncomingMessage, length: number | null): void {
@@ -140,15 +139,17 @@
     this.res.writeHead(response.statusCode!, response.statusMessage ?? '', headers);
   }
 
-  private async write(bytes: Uint8Array): Promise<void> {
+  /** Writes to the caller; the promise, if any, is resolved when the caller has read enough for more. */
+  private write(bytes: Uint8Array): Promise<void> | undefined {
     const isFlowing = this.res.write(bytes);
     this.options.held.noteWrite(this.res);
-    if (!isFlowing && !this.res.destroyed) {
-      this.options.onBackpressure?.();
-      await new Promise<void>((resolve) => {
-        this.res.once('drain', resolve);
-        this.res.once('close', resolve);
-      });
+    if (isFlowing || this.res.destroyed) {
+      return undefined;
     }
+    this.options.onBackpressure?.();
+    return new Promise<void>((resolve) => {
+      this.res.once('drain', resolve);
+      this.res.once('close', resolve);
+    });
   }
 }
--- a/packages/stallpaddle-relay/src/RelayStallDetector.ts
+++ b/packages/stallpaddle-relay/src/RelayStallDetector.ts
@@ -3,7 +3,7 @@
  */
 import type {AdaptiveTimeout, Clock, LogFields, MonotonicMs} from 'stallpaddle';
 
-import {registerTimeout} from 'stallpaddle';
+import {startTimeout, type Timeout} from 'stallpaddle';
 import {slotTimeFactor} from 'stallpaddle-capacity';
 
 import type {EngineIncarnation} from './RelayEngineHealth';
@@ -31,6 +31,8 @@
 
 /** Chunks with events after whose arrival gaps are observed; the first gap says little of an engine's speed. */
 const FIRST_CHUNKS = 2;
+/** Timeouts are rounded up to multiples of this, so that most events only restart the timeout, in milliseconds. */
+const TIMEOUT_STEP_MS = 10;
 
 /**
  * Ends an attempt of a resumable stream whose engine stalls, and learns the usual latencies of engines. A pause that
@@ -52,7 +54,10 @@
   private isCallerSlow = false;
   /** Whether reading was paused, so that the arrival of the next data says nothing of the engine. */
   private wasPaused = false;
-  private cancelCheck: () => void = () => {};
+  private timeout: Timeout | undefined;
+  /** Duration of that timeout and the limit that its check applies, in milliseconds. */
+  private timeoutMs = 0;
+  private timeoutMaxMs = 0;
 
   /**
    * @param options dependencies on the request
@@ -171,11 +176,24 @@
   }
 
   private scheduleCheck(ms: number, maxMs: number): void {
+    const timeoutMs = Math.ceil(ms / TIMEOUT_STEP_MS) * TIMEOUT_STEP_MS;
+    if (this.timeout !== undefined && timeoutMs === this.timeoutMs && maxMs === this.timeoutMaxMs) {
+      this.timeout.restart();
+      return;
+    }
     this.cancelCheck();
-    this.cancelCheck = registerTimeout(ms, () => this.check(maxMs));
+    this.timeoutMs = timeoutMs;
+    this.timeoutMaxMs = maxMs;
+    this.timeout = startTimeout(timeoutMs, () => this.check(maxMs));
+  }
+
+  private cancelCheck(): void {
+    this.timeout?.cancel();
+    this.timeout = undefined;
   }
 
   private check(maxMs: number): void {
+    this.timeout = undefined;
     const remainingMs = maxMs - this.idleMs;
     if (remainingMs > 0 && !this.options.canMove()) {
       this.scheduleCheck(Math.min(RECHECK_INTERVAL_MS, remainingMs), maxMs);
--- a/packages/stallpaddle-relay/src/index.ts
+++ b/packages/stallpaddle-relay/src/index.ts
@@ -1,4 +1,5 @@
 export {RelayAdmission, type RelayAdmissionOptions} from './RelayAdmission';
+export {readChunks} from './RelayChunks';
 export {SERVER_ERROR} from './RelayConstants';
 export {RelayDeadlines} from './RelayDeadlines';
 export {demandName, RelayDemand} from './RelayDemand';
--- a/packages/stallpaddle/src/Clock.ts
+++ b/packages/stallpaddle/src/Clock.ts
@@ -43,25 +43,49 @@
   });
 }
 
+/** A timeout that can begin anew, which costs less than another timeout. */
+export interface Timeout {
+  /** Cancels the timeout. */
+  readonly cancel: () => void;
+  /** Begins the timeout anew; must not be called after it was cancelled or has called its listener. */
+  readonly restart: () => void;
+}
+
 /**
  * Calls a listener after a time, once data that arrived by then has been read. Timers run before sockets are read, so
  * a process that was paused itself would otherwise report a timeout although the data had arrived.
  *
  * @param ms time in milliseconds
  * @param listener function to call
- * @returns cancels the timeout
  */
-export function registerTimeout(ms: number, listener: () => void): () => void {
+export function startTimeout(ms: number, listener: () => void): Timeout {
   let immediate: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
     immediate = setImmediate(listener);
   }, ms);
-  return () => {
-    clearTimeout(timer);
-    clearImmediate(immediate);
+  return {
+    cancel: () => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    },
+    restart: () => {
+      clearImmediate(immediate);
+      timer.refresh();
+    },
   };
 }
 
+/**
+ * Calls a listener after a time, as {@link startTimeout} does.
+ *
+ * @param ms time in milliseconds
+ * @param listener function to call
+ * @returns cancels the timeout
+ */
+export function registerTimeout(ms: number, listener: () => void): () => void {
+  return startTimeout(ms, listener).cancel;
+}
+
 /** A signal that aborts after a time, unless it is disposed of first. */
 export interface Deadline {
   /** Clears the timer; must be called once the work has ended. */
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -7,7 +7,9 @@
   type MonotonicMs,
   registerTimeout,
   startDeadline,
+  startTimeout,
   systemClock,
+  type Timeout,
 } from './Clock';
 export {decodeValue, encodeValue} from './Codec';
 /** Shared basics of all packages: identifiers, time, errors, verdicts, hashing, encoding, logs. */
