--- a/packages/stallpaddle/src/Logger.ts
+++ b/packages/stallpaddle/src/Logger.ts
@@ -89,6 +89,8 @@
     const consola = createConsola({
       level: format === 'silent' ? -1 : 3,
       reporters: [{log}],
+      // Otherwise each line is serialized twice, to leave out repeated ones.
+      throttle: 0,
     }).withTag(part);
     return {
       error: (message, fields = {}) => consola.error(message, fields),
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -21,9 +21,10 @@
   alias: {'jsonc-parser': 'jsonc-parser/lib/esm/main.js'},
   bundle: true,
   format: 'cjs',
-  keepNames: true,
   logLevel: 'warning',
-  minify: true,
+  // Identifiers stay as they are: names in logs would need `keepNames`, which runs code for each function that is created.
+  minifySyntax: true,
+  minifyWhitespace: true,
   platform: 'node',
   sourcemap: false,
   // The program runs as a plain script, in which only `require` works.
