Forwarding: the last chunk's result counts, and waits leave no listeners

Two faults at callers that read slowly. (2) Older: each wait left a listener at the caller's response until its end (Node's MaxListenersExceededWarning in runs of the relay's tests).

--- a/packages/stallpaddle-relay/src/RelayChunks.ts
+++ b/packages/stallpaddle-relay/src/RelayChunks.ts
@@ -19,6 +19,8 @@
   onChunk: (chunk: Buffer) => ChunkResult,
 ): Promise<boolean> {
   return new Promise((resolve, reject) => {
+    /** Result of the latest chunk; a response may end before it is known. */
+    let latest: ChunkResult = true;
     const stop = (): void => {
       res.off('data', onData);
       res.pause();
@@ -38,11 +40,11 @@
     };
     const onData = (chunk: Buffer): void => {
       try {
-        const result = onChunk(chunk);
-        if (typeof result !== 'boolean') {
+        latest = onChunk(chunk);
+        if (typeof latest !== 'boolean') {
           res.pause();
-          result.then(onResult, fail);
-        } else if (!result) {
+          latest.then(onResult, fail);
+        } else if (!latest) {
           onResult(false);
         }
       } catch (err) {
@@ -54,7 +56,7 @@
       if (err) {
         reject(err);
       } else {
-        resolve(true);
+        resolve(latest);
       }
     });
     res.on('data', onData);
--- a/packages/stallpaddle-relay/src/RelayForwarder.ts
+++ b/packages/stallpaddle-relay/src/RelayForwarder.ts
@@ -148,8 +148,13 @@
     }
     this.options.onBackpressure?.();
     return new Promise<void>((resolve) => {
-      this.res.once('drain', resolve);
-      this.res.once('close', resolve);
+      const onReady = (): void => {
+        this.res.off('drain', onReady);
+        this.res.off('close', onReady);
+        resolve();
+      };
+      this.res.on('drain', onReady);
+      this.res.on('close', onReady);
     });
   }
 }
