--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -166,6 +166,18 @@
   };
 }
 
+/** Context of a relay that doesn't avoid an engine for its earlier failures. */
+export function forgetfulContextOf(
+  engines: readonly Pick<StreamEngine, 'address'>[],
+): RelayContext {
+  return {
+    ...contextOf(engines),
+    get engineHealth() {
+      return new RelayEngineHealth(systemClock);
+    },
+  };
+}
+
 /** Starts a relay; the result collects the outcomes of its requests. */
 export async function startRelay(
   context: RelayContext,
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayAttempts.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayAttempts.test.ts
@@ -2,16 +2,16 @@
  * Guards engines against requests that run at more of them than their route allows: its limit counts every engine that may
  * have run the request, whatever other engines have declined it or left the fleet meanwhile.
  */
-import {type Random, seededRandom, systemClock} from 'stallpaddle';
+import {type Random, seededRandom} from 'stallpaddle';
 import {type EngineBehavior, PLAIN, type StreamEngine} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
 import type {RelayContext} from '../../RelayTypes';
 
-import {RelayEngineHealth} from '../../RelayEngineHealth';
 import {RelayEngineSelector} from '../../RelayEngineSelector';
 import {
   contextOf,
+  forgetfulContextOf,
   requestOf,
   routeOf,
   sendRequest,
@@ -155,15 +155,7 @@
     async ({isOn, maxAttempts, spentMs}) => {
       const random = seededRandom(3);
       const engines = await startEngines(4);
-      const context: RelayContext = {
-        ...contextOf(engines),
-        // Engines are not avoided for what they did in earlier rounds.
-        get engineHealth() {
-          return new RelayEngineHealth(systemClock);
-        },
-        isOn: () => isOn,
-        random,
-      };
+      const context = Object.assign(forgetfulContextOf(engines), {isOn: () => isOn, random});
       const {port} = await startRelay(context, routeOf({maxAttempts}), spentMs);
       for (let round = 0; round < ROUNDS; round++) {
         const given = engines.map(() => behaviorsOf(random));
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayCutHead.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayCutHead.test.ts
@@ -2,15 +2,11 @@
  * Guards callers against responses of engines that stop within their heads and close the connection: an empty or short
  * response must not look complete.
  */
-import {systemClock} from 'stallpaddle';
-import {CutEngine, type CutKind, PLAIN, signedHead, type StreamEngine} from 'stallpaddle-testing';
+import {CutEngine, type CutKind, PLAIN, signedHead} from 'stallpaddle-testing';
 import {afterEach, describe, expect, test} from 'vitest';
 
-import type {RelayContext} from '../../RelayTypes';
-
-import {RelayEngineHealth} from '../../RelayEngineHealth';
 import {
-  contextOf,
+  forgetfulContextOf,
   registerCleanup,
   routeOf,
   sendRequest,
@@ -57,16 +53,6 @@
   return {cuts, engine};
 }
 
-/** Context of a relay that doesn't avoid an engine for its earlier failures. */
-function forgetfulContextOf(engines: readonly Pick<StreamEngine, 'address'>[]): RelayContext {
-  return {
-    ...contextOf(engines),
-    get engineHealth() {
-      return new RelayEngineHealth(systemClock);
-    },
-  };
-}
-
 /** Headers of a request whose response is cut. */
 function headersOf(length: number): Readonly<Record<string, string>> {
   return {[CUT_HEADER]: String(length), [PLAIN.timeLeft]: String(TIME_MS)};
