--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayProbe.test.ts
@@ -6,7 +6,14 @@
 
 import {createServer} from 'node:net';
 import {delay} from 'stallpaddle';
-import {type Flood, FloodEngine, plainRelay, signedHead} from 'stallpaddle-testing';
+import {
+  CutEngine,
+  type CutKind,
+  type Flood,
+  FloodEngine,
+  plainRelay,
+  signedHead,
+} from 'stallpaddle-testing';
 import {expect, test} from 'vitest';
 
 import {checkStart, hasExited} from '../../RelayProbe';
@@ -65,3 +72,23 @@
     engine.stop();
   }
 });
+
+// Guards against an engine that is taken for another one by a head that it did not finish.
+test.each<CutKind>(['end', 'reset'])(
+  'a head that is cut short by %s shows neither an exit nor a start',
+  async (kind) => {
+    const head = 'HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n';
+    let length = 0;
+    const engine = await CutEngine.start(() => head.slice(0, length), kind);
+    const view = {...ENGINE, address: engine.address};
+    try {
+      for (; length < head.length; length++) {
+        expect([length, await checkStart(plainRelay, view)]).toEqual([length, {kind: 'unknown'}]);
+      }
+      length = head.indexOf('content');
+      expect(await hasExited(plainRelay, view)).toBe(false);
+    } finally {
+      engine.stop();
+    }
+  },
+);
