Dispatcher: entry VMs report less often, and passes are rarer, while it has no free processor time

Cause: the one process that runs all items is also told of each begin and end of each online request: some 600 reports a second in the mean and twice as many in a burst, at about 1 ms each, beside 5,000 events of items. It has 0.81 of a core. Its turns lasted up to 263 ms, its lease lapsed 17 times in 12 s, items' events were read late, and entry VMs chose engines by old counts.

Ruled out: elections and surveys (one leader throughout), quarantined parts and the order of items (a model without the load ends all items in time).

Change: the dispatcher measures how busy its event loop is. Between 0.6 and 0.9 it asks entry VMs, in its answers, to leave 5 to 200 ms between reports, and makes passes each 10 to 50 ms. A report after a pause still goes at once, and below 0.6 nothing changes. Answers read the sums of the changed engines only.

--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -50,13 +50,6 @@
 /** Time after which the online counts of an entry VM that no longer reports expire, in milliseconds: three idle reports. */
 export const ONLINE_COUNTS_TTL_MS = 3_000;
 
-/**
- * Minimum time between two passes of the dispatcher, in milliseconds. A pass over 360 runs and some hundred waiting items
- * takes about a millisecond, and 165 entry VMs sent 560 reports a second; preemption for online requests doesn't wait
- * for a pass.
- */
-export const MIN_PASS_INTERVAL_MS = 10;
-
 /** Interval between checks for expired items, and between ticks of the group clock, in milliseconds. */
 export const MAINTENANCE_INTERVAL_MS = 500;
 
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -14,12 +14,12 @@
   MAINTENANCE_INTERVAL_MS,
   MAX_STARTS_PER_PASS,
   MAX_VIEW_AGE_MS,
-  MIN_PASS_INTERVAL_MS,
   RESERVED_SLOTS,
   SAVE_INTERVAL_MS,
 } from './JobsConstants';
 import {JobsEngineTracker} from './JobsEngineTracker';
 import {JobsFleetLoad} from './JobsFleetLoad';
+import {JobsPace} from './JobsPace';
 import {type PackedEngine, type PackedPlan, planPackedItems} from './JobsPacking';
 import {JobsPackingLog, type PackingStatus, type PreemptionCause} from './JobsPackingLog';
 import {planItems} from './JobsPlan';
@@ -38,6 +38,7 @@
   private lastPassAt: MonotonicMs = -Infinity;
   private isPassScheduled = false;
   private readonly log: JobsPackingLog;
+  private readonly pace: JobsPace;
   private readonly progress: JobsProgress;
   private readonly room: JobsRoom;
   private readonly runner: JobsRunner;
@@ -62,6 +63,7 @@
         return engine === undefined ? undefined : this.engines.slotsAt(engine);
       },
     });
+    this.pace = new JobsPace(options.clock, options.takeBusy ?? (() => 0));
     this.progress = new JobsProgress(options);
     this.urgency = new JobsUrgency(
       () => options.state().clockMs,
@@ -112,7 +114,7 @@
       this.lastPassAt = this.options.clock.monotonicMs();
       this.runPass();
     };
-    const waitMs = this.lastPassAt + MIN_PASS_INTERVAL_MS - this.options.clock.monotonicMs();
+    const waitMs = this.lastPassAt + this.pace.passIntervalMs - this.options.clock.monotonicMs();
     if (waitMs > 0) {
       setTimeout(pass, waitMs);
     } else {
@@ -163,6 +165,16 @@
     return {running, waiting};
   }
 
+  /** Time that entry VMs leave between two reports, in milliseconds; grows as this process runs out of processor time. */
+  get reportSpacingMs(): number {
+    return this.pace.reportSpacingMs;
+  }
+
+  /** Busy fraction of this process's event loop. */
+  get busy(): number {
+    return this.pace.busy;
+  }
+
   /** State of the placement of items, for metrics. */
   packingStatus(): PackingStatus {
     const reserved = [...this.bursts.reserved().values()];
--- a/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
@@ -9,8 +9,9 @@
 import type {JobsTasks, Task} from './JobsTasks';
 import type {JobsUrgency} from './JobsUrgency';
 
-import {ENGINE_STALL_MS, MIN_PASS_INTERVAL_MS} from './JobsConstants';
+import {ENGINE_STALL_MS} from './JobsConstants';
 import {JobsOnlineCounts} from './JobsOnlineCounts';
+import {MIN_PASS_INTERVAL_MS} from './JobsPace';
 import {type EngineExcess, type PackedEngine, packedExcess} from './JobsPacking';
 import {excessRuns} from './JobsPlan';
 import {JobsSurvey} from './JobsSurvey';
--- a/packages/stallpaddle-jobs/src/JobsOnlineCounts.ts
+++ b/packages/stallpaddle-jobs/src/JobsOnlineCounts.ts
@@ -113,6 +113,23 @@
     return [...this.changedAt].filter(([, at]) => at > version).map(([engine]) => engine);
   }
 
+  /**
+   * Online requests at some engines, without those of one sender; 0 for none. An answer needs few engines, and each VM of a
+   * large fleet gets several answers a second.
+   *
+   * @param engines the engines
+   * @param except the sender whose requests are excluded
+   */
+  othersAt(engines: readonly EngineId[], except: string): Record<EngineId, number> {
+    this.removeExpired();
+    const own = this.senders.get(except)?.own ?? {};
+    const others: Record<EngineId, number> = {};
+    for (const engine of engines) {
+      others[engine] = Math.max(0, (this.sums.get(engine) ?? 0) - (own[engine] ?? 0));
+    }
+    return others;
+  }
+
   /**
    * Online requests by engine, without those of senders that no longer report.
    *
--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -103,6 +103,8 @@
   readonly isAll: boolean;
   /** Online requests of all other senders, by engine; 0 for none. */
   readonly others: Readonly<Record<string, number>>;
+  /** Time to leave between two reports, in milliseconds; earlier releases don't tell it. */
+  readonly spacingMs?: number;
   /** Engines that run items, none of which has brought an event lately. */
   readonly suspects: readonly string[];
   readonly version: OnlineCountsVersion;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsOnlineCounts.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsOnlineCounts.test.ts
@@ -45,7 +45,9 @@
       fc.property(REPORTS, fc.constantFrom('a', 'b', 'nobody'), (reports, except) => {
         const online = new JobsOnlineCounts(systemClock);
         reports.forEach(({own, sender, sequence}) => online.update(sender, sequence, own));
-        expect(online.totals(except)).toEqual(sumOf(reports, except));
+        const sum = sumOf(reports, except);
+        expect(online.totals(except)).toEqual(sum);
+        expect(online.othersAt(['e0', 'e9'], except)).toEqual({e0: sum.e0 ?? 0, e9: 0});
       }),
     );
   });
--- a/packages/stallpaddle-jobs/src/index.ts
+++ b/packages/stallpaddle-jobs/src/index.ts
@@ -6,6 +6,7 @@
 export {jobsMachine} from './JobsMachine';
 export {findJob, jobIdOf} from './JobsNames';
 export {JobsOnlineCounts} from './JobsOnlineCounts';
+export {MAX_REPORT_SPACING_MS, MIN_REPORT_SPACING_MS} from './JobsPace';
 export type {PackingStatus} from './JobsPackingLog';
 export {
   type BodyAnswer,
--- a/packages/stallpaddle-node/src/NodeConstants.ts
+++ b/packages/stallpaddle-node/src/NodeConstants.ts
@@ -176,9 +176,6 @@
     : ONLINE_REPORT_INTERVAL_MS;
 }
 
-/** Shortest time between two reports to the dispatcher, in milliseconds: about a round trip; changes in between are combined. */
-export const ONLINE_REPORT_SPACING_MS = 5;
-
 /** Timeout of a report to the dispatcher, in milliseconds. */
 export const ONLINE_REPORT_TIMEOUT_MS = 300;
 
--- a/packages/stallpaddle-node/src/NodeOnlineHandler.ts
+++ b/packages/stallpaddle-node/src/NodeOnlineHandler.ts
@@ -1,21 +1,12 @@
 /**
  * Reports of entry VMs on their online requests.
  */
-import type {EngineId} from 'stallpaddle';
 import type {JobsDispatcher, JobsRequest, OnlineCountsAnswer} from 'stallpaddle-jobs';
 
 import {generateId} from 'stallpaddle';
 
 type OnlineReport = Extract<JobsRequest, {kind: 'tellOnline'}>;
 
-/** Counts of some engines, 0 for those without any. */
-function countsOf(
-  engines: readonly EngineId[],
-  totals: Readonly<Record<EngineId, number>>,
-): Record<EngineId, number> {
-  return Object.fromEntries(engines.map((engine) => [engine, totals[engine] ?? 0]));
-}
-
 /**
  * Handles entry VMs' reports of their online requests while this process runs the batch items. Each report is answered with
  * the changes of the other VMs' counts since the sender's last report.
@@ -39,11 +30,14 @@
     const knownHere = known?.epoch === this.epoch ? known : null;
     const since = knownHere?.changes ?? null;
     const {version, ...details} = fleetLoad.answer(knownHere);
-    const totals = online.totals(sender);
     return {
       ...details,
       isAll: since === null,
-      others: since === null ? totals : countsOf(online.changedSince(since), totals),
+      others:
+        since === null
+          ? online.totals(sender)
+          : online.othersAt(online.changedSince(since), sender),
+      spacingMs: dispatcher.reportSpacingMs,
       suspects: dispatcher.stalledEngines(),
       version: {...version, changes: online.version, epoch: this.epoch},
     };
--- a/packages/stallpaddle-node/src/NodeOnlineReporter.ts
+++ b/packages/stallpaddle-node/src/NodeOnlineReporter.ts
@@ -9,13 +9,13 @@
 import type {OnlineCounts, RelayOnlineLoad} from 'stallpaddle-relay';
 
 import {delay, encodeValue} from 'stallpaddle';
+import {MAX_REPORT_SPACING_MS, MIN_REPORT_SPACING_MS} from 'stallpaddle-jobs';
 
 import type {NodeGroupClient} from './NodeGroupClient';
 
 import {NodeBackoff} from './NodeBackoff';
 import {
   JOBS_GROUP,
-  ONLINE_REPORT_SPACING_MS,
   ONLINE_REPORT_TIMEOUT_MS,
   onlineReportIntervalMs,
   RETRY_PAUSE_MS,
@@ -47,6 +47,8 @@
   /** Counts of the last report. */
   private reported: OnlineCounts = {};
   private reportedAt: MonotonicMs = -Infinity;
+  /** Time to leave between two reports, as the dispatcher told last, in milliseconds. */
+  private spacingMs = MIN_REPORT_SPACING_MS;
   private readonly waiters = new NodeWaiters();
 
   /**
@@ -119,7 +121,8 @@
       return false;
     }
     const answer = outcome.result as OnlineCountsAnswer;
-    const {isAll, others, suspects, version} = answer;
+    const {isAll, others, spacingMs = MIN_REPORT_SPACING_MS, suspects, version} = answer;
+    this.spacingMs = Math.min(MAX_REPORT_SPACING_MS, Math.max(MIN_REPORT_SPACING_MS, spacingMs));
     this.known = version;
     this.details.onAnswer(answer);
     online.applyReport(others, isAll, suspects);
@@ -132,7 +135,7 @@
       const isServing = Object.keys(this.reported).length > 0;
       await this.waiters.wait(onlineReportIntervalMs(isServing, this.entryVms()));
     }
-    const earlyMs = this.reportedAt + ONLINE_REPORT_SPACING_MS - performance.now();
+    const earlyMs = this.reportedAt + this.spacingMs - performance.now();
     if (earlyMs > 0 && !this.stopped) {
       // Timers truncate fractions of a millisecond.
       await delay(Math.ceil(earlyMs));
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -36,6 +36,7 @@
 import {startMetricsServer} from './NodeHttp';
 import {NodeJobsHandler} from './NodeJobsHandler';
 import {NodeLog} from './NodeLog';
+import {busyMeter} from './NodeLoopMonitor';
 import {countPreemption, exposePackingMetrics} from './NodePackingMetrics';
 import {addNodeService} from './NodeService';
 import {toleratedDiskLosses} from './NodeSettings';
@@ -173,6 +174,13 @@
     metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
       return this.dispatcher?.counts().waiting ?? 0;
     });
+    metrics.exposeGauge('stallpaddle_dispatcher_busy', 'Busy part of the event loop.', () => {
+      return this.dispatcher?.busy ?? 0;
+    });
+    const spacingHelp = 'Time that entry VMs leave between reports of online requests.';
+    metrics.exposeGauge('stallpaddle_report_spacing_seconds', spacingHelp, () => {
+      return (this.dispatcher?.reportSpacingMs ?? 0) / SECOND_MS;
+    });
     metrics.exposeGauge('stallpaddle_group_clock_seconds', 'Time of the group’s own clock.', () => {
       return (this.group?.driver.localState.clockMs ?? 0) / SECOND_MS;
     });
@@ -254,6 +262,7 @@
         fleet: this.fleet,
         wire: wire.relay,
       }),
+      takeBusy: busyMeter(),
       view: () => this.watch.view,
       wire: wire.relay,
     });
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeOnlineReporter.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeOnlineReporter.test.ts
@@ -3,6 +3,7 @@
 import type {TryOutcome} from 'stallpaddle-rpc';
 
 import {decodeValue, delay, systemClock} from 'stallpaddle';
+import {MAX_REPORT_SPACING_MS, MIN_REPORT_SPACING_MS} from 'stallpaddle-jobs';
 import {RelayOnlineLoad} from 'stallpaddle-relay';
 import {afterEach, describe, expect, test} from 'vitest';
 
@@ -10,7 +11,6 @@
 import {
   MAX_RETRY_PAUSE_MS,
   ONLINE_REPORT_INTERVAL_MS,
-  ONLINE_REPORT_SPACING_MS,
   onlineReportIntervalMs,
   RETRY_PAUSE_MS,
 } from '../../NodeConstants';
@@ -38,12 +38,12 @@
   return {at: performance.now(), isCall, ...decodeValue<{own: Report['own']}>(encoded)};
 }
 
-function reporterOf(answers = true, entryVms = 200) {
+function reporterOf(answers = true, entryVms = 200, answer = ANSWER) {
   const reports: Report[] = [];
   const tryOnce = async ({encoded}: {encoded: Uint8Array}): Promise<TryOutcome> => {
     reports.push(reportOf(encoded, true));
     await delay(1);
-    return answers ? {kind: 'answered', result: ANSWER} : {kind: 'unknown'};
+    return answers ? {kind: 'answered', result: answer} : {kind: 'unknown'};
   };
   const post = ({encoded}: {encoded: Uint8Array}): boolean => {
     reports.push(reportOf(encoded, false));
@@ -147,9 +147,28 @@
       online.registerRequest(`e${count % 5}`);
       await delay(2);
     }
-    await delay(2 * ONLINE_REPORT_SPACING_MS);
+    await delay(2 * MIN_REPORT_SPACING_MS);
     const spent = reports.at(-1)!.at - reports[before]!.at;
-    expect(reports.length - before).toBeLessThanOrEqual(spent / ONLINE_REPORT_SPACING_MS + 2);
+    expect(reports.length - before).toBeLessThanOrEqual(spent / MIN_REPORT_SPACING_MS + 2);
+    expect(reports.at(-1)!.own).toEqual({e0: 20, e1: 20, e2: 20, e3: 20, e4: 20});
+  });
+
+  test.each([
+    ['obeys the time that the dispatcher asks for', 60, 60],
+    ['leaves a bounded time, whatever the dispatcher asks for', 60_000, MAX_REPORT_SPACING_MS],
+  ])('%s', async (_, spacingMs, expectedMs) => {
+    const {online, reporter, reports} = reporterOf(true, 200, {...ANSWER, spacingMs});
+    void reporter.run();
+    await delay(50);
+    const before = reports.length;
+    for (let count = 0; count < 100; count++) {
+      online.registerRequest(`e${count % 5}`);
+      await delay(5);
+    }
+    await delay(expectedMs);
+    const gaps = reports.slice(before).map(({at}, index, all) => at - (all[index - 1]?.at ?? 0));
+    // Timers count whole milliseconds.
+    expect(Math.min(...gaps)).toBeGreaterThanOrEqual(expectedMs - 1);
     expect(reports.at(-1)!.own).toEqual({e0: 20, e1: 20, e2: 20, e3: 20, e4: 20});
   });
 
