Dispatcher: a log line each second says what open items wait for

A class of items that was short could not be explained from the logs: no line told items that wait for a slot from items that are held, starting or whose end is being recorded, nor that the process itself was out of processor time. The counts add up to the open items (test).

--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -53,6 +53,9 @@
 /** Interval between checks for expired items, and between ticks of the group clock, in milliseconds. */
 export const MAINTENANCE_INTERVAL_MS = 500;
 
+/** Interval of the log line on the dispatcher's load while items are open, in milliseconds. */
+export const LOAD_LOG_INTERVAL_MS = 1_000;
+
 /** Delay before the ends of items are proposed again after a failure, in milliseconds. */
 export const PROPOSE_RETRY_MS = 50;
 
--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -11,6 +11,8 @@
 export type ItemDecision =
   | 'dispatchBegan'
   | 'dispatchEnded'
+  /** Numbers of open items by what they wait for. */
+  | 'dispatchLoad'
   | 'engineSpeedChanged'
   | 'engineSurveyed'
   | 'itemCut'
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -11,6 +11,7 @@
 
 import {JobsBursts} from './JobsBursts';
 import {
+  LOAD_LOG_INTERVAL_MS,
   MAINTENANCE_INTERVAL_MS,
   MAX_STARTS_PER_PASS,
   MAX_VIEW_AGE_MS,
@@ -26,7 +27,7 @@
 import {JobsProgress} from './JobsProgress';
 import {JobsRoom} from './JobsRoom';
 import {JobsRunner} from './JobsRunner';
-import {JobsTasks} from './JobsTasks';
+import {countTasks, JobsTasks} from './JobsTasks';
 import {JobsUrgency} from './JobsUrgency';
 
 /** Runs open batch items on engine slots that online requests leave free, while this process leads the group. */
@@ -343,6 +344,7 @@
       this.timers = [
         setInterval(() => this.runMaintenance(), MAINTENANCE_INTERVAL_MS),
         setInterval(() => void this.saveProgress(), SAVE_INTERVAL_MS),
+        setInterval(() => this.logLoad(), LOAD_LOG_INTERVAL_MS),
       ];
     }
   }
@@ -385,6 +387,15 @@
     this.schedulePass();
   }
 
+  private logLoad(): void {
+    const {busy, reportSpacingMs} = this.pace;
+    const counts = countTasks(this.tasks.all(), this.options.clock.monotonicMs());
+    if (Object.values(counts).some((count) => count > 0)) {
+      const fields = {busy: Math.round(busy * 100) / 100, reportSpacingMs, ...counts};
+      this.options.decide('dispatchLoad', '', fields);
+    }
+  }
+
   private logTickFailure(err: unknown): void {
     this.options.decide('tickFailed', '', {reason: errorMessage(err)});
   }
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -67,6 +67,43 @@
   startingOn: EngineId | undefined;
 }
 
+/** Numbers of open items; each item counts once. */
+export interface TaskCounts {
+  /** Its end is being recorded. */
+  readonly ending: number;
+  /** Waits until a time: for quarantined parts, after a failure, or until its engine is checked. */
+  readonly held: number;
+  readonly running: number;
+  /** Its body is being read. */
+  readonly starting: number;
+  /** Waits for a slot. */
+  readonly waiting: number;
+}
+
+/**
+ * Counts items by their state.
+ *
+ * @param tasks the items
+ * @param now the current time
+ */
+export function countTasks(tasks: Iterable<Task>, now: MonotonicMs): TaskCounts {
+  const counts = {ending: 0, held: 0, running: 0, starting: 0, waiting: 0};
+  for (const {ending, notBefore, run, startingOn} of tasks) {
+    if (ending) {
+      counts.ending++;
+    } else if (run !== undefined) {
+      counts.running++;
+    } else if (startingOn !== undefined) {
+      counts.starting++;
+    } else if (now < notBefore) {
+      counts.held++;
+    } else {
+      counts.waiting++;
+    }
+  }
+  return counts;
+}
+
 function taskOf(job: Job, index: number, knownSince: MonotonicMs): Task {
   const item = job.items[index]!;
   const {events = 0, lastEvent = null, restarts = 0, softwareVersion} = item.progress ?? {};
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -13,6 +13,7 @@
 import {MAX_STARTS_PER_PASS} from '../../JobsConstants';
 import {JobsDispatcher} from '../../JobsDispatcher';
 import {jobsMachine, updateJobs} from '../../JobsMachine';
+import {MIN_REPORT_SPACING_MS} from '../../JobsPace';
 import {joinOutput} from '../../JobsQueries';
 import {ENDED_ENGINE_DELAY_MS, MAX_PARTS_WAIT_MS} from '../../JobsTrial';
 
@@ -226,6 +227,32 @@
     expect(first.headers[PLAIN.request]).toBe('i0');
   });
 
+  // Guards against a class of items that is short for a reason that no log line shows.
+  test('logs each second what all open items wait for, and nothing once none is open', async () => {
+    const engines = await startEngines(1, 40, 50);
+    const group = new FakeGroup();
+    const loads: LogFields[] = [];
+    startLeader(group, () => ({...viewOf(engines), asOf: systemClock.monotonicMs()}), {
+      decide: (decision, _id, fields) => {
+        if (decision === 'dispatchLoad') {
+          loads.push(fields);
+        }
+      },
+    });
+    const items = 12;
+    group.submit(items);
+    await waitUntil(() => loads.length > 0);
+    const {busy, ending, held, reportSpacingMs, running, starting, waiting} = loads[0]!;
+    const open = [ending, held, running, starting, waiting].map(Number);
+    expect(open.reduce((sum, count) => sum + count, 0)).toBe(items);
+    expect(Number(running)).toBeGreaterThan(0);
+    expect([busy, reportSpacingMs]).toEqual([0, MIN_REPORT_SPACING_MS]);
+    await group.propose({job: 'job', kind: 'endJob'});
+    const before = loads.length;
+    await delay(1_500);
+    expect(loads).toHaveLength(before);
+  });
+
   // Guards against an item whose text is of two software versions.
   test('an item is resumed only at an engine of the software version that began it', async () => {
     const engines = await startEngines(2, 20, 5);
