Dispatcher: the pace follows the delay of passes; reports without an answer; fewer starts under load

A busy event loop was the first sign that slowed reports and passes down. The delay of passes tells what callers feel, and leaves fleets with processor time to spare as they were.

Reports that only lower counts are sent one-way; the dispatcher made an answer for them all the same, with the sums of all changed engines. They now say so.

While passes are late, fewer items start in each: in bursts most starts gave way again before they brought anything.

--- a/packages/stallpaddle-jobs/src/JobsConstants.ts
+++ b/packages/stallpaddle-jobs/src/JobsConstants.ts
@@ -11,12 +11,6 @@
  */
 export const MAX_VIEW_AGE_MS = 1_000;
 
-/**
- * Maximum number of items starting at once, including those whose bodies are still being read. Each start takes about a
- * millisecond on a VM of 0.8 cores; starting 180 items right after an election delayed heartbeats by 167 ms.
- */
-export const MAX_STARTS_PER_PASS = 16;
-
 /** Timeout for the first event of a run, in milliseconds; a full engine needs well under one second. */
 export const FIRST_EVENT_TIMEOUT_MS = 2_000;
 
--- a/packages/stallpaddle-jobs/src/JobsContext.ts
+++ b/packages/stallpaddle-jobs/src/JobsContext.ts
@@ -45,8 +45,6 @@
   readonly speedOf?: (engine: EngineId) => number;
   readonly state: () => JobsState;
   readonly suspects: RelaySuspects;
-  /** Busy fraction of the event loop since the last call; the pace doesn't change with the load if it is left out. */
-  readonly takeBusy?: () => number;
   readonly view: () => FleetView;
   readonly wire: RelayWire;
 }
--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -13,7 +13,6 @@
 import {
   LOAD_LOG_INTERVAL_MS,
   MAINTENANCE_INTERVAL_MS,
-  MAX_STARTS_PER_PASS,
   MAX_VIEW_AGE_MS,
   RESERVED_SLOTS,
   SAVE_INTERVAL_MS,
@@ -64,7 +63,7 @@
         return engine === undefined ? undefined : this.engines.slotsAt(engine);
       },
     });
-    this.pace = new JobsPace(options.clock, options.takeBusy ?? (() => 0));
+    this.pace = new JobsPace(options.clock);
     this.progress = new JobsProgress(options);
     this.urgency = new JobsUrgency(
       () => options.state().clockMs,
@@ -110,17 +109,16 @@
       return;
     }
     this.isPassScheduled = true;
+    const now = this.options.clock.monotonicMs();
+    // A timer even where a pass is due now: its delay is the length of a turn of the event loop.
+    const waitMs = Math.max(1, this.lastPassAt + this.pace.passIntervalMs - now);
     const pass = (): void => {
       this.isPassScheduled = false;
       this.lastPassAt = this.options.clock.monotonicMs();
+      this.pace.noteDelay(this.lastPassAt - now - waitMs);
       this.runPass();
     };
-    const waitMs = this.lastPassAt + this.pace.passIntervalMs - this.options.clock.monotonicMs();
-    if (waitMs > 0) {
-      setTimeout(pass, waitMs);
-    } else {
-      setImmediate(pass);
-    }
+    setTimeout(pass, waitMs);
   }
 
   /**
@@ -171,9 +169,9 @@
     return this.pace.reportSpacingMs;
   }
 
-  /** Busy fraction of this process's event loop. */
-  get busy(): number {
-    return this.pace.busy;
+  /** Mean delay of the latest passes, in milliseconds. */
+  get delayMs(): number {
+    return this.pace.delayMs;
   }
 
   /** State of the placement of items, for metrics. */
@@ -232,7 +230,7 @@
     // A stale view may list engines that have left.
     if (this.hasFreshView()) {
       // Items of earlier passes whose bodies are still being read count too: many may be ready in the same turn.
-      const limit = Math.max(0, MAX_STARTS_PER_PASS - this.engines.startingCount());
+      const limit = Math.max(0, this.pace.startsPerPass - this.engines.startingCount());
       const started = starts.slice(0, limit);
       started.forEach(({engine, key}) => void this.runner.start(key, engine));
       if (starts.length > limit) {
@@ -265,7 +263,7 @@
     const plan = planPackedItems({
       engines,
       // One more than a pass starts, so that another pass follows.
-      maxStarts: MAX_STARTS_PER_PASS + 1,
+      maxStarts: this.pace.startsPerPass + 1,
       reserved: this.reservedSlots(),
       waiting,
     });
@@ -388,10 +386,10 @@
   }
 
   private logLoad(): void {
-    const {busy, reportSpacingMs} = this.pace;
+    const {delayMs, reportSpacingMs} = this.pace;
     const counts = countTasks(this.tasks.all(), this.options.clock.monotonicMs());
     if (Object.values(counts).some((count) => count > 0)) {
-      const fields = {busy: Math.round(busy * 100) / 100, reportSpacingMs, ...counts};
+      const fields = {delayMs: Math.round(delayMs), reportSpacingMs, ...counts};
       this.options.decide('dispatchLoad', '', fields);
     }
   }
--- a/packages/stallpaddle-jobs/src/JobsQueries.ts
+++ b/packages/stallpaddle-jobs/src/JobsQueries.ts
@@ -33,6 +33,8 @@
       readonly submission: Submission;
     }
   | (OnlineReportDetails & {
+      /** Whether the sender takes no answer; earlier releases don't tell it. */
+      readonly isOneWay?: boolean;
       readonly kind: 'tellOnline';
       /** Version of the other VMs' counts that the sender has; null if it has none. */
       readonly known: OnlineCountsVersion | null;
--- a/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/PackingModel.ts
@@ -8,7 +8,8 @@
 import {INITIAL_HEALTH, selectEngine} from 'stallpaddle-relay';
 
 import {JobsBursts} from '../JobsBursts';
-import {MAX_STARTS_PER_PASS, RESERVED_SLOTS} from '../JobsConstants';
+import {RESERVED_SLOTS} from '../JobsConstants';
+import {MAX_STARTS_PER_PASS} from '../JobsPace';
 import {type PackedEngine, planPackedItems} from '../JobsPacking';
 import {planItems, type PlannedItem} from '../JobsPlan';
 
--- a/packages/stallpaddle-node/src/NodeJobsHandler.ts
+++ b/packages/stallpaddle-node/src/NodeJobsHandler.ts
@@ -107,6 +107,10 @@
       }
       case 'tellOnline':
         driver.read();
+        if (request.isOneWay === true) {
+          this.online.record(request, dispatcher);
+          return null;
+        }
         return this.online.exchange(request, dispatcher);
       default:
         return unreachable(request);
--- a/packages/stallpaddle-node/src/NodeLoopMonitor.ts
+++ b/packages/stallpaddle-node/src/NodeLoopMonitor.ts
@@ -18,17 +18,6 @@
   readonly delayMs: number;
 }
 
-/** Returns a function that measures the busy fraction of the event loop since its last call; without a timer. */
-export function busyMeter(): () => number {
-  let before = performance.eventLoopUtilization();
-  return () => {
-    const now = performance.eventLoopUtilization();
-    const {utilization} = performance.eventLoopUtilization(now, before);
-    before = now;
-    return utilization;
-  };
-}
-
 /** Measures the event loop with one timer, while it is started. */
 export class NodeLoopMonitor {
   private before: EventLoopUtilization | undefined;
--- a/packages/stallpaddle-node/src/NodeOnlineHandler.ts
+++ b/packages/stallpaddle-node/src/NodeOnlineHandler.ts
@@ -15,18 +15,30 @@
   private readonly epoch = generateId('n');
 
   /**
-   * Records a VM's counts, and returns those of the others.
+   * Records a VM's counts.
    *
    * @param request the report
    * @param dispatcher runs the batch items
    */
-  exchange(request: OnlineReport, dispatcher: JobsDispatcher): OnlineCountsAnswer {
-    const {known, own, sender, sequence} = request;
+  record(request: OnlineReport, dispatcher: JobsDispatcher): void {
+    const {own, sender, sequence} = request;
     const {fleetLoad, online} = dispatcher;
     const isNewer = online.isNewer(sender, sequence);
     dispatcher.updateOnlineCounts(sender, sequence, own);
     // Demand that was overtaken by a later report is out of date; speeds are numbered by themselves.
     fleetLoad.update(sender, isNewer ? request : {...request, demand: undefined});
+  }
+
+  /**
+   * Records a VM's counts, and returns those of the others.
+   *
+   * @param request the report
+   * @param dispatcher runs the batch items
+   */
+  exchange(request: OnlineReport, dispatcher: JobsDispatcher): OnlineCountsAnswer {
+    this.record(request, dispatcher);
+    const {known, sender} = request;
+    const {fleetLoad, online} = dispatcher;
     const knownHere = known?.epoch === this.epoch ? known : null;
     const since = knownHere?.changes ?? null;
     const {version, ...details} = fleetLoad.answer(knownHere);
--- a/packages/stallpaddle-node/src/NodeOnlineReporter.ts
+++ b/packages/stallpaddle-node/src/NodeOnlineReporter.ts
@@ -111,12 +111,17 @@
       sender,
       sequence,
     };
-    const encoded = encodeValue(request);
-    const call = {encoded, group: JOBS_GROUP, query: true};
-    if (mayPost && this.dispatcher.post(call)) {
+    const call = {group: JOBS_GROUP, query: true};
+    if (
+      mayPost &&
+      this.dispatcher.post({...call, encoded: encodeValue({...request, isOneWay: true})})
+    ) {
       return true;
     }
-    const outcome = await this.dispatcher.tryOnce(call, ONLINE_REPORT_TIMEOUT_MS);
+    const outcome = await this.dispatcher.tryOnce(
+      {...call, encoded: encodeValue(request)},
+      ONLINE_REPORT_TIMEOUT_MS,
+    );
     if (outcome.kind !== 'answered') {
       return false;
     }
--- a/packages/stallpaddle-node/src/NodeStore.ts
+++ b/packages/stallpaddle-node/src/NodeStore.ts
@@ -36,7 +36,6 @@
 import {startMetricsServer} from './NodeHttp';
 import {NodeJobsHandler} from './NodeJobsHandler';
 import {NodeLog} from './NodeLog';
-import {busyMeter} from './NodeLoopMonitor';
 import {countPreemption, exposePackingMetrics} from './NodePackingMetrics';
 import {addNodeService} from './NodeService';
 import {toleratedDiskLosses} from './NodeSettings';
@@ -174,8 +173,9 @@
     metrics.exposeGauge('stallpaddle_items_waiting', 'Batch items that wait.', () => {
       return this.dispatcher?.counts().waiting ?? 0;
     });
-    metrics.exposeGauge('stallpaddle_dispatcher_busy', 'Busy part of the event loop.', () => {
-      return this.dispatcher?.busy ?? 0;
+    const delayHelp = 'Mean delay of the dispatcher’s passes.';
+    metrics.exposeGauge('stallpaddle_dispatcher_delay_seconds', delayHelp, () => {
+      return (this.dispatcher?.delayMs ?? 0) / SECOND_MS;
     });
     const spacingHelp = 'Time that entry VMs leave between reports of online requests.';
     metrics.exposeGauge('stallpaddle_report_spacing_seconds', spacingHelp, () => {
@@ -262,7 +262,6 @@
         fleet: this.fleet,
         wire: wire.relay,
       }),
-      takeBusy: busyMeter(),
       view: () => this.watch.view,
       wire: wire.relay,
     });
