--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsPace.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsPace.test.ts
@@ -9,6 +9,7 @@
   MAX_STARTS_PER_PASS,
   MIN_PASS_INTERVAL_MS,
   MIN_REPORT_SPACING_MS,
+  MIN_STARTS_PER_PASS,
   passIntervalMs,
   reportSpacingMs,
   startsPerPass,
@@ -103,7 +104,8 @@
     expect(startsPerPass(5)).toBe(MAX_STARTS_PER_PASS);
     expect(reportSpacingMs(200)).toBe(MAX_REPORT_SPACING_MS);
     expect(passIntervalMs(200)).toBe(MAX_PASS_INTERVAL_MS);
-    expect(startsPerPass(200)).toBeGreaterThan(0);
+    expect(startsPerPass(200)).toBe(MIN_STARTS_PER_PASS);
+    expect(MIN_STARTS_PER_PASS).toBeGreaterThan(0);
     for (const interval of [reportSpacingMs, passIntervalMs, (ms: number) => -startsPerPass(ms)]) {
       const intervals = steps.map(interval);
       expect(intervals).toEqual([...intervals].sort((a, b) => a - b));
