Dispatcher: passes wait whole milliseconds, and one count of items serves metrics and logs

A timer with a fraction of a millisecond wakes the process twice (as the ticks of replicas had shown).

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -26,7 +26,7 @@
 import {JobsProgress} from './JobsProgress';
 import {JobsRoom} from './JobsRoom';
 import {JobsRunner} from './JobsRunner';
-import {countTasks, JobsTasks} from './JobsTasks';
+import {countTasks, JobsTasks, type TaskCounts} from './JobsTasks';
 import {JobsUrgency} from './JobsUrgency';
 
 /** Runs open batch items on engine slots that online requests leave free, while this process leads the group. */
@@ -110,8 +110,9 @@
     }
     this.isPassScheduled = true;
     const now = this.options.clock.monotonicMs();
-    // A timer even where a pass is due now: its delay is the length of a turn of the event loop.
-    const waitMs = Math.max(1, this.lastPassAt + this.pace.passIntervalMs - now);
+    // A timer even where a pass is due now, as its delay is the length of a turn of the event loop; in whole milliseconds, as a
+    // fraction wakes the process twice.
+    const waitMs = Math.max(1, Math.ceil(this.lastPassAt + this.pace.passIntervalMs - now));
     const pass = (): void => {
       this.isPassScheduled = false;
       this.lastPassAt = this.options.clock.monotonicMs();
@@ -152,16 +153,8 @@
 
   /** Numbers of waiting and running items. */
   counts(): {readonly running: number; readonly waiting: number} {
-    let running = 0;
-    let waiting = 0;
-    for (const task of this.tasks.all()) {
-      if (task.run !== undefined) {
-        running++;
-      } else {
-        waiting++;
-      }
-    }
-    return {running, waiting};
+    const {ending, held, running, starting, waiting} = this.taskCounts();
+    return {running, waiting: ending + held + starting + waiting};
   }
 
   /** Time that entry VMs leave between two reports, in milliseconds; grows as this process runs out of processor time. */
@@ -385,9 +378,13 @@
     this.schedulePass();
   }
 
+  private taskCounts(): TaskCounts {
+    return countTasks(this.tasks.all(), this.options.clock.monotonicMs());
+  }
+
   private logLoad(): void {
     const {delayMs, reportSpacingMs} = this.pace;
-    const counts = countTasks(this.tasks.all(), this.options.clock.monotonicMs());
+    const counts = this.taskCounts();
     if (Object.values(counts).some((count) => count > 0)) {
       const fields = {delayMs: Math.round(delayMs), reportSpacingMs, ...counts};
       this.options.decide('dispatchLoad', '', fields);
