--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayRun.test.ts
@@ -297,6 +297,9 @@
     const {ends, port} = await startRelay({...context, engines: () => views}, routeOf());
     engines[0]!.behaviors = [{after: 2, kind: 'pause'}];
     const response = sendRequest(port);
+    while (engines[0]!.seen.length === 0) {
+      await delay(1);
+    }
     await delay(50);
     views = [{...old!, draining: true}, other!];
     const startedAt = performance.now();
