--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -95,7 +95,9 @@
   const items = new Map(job.requests.map(({id}) => [id, 0]));
   for (const {runs} of engines) {
     for (const {id} of runs) {
-      items.has(id) && items.set(id, items.get(id) + 1);
+      if (items.has(id)) {
+        items.set(id, items.get(id) + 1);
+      }
     }
   }
   const reached = [...items.values()].filter((count) => count > 0).length;
--- a/review/lib-2/day.mjs
+++ b/review/lib-2/day.mjs
@@ -62,7 +62,10 @@
 };
 
 /** A configuration of a small deployment. */
-export function configOf(version, {routes = [ONLINE_ROUTE, BATCH_ROUTE]} = {}) {
+export function configOf(
+  version,
+  {routes = [ONLINE_ROUTE, BATCH_ROUTE], services = [SERVICE]} = {},
+) {
   return {
     limits: {
       'header-timeout-ms': 3_000,
@@ -71,16 +74,14 @@
       'max-header-bytes': 16_384,
     },
     routes,
-    services: [
-      {
-        engine: {'kv-capacity': 72_000, models: [{name: 'm'}], slots: 8},
-        'health-path': '/healthz',
-        'max-conns': 310,
-        name: SERVICE,
-        protocol: 'h1',
-        tls: false,
-      },
-    ],
+    services: services.map((name) => ({
+      engine: {'kv-capacity': 72_000, models: [{name: 'm'}], slots: 8},
+      'health-path': '/healthz',
+      'max-conns': 310,
+      name,
+      protocol: 'h1',
+      tls: false,
+    })),
     version,
   };
 }
