--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,125 +1,186 @@
 /**
- * The seeds in the settings file change within the first seconds of a process, without a signal; later the new seeds and the
- * stores are killed at the same moment and come back.
+ * Two engines crash, one after the other, each as it starts an online request whose prompt begins with the same part. A batch job
+ * of one item whose prompt begins with that part comes right after.
  */
-import {configOf, makeJob, putConfig, readAll, runCase, SERVICE, submit} from '../lib-2/day.mjs';
+import {
+  configOf,
+  makeJob,
+  newId,
+  putConfig,
+  readAll,
+  runCase,
+  SERVICE,
+  stream,
+  submit,
+} from '../lib-2/day.mjs';
 import {Engine, outputOf} from '../lib-2/engine.mjs';
 import {Fleet, sleep} from '../lib-2/fleet.mjs';
 import {call} from '../lib-2/http.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-/** After the start of the machines, when the files change. */
-const CHANGE_MS = Number(process.env.CHANGE_MS ?? 2_500);
-const RECOVER_MS = 12_000;
-const FINISH_MS = 18_000;
-const CALM_MS = 5_000;
+const ENGINES = 12;
+/** Online requests of other clients a second. */
+const OTHERS_PER_S = 20;
+const RESTART_MS = 4_000;
+/** Time from the hold of the item to the trial that the system grants, and the freeze of a machine around it. */
+const TRIAL_MS = 10_000;
+const FREEZE_MS = Number(process.env.FREEZE_MS ?? 350);
+const FREEZE_AHEAD_MS = 50;
 
 const CORE = ['f1', 'f2', 'f3'];
-/** The machines whose control addresses become the seeds. */
-const NEW_SEEDS = ['f4', 'f5', 'f6'];
-const OTHERS = [...NEW_SEEDS, 'f7', 'f8', 'f9'];
+const OTHERS = ['f4', 'f5', 'f6'];
 const STORES = ['s1', 's2', 's3'];
 const ALL = [...CORE, ...OTHERS, ...STORES];
 
+/** When the dispatcher began to hold an item, by its log. */
+async function heldSince(fleet, item) {
+  for (let tries = 0; tries < 30; tries++) {
+    for (const line of STORES.flatMap((name) => fleet.log(name))) {
+      if (line.includes('itemHeld') && line.includes(item)) {
+        return Date.parse(JSON.parse(line).time);
+      }
+    }
+    await sleep(100);
+  }
+  return undefined;
+}
+
+/** The process that leads the control group, by its metrics. */
+async function controlLeader(fleet) {
+  for (const name of CORE) {
+    const {text} = await call({host: fleet.ip(name), path: '/metrics', port: 9_101});
+    if (/^stallpaddle_replica_leads 1$/m.test(text)) {
+      return name;
+    }
+  }
+  return undefined;
+}
+
 await runCase(new URL('.', import.meta.url), async (record, onEnd) => {
-  const fleet = new Fleet({net: 84, record});
+  const fleet = new Fleet({net: 85, record});
   onEnd(() => fleet.end());
   CORE.forEach((name, zone) => fleet.add(name, {disk: true, number: 10, role: 'front', zone}));
-  OTHERS.forEach((name, index) => {
-    fleet.add(name, {disk: false, number: 20 + index, role: 'front', zone: index % 3});
-  });
-  STORES.forEach((name, zone) => fleet.add(name, {disk: true, number: 12, role: 'store', zone}));
+  OTHERS.forEach((name, zone) => fleet.add(name, {disk: false, number: 20, role: 'front', zone}));
+  STORES.forEach((name, zone) => fleet.add(name, {disk: true, number: 30, role: 'store', zone}));
   if (!(await fleet.portsAreFree())) {
     return {code: 2, text: 'the ports are taken'};
   }
-
   ALL.forEach((name) => fleet.writeSettings(name, {bootstrap: true, seeds: CORE}));
   ALL.forEach((name) => fleet.start(name));
   const started = performance.now();
-  record(`started ${ALL.join(' ')} with the seeds ${CORE.join(' ')}`);
   const at = async (ms) => sleep(Math.max(0, started + ms - performance.now()));
 
-  await at(CHANGE_MS);
-  if (TROUBLE) {
-    ALL.forEach((name) => fleet.writeSettings(name, {bootstrap: false, seeds: NEW_SEEDS}));
-    record(
-      `the settings files of all machines name the seeds ${NEW_SEEDS.join(' ')}; no signal is sent`,
-    );
-  }
-
   const controls = [...CORE, ...OTHERS].map((name) => fleet.control(name));
   const hosts = [...CORE, ...OTHERS].map((name) => fleet.ip(name));
   if (!(await putConfig(controls, configOf(3), record))) {
     return {code: 2, text: 'no configuration was acknowledged'};
   }
-  const engines = Array.from({length: 6}, (_, index) => {
-    return new Engine({
-      controls: () => [...controls.slice(index), ...controls.slice(0, index)],
-      host: `127.84.9.${index + 1}`,
-      id: `i-${index + 1}`,
+
+  const part = newId().slice(0, 8);
+  const engines = [];
+  let crashesLeft = 0;
+  let number = 0;
+  const openEngine = async () => {
+    const index = number++;
+    const engine = new Engine({
+      controls: () => [...controls.slice(index % 6), ...controls.slice(0, index % 6)],
+      host: `127.85.9.${index + 1}`,
+      id: `i-${newId()}`,
       port: 21_080,
       record,
       service: SERVICE,
       zone: 'recife-a',
     });
-  });
-  await Promise.all(engines.map((engine) => engine.open()));
-  onEnd(() => Promise.all(engines.map((engine) => engine.close())));
+    engine.onRun = (run) => {
+      if (crashesLeft > 0 && run.parts.startsWith(part)) {
+        crashesLeft--;
+        record(`engine ${engine.id} crashes as it starts the request ${run.id}`);
+        setTimeout(() => engine.crash(), 5);
+        setTimeout(() => void openEngine(), RESTART_MS);
+      }
+    };
+    engines.push(engine);
+    await engine.open();
+  };
+  await Promise.all(Array.from({length: ENGINES}, openEngine));
+  onEnd(() =>
+    Promise.all(engines.filter(({isClosed}) => !isClosed).map((engine) => engine.close())),
+  );
 
-  await at(14_000);
-  const first = makeJob(10);
-  const isFirstTaken = await submit(hosts, fleet.ports, first, record);
-  const firstResults = await readAll(hosts, fleet.ports, first, record, 15_000);
-  if (!isFirstTaken.accepted || firstResults.length < 10) {
-    return {code: 2, text: 'the fleet did not serve a batch job before the trouble'};
-  }
+  await at(12_000);
+  const counts = {};
+  let isOver = false;
+  const others = (async () => {
+    for (let sent = 0; !isOver; sent++) {
+      const parts = `aa${sent % 8}:100,${newId().slice(0, 8)}:250`;
+      void stream(hosts[sent % hosts.length], fleet.ports, {parts}).then(({status}) => {
+        counts[status] = (counts[status] ?? 0) + 1;
+      });
+      await sleep(1_000 / OTHERS_PER_S);
+    }
+  })();
+  onEnd(async () => {
+    isOver = true;
+    await others;
+  });
 
-  await at(24_000);
-  if (TROUBLE) {
-    const killed = [...NEW_SEEDS, ...STORES];
-    await fleet.kill(killed);
-    record(`killed at the same moment: ${killed.join(' ')}`);
-    await sleep(1_000);
-    killed.forEach((name) => fleet.start(name));
-    record('they are started again, with the settings of that moment');
+  await at(16_000);
+  for (let round = 0; round < 2; round++) {
+    crashesLeft = TROUBLE ? 1 : 0;
+    const id = newId();
+    const res = await stream(hosts[round], fleet.ports, {
+      id,
+      parts: `${part}:100,${newId().slice(0, 8)}:250`,
+    });
+    record(`request ${id} with the part ${part}: ${res.status || res.why}`);
+    await sleep(2_000);
   }
-  await at(26_000 + RECOVER_MS);
 
-  const job = makeJob(10);
-  const {accepted} = await submit(hosts, fleet.ports, job, record, 10_000);
-  if (!accepted) {
+  const job = makeJob(1, 100, part);
+  const [{id: item}] = job.requests;
+  if (!(await submit(hosts, fleet.ports, job, record)).accepted) {
     return {code: 2, text: 'no node accepted the batch job'};
   }
-  const sentAt = performance.now();
-  const results = await readAll(hosts, fleet.ports, job, record, FINISH_MS + 2 * CALM_MS);
-  const items = new Map(job.requests.map(({id}) => [id, 0]));
-  for (const {runs} of engines) {
-    for (const {id} of runs) {
-      if (items.has(id)) {
-        items.set(id, items.get(id) + 1);
-      }
+  if (TROUBLE) {
+    const heldAt = await heldSince(fleet, item);
+    const leader = await controlLeader(fleet);
+    if (heldAt === undefined || leader === undefined) {
+      return {code: 2, text: 'the item was not held, or no process leads the control group'};
     }
+    record(`the item is held; ${leader} leads the control group`);
+    await sleep(heldAt + TRIAL_MS - FREEZE_AHEAD_MS - Date.now());
+    fleet.signal(leader, 'SIGSTOP');
+    await sleep(FREEZE_MS);
+    fleet.signal(leader, 'SIGCONT');
+    record(`${leader} was frozen for ${FREEZE_MS} ms`);
   }
-  const reached = [...items.values()].filter((count) => count > 0).length;
-  const busy = engines.reduce((sum, engine) => sum + engine.busy.size, 0);
-  record(
-    `${((performance.now() - sentAt) / 1000).toFixed(1)} s after the 202: ${reached} of 10 items have reached an engine; ` +
-      `${busy} requests run on ${engines.length} engines of 8 slots; last heartbeats acknowledged ` +
-      `${engines.map((engine) => `${((performance.now() - engine.beatenAt) / 1000).toFixed(1)} s`).join(', ')} ago`,
-  );
-  for (const name of [...CORE, ...OTHERS]) {
-    const ready = await call({
-      host: fleet.ip(name),
-      path: '/stallpaddle/ready',
-      port: fleet.ports + 3,
-    });
-    record(`${name} /stallpaddle/ready: ${ready.status || ready.why}`);
+  const results = await readAll(hosts, fleet.ports, job, record, 40_000);
+  for (const engine of engines) {
+    for (const run of engine.runs.filter(({id}) => id === item)) {
+      record(
+        `run of item ${item} at ${engine.id}: asked to go on after event ${run.from}, made ${run.made}, ${run.end}, from ` +
+          `${((run.startedAt - started) / 1_000).toFixed(3)} to ${((run.endedAt - started) / 1_000).toFixed(3)} s`,
+      );
+    }
   }
-  const wrong = results.filter(({id, text}) => text !== outputOf(id, job.events));
-  if (wrong.length > 0) {
-    return {code: 2, text: `${wrong.length} results are not whole, which is another matter`};
+  record(`other online requests by status: ${JSON.stringify(counts)}`);
+  if (results.length === 0) {
+    return {code: 2, text: 'the item is not listed'};
   }
-  return results.length === 10
-    ? {code: 0, text: 'LOST held: all items are listed'}
-    : {code: 1, text: `LOST broken: ${10 - results.length} of 10 items are not listed`};
+  const [{state, text}] = results;
+  const whole = outputOf(item, job.events);
+  record(`result: ${state}, ${text.split('\n').length} lines; the whole output has ${job.events}`);
+  record(
+    `begin of the text: ${text
+      .split('\n')
+      .slice(0, 12)
+      .map((line) => line.split(':')[1])
+      .join(' ')}`,
+  );
+  return state === 'completed' && text !== whole
+    ? {
+        code: 1,
+        text: 'ORDER broken: the text of a completed item is not its output, events stand twice in it',
+      }
+    : {code: 0, text: 'ORDER held: the text is the whole output'};
 });
