--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+set -uo pipefail
+cd "$(dirname "$0")"
+exec node run.mjs
