--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -25,7 +25,7 @@
 /** Time from the hold of the item to the trial that the system grants, and the freeze of a machine around it. */
 const TRIAL_MS = 10_000;
 const FREEZE_MS = Number(process.env.FREEZE_MS ?? 350);
-const FREEZE_AHEAD_MS = 50;
+const FREEZE_AHEAD_MS = Number(process.env.AHEAD_MS ?? 50);
 
 const CORE = ['f1', 'f2', 'f3'];
 const OTHERS = ['f4', 'f5', 'f6'];
