--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -14,7 +14,7 @@
   submit,
 } from '../lib-2/day.mjs';
 import {Engine, outputOf} from '../lib-2/engine.mjs';
-import {Fleet, sleep} from '../lib-2/fleet.mjs';
+import {Fleet, NET, sleep} from '../lib-2/fleet.mjs';
 import {call} from '../lib-2/http.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
@@ -57,7 +57,7 @@
 }
 
 await runCase(new URL('.', import.meta.url), async (record, onEnd) => {
-  const fleet = new Fleet({net: 85, record});
+  const fleet = new Fleet({net: NET, record});
   onEnd(() => fleet.end());
   CORE.forEach((name, zone) => fleet.add(name, {disk: true, number: 10, role: 'front', zone}));
   OTHERS.forEach((name, zone) => fleet.add(name, {disk: false, number: 20, role: 'front', zone}));
@@ -84,7 +84,7 @@
     const index = number++;
     const engine = new Engine({
       controls: () => [...controls.slice(index % 6), ...controls.slice(0, index % 6)],
-      host: `127.85.9.${index + 1}`,
+      host: `127.${NET}.9.${index + 1}`,
       id: `i-${newId()}`,
       port: 21_080,
       record,
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -4,7 +4,7 @@
  */
 import {configOf, makeJob, putConfig, readAll, runCase, SERVICE, submit} from '../lib-2/day.mjs';
 import {Engine, outputOf} from '../lib-2/engine.mjs';
-import {Fleet, sleep} from '../lib-2/fleet.mjs';
+import {Fleet, NET, sleep} from '../lib-2/fleet.mjs';
 import {call} from '../lib-2/http.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
@@ -21,7 +21,7 @@
 const ALL = [...CORE, ...OTHERS, ...STORES];
 
 await runCase(new URL('.', import.meta.url), async (record, onEnd) => {
-  const fleet = new Fleet({net: 88, record});
+  const fleet = new Fleet({net: NET, record});
   onEnd(() => fleet.end());
   CORE.forEach((name, zone) => fleet.add(name, {disk: true, number: 10, role: 'front', zone}));
   OTHERS.forEach((name, index) => {
@@ -46,7 +46,7 @@
   const engines = Array.from({length: 6}, (_, index) => {
     return new Engine({
       controls: () => [...controls.slice(index), ...controls.slice(0, index)],
-      host: `127.88.9.${index + 1}`,
+      host: `127.${NET}.9.${index + 1}`,
       id: `i-${index + 1}`,
       port: 21_080,
       record,
@@ -57,6 +57,9 @@
   await Promise.all(engines.map((engine) => engine.open()));
   onEnd(() => Promise.all(engines.map((engine) => engine.close())));
 
+  if (!(await fleet.untilStarted())) {
+    return {code: 2, text: 'not all processes have started'};
+  }
   await at(9_000);
   ALL.forEach((name) => fleet.writeSettings(name, {bootstrap: false, seeds: NEW_SEEDS}));
   ALL.forEach((name) => fleet.signal(name, 'SIGHUP'));
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -21,6 +21,9 @@
 const HEARTBEAT_MS = 1_200;
 const ZONES = ['recife-a', 'fortaleza-b', 'salvador-c'];
 
+/** Second number of the loopback addresses of this run. */
+export const NET = 20 + Math.floor(Math.random() * 200);
+
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** The `run` line of a role in the deploy file. */
@@ -67,6 +70,10 @@
     this.net = net;
     this.ports = ports;
     this.record = record;
+    process.once('exit', () => this.running.forEach((child) => child.kill('SIGKILL')));
+    for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   /** Declares a machine. */
@@ -178,6 +185,19 @@
     return new Promise((resolve) => child.once('exit', resolve));
   }
 
+  /** Waits until all processes say that they have started. */
+  async untilStarted(limitMs = 20_000) {
+    const endAt = performance.now() + limitMs;
+    const hasStarted = (name) => this.log(name).some((line) => line.includes('has started.'));
+    while (performance.now() < endAt) {
+      if ([...this.running.keys()].every(hasStarted)) {
+        return true;
+      }
+      await sleep(50);
+    }
+    return false;
+  }
+
   /** Empties the disk of a machine. */
   wipe(name) {
     const {data} = this.machines.get(name);
