--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds what the cases of the second review start besides the program itself. The stand-ins in `review/lib-2` are plain JavaScript
-# that uses only Node's own modules; their syntax is checked. Case 7 also uses the project's own choice of the machine that owns a
+# that uses only Node's own modules; their syntax is checked. Case 8 also uses the project's own choice of the machine that owns a
 # limit, which is built here. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
