RelayFlood: a client that keeps the whole body failed the check of the relay's memory

New: a caller that reads nothing. The bytes that the engine sends must stop altogether, which judges the relay alone and holds at any speed.

--- a/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
+++ b/packages/stallpaddle-relay/src/__tests__/RelayFixture.ts
@@ -4,7 +4,13 @@
 import type {Clock} from 'stallpaddle';
 import type {EngineSoftware, FleetRoute} from 'stallpaddle-fleet';
 
-import {createServer, request, type Server} from 'node:http';
+import {
+  type ClientRequest,
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {seededRandom, systemClock} from 'stallpaddle';
 import {FakeSuspectStore, PLAIN, plainRelay, StreamEngine} from 'stallpaddle-testing';
@@ -21,8 +27,12 @@
 import {RelayRun} from '../RelayRun';
 import {RelayStarts} from '../RelayStarts';
 
+/** Length of a body from which on the client discards what it receives, in characters. */
+const MAX_KEPT_CHARACTERS = 1_048_576;
+
 /** Response that a caller received. */
 export interface CallerResponse {
+  /** The body, without what follows the part that the client keeps. */
   readonly body: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** False when the response was interrupted. */
@@ -217,6 +227,32 @@
   return {ends, port: (server.address() as AddressInfo).port};
 }
 
+function requestTo(port: number, more: Readonly<Record<string, string>> = {}): ClientRequest {
+  return request({
+    headers: {
+      host: 'a.example',
+      [PLAIN.request]: 'q1',
+      [PLAIN.timeLeft]: '1500',
+      'x-other': 'kept',
+      ...more,
+    },
+    host: '127.0.0.1',
+    method: 'POST',
+    path: '/a/b?c=d',
+    port,
+  });
+}
+
+/** Sends a request and returns its response, of which nothing is read. */
+export function openResponse(port: number): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const req = requestTo(port);
+    req.on('response', resolve);
+    req.on('error', reject);
+    req.end('the body');
+  });
+}
+
 /** Sends a request and waits for the response; closes the connection after leaveAfterMs if given. */
 export function sendRequest(
   port: number,
@@ -225,24 +261,16 @@
   body = 'the body',
 ): Promise<CallerResponse> {
   return new Promise((resolve) => {
-    const req = request({
-      headers: {
-        host: 'a.example',
-        [PLAIN.request]: 'q1',
-        [PLAIN.timeLeft]: '1500',
-        'x-other': 'kept',
-        ...more,
-      },
-      host: '127.0.0.1',
-      method: 'POST',
-      path: '/a/b?c=d',
-      port,
-    });
+    const req = requestTo(port, more);
     let text = '';
     const finish = (isComplete: boolean, status = 0, headers = {}): void =>
       resolve({body: text, headers, isComplete, status});
     req.on('response', (res) => {
-      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      res.on('data', (chunk: Buffer) => {
+        if (text.length < MAX_KEPT_CHARACTERS) {
+          text += chunk.toString();
+        }
+      });
       res.on('error', () => {});
       res.on('close', () => finish(res.complete, res.statusCode, res.headers));
     });
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayFlood.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayFlood.test.ts
@@ -10,6 +10,7 @@
 
 import {
   contextOf,
+  openResponse,
   registerCleanup,
   routeOf,
   sendRequest,
@@ -77,6 +78,26 @@
 
 describe('a request that may run once, at an engine that sends bytes without end', () => {
   const ONCE: Partial<FleetRoute> = {kind: 'nonRepeatable', resumable: false, timeoutMs: 600};
+
+  // Guards against a relay that keeps what its caller doesn't read. The buffers of the connections count, too.
+  test('takes no more bytes while its caller reads none', async () => {
+    const flooding = await startFlood({before: signedHead('q1'), repeated: 'no answer '});
+    const {port} = await startRelay(contextOf([flooding]), routeOf({...ONCE, timeoutMs: 1_500}));
+    const res = await openResponse(port);
+    const startedAt = performance.now();
+    let sentBefore = -1;
+    while (sentBefore < flooding.sentBytes && performance.now() - startedAt < 1_000) {
+      sentBefore = flooding.sentBytes;
+      await delay(CLOSE_MS);
+    }
+    expect(flooding.openConnections).toBe(1);
+    expect(flooding.sentBytes).toBe(sentBefore);
+    expect(sentBefore).toBeLessThan(MAX_MEMORY_BYTES);
+    res.destroy();
+    await delay(CLOSE_MS);
+    expect(flooding.openConnections).toBe(0);
+  });
+
   test.each<[string, Flood, boolean]>([
     ['before the head', {before: '', repeated: '\r\n'}, true],
     ['in a body', {before: signedHead('q1'), repeated: 'no answer '}, false],
