Jobs: an item counts as starting until its run begins

Cause: while the control group's answer to a trial was awaited the item counted as waiting, and the next pass of the dispatcher started it again. The second start was not held, as the item's own wait ends when the first trial is due. Both runs wrote into its text.

Evidence: two runs at one engine, the second one 49 ms after the control group's leader went on, after event 12 of the first. The new tests (JobsDispatcher, "runs an item once whose trial is granted / denied late") failed before, 2 of 2: two runs, one event twice. Ruled out: a change of the leader (nothing was recorded yet), a preempted run (none).

Now the item is marked until its run exists, in one turn of the event loop, and a second run of an item is an error. Items that wait for the control group don't take from the bodies that are read at once.

--- a/packages/stallpaddle-jobs/src/JobsDispatcher.ts
+++ b/packages/stallpaddle-jobs/src/JobsDispatcher.ts
@@ -223,7 +223,7 @@
     // A stale view may list engines that have left.
     if (this.hasFreshView()) {
       // Items of earlier passes whose bodies are still being read count too: many may be ready in the same turn.
-      const limit = Math.max(0, this.pace.startsPerPass - this.engines.startingCount());
+      const limit = Math.max(0, this.pace.startsPerPass - this.engines.readingCount());
       const started = starts.slice(0, limit);
       started.forEach(({engine, key}) => void this.runner.start(key, engine));
       if (starts.length > limit) {
--- a/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
+++ b/packages/stallpaddle-jobs/src/JobsEngineTracker.ts
@@ -165,9 +165,11 @@
     };
   }
 
-  /** Number of items that are starting: their bodies are being read. */
-  startingCount(): number {
-    return [...this.options.tasks.all()].filter(({startingOn}) => startingOn !== undefined).length;
+  /** Number of items whose bodies are being read; those that wait for the answer to a trial delay no others. */
+  readingCount(): number {
+    return [...this.options.tasks.all()].filter(
+      ({body, startingOn}) => startingOn !== undefined && body === undefined,
+    ).length;
   }
 
   private findStalled(now: MonotonicMs): readonly EngineId[] {
--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -3,7 +3,7 @@
 import type {QuarantinedGroup} from 'stallpaddle-relay';
 import type {Term} from 'stallpaddle-replication';
 
-import {errorMessage, unreachable} from 'stallpaddle';
+import {errorMessage, invariant, unreachable} from 'stallpaddle';
 import {
   engineOf,
   type EngineView,
@@ -135,26 +135,37 @@
     this.options.schedulePass();
   }
 
+  /** The item counts as starting until its run begins, so that no other pass starts it meanwhile. */
   private async loadAndRun(task: Task, engineId: string): Promise<void> {
+    let ended: Promise<void> | undefined;
     task.startingOn = engineId;
+    try {
+      const engine = await this.prepare(task, engineId);
+      ended = engine === undefined ? undefined : this.run(task, engine);
+    } finally {
+      task.startingOn = undefined;
+    }
+    await ended;
+  }
+
+  /** Reads the item and asks for its trial if it needs one; returns the engine unless the item may not run on it. */
+  private async prepare(task: Task, engineId: string): Promise<EngineView | undefined> {
     try {
       await this.loadTask(task);
     } catch (err) {
       this.decide('itemReturned', task, {reason: errorMessage(err)});
       task.notBefore = this.runtime.clock.monotonicMs() + RETRY_DELAY_MS;
-      return;
-    } finally {
-      task.startingOn = undefined;
+      return undefined;
     }
     if (!(await this.mayRunParts(task))) {
-      return;
+      return undefined;
     }
-    // Reading may have taken long: the engine may be draining by now, or another process may lead.
+    // This may have taken long: the engine may be draining by now, or another process may lead.
     const engine = engineOf(this.runtime.view(), engineId);
     const isOpen = this.options.hasFreshView() && engine?.draining === false;
-    if (isOpen && this.options.tasks.get(task.key) === task && this.options.isLeading()) {
-      await this.run(task, engine);
-    }
+    return isOpen && this.options.tasks.get(task.key) === task && this.options.isLeading()
+      ? engine
+      : undefined;
   }
 
   /** Parts of the item's prompt that other requests may share. */
@@ -262,6 +273,7 @@
 
   private async run(task: Task, engine: EngineView): Promise<void> {
     const {clock} = this.runtime;
+    invariant(task.run === undefined, 'Two runs of an item would both write its text.');
     if (task.events > 0 && !mayContinue(engine, task.softwareVersion ?? UNKNOWN_SOFTWARE)) {
       this.restartAt(engine, task);
     }
--- a/packages/stallpaddle-jobs/src/JobsTasks.ts
+++ b/packages/stallpaddle-jobs/src/JobsTasks.ts
@@ -63,7 +63,7 @@
   softwareVersion: string | undefined;
   /** Quarantined parts whose trial it is; undefined once an engine has run it. */
   triedParts: string | undefined;
-  /** Engine on which it is starting, while its body is read. */
+  /** Engine on which it is starting: its body is read, or its trial is asked for. */
   startingOn: EngineId | undefined;
 }
 
@@ -74,7 +74,7 @@
   /** Waits until a time: for quarantined parts, after a failure, or until its engine is checked. */
   readonly held: number;
   readonly running: number;
-  /** Its body is being read. */
+  /** Its body is being read, or its trial is asked for. */
   readonly starting: number;
   /** Waits for a slot. */
   readonly waiting: number;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -524,6 +524,33 @@
     expect(store.parts.get('x')).toMatchObject({level: 0});
   }, 40_000);
 
+  // Guards against an item that is started again while its first start waits for the control group, so that two runs write its text.
+  test.each(['granted', 'denied'])(
+    'runs an item once whose trial is %s late, as its wait for one ends',
+    async (outcome) => {
+      const engines = await startEngines(2, 20, 20);
+      const store = new FakeSuspectStore();
+      store.parts = partWithFailedTrials('x', 0);
+      store.trialMs = 400;
+      store.clockMs = outcome === 'granted' ? TRIAL_DELAY_MS : 0;
+      store.publish();
+      const group = new FakeGroup();
+      const decided: string[] = [];
+      const leader = startLeader(group, () => viewOf(engines), {
+        decide: (decision) => decided.push(decision),
+        store,
+      });
+      group.submit(1, () => 'x');
+      const passes = setInterval(() => leader.schedulePass(), POLL_MS);
+      cleanups.push(() => clearInterval(passes));
+      await waitUntil(() => group.results.length === 1, MAX_PARTS_WAIT_MS + CALM_MS);
+      expect(group.textOf(0)).toBe(expectedOutput(20));
+      expect(decided.filter((decision) => decision === 'itemPlaced')).toHaveLength(1);
+      expect(engines.flatMap(({seen}) => seen)).toHaveLength(1);
+    },
+    40_000,
+  );
+
   test('holds all items with a quarantined part, and runs those that share only their other part', async () => {
     // Guards against a trial run of each item: a hundred items with one part would end a hundred engines.
     const engines = await startEngines(20, 5, 2);
--- a/packages/stallpaddle-testing/src/FakeSuspectStore.ts
+++ b/packages/stallpaddle-testing/src/FakeSuspectStore.ts
@@ -25,6 +25,8 @@
 export class FakeSuspectStore {
   /** Time until a finding is recorded, in milliseconds. */
   recordMs = 0;
+  /** Time until a request for a trial is answered, in milliseconds. */
+  trialMs = 0;
   /** Whether new findings become visible to the views. */
   isShared = true;
   /** Suspects by request, as the control group stores them. */
@@ -57,7 +59,13 @@
       refresh: () => Promise.resolve(),
       reported: () => this.views,
       reportedParts: () => this.partViews,
-      requestTrial: (request) => Promise.resolve(this.grantTrial(request)),
+      requestTrial: async (request) => {
+        const answer = this.grantTrial(request);
+        if (this.trialMs > 0) {
+          await delay(this.trialMs);
+        }
+        return answer;
+      },
       wire,
     });
   }
