Jobs: an item that was given up while it was starting runs no more

An engine ran an item whose end was decided already: the decision came while the item's body was read (or its trial asked for), and the start looked only whether the item was still known, not whether it was ending. No rule is broken by it; an engine's slot is wasted, and a later result is dropped.

JobsDispatcher "does not run an item that was given up while it was starting" failed before (itemEnded, then itemPlaced) and passes now.

--- a/packages/stallpaddle-jobs/src/JobsRunner.ts
+++ b/packages/stallpaddle-jobs/src/JobsRunner.ts
@@ -160,12 +160,11 @@
     if (!(await this.mayRunParts(task))) {
       return undefined;
     }
-    // This may have taken long: the engine may be draining by now, or another process may lead.
+    // This may have taken long: the engine may be draining by now, the item given up, or another process may lead.
     const engine = engineOf(this.runtime.view(), engineId);
     const isOpen = this.options.hasFreshView() && engine?.draining === false;
-    return isOpen && this.options.tasks.get(task.key) === task && this.options.isLeading()
-      ? engine
-      : undefined;
+    const isCurrent = this.options.tasks.get(task.key) === task && !task.ending;
+    return isOpen && isCurrent && this.options.isLeading() ? engine : undefined;
   }
 
   /** Parts of the item's prompt that other requests may share. */
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsDispatcher.test.ts
@@ -1116,4 +1116,33 @@
     await waitUntil(() => other.results.length === 2);
     expect(other.results.map(({outcome}) => outcome)).toEqual(['givenUp', 'givenUp']);
   });
+
+  // Guards against a run of an item whose end is decided, as the decision came while its body was read.
+  test('does not run an item that was given up while it was starting', async () => {
+    const engines = await startEngines(1, 5, 2);
+    const group = new FakeGroup();
+    let isRouted = true;
+    const view = (): FleetView => {
+      const {config, ...rest} = viewOf(engines, isRouted ? [ROUTE] : []);
+      return {...rest, config: {...config!, version: isRouted ? 1 : 2}};
+    };
+    const decided: string[] = [];
+    startLeader(group, view, {
+      decide: (decision) => decided.push(decision),
+      propose: async (change) => {
+        if (change.kind === 'endItems') {
+          await delay(1_000);
+        }
+        return group.propose(change);
+      },
+      readMs: 800,
+    });
+    group.submit(1);
+    await delay(100);
+    isRouted = false;
+    await waitUntil(() => group.results.length === 1);
+    expect(group.results[0]!.outcome).toBe('givenUp');
+    expect(decided).not.toContain('itemPlaced');
+    expect(engines[0]!.seen).toEqual([]);
+  });
 });
