Limits: a VM's part of a busy customer's limit saves nothing up between outages

A VM applies its part of a limit while no owner can be asked. The bucket of the part went on filling while the owner granted the whole limit, so in the second outage of several each VM granted a burst's part at once, also to a customer that uses all of its limit; only in the first it began with nothing.

--- a/packages/stallpaddle-limits/src/LimitShare.ts
+++ b/packages/stallpaddle-limits/src/LimitShare.ts
@@ -31,6 +31,8 @@
     this.hasHeard ||= answer.kind !== 'unsure';
     if (answer.kind === 'over' || (answer.kind === 'granted' && !answer.isCalm)) {
       this.busy.add(customer);
+      // What the share has saved up since an earlier outage is used by now.
+      this.buckets.delete(customer);
     } else if (answer.kind === 'granted') {
       this.busy.delete(customer);
     }
@@ -39,6 +41,15 @@
     }
   }
 
+  /**
+   * Whether a customer had used most of its limit by its owner's last answer.
+   *
+   * @param customer the customer
+   */
+  isBusy(customer: string): boolean {
+    return this.busy.has(customer);
+  }
+
   /**
    * Decides on one request of a customer.
    *
@@ -52,14 +63,14 @@
       capacity: Math.max(1, burst / vms),
       ratePerSecond: ratePerSecond / vms,
     };
-    const tokens = this.busy.has(customer) ? 0 : this.firstTokens(terms, vms);
+    const tokens = this.isBusy(customer) ? 0 : this.firstTokens(terms, vms);
     const answer = takeToken(this.buckets.get(customer) ?? {at: now, tokens}, terms, now);
     if (this.buckets.size >= MAX_CUSTOMERS) {
       this.buckets.clear();
     }
     this.buckets.set(customer, answer.bucket);
     return answer.kind === 'taken'
-      ? {isCalm: !this.busy.has(customer), kind: 'granted', waitMs: 0}
+      ? {isCalm: !this.isBusy(customer), kind: 'granted', waitMs: 0}
       : {kind: 'over', retryAfterMs: answer.retryAfterMs};
   }
 
--- a/packages/stallpaddle-limits/src/__tests__/unit/LimitOwnerBuckets.test.ts
+++ b/packages/stallpaddle-limits/src/__tests__/unit/LimitOwnerBuckets.test.ts
@@ -183,6 +183,15 @@
     expect(share.ask(limitOf(10), 5, 0)).toMatchObject({kind: 'over', retryAfterMs: 500});
     expect(share.ask(limitOf(10), 5, 500).kind).toBe('granted');
   });
+
+  // Guards against shares that add a burst to what an owner grants, in the second outage of several.
+  test('saves nothing up between two outages for a customer that uses its limit', () => {
+    const share = new LimitShare();
+    share.note('c', {isCalm: true, kind: 'granted', waitMs: 0});
+    expect(share.ask(limitOf(10), 5, 0).kind).toBe('granted');
+    share.note('c', {isCalm: false, kind: 'granted', waitMs: 0});
+    expect(share.ask(limitOf(10), 5, 20_000)).toMatchObject({kind: 'over', retryAfterMs: 500});
+  });
 });
 
 describe('limitOwners', () => {
