Limits: an owner's right ends before its deputy's begins

Cause: owner and deputy judged by their own silence. The owner granted the whole limit until its fleet status was 6 s old, the deputy from 1 s on. Behind it two more: the buckets of a deputy and of an owner that comes back had filled while the other one granted.

Now two of the owner and the next two VMs in its order must agree on who grants; a vote binds its voter for 0.5 s. An owner without a vote grants its part, as all others do, and the deputy the limit less one part. Buckets begin anew with each replacement; a busy customer gets nothing in advance.

Checks that changed: NodeLimits counts whom VMs ask about a limit where the answer is given, as votes go to other VMs; the sets compared are the same. Its processes started 0.5 s before the first request.

--- a/packages/stallpaddle-limits/src/LimitOwnerBuckets.ts
+++ b/packages/stallpaddle-limits/src/LimitOwnerBuckets.ts
@@ -19,6 +19,8 @@
 /** Fraction of the capacity from which a customer counts as calm. */
 const CALM_FRACTION = 0.5;
 
+const SECOND_MS = 1_000;
+
 /** Bounds memory; the least recently used bucket is evicted first. */
 const MAX_BUCKETS = 65_536;
 
@@ -26,8 +28,10 @@
   return {capacity: burst + MARGIN_REQUESTS, ratePerSecond};
 }
 
-function firstBucket({burst}: RateLimit, now: MonotonicMs): LimitBucket {
-  return {at: now, tokens: Math.min(burst + MARGIN_REQUESTS, INITIAL_REQUESTS)};
+/** A busy customer has used the rest elsewhere: its first request waits for its token, and the rate applies from there. */
+function firstTokens({burst, ratePerSecond}: RateLimit, isBusy: boolean): number {
+  const inAdvance = (ratePerSecond * MAX_WAIT_MS) / SECOND_MS;
+  return isBusy ? 1 - inAdvance : Math.min(burst + MARGIN_REQUESTS, INITIAL_REQUESTS);
 }
 
 /**
@@ -37,6 +41,11 @@
 export class LimitOwnerBuckets {
   private readonly buckets = new Map<string, LimitBucket>();
 
+  /**
+   * @param isBusy whether a customer had used most of its limit when an owner was last heard
+   */
+  constructor(private readonly isBusy: (customer: string) => boolean = () => false) {}
+
   /**
    * Decides on one request of a customer.
    *
@@ -45,7 +54,10 @@
    */
   ask(limit: RateLimit, now: MonotonicMs): LimitDecision {
     const terms = termsOf(limit);
-    const before = this.buckets.get(limit.customer) ?? firstBucket(limit, now);
+    const before = this.buckets.get(limit.customer) ?? {
+      at: now,
+      tokens: firstTokens(limit, this.isBusy(limit.customer)),
+    };
     const answer = takeToken(before, terms, now, MAX_WAIT_MS);
     this.keep(limit.customer, answer.bucket);
     if (answer.kind === 'empty') {
@@ -67,6 +79,11 @@
     }
   }
 
+  /** Drops all buckets, as another VM may have granted requests since. */
+  clear(): void {
+    this.buckets.clear();
+  }
+
   /**
    * Drops the buckets of customers whose limits another VM owns now.
    *
--- a/packages/stallpaddle-limits/src/LimitTypes.ts
+++ b/packages/stallpaddle-limits/src/LimitTypes.ts
@@ -30,9 +30,25 @@
   readonly kind: 'returnLimit';
 }
 
-/** Messages to the owner of a customer's limit. */
+/** Asks a deputy of an owner for its vote. */
+export interface AskVote {
+  readonly kind: 'voteLimitOwner';
+  readonly owner: VmId;
+  /** Whether the owner is to grant its limits, the sender in its place, or nothing but an answer is wanted. */
+  readonly wants: 'contact' | 'own' | 'replace';
+}
+
+/** Messages about a customer's limit, to its owner or deputy. */
 export type LimitAsk = AskLimit | ReturnLimit;
 
+/** A deputy's vote. */
+export interface LimitVote {
+  readonly isGranted: boolean;
+  readonly kind: 'vote';
+  /** Number of times that the voter has voted for a replacement of the owner. */
+  readonly replacements: number;
+}
+
 /** When requests above a limit may be tried again. */
 export interface LimitPause {
   /** Time during which a VM rejects the customer's requests without asking, in milliseconds. */
--- a/packages/stallpaddle-limits/src/index.ts
+++ b/packages/stallpaddle-limits/src/index.ts
@@ -15,10 +15,13 @@
 export {LimitShare} from './LimitShare';
 export type {
   AskLimit,
+  AskVote,
   LimitAnswer,
   LimitAsk,
   LimitDecision,
   LimitPause,
+  LimitVote,
   RateLimit,
   ReturnLimit,
 } from './LimitTypes';
+export {LimitVotes, VOTE_MS, VOTERS} from './LimitVotes';
--- a/packages/stallpaddle-node/src/NodeControl.ts
+++ b/packages/stallpaddle-node/src/NodeControl.ts
@@ -5,7 +5,7 @@
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DrainableServer, LogFields, ReplicaId} from 'stallpaddle';
-import type {LimitAsk} from 'stallpaddle-limits';
+import type {AskVote, LimitAsk} from 'stallpaddle-limits';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import path from 'node:path';
@@ -121,7 +121,7 @@
     const {key} = this.fleet.peers;
     const addService = (router: ConnectRouter) =>
       addNodeService(router, {
-        answer: (value) => this.answerPeer(value as FleetRequest | LimitAsk | StreamAsk),
+        answer: (value) => this.answerPeer(value as AskVote | FleetRequest | LimitAsk | StreamAsk),
         group: CONTROL_GROUP,
         onFailure: (err) =>
           this.log.note('A call of another process failed.', {error: errorMessage(err)}),
@@ -226,10 +226,13 @@
   }
 
   /** Answers another process. Any VM may own a limit or hold records of streams, with or without a replica. */
-  private answerPeer(request: FleetRequest | LimitAsk | StreamAsk): Promise<unknown> {
+  private answerPeer(request: AskVote | FleetRequest | LimitAsk | StreamAsk): Promise<unknown> {
     if (request.kind === 'askLimit' || request.kind === 'returnLimit') {
       return this.limits.answer(request);
     }
+    if (request.kind === 'voteLimitOwner') {
+      return Promise.resolve(this.limits.answerVote(request));
+    }
     if (request.kind === 'findStream' || request.kind === 'recordStreams') {
       return Promise.resolve(this.streams.answer(request));
     }
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -7,6 +7,7 @@
 import {vmWeights} from 'stallpaddle-capacity';
 import {
   type AskLimit,
+  type AskVote,
   type LimitAnswer,
   type LimitAsk,
   LimitCandidates,
@@ -15,24 +16,30 @@
   limitOwners,
   LimitPauses,
   LimitShare,
+  type LimitVote,
   type RateLimit,
+  VOTERS,
 } from 'stallpaddle-limits';
 
 import {CONTROL_GROUP, SECOND_MS} from './NodeConstants';
 import {NodeLimitBatches} from './NodeLimitBatches';
+import {NodeLimitVotes} from './NodeLimitVotes';
 import {hostOf} from './NodeSettings';
 
 /** Timeout of a request to a limit owner, in milliseconds; it delays the caller's request. */
 const ASK_TRY_MS = 120;
 
-/** Pause before an owner that did not answer is asked again, in milliseconds. */
-const OUTAGE_RETRY_MS = 500;
+/** Pause before an owner that did not answer, or has no vote, is asked again, in milliseconds. */
+const RETRY_MS: Readonly<Record<Outage['kind'], number>> = {silent: 500, unsure: 100};
 
 /**
- * Time without an answer of an owner after which its deputy grants requests in its place, in milliseconds. By then the
- * last requests that the owner granted have passed.
+ * Time without an answer of an owner after which its deputy asks for the right to grant requests in its place, in milliseconds.
+ * By then the votes for an owner that was cut off have ended, and the last requests that it granted have passed.
  */
-const OWNER_TIMEOUT_MS = 1_000;
+const OWNER_TIMEOUT_MS = 600;
+
+/** Failures of calls that are further apart don't show that the VM was unreachable in between, in milliseconds. */
+const MAX_FAILURE_GAP_MS = 1_000;
 
 /**
  * Age of the fleet status beyond which a VM neither acts as an owner nor asks one, in milliseconds. The status gets this
@@ -66,37 +73,46 @@
   readonly viewAgeMs: () => number;
 }
 
-/** Period during which an owner did not answer this VM. */
+/** Period during which an owner granted nothing to this VM: it did not answer, or had no vote. */
 interface Outage {
+  readonly kind: 'silent' | 'unsure';
   /** Time of the last try. */
   readonly lastAt: MonotonicMs;
   readonly since: MonotonicMs;
 }
 
+/** Period during which this VM grants the limits of an owner in its place. */
+interface Replacement {
+  readonly buckets: LimitOwnerBuckets;
+  /** Start of the owner's outage. */
+  readonly since: MonotonicMs;
+}
+
 const UNSURE: LimitAnswer = {kind: 'unsure'};
 
 /**
  * Applies the customers' rate limits over the whole fleet: a VM asks the owner of a limit for each request. If the owner
- * does not answer, its deputy takes over once it has confirmed this itself; until then, each VM applies its local share of
- * the limit.
+ * does not answer, its deputy takes over once it has confirmed this itself and the votes for the owner have ended; until then,
+ * each VM applies its local share of the limit, also an owner without a vote.
  */
 export class NodeLimits {
-  /** Limits that this VM grants, as owner or deputy. */
-  private readonly owned = new LimitOwnerBuckets();
+  /** Limits that this VM grants as their owner. */
+  private readonly owned = new LimitOwnerBuckets((customer) => this.share.isBusy(customer));
   /** VMs among which limits are distributed. */
   private readonly candidates = new LimitCandidates();
   /** Entry VMs from which `candidates` was computed. */
   private candidatesOf: readonly EntryView[] = [];
   /** Whether `candidates` was computed by the VMs' weights. */
   private isByWeight = false;
-  /** Owners that this VM substitutes, with the start of their outage. */
-  private readonly replaced = new Map<VmId, MonotonicMs>();
+  /** Owners that this VM has replaced. */
+  private readonly replaced = new Map<VmId, Replacement>();
   private readonly batches: NodeLimitBatches;
   private readonly pauses = new LimitPauses();
   private readonly share = new LimitShare();
   /** Customers with a request that waits for the first fleet status. */
   private readonly waiting = new Set<string>();
   private readonly outages = new Map<VmId, Outage>();
+  private readonly votes: NodeLimitVotes;
 
   /**
    * @param options its dependencies
@@ -113,6 +129,13 @@
         }),
       clock: options.clock,
     });
+    this.votes = new NodeLimitVotes({
+      askAt: (voter, ask) => this.askVoteAt(voter, ask),
+      clock: options.clock,
+      host: options.host,
+      note: options.note,
+      onReplaced: () => this.owned.clear(),
+    });
   }
 
   /**
@@ -187,55 +210,111 @@
    * @param ask the VM's request
    */
   async answer(ask: LimitAsk): Promise<LimitAnswer> {
-    const {clock, host, limitOf, viewAgeMs} = this.options;
+    const {host, limitOf, viewAgeMs} = this.options;
     const {customer} = ask;
     const limit = limitOf(customer);
     // With an old fleet status this VM may have been replaced as owner.
     if (limit === undefined || viewAgeMs() > MAX_STATUS_AGE_MS) {
       return UNSURE;
     }
-    const [owner] = this.ownersOf(customer);
+    const [owner, ...deputies] = this.ownersOf(customer);
     if (ask.kind === 'returnLimit') {
       this.owned.takeBack(limit);
       return UNSURE;
     }
     if (owner === host) {
-      return this.grant(limit, ask, clock.monotonicMs());
+      return (await this.votes.mayOwn(deputies.slice(0, VOTERS)))
+        ? this.grant(this.owned, limit, ask)
+        : UNSURE;
     }
-    if (ask.insteadOf === null || ask.insteadOf !== owner) {
+    if (owner === undefined || ask.insteadOf !== owner || deputies[0] !== host) {
       return UNSURE;
     }
-    return this.answerAsDeputy(owner, limit, ask);
+    return this.answerAsDeputy(owner, deputies.slice(1, VOTERS), limit, ask);
+  }
+
+  /**
+   * Answers another VM, as a voter. With an old fleet status this VM doesn't know the owners. An owner that it can't reach gets no
+   * vote, though it reaches this VM: others can't ask it.
+   *
+   * @param ask the VM's request
+   */
+  answerVote(ask: AskVote): LimitVote {
+    const {owner, wants} = ask;
+    if (this.options.viewAgeMs() > MAX_STATUS_AGE_MS) {
+      return this.votes.abstain(owner);
+    }
+    if (wants === 'own') {
+      if (this.isSilent(owner)) {
+        return this.votes.abstain(owner);
+      }
+      this.outages.delete(owner);
+    }
+    const vote = this.votes.answer(ask);
+    if (wants === 'replace' && !vote.isGranted) {
+      void this.checkContact(owner);
+    }
+    return vote;
+  }
+
+  /** Finds out whether an owner that has this VM's vote can be reached. */
+  private async checkContact(owner: VmId): Promise<void> {
+    const vote = await this.askVoteAt(owner, {kind: 'voteLimitOwner', owner, wants: 'contact'});
+    if (vote === undefined) {
+      this.noteOutage(owner, 'silent');
+    } else if (this.outages.get(owner)?.kind === 'silent') {
+      this.outages.delete(owner);
+    }
   }
 
   /** Asks the owner first, because it may be unreachable only for the VM that asks. */
-  private async answerAsDeputy(owner: VmId, limit: RateLimit, ask: AskLimit): Promise<LimitAnswer> {
-    const {clock, note} = this.options;
-    const {customer} = limit;
+  private async answerAsDeputy(
+    owner: VmId,
+    voters: readonly VmId[],
+    limit: RateLimit,
+    ask: AskLimit,
+  ): Promise<LimitAnswer> {
     if (!this.isPaused(owner)) {
       const answer = await this.askAt(owner, {...ask, insteadOf: null});
       if (answer !== undefined) {
         return answer;
       }
     }
-    const now = clock.monotonicMs();
+    const now = this.options.clock.monotonicMs();
     const silentMs = now - (this.outages.get(owner)?.since ?? now);
-    if (silentMs < OWNER_TIMEOUT_MS) {
+    if (silentMs < OWNER_TIMEOUT_MS || !(await this.votes.mayReplace(owner, voters))) {
       return UNSURE;
     }
-    const {since} = this.outages.get(owner)!;
-    if (this.replaced.get(owner) !== since) {
-      this.replaced.set(owner, since);
-      note('The limit owner does not answer, so this VM replaces it.', {customer, owner, silentMs});
+    const {buckets} = this.replacementOf(owner, limit.customer);
+    return this.grant(buckets, this.withoutOneShare(limit), ask);
+  }
+
+  /** Begins a replacement with each outage of the owner. */
+  private replacementOf(owner: VmId, customer: string): Replacement {
+    const {clock, note} = this.options;
+    const since = this.outages.get(owner)?.since ?? clock.monotonicMs();
+    const known = this.replaced.get(owner);
+    if (known?.since === since) {
+      return known;
     }
-    return this.grant(limit, ask, now);
+    const isBusy = (customer: string): boolean => this.share.isBusy(customer);
+    const replacement = {buckets: new LimitOwnerBuckets(isBusy), since};
+    this.replaced.set(owner, replacement);
+    const silentMs = clock.monotonicMs() - since;
+    note('The limit owner does not answer, so this VM replaces it.', {customer, owner, silentMs});
+    return replacement;
   }
 
-  /** Decides on requests of an owned limit. */
-  private grant(limit: RateLimit, ask: AskLimit, now: MonotonicMs): LimitDecision {
-    return this.isPausing
-      ? this.pauses.answer(this.owned, limit, ask, now)
-      : this.owned.ask(limit, now);
+  /** A limit without the share of the silent owner, which grants that much if it is only cut off. */
+  private withoutOneShare(limit: RateLimit): RateLimit {
+    const vms = this.options.entries().length;
+    return {...limit, ratePerSecond: limit.ratePerSecond * (1 - 1 / vms)};
+  }
+
+  /** Decides on requests of a limit. */
+  private grant(buckets: LimitOwnerBuckets, limit: RateLimit, ask: AskLimit): LimitDecision {
+    const now = this.options.clock.monotonicMs();
+    return this.isPausing ? this.pauses.answer(buckets, limit, ask, now) : buckets.ask(limit, now);
   }
 
   private get isPausing(): boolean {
@@ -268,31 +347,61 @@
     return this.isPaused(deputy) ? UNSURE : ((await this.askAt(deputy, instead)) ?? UNSURE);
   }
 
-  /** Undefined when the VM doesn't answer in time. */
+  /** An earlier release has no votes; its answer counts as one. */
+  private async askVoteAt(voter: VmId, ask: AskVote): Promise<LimitVote | undefined> {
+    const request = {encoded: encodeValue(ask), group: CONTROL_GROUP, query: true};
+    const outcome = await this.options.tryAt(voter, request, ASK_TRY_MS);
+    switch (outcome.kind) {
+      case 'answered':
+        return outcome.result as LimitVote;
+      case 'notLeader':
+        return {isGranted: true, kind: 'vote', replacements: 0};
+      case 'unknown':
+        return undefined;
+    }
+  }
+
+  /** Undefined when the VM doesn't answer in time, or is an owner without a vote. */
   private async askAt(host: VmId, ask: LimitAsk): Promise<LimitAnswer | undefined> {
-    const {clock, tryAt} = this.options;
+    const {tryAt} = this.options;
     if (host === this.options.host) {
       return this.answer(ask);
     }
     const request = {encoded: encodeValue(ask), group: CONTROL_GROUP, query: true};
     const outcome = await tryAt(host, request, ASK_TRY_MS);
-    if (outcome.kind === 'answered') {
-      this.outages.delete(host);
-      return outcome.result as LimitAnswer;
+    if (outcome.kind !== 'answered') {
+      this.noteOutage(host, 'silent');
+      return undefined;
+    }
+    const answer = outcome.result as LimitAnswer;
+    if (ask.kind === 'askLimit' && ask.insteadOf === null && answer.kind === 'unsure') {
+      this.noteOutage(host, 'unsure');
+      return undefined;
     }
-    const now = clock.monotonicMs();
+    this.outages.delete(host);
+    return answer;
+  }
+
+  private noteOutage(host: VmId, kind: Outage['kind']): void {
+    const now = this.options.clock.monotonicMs();
     const before = this.outages.get(host);
-    // Failures far apart don't show that the VM was unreachable in between, so they are separate outages.
-    const continues = before !== undefined && now - before.lastAt < OWNER_TIMEOUT_MS;
-    this.outages.set(host, {lastAt: now, since: continues ? before.since : now});
-    return undefined;
+    const continues = before !== undefined && now - before.lastAt < MAX_FAILURE_GAP_MS;
+    this.outages.set(host, {kind, lastAt: now, since: continues ? before.since : now});
   }
 
   private isPaused(host: VmId): boolean {
     const outage = this.outages.get(host);
-    return (
-      outage !== undefined && this.options.clock.monotonicMs() - outage.lastAt < OUTAGE_RETRY_MS
-    );
+    return outage !== undefined && this.sinceMs(outage) < RETRY_MS[outage.kind];
+  }
+
+  /** Whether the latest call to a VM, not long ago, had no answer. */
+  private isSilent(host: VmId): boolean {
+    const outage = this.outages.get(host);
+    return outage?.kind === 'silent' && this.sinceMs(outage) < MAX_FAILURE_GAP_MS;
+  }
+
+  private sinceMs({lastAt}: Outage): number {
+    return this.options.clock.monotonicMs() - lastAt;
   }
 
   private ownersOf(customer: string): readonly VmId[] {
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeLimits.test.ts
@@ -1,11 +1,18 @@
 /** Guards against customers exceeding their limit while limit owners are unreachable, partitioned or replaced. */
 import type {VmId} from 'stallpaddle';
 import type {EntryView} from 'stallpaddle-fleet';
-import type {LimitAsk, LimitDecision, RateLimit} from 'stallpaddle-limits';
+import type {
+  AskVote,
+  LimitAnswer,
+  LimitAsk,
+  LimitDecision,
+  LimitVote,
+  RateLimit,
+} from 'stallpaddle-limits';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
 import {decodeValue, seededRandom, systemClock} from 'stallpaddle';
-import {limitOwnerCandidates, limitOwners} from 'stallpaddle-limits';
+import {limitOwnerCandidates, limitOwners, VOTE_MS} from 'stallpaddle-limits';
 import {tryLocal} from 'stallpaddle-rpc';
 import {describe, expect, test} from 'vitest';
 
@@ -19,6 +26,8 @@
 /** VMs with a simulated network and a common clock. */
 class Fleet {
   asks = 0;
+  /** VMs that were asked about the limit. */
+  readonly asked = new Set<VmId>();
   entries: readonly EntryView[];
   readonly hosts: readonly VmId[];
   isWeighted = false;
@@ -51,6 +60,8 @@
       });
       this.limits.set(host, limits);
     }
+    // A process that has just started has no vote.
+    this.now += VOTE_MS;
   }
 
   get owners(): readonly VmId[] {
@@ -68,12 +79,21 @@
     return answers.filter(({kind}) => kind === 'granted').length;
   }
 
+  private async answerAt(host: VmId, ask: AskVote | LimitAsk): Promise<LimitAnswer | LimitVote> {
+    const limits = this.limits.get(host)!;
+    if (ask.kind === 'voteLimitOwner') {
+      return limits.answerVote(ask);
+    }
+    this.asked.add(host);
+    return limits.answer(ask);
+  }
+
   private async tryAt(from: VmId, to: VmId, {encoded}: TryRequest): Promise<TryOutcome> {
     this.asks++;
     if (this.silent.has(to) || this.silent.has(from) || this.isLost(from, to)) {
       return {kind: 'unknown'};
     }
-    return tryLocal(() => this.limits.get(to)!.answer(decodeValue<LimitAsk>(encoded)));
+    return tryLocal(() => this.answerAt(to, decodeValue<AskVote | LimitAsk>(encoded)));
   }
 }
 
@@ -160,6 +180,92 @@
     expect(fleet.asks).toBe(0);
   });
 
+  // Guards against an owner that is cut off and goes on granting the whole limit beside its deputy.
+  test('an owner that is cut off and its deputy grant no more than the limit, and no less', async () => {
+    const fleet = new Fleet(isPausing);
+    await rounds(fleet, 20);
+    const granted: number[] = [];
+    for (let round = 0; round < 400; round++) {
+      const [owner] = fleet.owners;
+      // Two cuts of 5.5 s; the customer stays away for a while before the second.
+      const isCut = (round >= 10 && round < 65) || (round >= 250 && round < 305);
+      fleet.isLost = (from, to) => isCut && (from === owner) !== (to === owner);
+      const isAway = round >= 150 && round < 200;
+      // Half of the requests arrive at the owner.
+      const atOwner = Array.from({length: isAway ? 0 : VMS}, () => fleet.admitAt(owner!));
+      const ofOwner = (await Promise.all(atOwner)).filter(({kind}) => kind === 'granted');
+      granted.push(ofOwner.length + (isAway ? 0 : await fleet.round()));
+      fleet.now += 100;
+    }
+    const sum = (from: number, to: number): number =>
+      granted.slice(from, to).reduce((total, count) => total + count, 0);
+    for (let from = 0; from <= 350; from++) {
+      expect(sum(from, from + 50)).toBeLessThanOrEqual((10 * 5 + 10) * 1.1 + 20);
+    }
+    // The owner that returns, and the deputy that replaces it again, begin with few requests.
+    expect(sum(65, 85)).toBeLessThanOrEqual(2 * 10 + 4 + 1);
+    expect(sum(250, 280)).toBeLessThanOrEqual(3 * 10 + 4 + 1);
+    // Each second of the rate, from 1.5 s after the begin of a cut and after its end on.
+    for (const from of [25, 35, 45, 55, 80, 90, 100, 265, 275, 285, 295, 320, 330, 340]) {
+      expect(sum(from, from + 10)).toBeGreaterThanOrEqual(9);
+    }
+  });
+
+  // Guards against an owner that can't be reached, or reaches nobody, and grants beside its deputy or the VMs' shares.
+  test.each(['to', 'from'])(
+    'the limit holds, and is granted, while calls %s the owner are lost',
+    async (way) => {
+      const fleet = new Fleet(isPausing);
+      await rounds(fleet, 20);
+      const [owner] = fleet.owners;
+      const granted: number[] = [];
+      for (let round = 0; round < 150; round++) {
+        const isCut = round >= 10 && round < 90;
+        fleet.isLost = (from, to) => isCut && (way === 'to' ? to : from) === owner;
+        granted.push(await rounds(fleet, 1));
+      }
+      const sum = (from: number, to: number): number =>
+        granted.slice(from, to).reduce((total, count) => total + count, 0);
+      for (let from = 0; from <= 100; from++) {
+        expect(sum(from, from + 50)).toBeLessThanOrEqual((10 * 5 + 10) * 1.1 + 20);
+      }
+      for (const from of [25, 35, 45, 55, 65, 75, 105, 115]) {
+        expect(sum(from, from + 10)).toBeGreaterThanOrEqual(9);
+      }
+    },
+  );
+
+  // Guards against a right to grant that lapses while a customer sends nothing, and takes its burst along.
+  test('a customer that was away has its burst, also while a deputy is lost', async () => {
+    const fleet = new Fleet(isPausing);
+    await rounds(fleet, 30);
+    const [, deputy] = fleet.owners;
+    for (const isLost of [false, true]) {
+      fleet.isLost = (from, to) => isLost && (from === deputy || to === deputy);
+      fleet.now += 10_000;
+      const hosts = fleet.hosts.filter((host) => host !== deputy).slice(0, LIMIT.burst);
+      const answers = await Promise.all(hosts.map((host) => fleet.admitAt(host)));
+      expect(answers.map(({kind}) => kind)).toEqual(hosts.map(() => 'granted'));
+    }
+  });
+
+  // Guards against a deputy that replaces an owner after one lost call, which costs the customer its burst.
+  test('a customer that was away has its burst after calls to the owner were lost for a moment', async () => {
+    const fleet = new Fleet(isPausing);
+    await rounds(fleet, 30);
+    const [owner] = fleet.owners;
+    fleet.now += 10_000;
+    fleet.isLost = (_, to) => to === owner;
+    const others = fleet.hosts.filter((host) => !fleet.owners.includes(host));
+    await fleet.admitAt(others[0]!);
+    fleet.isLost = () => false;
+    fleet.now += 1_000;
+    const answers = await Promise.all(
+      others.slice(1, 1 + LIMIT.burst).map((host) => fleet.admitAt(host)),
+    );
+    expect(answers.filter(({kind}) => kind === 'granted')).toHaveLength(LIMIT.burst);
+  });
+
   // Guards against VMs that each grant a whole limit after all processes were lost.
   test('VMs that have just started share the limit until they have a fleet status', async () => {
     const fleet = new Fleet(isPausing);
@@ -200,8 +306,6 @@
     const weights = sized.map(({cores}) => cores);
     const [owner] = limitOwners(LIMIT.customer, limitOwnerCandidates(fleet.hosts, weights));
     expect(fleet.hosts.indexOf(owner!)).toBeLessThan(8);
-    const asked = new Set<VmId>();
-    fleet.isLost = (_, to) => !asked.add(to);
     let granted = 0;
     for (let round = 0; round < 50; round++) {
       fleet.entries = sized.map((entry, at) => ({...entry, used: ((at + round) % 11) / 10}));
@@ -209,7 +313,7 @@
     }
     expect(granted).toBeGreaterThanOrEqual(45);
     expect(granted).toBeLessThanOrEqual((10 * 5 + 10) * 1.1 + 20);
-    expect(asked).toEqual(new Set([owner]));
+    expect(fleet.asked).toEqual(new Set([owner]));
   });
 });
 
