Limits: VMs grant their parts of a busy customer's limit at different moments

While no owner can be asked each VM grants its part. For a busy customer all of them began with nothing, at the same moment, so all granted their first request at the same moment too: in the model with 24 VMs none for 2 s, then 24 at once.

--- a/packages/stallpaddle-limits/src/LimitShare.ts
+++ b/packages/stallpaddle-limits/src/LimitShare.ts
@@ -21,6 +21,12 @@
   private readonly busy = new Set<string>();
   private hasHeard = false;
 
+  /**
+   * @param phaseOf fraction of a token with which a busy customer begins here, evenly spread over the VMs: else all of them would
+   * grant their first requests at the same time
+   */
+  constructor(private readonly phaseOf: (customer: string) => number = () => 0) {}
+
   /**
    * Records an answer of the owner of a customer's limit.
    *
@@ -63,7 +69,7 @@
       capacity: Math.max(1, burst / vms),
       ratePerSecond: ratePerSecond / vms,
     };
-    const tokens = this.isBusy(customer) ? 0 : this.firstTokens(terms, vms);
+    const tokens = this.isBusy(customer) ? this.phaseOf(customer) : this.firstTokens(terms, vms);
     const answer = takeToken(this.buckets.get(customer) ?? {at: now, tokens}, terms, now);
     if (this.buckets.size >= MAX_CUSTOMERS) {
       this.buckets.clear();
--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -3,7 +3,7 @@
 import type {EntryView} from 'stallpaddle-fleet';
 import type {TryOutcome, TryRequest} from 'stallpaddle-rpc';
 
-import {encodeValue} from 'stallpaddle';
+import {encodeValue, hash32} from 'stallpaddle';
 import {vmWeights} from 'stallpaddle-capacity';
 import {
   type AskLimit,
@@ -48,6 +48,9 @@
  */
 const MAX_STATUS_AGE_MS = 6 * SECOND_MS;
 
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32;
+
 /** Longest retry-after time given by a VM that only applies its local share of a limit, in milliseconds. */
 const SHARE_RETRY_AFTER_MS = 500;
 
@@ -108,7 +111,7 @@
   private readonly replaced = new Map<VmId, Replacement>();
   private readonly batches: NodeLimitBatches;
   private readonly pauses = new LimitPauses();
-  private readonly share = new LimitShare();
+  private readonly share = new LimitShare((customer) => this.phaseOf(customer));
   /** Customers with a request that waits for the first fleet status. */
   private readonly waiting = new Set<string>();
   private readonly outages = new Map<VmId, Outage>();
@@ -317,6 +320,10 @@
     return this.isPausing ? this.pauses.answer(buckets, limit, ask, now) : buckets.ask(limit, now);
   }
 
+  private phaseOf(customer: string): number {
+    return hash32(`${this.options.host} ${customer}`) / HASH_RANGE;
+  }
+
   private get isPausing(): boolean {
     return this.options.isPausing?.() === true;
   }
