Relay, items: a response without a valid status is a broken attempt

Here callers of requests that are no streams got no answer at all for 000 to 099 (writeHead throws), and 101, 600 and 999 as answers; an item counted such a response against its attempts, and the other interface took it for an answer.

Cause: Node's client takes any three digits for a final response. Now a status outside of 200 to 599 is an attempt that may have run: another engine if the request may run again, else 502; an item runs again.

--- a/packages/stallpaddle-engine/src/EngineHttp.ts
+++ b/packages/stallpaddle-engine/src/EngineHttp.ts
@@ -6,6 +6,7 @@
 import {type IncomingMessage, request} from 'node:http';
 import {
   errorMessage,
+  isFinalStatus,
   registerHeadLimit,
   registerResetDetector,
   startDeadline,
@@ -130,6 +131,12 @@
       registerResetDetector(outgoing);
       outgoing.on('error', (err) => reject(new BackendError(verdictOf(err), errorMessage(err))));
       outgoing.on('response', (res) => {
+        const status = res.statusCode;
+        if (!isFinalStatus(status)) {
+          outgoing.destroy();
+          reject(new BackendError('mayHaveRun', `the response has the status ${status}`));
+          return;
+        }
         const refusal = parseRefusal(res);
         if (refusal !== undefined) {
           // The rest of the body may have no end.
@@ -140,7 +147,7 @@
         resolve({
           body: streamBody(res),
           contentType: res.headers['content-type'] ?? 'application/octet-stream',
-          status: res.statusCode ?? 0,
+          status,
         });
       });
       outgoing.end(req.body);
--- a/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
+++ b/packages/stallpaddle-engine/src/__tests__/unit/EngineHttp.test.ts
@@ -58,6 +58,15 @@
     cut.stop();
   });
 
+  // Guards against a status that no response to a caller can have.
+  test.each(['000', '099', '101', '600', '999'])('fails after the status %s', async (status) => {
+    const response = `HTTP/1.1 ${status} Odd\r\ncontent-length: 4\r\n\r\nbody`;
+    const odd = await CutEngine.start(() => response, 'end');
+    const engine = new HttpEngine(HOST, Number(odd.address.split(':')[1]));
+    await expect(send(engine)).rejects.toMatchObject({verdict: 'mayHaveRun'});
+    odd.stop();
+  });
+
   // Guards against a connection that is read for ever because the body of a refusal has no end.
   test('closes the connection of a refusal', async () => {
     let isOpen = true;
--- a/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
+++ b/packages/stallpaddle-jobs/src/__tests__/unit/JobsItemRun.test.ts
@@ -133,3 +133,15 @@
     }
   });
 });
+
+// Guards against an item that counts as failed, and is given up, because an engine in trouble sent no valid status.
+test.each(['000', '099', '101', '600', '999'])(
+  'breaks the run after the status %s',
+  async (status) => {
+    const head = signedHead('i', EVENTS, 'content-length: 4').replace(' 200 ', ` ${status} `);
+    const engine = await CutEngine.start(() => `${head}body`, 'end');
+    undo.push(() => engine.stop());
+    const {ended} = startItemRun(plainRelay, new RelayLatencies(), requestOf(engine.address));
+    expect(await ended).toMatchObject({kind: 'broken'});
+  },
+);
--- a/packages/stallpaddle-relay/src/RelayEngineCall.ts
+++ b/packages/stallpaddle-relay/src/RelayEngineCall.ts
@@ -4,7 +4,7 @@
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
 
-import {openRequest, registerResetDetector, registerTimeout} from 'stallpaddle';
+import {isFinalStatus, openRequest, registerResetDetector, registerTimeout} from 'stallpaddle';
 
 import type {RelayLatencies} from './RelayLatencies';
 import type {RelayWire, ResponseMetadata} from './RelayWire';
@@ -75,7 +75,10 @@
   res: IncomingMessage,
   requestId: string,
 ): EngineCallStart {
-  const metadata = wire.readResponse(res.statusCode ?? 0, res.headers);
+  if (!isFinalStatus(res.statusCode)) {
+    return {kind: 'mayHaveRun', reason: `the response has the status ${res.statusCode}`};
+  }
+  const metadata = wire.readResponse(res.statusCode, res.headers);
   if (metadata.otherEngine) {
     return {kind: 'notRun', reason: 'otherEngine'};
   }
--- a/packages/stallpaddle/src/index.ts
+++ b/packages/stallpaddle/src/index.ts
@@ -16,6 +16,7 @@
 export {registerResetDetector} from './ConnectionReset';
 export {DrainableServer} from './DrainableServer';
 export {type ErrorCode, errorMessage, type RefusalDetails, RefusalError, refuse} from './Errors';
+export {isFinalStatus} from './FinalStatus';
 export {hash32, rendezvousOrder, rendezvousOwner} from './Hash';
 export {registerHeadLimit} from './HeadLimit';
 export {openRequest} from './HttpRequest';
