Relay: a reason phrase that can't be sent on no longer leaves a caller waiting

An engine whose reason phrase has a control character left its caller without an answer: Node's client accepts it, writeHead throws. The phrase, which no client should look at, is left out.

RelayStatus "gets a response at an engine that sends a control character in the reason" failed before for each kind of route (no answer in 6 s).

--- a/packages/stallpaddle-relay/src/RelayForwarder.ts
+++ b/packages/stallpaddle-relay/src/RelayForwarder.ts
@@ -10,6 +10,9 @@
 import {EventSplitter, isNextEvent, type StreamEvent} from './RelayEvents';
 import {forwardedHeaders} from './RelayHeaders';
 
+/** Reason phrases that Node sends; its client accepts others. */
+const REASON_PHRASE = /^[\t\u0020-\u007e\u0080-\u00ff]*$/u;
+
 /** Whether a response was forwarded completely. */
 export type ForwardResult = 'broken' | 'whole';
 
@@ -136,7 +139,8 @@
     if (length !== null) {
       headers.push('Content-Length', String(length));
     }
-    this.res.writeHead(response.statusCode!, response.statusMessage ?? '', headers);
+    const reason = response.statusMessage ?? '';
+    this.res.writeHead(response.statusCode!, REASON_PHRASE.test(reason) ? reason : '', headers);
   }
 
   /** Writes to the caller; the promise, if any, is resolved when the caller has read enough for more. */
--- a/packages/stallpaddle-relay/src/__tests__/unit/RelayStatus.test.ts
+++ b/packages/stallpaddle-relay/src/__tests__/unit/RelayStatus.test.ts
@@ -50,6 +50,7 @@
 
   // Guards against a caller that waits for ever because a part of the head can't be sent on.
   test.each<[string, string, readonly string[]]>([
+    ['a control character in the reason', '200 O\u0001K', []],
     ['a reason beyond ASCII', '200 Olá €', []],
     ['a control character in a header', '200 OK', ['x-a: a\u0001b']],
     ['a header beyond ASCII', '200 OK', ['x-a: Olá €']],
