Node: a stopping process takes no request that outlasts it

Cause: a stopping process takes requests until 3 s before the end of its grace, however long they take. It now remembers the longest times of each route's latest requests and refuses, with 503 and the promise that nothing ran, what would not end in time; short requests are served as before.

--- a/packages/stallpaddle-node/src/NodeDrainState.ts
+++ b/packages/stallpaddle-node/src/NodeDrainState.ts
@@ -20,6 +20,7 @@
  * requests while callers may have its address cached and there is time to finish them; after that it refuses them.
  */
 export class NodeDrainState {
+  private leftAt: MonotonicMs = Infinity;
   private open = 0;
   private phase: 'leaving' | 'refusing' | 'serving' = 'serving';
 
@@ -64,9 +65,20 @@
 
   /** Begins the shutdown; new requests are still served. */
   leave(): void {
+    this.leftAt = this.clock.monotonicMs();
     this.phase = 'leaving';
   }
 
+  /**
+   * Whether a request that takes some time ends before this process does.
+   *
+   * @param ms the time, in milliseconds
+   */
+  hasTimeFor(ms: number): boolean {
+    const spentMs = Math.max(0, this.clock.monotonicMs() - this.leftAt);
+    return !this.isLeaving || spentMs + ms <= this.graceMs - SHUTDOWN_MARGIN_MS;
+  }
+
   /** Waits until a new request might not finish within the grace period, then refuses new requests. */
   async untilLastRequests(): Promise<void> {
     await delay(Math.min(ADDRESSES_CACHED_MS, Math.max(0, this.graceMs - LAST_REQUEST_MARGIN_MS)));
--- a/packages/stallpaddle-node/src/NodeEntry.ts
+++ b/packages/stallpaddle-node/src/NodeEntry.ts
@@ -49,6 +49,7 @@
 import {NodeLog} from './NodeLog';
 import {NodeOnlineReporter} from './NodeOnlineReporter';
 import {NodeRoutes} from './NodeRoutes';
+import {NodeRunTimes} from './NodeRunTimes';
 import {largestCounts} from './NodeShareMetrics';
 import {NodeShares} from './NodeShares';
 import {makeSuspects} from './NodeSuspects';
@@ -77,6 +78,7 @@
   private readonly connections = new NodeConnections();
   private readonly shares: NodeShares;
   private readonly deadlines = new RelayDeadlines();
+  private readonly runTimes = new NodeRunTimes();
 
   /**
    * @param options dependencies of the process
@@ -412,9 +414,19 @@
     }
   }
 
+  /** Refuses a request that this process, which is stopping, might have to interrupt; another VM can run it. */
+  private refuseIfTooLate({metadata, route}: RelayRequest): void {
+    const limitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity);
+    const longestMs = this.runTimes.longestMs(route.name, limitMs);
+    if (longestMs !== undefined && !this.drainState.hasTimeFor(longestMs)) {
+      throw refuse('leaving', 'This VM is stopping.', {retryAfterMs: 0});
+    }
+  }
+
   /** Sends a request to an engine, within its customer's share and limit. */
   private async relay(request: RelayRequest, res: ServerResponse): Promise<void> {
-    const {caller, metadata} = request;
+    const {arrivedAt, caller, metadata, route} = request;
+    this.refuseIfTooLate(request);
     this.shares.check(caller, metadata.requestId);
     await this.admission.admit(caller, metadata.requestId);
     if (res.destroyed) {
@@ -431,7 +443,10 @@
     }
     if (run.neverRan) {
       this.admission.refund(caller);
+      return;
     }
+    const now = this.options.clock.monotonicMs();
+    this.runTimes.note(route.name, now - arrivedAt, now);
   }
 
   private async identify(req: IncomingMessage, isOpen: () => boolean): Promise<RelayCaller> {
--- a/packages/stallpaddle-node/src/__tests__/unit/NodeDrainState.test.ts
+++ b/packages/stallpaddle-node/src/__tests__/unit/NodeDrainState.test.ts
@@ -23,3 +23,15 @@
   unsent = 0;
   await idle;
 });
+
+// Guards against requests that are accepted during a stop and cut off at its end.
+test('a stopping process has time only for what ends before its own end', () => {
+  let now = 0;
+  const drainState = new NodeDrainState({...systemClock, monotonicMs: () => now}, GRACE_MS);
+  expect(drainState.hasTimeFor(10 * GRACE_MS)).toBe(true);
+  drainState.leave();
+  expect(drainState.hasTimeFor(GRACE_MS - 500)).toBe(true);
+  expect(drainState.hasTimeFor(GRACE_MS)).toBe(false);
+  now = 1_000;
+  expect(drainState.hasTimeFor(GRACE_MS - 500)).toBe(false);
+});
