--- a/packages/stallpaddle-node/src/NodeLimits.ts
+++ b/packages/stallpaddle-node/src/NodeLimits.ts
@@ -300,7 +300,7 @@
     if (known?.since === since) {
       return known;
     }
-    const isBusy = (customer: string): boolean => this.share.isBusy(customer);
+    const isBusy = (name: string): boolean => this.share.isBusy(name);
     const replacement = {buckets: new LimitOwnerBuckets(isBusy), since};
     this.replaced.set(owner, replacement);
     const silentMs = clock.monotonicMs() - since;
@@ -320,6 +320,7 @@
     return this.isPausing ? this.pauses.answer(buckets, limit, ask, now) : buckets.ask(limit, now);
   }
 
+  /** Fraction of a request, by this VM and the customer. */
   private phaseOf(customer: string): number {
     return hash32(`${this.options.host} ${customer}`) / HASH_RANGE;
   }
